--- /dev/null
+++ b/chestnutstair/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination: the decisions, loops and policies of a daemon."""
--- /dev/null
+++ b/chestnutstair/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol: messages between parties and what answers them."""
--- /dev/null
+++ b/chestnutstair/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around a fleet, for demo and tests."""
--- /dev/null
+++ b/chestnutstair/standins/table.py
@@ -0,0 +1,128 @@
+"""A table and an object store in memory, with faults to order."""
+
+import threading
+from collections.abc import Sequence
+from copy import deepcopy
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    ABSENT,
+    Condition,
+    ConflictFailure,
+    Key,
+    ObjectStore,
+    PlatformFailure,
+    Row,
+    Table,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+    Write,
+)
+from chestnutstair.state.deadline import Deadline
+
+__all__ = ["MemoryObjectStore", "MemoryTable"]
+
+
+class MemoryTable(Table):
+    """A table in memory.
+
+    `down` refuses everything; `lose_answers` hides the answers of that
+    many commits after they took effect.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[Key, Row] = {}
+        self._version = ABSENT
+        self._lock = threading.Lock()
+        self.down = False
+        self.lose_answers = 0
+        self.read_count = 0
+        self.write_count = 0
+
+    def read(
+        self, keys: Sequence[Key], deadline: Deadline
+    ) -> Result[tuple[Row | None, ...], PlatformFailure]:
+        """Return the rows, all at one moment, None for absent ones."""
+        if self.down:
+            return Err(UnavailableFailure("the table is down"))
+        with self._lock:
+            self.read_count += 1
+            return Ok(tuple(deepcopy(self._rows.get(key)) for key in keys))
+
+    def scan(
+        self, table: str, start: str, end: str, limit: int, deadline: Deadline
+    ) -> Result[tuple[Row, ...], PlatformFailure]:
+        """Return rows with start <= key < end in order, at most limit."""
+        if self.down:
+            return Err(UnavailableFailure("the table is down"))
+        with self._lock:
+            self.read_count += 1
+            keys = sorted(
+                key
+                for key in self._rows
+                if key.table == table and start <= key.key < end
+            )
+            return Ok(tuple(deepcopy(self._rows[k]) for k in keys[:limit]))
+
+    def commit(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Deadline,
+    ) -> Result[None, ConflictFailure | PlatformFailure]:
+        """Make all writes if all conditions hold, else none."""
+        if self.down:
+            return Err(UnavailableFailure("the table is down"))
+        with self._lock:
+            self.write_count += 1
+            broken = tuple(
+                condition.key
+                for condition in conditions
+                if self._get_version(condition.key) != condition.version
+            )
+            if broken:
+                return Err(ConflictFailure(broken))
+            for write in writes:
+                self._apply(write)
+            if self.lose_answers > 0:
+                self.lose_answers -= 1
+                return Err(UnknownOutcomeFailure("the answer was lost"))
+            return Ok(None)
+
+    def _get_version(self, key: Key) -> int:
+        row = self._rows.get(key)
+        return ABSENT if row is None else row.version
+
+    def _apply(self, write: Write) -> None:
+        self._version += 1
+        if write.value is None:
+            self._rows.pop(write.key, None)
+        else:
+            value = deepcopy(write.value)
+            self._rows[write.key] = Row(write.key, value, self._version)
+
+
+class MemoryObjectStore(ObjectStore):
+    """An object store in memory; `down` refuses everything."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, bytes] = {}
+        self.down = False
+
+    def put(
+        self, name: str, body: bytes, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Store the object, replacing any of that name."""
+        if self.down:
+            return Err(UnavailableFailure("the object store is down"))
+        self._objects[name] = body
+        return Ok(None)
+
+    def get(
+        self, name: str, deadline: Deadline
+    ) -> Result[bytes | None, PlatformFailure]:
+        """Return the object, or None if there is none of that name."""
+        if self.down:
+            return Err(UnavailableFailure("the object store is down"))
+        return Ok(self._objects.get(name))
--- /dev/null
+++ b/chestnutstair/state/__init__.py
@@ -0,0 +1,1 @@
+"""State: frozen data classes and the pure functions over them."""
--- /dev/null
+++ b/chestnutstair/state/resource.py
@@ -0,0 +1,39 @@
+"""Resource vectors of VMs, tasks and quotas."""
+
+from dataclasses import dataclass
+
+__all__ = ["NO_RESOURCES", "Resources"]
+
+
+@dataclass(frozen=True)
+class Resources:
+    """Processor cores, memory in GB and whole accelerators."""
+
+    cores: float = 0.0
+    memory_gb: float = 0.0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cores + other.cores,
+            self.memory_gb + other.memory_gb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cores - other.cores,
+            self.memory_gb - other.memory_gb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_into(self, room: "Resources") -> bool:
+        """Tell whether every component is at most that of the room."""
+        return (
+            self.cores <= room.cores
+            and self.memory_gb <= room.memory_gb
+            and self.accelerators <= room.accelerators
+        )
+
+
+NO_RESOURCES = Resources()
--- /dev/null
+++ b/chestnutstair/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- /dev/null
+++ b/chestnutstair/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: the HTTP and gRPC servers and clients."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line helpers of the project's developers."""
