--- a/chestnutstair/coordination/changelog.py
+++ b/chestnutstair/coordination/changelog.py
@@ -1,33 +1,39 @@
-"""The ordered log of all changes, kept in the platform's table."""
+"""The ordered log of all changes, folded into this daemon's view."""
 
 import logging
 import threading
 import uuid
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.platform import (
-    ABSENT,
     Condition,
     ConflictFailure,
-    Key,
+    ObjectStore,
     PlatformFailure,
-    Row,
     Table,
     UnknownOutcomeFailure,
     Write,
 )
+from chestnutstair.coordination.records import (
+    FLOOR_KEY,
+    LOG_TABLE,
+    Floor,
+    RecordStore,
+    TicketEntry,
+    build_record_key,
+    build_ticket_entry,
+)
 from chestnutstair.state.change import Change, ChangeRecord, TicketChange
-from chestnutstair.state.codec import decode_value, encode_value
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import Failure
 from chestnutstair.state.fold import ChangeFailure, apply_record
 from chestnutstair.state.view import FleetView
 
 __all__ = [
-    "HEAD_KEY",
     "LOG_TABLE",
     "AppendFailure",
     "ChangeLog",
@@ -37,9 +43,8 @@
 
 logger = logging.getLogger(__name__)
 
-LOG_TABLE = "log"
-HEAD_KEY = Key("log-head", "head")
 SCAN_LIMIT = 200  # records
+RECENT_LIMIT = 500  # records kept to answer peers
 
 
 @dataclass(frozen=True)
@@ -56,11 +61,6 @@
 AppendFailure = ChangeFailure | RaceFailure | PlatformFailure | ConflictFailure
 
 
-def build_record_key(revision: int) -> Key:
-    """Return the key of the record with the revision."""
-    return Key(LOG_TABLE, f"{revision:012d}")
-
-
 class ChangeLog:
     """This daemon's copy of the log, folded into one fleet view.
 
@@ -70,27 +70,46 @@
     """
 
     def __init__(
-        self, table: Table, clock: Clock, author: str, view: FleetView
+        self,
+        table: Table,
+        clock: Clock,
+        author: str,
+        view: FleetView,
+        objects: ObjectStore | None = None,
     ) -> None:
-        self._table = table
+        self._store = RecordStore(table, objects)
         self._clock = clock
         self._author = author
         self._view = view
-        self._recent: list[ChangeRecord] = []
+        self._floor = Floor()
+        self._recent: deque[ChangeRecord] = deque(maxlen=RECENT_LIMIT)
+        self._tickets: dict[int, TicketEntry] = {}
         self._listeners: list[Callable[[ChangeRecord, FleetView], None]] = []
-        self._moved = threading.Condition()
+        self._install_listeners: list[Callable[[FleetView], None]] = []
+        self._moved = threading.Condition(threading.RLock())
 
     @property
     def view(self) -> FleetView:
         """The newest view that this daemon has in force."""
         return self._view
 
+    @property
+    def store(self) -> RecordStore:
+        """Where the records lie."""
+        return self._store
+
     def add_listener(
         self, listener: Callable[[ChangeRecord, FleetView], None]
     ) -> None:
         """Call the listener after each record, in order, under the lock."""
         self._listeners.append(listener)
 
+    def add_install_listener(
+        self, listener: Callable[[FleetView], None]
+    ) -> None:
+        """Call the listener, under the lock, when a view is replaced."""
+        self._install_listeners.append(listener)
+
     def wait_past(self, revision: int, deadline: Deadline) -> bool:
         """Block until the view is newer than the revision."""
         with self._moved:
@@ -105,11 +124,17 @@
             if view.revision <= self._view.revision:
                 return False
             self._view = view
+            self._recent.clear()
+            for listener in self._install_listeners:
+                listener(view)
             self._moved.notify_all()
             return True
 
     def fold_records(self, records: Iterable[ChangeRecord]) -> int:
-        """Fold the records that follow the view; return its revision."""
+        """Fold the records that follow the view; return its revision.
+
+        Records after a gap are left out: the caller reads what lacks.
+        """
         with self._moved:
             for record in records:
                 if record.revision == self._view.revision + 1:
@@ -121,27 +146,62 @@
         # A committed record was checked by its author: the same fold on
         # the same view can not be refused here.
         self._view = apply_record(self._view, record).unwrap()
+        self._recent.append(record)
+        self._remember_ticket(record)
         for listener in self._listeners:
             listener(record, self._view)
 
+    def _remember_ticket(self, record: ChangeRecord) -> None:
+        match record.change:
+            case TicketChange(ticket=ticket):
+                entry = build_ticket_entry(record, ticket)
+                self._tickets[ticket.number] = entry
+                self._tickets.pop(ticket.number - RECENT_LIMIT, None)
+
+    def list_recent(self, after: int) -> tuple[ChangeRecord, ...] | None:
+        """Return the records after the revision, None if some are gone."""
+        with self._moved:
+            if after >= self._view.revision:
+                return ()
+            found = tuple(
+                item for item in self._recent if item.revision > after
+            )
+            whole = bool(found) and found[0].revision == after + 1
+            return found if whole else None
+
     def read_records(
         self, after: int, limit: int, deadline: Deadline
     ) -> Result[tuple[ChangeRecord, ...], PlatformFailure]:
-        """Return the records after the revision, oldest first."""
-        start = build_record_key(after + 1).key
-        rows = self._table.scan(LOG_TABLE, start, "~", limit, deadline)
-        return rows.map(lambda found: tuple(map(_decode_record, found)))
+        """Return records after the revision, oldest first, archive too."""
+        return self._store.read_after(after, limit, deadline)
+
+    def load(self, deadline: Deadline) -> Result[int, PlatformFailure]:
+        """Start from the newest snapshot and fold the tail of the log."""
+        match self._store.read_floor(deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(floor):
+                self._floor = floor
+        match self._store.read_snapshot(self._floor, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(view):
+                self.install_view(view)
+        return self.refresh(deadline)
 
     def refresh(self, deadline: Deadline) -> Result[int, PlatformFailure]:
         """Fold everything that the table has; return the revision."""
         while True:
-            match self.read_records(self._view.revision, SCAN_LIMIT, deadline):
+            after = self._view.revision
+            match self.read_records(after, SCAN_LIMIT, deadline):
                 case Err(failure):
                     return Err(failure)
+                case Ok(()):
+                    return Ok(self._view.revision)
                 case Ok(records):
                     revision = self.fold_records(records)
-                    if len(records) < SCAN_LIMIT:
-                        return Ok(revision)
+            if revision <= after or deadline.has_passed(self._clock):
+                return Ok(revision)
 
     def append(
         self,
@@ -179,21 +239,45 @@
         writes: Sequence[Write],
         deadline: Deadline,
     ) -> Result[ChangeRecord, AppendFailure]:
-        key = build_record_key(record.revision)
-        committed = self._table.commit(
-            [Condition(key, ABSENT), *conditions],
-            [Write(key, encode_value(record)), *writes],
-            deadline,
+        floor = self._floor
+        committed = self._store.commit(
+            record, floor, conditions, writes, deadline
         )
         match committed:
             case Ok():
                 return Ok(record)
-            case Err(ConflictFailure(rows)) if key not in rows:
+            case Err(ConflictFailure(rows)) if FLOOR_KEY in rows:
+                return self._commit_above(
+                    floor, record, conditions, writes, deadline
+                )
+            case Err(ConflictFailure(rows)) if (
+                build_record_key(record.revision) not in rows
+            ):
                 return Err(ConflictFailure(rows))
             case Err(ConflictFailure() | UnknownOutcomeFailure() as failure):
                 return self._resolve(record, failure, deadline)
             case Err(failure):
                 return Err(failure)
+        raise AssertionError(committed)
+
+    def _commit_above(
+        self,
+        known: Floor,
+        record: ChangeRecord,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Deadline,
+    ) -> Result[ChangeRecord, AppendFailure]:
+        """Commit again after the floor moved, unless it passed the view."""
+        match self._store.read_floor(deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(floor):
+                self._floor = floor
+        if floor == known or floor.revision >= record.revision:
+            self.refresh(deadline)
+            return Err(RaceFailure(self._view.revision, ""))
+        return self._commit(record, conditions, writes, deadline)
 
     def _resolve(
         self,
@@ -202,37 +286,21 @@
         deadline: Deadline,
     ) -> Result[ChangeRecord, AppendFailure]:
         """Find out whether the record, or another, took its revision."""
-        match self._table.read([build_record_key(record.revision)], deadline):
-            case Ok((None,)) | Err(_):
+        match self._store.read_record(record.revision, deadline):
+            case Ok(None) | Err(_):
                 return Err(failure)
-            case Ok((Row() as row,)):
-                found = _decode_record(row)
-                if found.id == record.id:
-                    return Ok(record)
+            case Ok(ChangeRecord(id=found_id)) if found_id == record.id:
+                return Ok(record)
+            case Ok(ChangeRecord(revision=revision, author=author)):
                 self.refresh(deadline)
-                return Err(RaceFailure(found.revision, found.author))
+                return Err(RaceFailure(revision, author))
         return Err(failure)
 
     def find_ticket(
         self, number: int, deadline: Deadline
-    ) -> Result[ChangeRecord | None, PlatformFailure]:
-        """Return the record of the ticket with the number."""
-        after = 0
-        while True:
-            match self.read_records(after, SCAN_LIMIT, deadline):
-                case Err(failure):
-                    return Err(failure)
-                case Ok(records):
-                    for record in records:
-                        match record.change:
-                            case TicketChange(ticket=ticket) if (
-                                ticket.number == number
-                            ):
-                                return Ok(record)
-                    if len(records) < SCAN_LIMIT:
-                        return Ok(None)
-                    after = records[-1].revision
-
-
-def _decode_record(row: Row) -> ChangeRecord:
-    return decode_value(ChangeRecord, row.value).unwrap()
+    ) -> Result[TicketEntry | None, PlatformFailure]:
+        """Return what is known of the accepted ticket with the number."""
+        entry = self._tickets.get(number)
+        if entry is not None:
+            return Ok(entry)
+        return self._store.find_ticket(number, deadline)
--- /dev/null
+++ b/chestnutstair/coordination/duties.py
@@ -0,0 +1,346 @@
+"""Leases on exclusive duties, spread over the live daemons."""
+
+import hashlib
+import logging
+import threading
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from prometheus_client import Counter, Gauge
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.duty import DUTY_TABLE, Duty, DutyHolder
+from chestnutstair.coordination.loop import Loop
+from chestnutstair.coordination.messenger import Member, Membership
+from chestnutstair.coordination.platform import (
+    ABSENT,
+    Condition,
+    ConflictFailure,
+    Key,
+    PlatformFailure,
+    Row,
+    Table,
+    Write,
+)
+from chestnutstair.state.codec import STRICT, decode_value, encode_value
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+
+__all__ = ["BEAT_TABLE", "DutySettings", "LeasedDuties", "rank_members"]
+
+logger = logging.getLogger(__name__)
+
+BEAT_TABLE = "duty-beat"
+HELD_COUNT = Gauge("chestnutstair_duties_held", "Duties that are held here.")
+TAKEOVERS = Counter("chestnutstair_duty_takeovers_total", "Duties taken over.")
+
+
+@dataclass(frozen=True)
+class DutySettings:
+    """Times of leases; each daemon judges them on its monotonic clock.
+
+    The holder's own deadline ends `margin_seconds` before another may
+    take over: the clocks of two daemons may drift apart by that much
+    within one lease.
+    """
+
+    __pydantic_config__ = STRICT
+
+    lease_seconds: float = 6.0
+    margin_seconds: float = 1.0
+    renew_seconds: float = 2.0
+    rank_seconds: float = 2.0  # that each less preferred daemon waits more
+    handover_seconds: float = 30.0  # until a preferred daemon gets its duty
+    table_seconds: float = 1.5  # deadline of one operation
+
+
+@dataclass(frozen=True)
+class DutyRow:
+    """The row of a duty, written by takeovers and releases only."""
+
+    __pydantic_config__ = STRICT
+
+    token: int
+    holder: str = ""  # a daemon's incarnation, empty when released
+
+
+@dataclass(frozen=True)
+class Sighting:
+    """The versions of a duty's two rows, and since when they stood."""
+
+    duty_version: int
+    beat_version: int
+    since: float
+
+
+def rank_members(duty: str, members: Sequence[Member]) -> list[str]:
+    """Return the names, the preferred holder of the duty first."""
+
+    def score(member: Member) -> str:
+        return hashlib.sha256(f"{duty}/{member.name}".encode()).hexdigest()
+
+    return [member.name for member in sorted(members, key=score)]
+
+
+class LeasedDuties(DutyHolder):
+    """Takes, renews and hands over duties through the table.
+
+    One row for each daemon carries its beat for all duties that it
+    holds. A renewal is conditional on the rows of those duties, and a
+    takeover on the rows of duty and beat being those that stood still
+    for the lease time.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        membership: Membership,
+        list_names: Callable[[], Sequence[str]],
+        clock: Clock,
+        settings: DutySettings | None = None,
+    ) -> None:
+        self._table = table
+        self._membership = membership
+        self._list_names = list_names
+        self._clock = clock
+        self._settings = settings or DutySettings()
+        self._me = membership.get_self()
+        self._beat = 0
+        self._lock = threading.Lock()
+        self._held: dict[str, Duty] = {}
+        self._sightings: dict[str, Sighting] = {}
+        self._look_at: dict[str, float] = {}
+        self._unwanted_since: dict[str, float] = {}
+        self._loop = Loop("duties", self._run)
+
+    def start(self) -> None:
+        """Start renewing and taking over duties."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Release all duties and end."""
+        self._loop.stop()
+        self._release(list(self._held), self._make_deadline())
+
+    def find_duty(self, name: str) -> Duty | None:
+        """Return the duty if held and its deadline has not passed."""
+        with self._lock:
+            duty = self._held.get(name)
+        if duty is None or duty.deadline.has_passed(self._clock):
+            return None
+        return duty
+
+    def list_held(self) -> tuple[str, ...]:
+        """Return the names of the duties that are held now."""
+        return tuple(name for name in list(self._held) if self.find_duty(name))
+
+    def _make_deadline(self) -> Deadline:
+        return Deadline.after(self._clock, self._settings.table_seconds)
+
+    def _make_lease(self) -> Deadline:
+        seconds = self._settings.lease_seconds - self._settings.margin_seconds
+        return Deadline.after(self._clock, seconds)
+
+    def _run(self) -> float:
+        self.keep()
+        return self._settings.renew_seconds
+
+    def keep(self) -> None:
+        """Renew what is held, hand over what is not wanted, take the rest."""
+        deadline = self._make_deadline()
+        names = self._list_names()
+        self._renew(deadline)
+        self._hand_over(names, deadline)
+        match self._take(names, deadline):
+            case Err(failure):
+                logger.info("duties: %s", describe_failure(failure))
+        HELD_COUNT.set(len(self.list_held()))
+
+    # Renewal
+
+    def _renew(self, deadline: Deadline) -> None:
+        held = dict(self._held)
+        if not held:
+            return
+        lease = self._make_lease()
+        conditions = [duty.build_condition() for duty in held.values()]
+        match self._table.commit(conditions, [self._write_beat()], deadline):
+            case Ok():
+                self._extend(held, lease)
+            case Err(ConflictFailure(rows)):
+                self._lose({key.key for key in rows})
+                self._renew(deadline)
+            case Err(failure):
+                # The deadlines stand: what may not have been renewed
+                # counts as not renewed.
+                logger.info("renewal: %s", describe_failure(failure))
+
+    def _write_beat(self) -> Write:
+        self._beat += 1
+        key = Key(BEAT_TABLE, self._me.incarnation)
+        return Write(key, {"beat": self._beat})
+
+    def _extend(self, held: dict[str, Duty], lease: Deadline) -> None:
+        with self._lock:
+            for name, duty in held.items():
+                self._held[name] = Duty(name, duty.token, duty.version, lease)
+
+    def _lose(self, names: set[str]) -> None:
+        with self._lock:
+            for name in names:
+                self._held.pop(name, None)
+        logger.info("lost duties %s", sorted(names))
+
+    # Release
+
+    def _hand_over(self, names: Sequence[str], deadline: Deadline) -> None:
+        """Release a duty that a preferred live daemon lacks for long."""
+        now = self._clock.read_monotonic()
+        members = self._membership.list_live()
+        for name in list(self._held):
+            ranked = rank_members(name, members)
+            if name in names and ranked and ranked[0] == self._me.name:
+                self._unwanted_since.pop(name, None)
+                continue
+            since = self._unwanted_since.setdefault(name, now)
+            if now - since >= self._settings.handover_seconds:
+                self._release([name], deadline)
+                return
+
+    def _release(self, names: Sequence[str], deadline: Deadline) -> None:
+        with self._lock:
+            duties = [self._held.pop(name) for name in names]
+        for duty in duties:
+            self._unwanted_since.pop(duty.name, None)
+            key = Key(DUTY_TABLE, duty.name)
+            row = encode_value(DutyRow(duty.token))
+            self._table.commit(
+                [duty.build_condition()], [Write(key, row)], deadline
+            )
+
+    # Takeover
+
+    def _take(
+        self, names: Sequence[str], deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Look at duties whose turn it is and take those without holder."""
+        ranks = self._list_due(names)
+        if not ranks:
+            return Ok(None)
+        keys = [Key(DUTY_TABLE, name) for name in ranks]
+        match self._table.read(keys, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(rows):
+                found = dict(zip(ranks, rows, strict=True))
+        match self._read_beats(found, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(beats):
+                for name, row in found.items():
+                    self._consider(name, ranks[name], row, beats, deadline)
+        return Ok(None)
+
+    def _list_due(self, names: Sequence[str]) -> dict[str, int]:
+        """Return the ranks of this daemon for duties to look at now."""
+        now = self._clock.read_monotonic()
+        members = self._membership.list_live()
+        due = {}
+        for name in names:
+            if name in self._held or now < self._look_at.get(name, 0.0):
+                continue
+            ranked = rank_members(name, members)
+            if self._me.name not in ranked:
+                continue
+            rank = due[name] = ranked.index(self._me.name)
+            pause = self._settings.renew_seconds * (1 + rank)
+            # Looks fall due with the loop's calls, which have jitter.
+            self._look_at[name] = now + pause * 0.7
+        return due
+
+    def _read_beats(
+        self, found: dict[str, Row | None], deadline: Deadline
+    ) -> Result[dict[str, int], PlatformFailure]:
+        """Return the versions of the beats of the holders."""
+        holders = sorted(
+            {row.value["holder"] for row in found.values() if row is not None}
+            - {""}
+        )
+        keys = [Key(BEAT_TABLE, holder) for holder in holders]
+        rows = self._table.read(keys, deadline) if keys else Ok(())
+        return rows.map(
+            lambda beats: {
+                holder: ABSENT if beat is None else beat.version
+                for holder, beat in zip(holders, beats, strict=True)
+            }
+        )
+
+    def _consider(
+        self,
+        name: str,
+        rank: int,
+        row: Row | None,
+        beats: dict[str, int],
+        deadline: Deadline,
+    ) -> None:
+        if row is None:
+            seen = DutyRow(0)
+            version = ABSENT
+        else:
+            seen = decode_value(DutyRow, row.value).unwrap()
+            version = row.version
+        if seen.holder == self._me.incarnation:
+            # Taken by a commit whose answer was lost.
+            self._adopt(name, seen.token, version)
+            return
+        beat = beats.get(seen.holder, ABSENT)
+        if self._has_lapsed(name, rank, seen.holder, version, beat):
+            self._take_over(name, seen, version, beat, deadline)
+
+    def _has_lapsed(
+        self, name: str, rank: int, holder: str, version: int, beat: int
+    ) -> bool:
+        now = self._clock.read_monotonic()
+        sighting = self._sightings.get(name)
+        if sighting is None or (
+            (sighting.duty_version, sighting.beat_version) != (version, beat)
+        ):
+            sighting = Sighting(version, beat, now)
+            self._sightings[name] = sighting
+        lease = self._settings.lease_seconds if holder else 0.0
+        wait = lease + rank * self._settings.rank_seconds
+        return now - sighting.since >= wait
+
+    def _adopt(self, name: str, token: int, version: int) -> None:
+        # The deadline has passed: the next renewal makes it usable.
+        past = Deadline(self._clock.read_monotonic())
+        with self._lock:
+            self._held[name] = Duty(name, token, version, past)
+
+    def _take_over(
+        self,
+        name: str,
+        seen: DutyRow,
+        version: int,
+        beat: int,
+        deadline: Deadline,
+    ) -> None:
+        key = Key(DUTY_TABLE, name)
+        row = encode_value(DutyRow(seen.token + 1, self._me.incarnation))
+        conditions = [Condition(key, version)]
+        writes = [Write(key, row), self._write_beat()]
+        if seen.holder:
+            beat_key = Key(BEAT_TABLE, seen.holder)
+            conditions.append(Condition(beat_key, beat))
+        lease = self._make_lease()
+        match self._table.commit(conditions, writes, deadline):
+            case Err(failure):
+                logger.info("takeover: %s", describe_failure(failure))
+                return
+        match self._table.read([key], deadline):
+            case Ok((Row(value=value, version=taken),)) if value == row:
+                TAKEOVERS.inc()
+                logger.info("took duty %s, token %d", name, seen.token + 1)
+                with self._lock:
+                    duty = Duty(name, seen.token + 1, taken, lease)
+                    self._held[name] = duty
--- /dev/null
+++ b/chestnutstair/coordination/gossip.py
@@ -0,0 +1,158 @@
+"""Facts about daemons that heartbeats pass on, and what each peer has."""
+
+import zlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from chestnutstair.coordination.messenger import Member, Message
+from chestnutstair.state.codec import STRICT
+
+__all__ = [
+    "Fact",
+    "FactBook",
+    "FactsMessage",
+    "HeartbeatMessage",
+    "build_member",
+    "select_links",
+]
+
+FORGOTTEN_LIMIT = 1000  # daemons
+
+
+@dataclass(frozen=True)
+class Fact:
+    """What a daemon said of itself; a higher beat is newer.
+
+    Beats of different incarnations are comparable, because a daemon
+    starts above the beat that the table or a peer has of its name.
+    """
+
+    __pydantic_config__ = STRICT
+
+    name: str
+    zone: str
+    address: str
+    incarnation: str
+    beat: int
+    revision: int = 0
+    ready: bool = False
+    stopping: bool = False
+
+
+@dataclass(frozen=True)
+class HeartbeatMessage(Message):
+    """Shows that the sender lives, and the revision it has in force.
+
+    `digest` covers all the facts that the sender knows, but for beats.
+    `facts` are those that changed since the last one to this peer.
+    `beats` are of other daemons, while the table can not tell them.
+    """
+
+    __pydantic_config__ = STRICT
+
+    incarnation: str
+    beat: int
+    revision: int
+    digest: int
+    facts: tuple[Fact, ...] = ()
+    beats: Mapping[str, int] | None = None
+
+
+@dataclass(frozen=True)
+class FactsMessage(Message):
+    """Facts for a peer whose digest differs from the sender's."""
+
+    __pydantic_config__ = STRICT
+
+    facts: tuple[Fact, ...]
+
+
+def build_member(fact: Fact) -> Member:
+    """Return the member that the fact describes."""
+    return Member(
+        fact.name, fact.zone, fact.address, fact.incarnation, fact.revision
+    )
+
+
+def select_links(name: str, names: Iterable[str], mesh_limit: int) -> set[str]:
+    """Return the peers to hold streams to: all, or ring steps 1, 2, 4..."""
+    ring = sorted({*names, name})
+    if len(ring) <= mesh_limit:
+        return set(ring) - {name}
+    here = ring.index(name)
+    steps = [2**power for power in range((len(ring) - 1).bit_length())]
+    return {ring[(here + step) % len(ring)] for step in steps} - {name}
+
+
+class FactBook:
+    """The newest fact of each daemon, and what was sent to each peer."""
+
+    def __init__(self) -> None:
+        self._facts: dict[str, Fact] = {}
+        self._sent: dict[str, dict[str, Fact]] = {}
+        self._forgotten: dict[str, Fact] = {}
+        self._digest: int | None = None
+
+    def get(self, name: str) -> Fact | None:
+        """Return the newest fact of the daemon."""
+        return self._facts.get(name)
+
+    def list_facts(self) -> tuple[Fact, ...]:
+        """Return the newest fact of every daemon, by name."""
+        return tuple(self._facts[name] for name in sorted(self._facts))
+
+    def compute_digest(self) -> int:
+        """Return a checksum of all facts without their beats."""
+        if self._digest is None:
+            text = repr([replace(item, beat=0) for item in self.list_facts()])
+            self._digest = zlib.crc32(text.encode())
+        return self._digest
+
+    def note(self, fact: Fact) -> bool:
+        """Keep the fact if it is newer; tell whether it was."""
+        known = self._facts.get(fact.name)
+        if known is not None and known.beat >= fact.beat:
+            return False
+        if self._is_forgotten(fact):
+            return False
+        self._facts[fact.name] = fact
+        if known is None or replace(known, beat=fact.beat) != fact:
+            self._digest = None
+        return True
+
+    def _is_forgotten(self, fact: Fact) -> bool:
+        gone = self._forgotten.get(fact.name)
+        return (
+            gone is not None
+            and gone.incarnation == fact.incarnation
+            and gone.beat >= fact.beat
+        )
+
+    def forget(self, name: str) -> None:
+        """Drop a daemon; a peer's old fact does not bring it back."""
+        self._forgotten[name] = self._facts.pop(name)
+        while len(self._forgotten) > FORGOTTEN_LIMIT:
+            del self._forgotten[next(iter(self._forgotten))]
+        self._sent.pop(name, None)
+        self._digest = None
+
+    def note_held_by(self, peer: str, facts: Iterable[Fact]) -> None:
+        """Remember that the peer has the facts."""
+        self._sent.setdefault(peer, {}).update(
+            {fact.name: replace(fact, beat=0) for fact in facts}
+        )
+
+    def forget_sent(self, peer: str) -> None:
+        """Assume that the peer has nothing, as after its restart."""
+        self._sent.pop(peer, None)
+
+    def take_news(self, peer: str, limit: int) -> tuple[Fact, ...]:
+        """Return facts that the peer lacks, and assume they reach it."""
+        held = self._sent.setdefault(peer, {})
+        news = [
+            fact
+            for name, fact in sorted(self._facts.items())
+            if name != peer and held.get(name) != replace(fact, beat=0)
+        ][:limit]
+        self.note_held_by(peer, news)
+        return tuple(news)
--- /dev/null
+++ b/chestnutstair/coordination/membership.py
@@ -0,0 +1,364 @@
+"""The daemons that live, by leases in the table and by heartbeats."""
+
+import logging
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from prometheus_client import Gauge
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.gossip import (
+    Fact,
+    FactBook,
+    FactsMessage,
+    HeartbeatMessage,
+    build_member,
+    select_links,
+)
+from chestnutstair.coordination.loop import Loop
+from chestnutstair.coordination.messenger import (
+    Member,
+    Membership,
+    PeerLinks,
+)
+from chestnutstair.coordination.platform import (
+    Condition,
+    ConflictFailure,
+    PlatformFailure,
+    Table,
+)
+from chestnutstair.coordination.registry import (
+    read_facts,
+    remove_facts,
+    write_fact,
+)
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+
+__all__ = [
+    "MemberList",
+    "MemberStatus",
+    "MembershipSettings",
+]
+
+logger = logging.getLogger(__name__)
+
+BEATS_PERIOD = 2  # heartbeats, of which one lists the others' beats
+MISMATCH_LIMIT = 3  # heartbeats with another digest before facts are sent
+LIVE_COUNT = Gauge("chestnutstair_members_live", "Daemons seen to live.")
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """How daemons find each other and judge that one lives.
+
+    `seeds` are `IP:port` of peer servers to begin with.
+    """
+
+    __pydantic_config__ = STRICT
+
+    seeds: tuple[str, ...] = ()
+    heartbeat_seconds: float = 1.0
+    renew_seconds: float = 2.0
+    lease_seconds: float = 6.0
+    forget_seconds: float = 600.0
+    table_seconds: float = 2.0  # deadline of one operation
+    scan_row_seconds: float = 0.1  # between scans, for each daemon
+    mesh_limit: int = 8  # daemons that all hold streams to each other
+    fact_limit: int = 64  # in one heartbeat
+
+
+@dataclass(frozen=True)
+class MemberStatus:
+    """A daemon, whether it lives, and when it was last heard of.
+
+    `heard_at` is wall-clock epoch seconds of this daemon.
+    """
+
+    fact: Fact
+    live: bool
+    heard_at: float
+
+
+class MemberList(Membership):
+    """Keeps the list of daemons from the table and from heartbeats.
+
+    A daemon lives as long as its beat rises, by either path, within the
+    lease time on this daemon's monotonic clock. No wall clocks are
+    compared.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        log: ChangeLog,
+        table: Table,
+        links: PeerLinks,
+        clock: Clock,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        self._settings = settings or MembershipSettings()
+        self._log = log
+        self._table = table
+        self._links = links
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._book = FactBook()
+        self._heard: dict[str, float] = {}
+        self._mismatches: dict[str, int] = {}
+        self._table_read_at = clock.read_monotonic()
+        self._scan_at = 0.0
+        self._ticks = 0
+        self._own = Fact(
+            member.name, member.zone, member.address, member.incarnation, 1
+        )
+        self._note(self._own)
+        links.add_handler(HeartbeatMessage, self._take_heartbeat)
+        links.add_handler(FactsMessage, self._take_facts)
+        self._loops = (
+            Loop("heartbeat", self._run_heartbeat),
+            Loop("membership", self._run_renewal),
+        )
+
+    def start(self) -> None:
+        """Start the heartbeats and the renewals."""
+        for loop in self._loops:
+            loop.start()
+
+    def stop(self) -> None:
+        """Tell the others that this daemon stops, and end the loops."""
+        with self._lock:
+            self._own = replace(self._own, stopping=True)
+        self.send_heartbeats()
+        for loop in self._loops:
+            loop.stop()
+        self._write_own(self._make_deadline())
+
+    def mark_ready(self) -> None:
+        """Say from now on that this daemon serves."""
+        with self._lock:
+            self._own = replace(self._own, ready=True)
+
+    def get_self(self) -> Member:
+        """Return this daemon."""
+        return replace(
+            build_member(self._own), revision=self._log.view.revision
+        )
+
+    def list_live(self) -> tuple[Member, ...]:
+        """Return the live daemons with this one, sorted by name."""
+        return tuple(
+            build_member(status.fact)
+            for status in self.list_statuses()
+            if status.live and not status.fact.stopping
+        )
+
+    def list_statuses(self) -> tuple[MemberStatus, ...]:
+        """Return every daemon that is not forgotten, sorted by name."""
+        with self._lock:
+            if self._own.revision != self._log.view.revision:
+                self._refresh_own()
+            now = self._clock.read_monotonic()
+            wall = self._clock.read_wall()
+            return tuple(
+                MemberStatus(
+                    fact,
+                    self._is_fresh(fact.name),
+                    wall - (now - self._heard[fact.name]),
+                )
+                for fact in self._book.list_facts()
+            )
+
+    def _is_fresh(self, name: str) -> bool:
+        if name == self._own.name:
+            return True
+        age = self._clock.read_monotonic() - self._heard[name]
+        return age < self._settings.lease_seconds + self._scan_interval()
+
+    def _scan_interval(self) -> float:
+        # The interval grows with the rows, so that bytes stay bounded.
+        rows = len(self._book.list_facts())
+        return max(
+            self._settings.renew_seconds,
+            rows * self._settings.scan_row_seconds,
+        )
+
+    def _make_deadline(self) -> Deadline:
+        return Deadline.after(self._clock, self._settings.table_seconds)
+
+    def _note(self, fact: Fact) -> None:
+        own = fact.name == self._own.name
+        if own and fact.incarnation != self._own.incarnation:
+            # An earlier run of this daemon: rise above it.
+            beat = max(self._own.beat, fact.beat + 1)
+            self._own = replace(self._own, beat=beat)
+        elif self._book.note(fact):
+            self._heard[fact.name] = self._clock.read_monotonic()
+
+    def _refresh_own(self) -> Fact:
+        """Raise the own beat with what this daemon has in force."""
+        self._own = replace(
+            self._own,
+            beat=self._own.beat + 1,
+            revision=self._log.view.revision,
+        )
+        self._note(self._own)
+        return self._own
+
+    # Heartbeats
+
+    def _run_heartbeat(self) -> float:
+        self.send_heartbeats()
+        return self._settings.heartbeat_seconds
+
+    def send_heartbeats(self) -> None:
+        """Send a heartbeat to each peer that this daemon holds."""
+        with self._lock:
+            self._refresh_own()
+            self._ticks += 1
+            held = self._hold_links()
+            messages = {
+                peer: self._build_heartbeat(peer) for peer in sorted(held)
+            }
+            LIVE_COUNT.set(len(self.list_live()))
+        for peer, message in messages.items():
+            self._links.send(peer, message)
+
+    def _hold_links(self) -> set[str]:
+        addresses = {
+            fact.name: fact.address
+            for fact in self._book.list_facts()
+            if fact.name != self._own.name and not fact.stopping
+        }
+        fresh = [name for name in addresses if self._is_fresh(name)]
+        limit = self._settings.mesh_limit
+        held = select_links(self._own.name, fresh, limit)
+        known = {*addresses.values(), self._own.address}
+        seeds = {
+            seed: seed for seed in self._settings.seeds if seed not in known
+        }
+        # Daemons gone from sight may be on the other side of a cut.
+        lost = sorted(set(addresses) - set(fresh))[:limit]
+        self._links.set_peers({**addresses, **seeds}, {*held, *seeds, *lost})
+        return {*held, *seeds, *lost}
+
+    def _build_heartbeat(self, peer: str) -> HeartbeatMessage:
+        own = self._own
+        return HeartbeatMessage(
+            own.incarnation,
+            own.beat,
+            own.revision,
+            self._book.compute_digest(),
+            self._book.take_news(peer, self._settings.fact_limit),
+            self._list_beats(),
+        )
+
+    def _list_beats(self) -> dict[str, int] | None:
+        """Return the beats of others while the table can not tell them."""
+        unread = self._clock.read_monotonic() - self._table_read_at
+        if (
+            unread < self._settings.lease_seconds
+            or self._own.beat % BEATS_PERIOD
+        ):
+            return None
+        return {
+            fact.name: fact.beat
+            for fact in self._book.list_facts()
+            if fact.name != self._own.name and self._is_fresh(fact.name)
+        }
+
+    def _take_heartbeat(self, sender: str, message: HeartbeatMessage) -> None:
+        with self._lock:
+            self._take_news(sender, message.facts)
+            fact = self._book.get(sender)
+            if fact is not None and fact.incarnation == message.incarnation:
+                self._note(
+                    replace(fact, beat=message.beat, revision=message.revision)
+                )
+            for name, beat in (message.beats or {}).items():
+                known = self._book.get(name)
+                if known is not None and name != self._own.name:
+                    self._note(replace(known, beat=beat))
+            self._compare_digest(sender, message)
+
+    def _take_news(self, sender: str, facts: Iterable[Fact]) -> None:
+        for fact in facts:
+            known = self._book.get(fact.name)
+            if known is None or known.incarnation != fact.incarnation:
+                self._book.forget_sent(fact.name)
+            self._note(fact)
+        self._book.note_held_by(sender, facts)
+
+    def _compare_digest(self, sender: str, message: HeartbeatMessage) -> None:
+        """Send all facts to a peer that keeps having others."""
+        if message.digest == self._book.compute_digest():
+            self._mismatches.pop(sender, None)
+            return
+        count = self._mismatches.get(sender, 0) + 1
+        self._mismatches[sender] = count % MISMATCH_LIMIT
+        if count == MISMATCH_LIMIT:
+            facts = self._book.list_facts()
+            self._links.send(sender, FactsMessage(facts))
+
+    def _take_facts(self, sender: str, message: FactsMessage) -> None:
+        with self._lock:
+            self._take_news(sender, message.facts)
+
+    # The table
+
+    def _run_renewal(self) -> float:
+        self.renew()
+        return self._settings.renew_seconds
+
+    def renew(self) -> None:
+        """Read the others' rows when it is time, and renew the own."""
+        deadline = self._make_deadline()
+        if self._clock.read_monotonic() >= self._scan_at:
+            self._scan(deadline)
+        self._write_own(deadline)
+
+    def _write_own(self, deadline: Deadline) -> None:
+        with self._lock:
+            own = self._refresh_own()
+        match write_fact(self._table, own, deadline):
+            case Err(failure):
+                logger.info("renewal: %s", describe_failure(failure))
+
+    def _scan(self, deadline: Deadline) -> None:
+        now = self._clock.read_monotonic()
+        match read_facts(self._table, deadline):
+            case Ok(facts):
+                self._take_rows(facts)
+                self._table_read_at = now
+                self._scan_at = now + self._scan_interval()
+            case Err(failure):
+                logger.info("members: %s", describe_failure(failure))
+
+    def _take_rows(self, facts: tuple[Fact, ...]) -> None:
+        with self._lock:
+            for fact in facts:
+                self._note(fact)
+            listed = {fact.name for fact in facts}
+            for fact in self._book.list_facts():
+                if fact.name not in listed and not self._is_fresh(fact.name):
+                    self._book.forget(fact.name)
+
+    def prune(
+        self, fence: Condition, deadline: Deadline
+    ) -> Result[None, ConflictFailure | PlatformFailure]:
+        """Delete the rows of daemons that stopped, or are gone for long."""
+        gone = [
+            status.fact.name
+            for status in self.list_statuses()
+            if not status.live and self._is_forgettable(status.fact)
+        ]
+        if not gone:
+            return Ok(None)
+        return remove_facts(self._table, gone, fence, deadline)
+
+    def _is_forgettable(self, fact: Fact) -> bool:
+        age = self._clock.read_monotonic() - self._heard[fact.name]
+        return fact.stopping or age > self._settings.forget_seconds
--- a/chestnutstair/coordination/messenger.py
+++ b/chestnutstair/coordination/messenger.py
@@ -1,11 +1,11 @@
 """Messages between daemons, and who the other daemons are."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from typing import TypeVar
 
-__all__ = ["Member", "Membership", "Message", "Messenger"]
+__all__ = ["Member", "Membership", "Message", "Messenger", "PeerLinks"]
 
 
 @dataclass(frozen=True)
@@ -55,3 +55,20 @@
         self, kind: type[M], handler: Callable[[str, M], None]
     ) -> None:
         """Call the handler with the sender's name for each message."""
+
+
+class PeerLinks(Messenger):
+    """A messenger that is told which peers there are."""
+
+    @abstractmethod
+    def set_peers(
+        self, addresses: Mapping[str, str], held: Collection[str]
+    ) -> None:
+        """Take the `IP:port` of each peer, and hold streams to some.
+
+        Messages to the other peers open a stream that closes when idle.
+        """
+
+    @abstractmethod
+    def list_held(self) -> tuple[str, ...]:
+        """Return the peers to whom this daemon holds streams."""
--- /dev/null
+++ b/chestnutstair/coordination/snapshot.py
@@ -0,0 +1,167 @@
+"""Compacts the log: snapshots and archived segments replace old rows."""
+
+import logging
+from dataclasses import dataclass
+
+from prometheus_client import Counter
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.duty import Duty, DutyHolder
+from chestnutstair.coordination.loop import Loop
+from chestnutstair.coordination.membership import MemberList
+from chestnutstair.coordination.platform import (
+    ConflictFailure,
+    PlatformFailure,
+)
+from chestnutstair.coordination.records import SEGMENT_SIZE, Floor
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import Failure, describe_failure
+from chestnutstair.state.fold import apply_record
+from chestnutstair.state.view import FleetView
+
+__all__ = ["COMPACTION_DUTY", "Compactor", "SnapshotSettings"]
+
+logger = logging.getLogger(__name__)
+
+COMPACTION_DUTY = "compaction"
+SNAPSHOTS = Counter("chestnutstair_snapshots_total", "Snapshots written here.")
+
+
+@dataclass(frozen=True)
+class SnapshotSettings:
+    """How far behind the head the table's part of the log begins."""
+
+    __pydantic_config__ = STRICT
+
+    check_seconds: float = 30.0
+    tail_records: int = 200  # that always stay in the table, at least 1
+    remove_limit: int = 100  # rows deleted by one commit
+    table_seconds: float = 20.0  # deadline of one round
+
+
+@dataclass(frozen=True)
+class MissingRecordFailure(Failure):
+    """The log ends before the revision that it should reach."""
+
+    revision: int
+
+
+CompactionFailure = ConflictFailure | PlatformFailure | MissingRecordFailure
+
+
+class Compactor:
+    """Moves old records to the object store while it holds the duty.
+
+    The order keeps every record readable: segment and snapshot are
+    stored, then the floor rises, then rows below it are deleted.
+    """
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        duties: DutyHolder,
+        members: MemberList,
+        clock: Clock,
+        settings: SnapshotSettings | None = None,
+    ) -> None:
+        self._log = log
+        self._store = log.store
+        self._duties = duties
+        self._members = members
+        self._clock = clock
+        self._settings = settings or SnapshotSettings()
+        self._loop = Loop("compaction", self._run)
+
+    def start(self) -> None:
+        """Start compacting whenever the duty is held here."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop compacting."""
+        self._loop.stop()
+
+    def _run(self) -> float:
+        duty = self._duties.find_duty(COMPACTION_DUTY)
+        if duty is not None:
+            match self.compact(duty):
+                case Err(failure):
+                    logger.info("compaction: %s", describe_failure(failure))
+        return self._settings.check_seconds
+
+    def compact(self, duty: Duty) -> Result[int, CompactionFailure]:
+        """Archive whole segments below the tail; return the new floor."""
+        seconds = self._settings.table_seconds
+        deadline = Deadline.after(self._clock, seconds)
+        self._members.prune(duty.build_condition(), deadline)
+        match self._store.read_floor(deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(floor):
+                pass
+        target = self._choose_target()
+        if target > floor.revision:
+            raised = self._raise_floor(floor, target, duty, deadline)
+            if isinstance(raised, Err):
+                return raised
+            floor = raised.ok_value
+        return self._remove_rows(floor, deadline)
+
+    def _choose_target(self) -> int:
+        tail = max(1, self._settings.tail_records)
+        oldest = self._log.view.revision - tail
+        return max(0, oldest // SEGMENT_SIZE * SEGMENT_SIZE)
+
+    def _raise_floor(
+        self, floor: Floor, target: int, duty: Duty, deadline: Deadline
+    ) -> Result[Floor, CompactionFailure]:
+        match self._store.read_snapshot(floor, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(view):
+                pass
+        while view.revision < target:
+            archived = self._archive_segment(view, deadline)
+            if isinstance(archived, Err):
+                return archived
+            view = archived.ok_value
+        stored = self._store.write_snapshot(view, deadline)
+        if isinstance(stored, Err):
+            return stored
+        fence = duty.build_condition()
+        moved = self._store.move_floor(floor, target, fence, deadline)
+        if isinstance(moved, Err):
+            return moved
+        SNAPSHOTS.inc()
+        logger.info("the log begins after revision %d now", target)
+        return self._store.read_floor(deadline)
+
+    def _archive_segment(
+        self, view: FleetView, deadline: Deadline
+    ) -> Result[FleetView, CompactionFailure]:
+        """Store the segment that follows the view; return the view after."""
+        records = self._store.read_after(view.revision, SEGMENT_SIZE, deadline)
+        match records:
+            case Err(failure):
+                return Err(failure)
+            case Ok(segment) if len(segment) < SEGMENT_SIZE:
+                return Err(MissingRecordFailure(view.revision + len(segment)))
+            case Ok(segment):
+                stored = self._store.write_segment(segment, deadline)
+        for record in segment:
+            view = apply_record(view, record).unwrap()
+        return stored.map(lambda _: view)
+
+    def _remove_rows(
+        self, floor: Floor, deadline: Deadline
+    ) -> Result[int, CompactionFailure]:
+        limit = self._settings.remove_limit
+        while not deadline.has_passed(self._clock):
+            match self._store.remove_below(floor, limit, deadline):
+                case Err(failure):
+                    return Err(failure)
+                case Ok(count):
+                    if count < limit:
+                        break
+        return Ok(floor.revision)
--- /dev/null
+++ b/chestnutstair/coordination/spread.py
@@ -0,0 +1,271 @@
+"""Spreads committed records to all daemons and starts new ones."""
+
+import logging
+import threading
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from prometheus_client import Counter, Gauge
+from result import Err, Ok
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.gossip import HeartbeatMessage
+from chestnutstair.coordination.loop import Loop
+from chestnutstair.coordination.messenger import Message, PeerLinks
+from chestnutstair.state.change import ChangeRecord
+from chestnutstair.state.codec import (
+    STRICT,
+    decode_json,
+    encode_json,
+)
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+from chestnutstair.state.view import FleetView
+
+__all__ = [
+    "PullMessage",
+    "RecordsMessage",
+    "SpreadSettings",
+    "Spreader",
+    "ViewMessage",
+]
+
+logger = logging.getLogger(__name__)
+
+VIEW_LIMIT = 4  # views whose parts arrive at the same time
+REVISION = Gauge("chestnutstair_revision", "Revision of the log in force.")
+LEARNED = Counter(
+    "chestnutstair_records_learned_total",
+    "Records of others folded here, by where they came from.",
+    ["path"],
+)
+
+
+@dataclass(frozen=True)
+class RecordsMessage(Message):
+    """Committed records without a gap, oldest first."""
+
+    __pydantic_config__ = STRICT
+
+    records: tuple[ChangeRecord, ...]
+
+
+@dataclass(frozen=True)
+class PullMessage(Message):
+    """Asks for the records after a revision.
+
+    With `view`, a peer that lacks some of them sends its whole view.
+    """
+
+    __pydantic_config__ = STRICT
+
+    after: int
+    view: bool = False
+
+
+@dataclass(frozen=True)
+class ViewMessage(Message):
+    """One part of the JSON text of a peer's view at a revision."""
+
+    __pydantic_config__ = STRICT
+
+    revision: int
+    part: int
+    part_count: int
+    text: str
+
+
+@dataclass(frozen=True)
+class SpreadSettings:
+    """How often daemons look for records, and how much they send."""
+
+    __pydantic_config__ = STRICT
+
+    poll_seconds: float = 1.0
+    table_seconds: float = 2.0  # deadline of one read
+    peer_wait_seconds: float = 2.0  # for peers' revisions when starting
+    pull_seconds: float = 0.5  # between pulls
+    heard_seconds: float = 6.0  # how long a peer's revision counts
+    push_bytes: int = 32 * 1024  # larger records are pulled
+    message_bytes: int = 256 * 1024
+
+
+class Spreader:
+    """Brings records to this daemon's log and on to its peers.
+
+    Records reach a daemon by push, by pull from a peer whose heartbeat
+    shows more, and from the table, whichever is first.
+    """
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        links: PeerLinks,
+        clock: Clock,
+        settings: SpreadSettings | None = None,
+    ) -> None:
+        self._settings = settings or SpreadSettings()
+        self._log = log
+        self._links = links
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._heard: dict[str, tuple[int, float]] = {}
+        self._parts: dict[tuple[str, int], dict[int, str]] = {}
+        self._ready = False
+        self._table_answers = True
+        self._pull_at = 0.0
+        self._started_at = clock.read_monotonic()
+        log.add_listener(self._push)
+        links.add_handler(HeartbeatMessage, self._take_heartbeat)
+        links.add_handler(RecordsMessage, self._take_records)
+        links.add_handler(PullMessage, self._answer_pull)
+        links.add_handler(ViewMessage, self._take_view)
+        self._loop = Loop("spread", self._run)
+
+    def start(self) -> None:
+        """Start looking for records."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop looking for records."""
+        self._loop.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether the view is the newest that could be learned of."""
+        return self._ready
+
+    def _run(self) -> float:
+        self.poll()
+        if self._ready:
+            return self._settings.poll_seconds
+        return self._settings.poll_seconds / 4
+
+    def poll(self) -> None:
+        """Read new records from the table; before that, load a snapshot."""
+        deadline = Deadline.after(self._clock, self._settings.table_seconds)
+        before = self._log.view.revision
+        load = self._log.refresh if self._ready else self._log.load
+        match load(deadline):
+            case Ok(revision):
+                LEARNED.labels("table").inc(revision - before)
+                self._ready = True
+                self._table_answers = True
+            case Err(failure):
+                self._table_answers = False
+                logger.info("table: %s", describe_failure(failure))
+                if not self._ready:
+                    self._start_from_peers()
+        REVISION.set(self._log.view.revision)
+
+    def _start_from_peers(self) -> None:
+        """Be ready with the newest view that a reachable peer has."""
+        heard = self._list_heard()
+        newest = max(heard.values(), default=0)
+        waited = self._clock.read_monotonic() - self._started_at
+        if newest == 0 or waited < self._settings.peer_wait_seconds:
+            return
+        revision = self._log.view.revision
+        if revision >= newest:
+            self._ready = True
+            return
+        self._pull(max(heard, key=lambda peer: heard[peer]))
+
+    def _list_heard(self) -> dict[str, int]:
+        oldest = self._clock.read_monotonic() - self._settings.heard_seconds
+        with self._lock:
+            return {
+                peer: revision
+                for peer, (revision, at) in self._heard.items()
+                if at >= oldest
+            }
+
+    # Records
+
+    def _push(self, record: ChangeRecord, view: FleetView) -> None:
+        """Send a record that is new here to peers that seem to lack it."""
+        if len(encode_json(record)) > self._settings.push_bytes:
+            return
+        message = RecordsMessage((record,))
+        heard = self._list_heard()
+        for peer in self._links.list_held():
+            if heard.get(peer, 0) < record.revision:
+                self._links.send(peer, message)
+
+    def _pull(self, peer: str) -> None:
+        """Ask the peer for what lacks here, unless it was asked just now."""
+        now = self._clock.read_monotonic()
+        with self._lock:
+            if now < self._pull_at:
+                return
+            self._pull_at = now + self._settings.pull_seconds
+        view = not self._table_answers
+        self._links.send(peer, PullMessage(self._log.view.revision, view))
+
+    def _note_revision(self, peer: str, revision: int) -> None:
+        now = self._clock.read_monotonic()
+        with self._lock:
+            known = self._heard.get(peer, (0, 0.0))[0]
+            self._heard[peer] = (max(known, revision), now)
+
+    def _take_records(self, sender: str, message: RecordsMessage) -> None:
+        if not message.records:
+            return
+        self._note_revision(sender, message.records[-1].revision)
+        before = self._log.view.revision
+        revision = self._log.fold_records(message.records)
+        LEARNED.labels("peer").inc(revision - before)
+        if revision < message.records[-1].revision:
+            self._pull(sender)
+
+    def _take_heartbeat(self, sender: str, message: HeartbeatMessage) -> None:
+        self._note_revision(sender, message.revision)
+        if self._ready and message.revision > self._log.view.revision:
+            self._pull(sender)
+
+    def _answer_pull(self, sender: str, message: PullMessage) -> None:
+        records = self._log.list_recent(message.after)
+        if records:
+            limit = self._settings.message_bytes
+            fitting = tuple(_take_bytes(records, limit))
+            self._links.send(sender, RecordsMessage(fitting))
+        elif records is None and message.view:
+            self._send_view(sender)
+        # Else the peer finds the records in the table.
+
+    def _send_view(self, peer: str) -> None:
+        view = self._log.view
+        text = encode_json(view).decode()
+        size = self._settings.message_bytes
+        parts = [text[at : at + size] for at in range(0, len(text), size)]
+        for index, part in enumerate(parts):
+            message = ViewMessage(view.revision, index, len(parts), part)
+            self._links.send(peer, message)
+
+    def _take_view(self, sender: str, message: ViewMessage) -> None:
+        if message.revision <= self._log.view.revision:
+            return
+        if len(self._parts) > VIEW_LIMIT:
+            self._parts.clear()
+        parts = self._parts.setdefault((sender, message.revision), {})
+        parts[message.part] = message.text
+        if len(parts) < message.part_count:
+            return
+        text = "".join(parts[index] for index in range(message.part_count))
+        self._parts.clear()
+        match decode_json(FleetView, text):
+            case Ok(view):
+                self._log.install_view(view)
+            case Err(failure):
+                logger.warning("view: %s", describe_failure(failure))
+
+
+def _take_bytes(
+    records: Sequence[ChangeRecord], limit: int
+) -> Iterator[ChangeRecord]:
+    """Yield records from the first on until their bytes reach the limit."""
+    left = limit
+    for record in records:
+        left -= len(encode_json(record))
+        yield record
+        if left <= 0:
+            return
--- /dev/null
+++ b/chestnutstair/protocol/peers.py
@@ -0,0 +1,54 @@
+"""Messages between daemons as envelopes of the peer service."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.messenger import Message
+from chestnutstair.protocol.peer_pb2 import Envelope
+from chestnutstair.state.codec import DecodeFailure, decode_json, encode_json
+from chestnutstair.state.failure import Failure
+
+__all__ = [
+    "Envelope",
+    "Kinds",
+    "UnknownKindFailure",
+    "build_kinds",
+    "decode_envelope",
+    "encode_message",
+]
+
+Kinds = Mapping[str, type[Message]]
+
+
+@dataclass(frozen=True)
+class UnknownKindFailure(Failure):
+    """A peer sent a kind of message that this daemon does not know."""
+
+    kind: str
+
+
+def build_kinds(classes: Iterable[type[Message]]) -> Kinds:
+    """Return the classes by the names that envelopes carry."""
+    return {item.__name__: item for item in classes}
+
+
+def encode_message(message: Message) -> Envelope:
+    """Return the envelope of the message."""
+    return Envelope(kind=type(message).__name__, body=encode_json(message))
+
+
+def decode_envelope(
+    kinds: Kinds, envelope: Envelope
+) -> Result[Message, UnknownKindFailure | DecodeFailure]:
+    """Return the message in the envelope."""
+    kind = kinds.get(envelope.kind)
+    if kind is None:
+        return Err(UnknownKindFailure(envelope.kind))
+    match decode_json(kind, envelope.body):
+        case Ok(message):
+            return Ok(message)
+        case Err(failure):
+            return Err(failure)
+    raise AssertionError(envelope)
--- /dev/null
+++ b/chestnutstair/transport/links.py
@@ -0,0 +1,187 @@
+"""One outgoing stream to a peer, and the task that keeps it open."""
+
+import asyncio
+import logging
+import random
+import threading
+import time
+from collections import deque
+from dataclasses import dataclass
+
+from grpclib.client import Channel, Stream
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from prometheus_client import Counter
+
+from chestnutstair.protocol.peer_grpc import PeerStub
+from chestnutstair.protocol.peers import Envelope
+from chestnutstair.state.codec import STRICT
+
+__all__ = [
+    "MESSAGE_BYTES",
+    "MESSAGE_COUNT",
+    "LinkSettings",
+    "PeerLink",
+    "build_configuration",
+]
+
+logger = logging.getLogger(__name__)
+
+MESSAGE_COUNT = Counter(
+    "chestnutstair_peer_messages_total",
+    "Messages between daemons, by kind, and what became of them.",
+    ["kind", "fate"],
+)
+MESSAGE_BYTES = Counter(
+    "chestnutstair_peer_bytes_total",
+    "Bytes of messages between daemons, without framing.",
+    ["direction"],
+)
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
+
+
+@dataclass(frozen=True)
+class LinkSettings:
+    """Bounds of one stream to a peer."""
+
+    __pydantic_config__ = STRICT
+
+    connect_seconds: float = 2.0
+    send_seconds: float = 5.0
+    keepalive_seconds: float = 4.0  # between pings, and to their answers
+    idle_seconds: float = 30.0  # until a stream that is not held closes
+    backoff_min_seconds: float = 0.1
+    backoff_max_seconds: float = 3.0
+    queue_messages: int = 256
+    queue_bytes: int = 8 * 1024 * 1024
+
+
+def build_configuration(keepalive_seconds: float) -> Configuration:
+    """Return a configuration that closes connections without answers.
+
+    TCP alone notices a cut only after minutes of retransmission.
+    """
+    return Configuration(
+        _keepalive_time=keepalive_seconds,
+        _keepalive_timeout=keepalive_seconds,
+        _http2_max_pings_without_data=0,
+        _http2_min_sent_ping_interval_without_data=keepalive_seconds / 2,
+    )
+
+
+class PeerLink:
+    """Sends queued messages to one address, in order, at most once."""
+
+    def __init__(
+        self,
+        address: str,
+        metadata: dict[str, str],
+        settings: LinkSettings,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.address = address
+        self.held = False
+        self._metadata = metadata
+        self._settings = settings
+        self._loop = loop
+        self._lock = threading.Lock()
+        self._queue: deque[Envelope] = deque()
+        self._queued_bytes = 0
+        self._arrived = asyncio.Event()
+        self._used_at = time.monotonic()
+
+    def offer(self, envelope: Envelope) -> bool:
+        """Queue the message from any thread; False if there is no room."""
+        size = len(envelope.body)
+        with self._lock:
+            if (
+                len(self._queue) >= self._settings.queue_messages
+                or self._queued_bytes + size > self._settings.queue_bytes
+            ):
+                return False
+            self._queue.append(envelope)
+            self._queued_bytes += size
+            self._used_at = time.monotonic()
+        self._loop.call_soon_threadsafe(self._arrived.set)
+        return True
+
+    def is_idle(self) -> bool:
+        """Tell whether the stream is neither held nor was used lately."""
+        unused = time.monotonic() - self._used_at
+        return not self.held and unused > self._settings.idle_seconds
+
+    async def run(self) -> None:
+        """Hold the stream until it is idle, connecting again as needed."""
+        backoff = self._settings.backoff_min_seconds
+        while not self.is_idle():
+            connected_at = time.monotonic()
+            try:
+                await self._hold_stream()
+            except LINK_ERRORS as error:
+                logger.debug("peer %s: %s", self.address, error)
+                self._drop_queued()
+            if time.monotonic() - connected_at > backoff * 2:
+                backoff = self._settings.backoff_min_seconds
+            await asyncio.sleep(backoff * random.uniform(0.5, 1.5))
+            backoff = min(backoff * 2, self._settings.backoff_max_seconds)
+
+    async def _hold_stream(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        channel = Channel(
+            host.strip("[]"),
+            int(port),
+            config=build_configuration(self._settings.keepalive_seconds),
+        )
+        try:
+            method = PeerStub(channel).Hold
+            async with method.open(metadata=self._metadata) as stream:
+                await asyncio.wait_for(
+                    stream.send_request(), self._settings.connect_seconds
+                )
+                await self._send_queued(stream)
+        finally:
+            channel.close()
+
+    async def _send_queued(self, stream: Stream) -> None:
+        while not self.is_idle():
+            envelope = self._take()
+            if envelope is None:
+                await self._wait()
+                continue
+            await asyncio.wait_for(
+                stream.send_message(envelope), self._settings.send_seconds
+            )
+            MESSAGE_COUNT.labels(envelope.kind, "sent").inc()
+            MESSAGE_BYTES.labels("sent").inc(len(envelope.body))
+        await stream.end()
+
+    def _take(self) -> Envelope | None:
+        with self._lock:
+            if not self._queue:
+                self._arrived.clear()
+                return None
+            envelope = self._queue.popleft()
+            self._queued_bytes -= len(envelope.body)
+            return envelope
+
+    def _drop_queued(self) -> None:
+        # What waited for a stream is stale by the time there is one again.
+        with self._lock:
+            for envelope in self._queue:
+                MESSAGE_COUNT.labels(envelope.kind, "dropped").inc()
+            self._queue.clear()
+            self._queued_bytes = 0
+
+    async def _wait(self) -> None:
+        try:
+            await asyncio.wait_for(
+                self._arrived.wait(), self._settings.idle_seconds
+            )
+        except TimeoutError:
+            return
--- /dev/null
+++ b/chestnutstair/transport/peers.py
@@ -0,0 +1,239 @@
+"""Streams between daemons: one server and one task for each peer."""
+
+import asyncio
+import logging
+import threading
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.server import Server, Stream
+from result import Err, Ok
+
+from chestnutstair.coordination.messenger import M, Message, PeerLinks
+from chestnutstair.protocol.peer_grpc import PeerBase
+from chestnutstair.protocol.peer_pb2 import Receipt
+from chestnutstair.protocol.peers import (
+    Envelope,
+    Kinds,
+    build_kinds,
+    decode_envelope,
+    encode_message,
+)
+from chestnutstair.state.codec import STRICT
+from chestnutstair.transport.links import (
+    MESSAGE_BYTES,
+    MESSAGE_COUNT,
+    LinkSettings,
+    PeerLink,
+    build_configuration,
+)
+
+__all__ = ["PeerNetwork", "PeerServer", "PeerSettings"]
+
+logger = logging.getLogger(__name__)
+
+Handler = Callable[[str, Any], None]
+
+
+@dataclass(frozen=True)
+class PeerSettings:
+    """Where the peer server listens, and the bounds of its streams."""
+
+    __pydantic_config__ = STRICT
+
+    host: str = "127.0.0.1"
+    port: int = 0  # 0 picks a free one
+    silence_seconds: float = 60.0  # until an incoming stream is closed
+    link: LinkSettings = field(default_factory=LinkSettings)
+
+
+class PeerServer(PeerBase):
+    """Takes the streams of other daemons and calls the handlers."""
+
+    def __init__(self, kinds: Kinds, silence_seconds: float) -> None:
+        self._kinds = kinds
+        self._silence_seconds = silence_seconds
+        self._handlers: dict[type[Message], list[Handler]] = {}
+
+    def add_handler(self, kind: type[Message], handler: Handler) -> None:
+        """Call the handler on the network's thread for each message."""
+        self._handlers.setdefault(kind, []).append(handler)
+
+    async def Hold(self, stream: Stream) -> None:  # noqa: N802
+        """Read messages until the peer ends, or is silent for too long."""
+        sender = str((stream.metadata or {}).get("sender", ""))
+        try:
+            while True:
+                envelope = await asyncio.wait_for(
+                    stream.recv_message(), self._silence_seconds
+                )
+                if envelope is None:
+                    await stream.send_message(Receipt())
+                    return
+                self._dispatch(sender, envelope)
+        except (
+            TimeoutError,
+            GRPCError,
+            ProtocolError,
+            StreamTerminatedError,
+        ) as error:
+            logger.debug("stream of %s ended: %s", sender, error)
+
+    def _dispatch(self, sender: str, envelope: Envelope) -> None:
+        MESSAGE_COUNT.labels(envelope.kind, "received").inc()
+        MESSAGE_BYTES.labels("received").inc(len(envelope.body))
+        match decode_envelope(self._kinds, envelope):
+            case Err(failure):
+                logger.warning("message of %s: %s", sender, failure)
+            case Ok(message):
+                for handler in self._handlers.get(type(message), ()):
+                    self._call(handler, sender, message)
+
+    def _call(self, handler: Handler, sender: str, message: Message) -> None:
+        try:
+            handler(sender, message)
+        except Exception:
+            # A faulty handler must not end the stream of other messages.
+            logger.exception("handling %s failed", type(message).__name__)
+
+
+class PeerNetwork(PeerLinks):
+    """Sends messages to other daemons, from an event loop of its own.
+
+    Handlers run on the loop's thread and must not block.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        kinds: Iterable[type[Message]],
+        settings: PeerSettings | None = None,
+    ) -> None:
+        self._settings = settings or PeerSettings()
+        self._metadata = {"sender": name, "incarnation": incarnation}
+        self._server = PeerServer(
+            build_kinds(kinds), self._settings.silence_seconds
+        )
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever, name="peers", daemon=True
+        )
+        self._lock = threading.Lock()
+        self._addresses: dict[str, str] = {}
+        self._links: dict[str, PeerLink] = {}
+        self._tasks: dict[PeerLink, asyncio.Task[None]] = {}
+        self._listener: Server | None = None
+        self.address = ""
+
+    def start(self) -> str:
+        """Listen, and return the address that peers can reach."""
+        self._thread.start()
+        listening = asyncio.run_coroutine_threadsafe(
+            self._listen(), self._loop
+        )
+        self.address = listening.result()
+        return self.address
+
+    async def _listen(self) -> str:
+        seconds = self._settings.link.keepalive_seconds
+        self._listener = Server(
+            [self._server], config=build_configuration(seconds)
+        )
+        await self._listener.start(self._settings.host, self._settings.port)
+        sockets = self._listener._server.sockets
+        host, port = sockets[0].getsockname()[:2]
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+    def close(self) -> None:
+        """End all streams and stop listening."""
+        closing = asyncio.run_coroutine_threadsafe(self._close(), self._loop)
+        closing.result()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    async def _close(self) -> None:
+        assert self._listener is not None
+        self._listener.close()
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._listener.wait_closed()
+
+    def add_handler(
+        self, kind: type[M], handler: Callable[[str, M], None]
+    ) -> None:
+        """Call the handler with the sender's name for each message."""
+        self._server.add_handler(kind, handler)
+
+    def set_peers(
+        self, addresses: Mapping[str, str], held: Collection[str]
+    ) -> None:
+        """Take the `IP:port` of each peer, and hold streams to some."""
+        with self._lock:
+            self._addresses = dict(addresses)
+            for peer, link in list(self._links.items()):
+                link.held = peer in held
+                if addresses.get(peer) != link.address:
+                    self._drop(peer)
+            for peer in held:
+                self._find_link(peer).held = True
+
+    def list_held(self) -> tuple[str, ...]:
+        """Return the peers to whom this daemon holds streams."""
+        with self._lock:
+            return tuple(
+                peer for peer, link in self._links.items() if link.held
+            )
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Queue the message and return at once; False if it was dropped."""
+        kind = type(message).__name__
+        with self._lock:
+            if peer not in self._addresses:
+                MESSAGE_COUNT.labels(kind, "unaddressed").inc()
+                return False
+            link = self._find_link(peer)
+        if link.offer(encode_message(message)):
+            return True
+        MESSAGE_COUNT.labels(kind, "dropped").inc()
+        return False
+
+    def _find_link(self, peer: str) -> PeerLink:
+        link = self._links.get(peer)
+        if link is None:
+            link = PeerLink(
+                self._addresses[peer],
+                self._metadata,
+                self._settings.link,
+                self._loop,
+            )
+            self._links[peer] = link
+            self._loop.call_soon_threadsafe(self._start_link, peer, link)
+        return link
+
+    def _start_link(self, peer: str, link: PeerLink) -> None:
+        task = self._loop.create_task(self._run_link(peer, link))
+        self._tasks[link] = task
+
+    async def _run_link(self, peer: str, link: PeerLink) -> None:
+        try:
+            await link.run()
+        finally:
+            del self._tasks[link]
+            with self._lock:
+                if self._links.get(peer) is link:
+                    del self._links[peer]
+
+    def _drop(self, peer: str) -> None:
+        link = self._links.pop(peer)
+        self._loop.call_soon_threadsafe(self._cancel_link, link)
+
+    def _cancel_link(self, link: PeerLink) -> None:
+        task = self._tasks.get(link)
+        if task is not None:
+            task.cancel()
