Test duties and compaction under pauses, cuts, races and lost answers

Cause: the leases, the floor of the log and the spreading had no test of the faults they are meant for.

Duties are not taken in a daemon's first 4 s: the first of seven daemons to start took all 14 duties before, as the test of their spread showed.

--- a/chestnutstair/coordination/duties.py
+++ b/chestnutstair/coordination/duties.py
@@ -49,6 +49,7 @@
     lease_seconds: float = 6.0
     margin_seconds: float = 1.0
     renew_seconds: float = 2.0
+    settle_seconds: float = 4.0  # to learn of the others before taking any
     rank_seconds: float = 2.0  # that each less preferred daemon waits more
     handover_seconds: float = 30.0  # until a preferred daemon gets its duty
     table_seconds: float = 1.5  # deadline of one operation
@@ -105,6 +106,7 @@
         self._clock = clock
         self._settings = settings or DutySettings()
         self._me = membership.get_self()
+        self._settled = Deadline.after(clock, self._settings.settle_seconds)
         self._beat = 0
         self._lock = threading.Lock()
         self._held: dict[str, Duty] = {}
@@ -151,6 +153,8 @@
         names = self._list_names()
         self._renew(deadline)
         self._hand_over(names, deadline)
+        if not self._settled.has_passed(self._clock):
+            return
         match self._take(names, deadline):
             case Err(failure):
                 logger.info("duties: %s", describe_failure(failure))
--- a/chestnutstair/tests/cluster.py
+++ b/chestnutstair/tests/cluster.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.duties import LeasedDuties
+from chestnutstair.coordination.duties import DutySettings, LeasedDuties
 from chestnutstair.coordination.membership import (
     MemberList,
     MembershipSettings,
@@ -114,6 +114,7 @@
     def __init__(self, table: MemoryTable) -> None:
         self._table = table
         self.cut = False
+        self.before_write: dict[Key, Callable[[], None]] = {}
 
     def _call(self, method: Callable, *args: Any) -> Result:
         if self.cut:
@@ -139,7 +140,9 @@
         writes: Sequence[Write],
         deadline: Deadline,
     ) -> Result[None, ConflictFailure | PlatformFailure]:
-        """Commit unless cut off."""
+        """Commit unless cut off, after what a test has to happen first."""
+        for write in writes:
+            self.before_write.get(write.key, lambda: None)()
         args = (conditions, writes, deadline)
         return self._call(self._table.commit, *args)
 
@@ -169,7 +172,11 @@
         )
         self.spreader = Spreader(self.log, links, clock)
         self.duties = LeasedDuties(
-            self.table, self.members, lambda: cluster.duty_names, clock
+            self.table,
+            self.members,
+            lambda: cluster.duty_names,
+            clock,
+            cluster.duty_settings,
         )
         self.desk = TicketDesk(self.log, self.members, self.table, clock)
         self.compactor = Compactor(self.log, self.duties, self.members, clock)
@@ -192,8 +199,13 @@
     """Daemons on one clock, three zones by turns."""
 
     def __init__(
-        self, size: int, loss: float = 0.0, seed: int = 1, seeds: int = 2
+        self,
+        size: int,
+        loss: float = 0.0,
+        seed: int = 1,
+        duty_settings: DutySettings | None = None,
     ) -> None:
+        self.duty_settings = duty_settings
         self.clock = ManualClock()
         self.table = MemoryTable()
         self.objects = MemoryObjectStore()
@@ -201,7 +213,7 @@
         self.run_count = 0
         self.duty_names = [COMPACTION_DUTY, "pool-a", "pool-b", "pool-c"]
         names = [f"entry-{index}" for index in range(size)]
-        self.seeds = tuple(names[:seeds])
+        self.seeds = tuple(names[:2])
         self.daemons = {
             name: FakeDaemon(self, name, f"zone-{index % 3}")
             for index, name in enumerate(names)
--- a/chestnutstair/tests/test_changelog.py
+++ b/chestnutstair/tests/test_changelog.py
@@ -6,7 +6,7 @@
 from chestnutstair.coordination.changelog import RaceFailure
 from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.standins.table import MemoryTable
-from chestnutstair.state.change import DrainChange, TicketChange
+from chestnutstair.state.change import DrainChange, PauseChange, TicketChange
 from chestnutstair.state.check import TicketNumberFailure
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.state.fold import BudgetFailure
@@ -55,6 +55,19 @@
         failure = self.log.append(drain, self.deadline).unwrap_err()
         self.assertEqual(failure, BudgetFailure("quotes", 2, 2))
 
+    def test_never_installs_an_older_view(self) -> None:
+        old = self.log.view
+        self.log.append(self.ticket, self.deadline).unwrap()
+        self.assertFalse(self.log.install_view(old))
+        self.assertEqual(self.log.view.revision, 1)
+
+    def test_folds_nothing_beyond_a_gap(self) -> None:
+        other = build_log(self.table, self.clock, "entry-1")
+        first = self.log.append(self.ticket, self.deadline).unwrap()
+        second = self.log.append(PauseChange(True), self.deadline).unwrap()
+        self.assertEqual(other.fold_records([second]), 0)
+        self.assertEqual(other.fold_records([first, second]), 2)
+
     def test_changes_nothing_while_the_table_is_down(self) -> None:
         self.table.down = True
         failure = self.log.append(self.ticket, self.deadline).unwrap_err()
--- a/chestnutstair/tests/test_configuration.py
+++ b/chestnutstair/tests/test_configuration.py
@@ -65,8 +65,9 @@
     def test_lost_messages_are_repaired(self) -> None:
         for size, seed in ((7, 3), (28, 4)):
             cluster = self.start(size, loss=0.2, seed=seed)
-            for number in range(2, 12):
-                outcome = self.file(cluster, f"entry-{number % size}", number)
+            for number in range(2, 12, 2):
+                self.file(cluster, f"entry-{number % size}", number)
+                outcome = self.file(cluster, "entry-1", number + 1)
                 cluster.run(2)
                 self.assertEqual(cluster.list_revisions(), {outcome.revision})
             cluster.run(20)
@@ -81,9 +82,15 @@
         cluster.run(10)
         self.assertEqual(cluster.list_revisions(), {outcome.revision})
         cluster.run(30)
-        statuses = cluster.daemons["entry-1"].members.list_statuses()
-        self.assertTrue(all(item.live for item in statuses))
-        self.assertEqual(len(statuses), 28)
+        new = cluster.replace("entry-20").members.get_self()
+        cluster.hub.loss = 0.8
+        cluster.run(10)
+        cluster.hub.loss = 0.2
+        cluster.run(20)
+        for daemon in cluster.daemons.values():
+            live = daemon.members.list_live()
+            self.assertEqual(len(live), 28)
+            self.assertIn(new.incarnation, {item.incarnation for item in live})
 
     def test_reports_a_zone_that_is_cut_off(self) -> None:
         cluster = self.start()
