Add the request path from callers to targets

Ruled out: cherrypy's own dispatch, since it resolves path parts to attributes (/call/default/...), and its header decoding; the application reads the raw path and headers from the server's environment. cheroot keeps a connection whose body was not read whole unless told to close it, so the gateway heeds `Connection: close`.

--- /dev/null
+++ b/chestnutstair/coordination/router.py
@@ -0,0 +1,159 @@
+"""Finds the least loaded target of a pool at a cost that stays flat."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from chestnutstair.state.fleet import Pool, PoolKind, Vm
+from chestnutstair.state.view import FleetView, VmPhase
+
+__all__ = ["Router", "TargetLoad"]
+
+
+@dataclass
+class TargetLoad:
+    """A target, and what this daemon has in flight on it."""
+
+    vm: Vm
+    pool: str
+    limit: int
+    in_flight: int = 0
+    closed: set[str] = field(default_factory=set)  # why it takes no work
+    place: int = -1  # index within its bucket
+
+
+class _Buckets:
+    """The open targets of one pool and zone by requests in flight."""
+
+    def __init__(self) -> None:
+        self._buckets: list[list[TargetLoad]] = []
+
+    def add(self, load: TargetLoad) -> None:
+        if load.closed or load.in_flight >= load.limit:
+            return
+        while len(self._buckets) <= load.in_flight:
+            self._buckets.append([])
+        bucket = self._buckets[load.in_flight]
+        load.place = len(bucket)
+        bucket.append(load)
+
+    def remove(self, load: TargetLoad) -> None:
+        if load.place < 0:
+            return
+        bucket = self._buckets[load.in_flight]
+        last = bucket.pop()
+        if last is not load:
+            bucket[load.place] = last
+            last.place = load.place
+        load.place = -1
+
+    def choose(self, chooser: random.Random) -> TargetLoad | None:
+        for bucket in self._buckets:
+            if bucket:
+                return bucket[int(chooser.random() * len(bucket))]
+        return None
+
+
+class Router:
+    """The targets of every pool, indexed by pool, zone and load.
+
+    Not safe for threads: its user holds a lock.
+    """
+
+    def __init__(self, zone: str, seed: int | None = None) -> None:
+        self._zone = zone
+        self._chooser = random.Random(seed)
+        self._view: FleetView | None = None
+        self._loads: dict[str, TargetLoad] = {}
+        self._buckets: dict[tuple[str, str], _Buckets] = {}
+        self._zones: dict[str, list[str]] = {}
+        self._services: dict[str, Pool] = {}
+
+    def install_view(self, view: FleetView) -> None:
+        """Bring the index up to the view; free if it is the same one."""
+        if view is self._view:
+            return
+        self._view = view
+        self._services = {
+            pool.service: pool
+            for pool in view.pools.values()
+            if pool.kind is PoolKind.RUNNERS
+        }
+        for name in [name for name in self._loads if name not in view.vms]:
+            self._unlink(self._loads.pop(name))
+        for vm in view.vms.values():
+            self._update(view, vm)
+        self._zones = {}
+        for pool_name, zone in sorted(self._buckets):
+            self._zones.setdefault(pool_name, []).append(zone)
+
+    def _update(self, view: FleetView, vm: Vm) -> None:
+        status = view.statuses[vm.name]
+        pool = view.pools[status.pool]
+        if pool.kind is not PoolKind.RUNNERS:
+            return
+        load = self._loads.get(vm.name)
+        if load is None:
+            load = TargetLoad(vm, status.pool, pool.slots_per_vm)
+            self._loads[vm.name] = load
+        self._unlink(load)
+        load.vm = vm
+        load.pool = status.pool
+        load.limit = pool.slots_per_vm
+        if status.phase is VmPhase.SERVING:
+            load.closed.discard("phase")
+        else:
+            load.closed.add("phase")
+        self._link(load)
+
+    def _link(self, load: TargetLoad) -> None:
+        key = (load.pool, load.vm.zone)
+        self._buckets.setdefault(key, _Buckets()).add(load)
+
+    def _unlink(self, load: TargetLoad) -> None:
+        buckets = self._buckets.get((load.pool, load.vm.zone))
+        if buckets is not None:
+            buckets.remove(load)
+
+    def find_pool(self, service: str) -> Pool | None:
+        """Return the pool of runners that serves the service."""
+        return self._services.get(service)
+
+    def take(self, pool: str, zones: Iterable[str]) -> TargetLoad | None:
+        """Count a request on an open target of the first zone with one."""
+        for zone in zones:
+            buckets = self._buckets.get((pool, zone))
+            load = buckets.choose(self._chooser) if buckets else None
+            if load is not None:
+                self._unlink(load)
+                load.in_flight += 1
+                self._link(load)
+                return load
+        return None
+
+    def list_zones(self, pool: str) -> list[str]:
+        """Return the zones of the pool, this daemon's own one first."""
+        zones = self._zones.get(pool, [])
+        return sorted(zones, key=lambda zone: zone != self._zone)
+
+    def release(self, load: TargetLoad) -> None:
+        """Count a request off its target."""
+        self._unlink(load)
+        load.in_flight -= 1
+        if self._loads.get(load.vm.name) is load:
+            self._link(load)
+
+    def close(self, vm: str, reason: str) -> None:
+        """Give the target no new work until reopened for the reason."""
+        load = self._loads.get(vm)
+        if load is not None:
+            self._unlink(load)
+            load.closed.add(reason)
+
+    def reopen(self, vm: str, reason: str) -> None:
+        """Drop one reason for which the target was closed."""
+        load = self._loads.get(vm)
+        if load is not None:
+            self._unlink(load)
+            load.closed.discard(reason)
+            self._link(load)
--- /dev/null
+++ b/chestnutstair/protocol/callers.py
@@ -0,0 +1,232 @@
+"""The callers' HTTP protocol: headers, bodies and error answers."""
+
+import json
+import math
+import re
+import uuid
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.request import (
+    Answer,
+    AnsweredOutcome,
+    ClaimedOutcome,
+    ClaimFailure,
+    DeadlineFailure,
+    NoTargetFailure,
+    QueueFullFailure,
+    Ran,
+    RefusedOutcome,
+    RequestOutcome,
+    StoppingFailure,
+    UnknownClassFailure,
+    UnknownOutcome,
+    UnknownServiceFailure,
+)
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.failure import Failure
+
+__all__ = [
+    "BadHeaderFailure",
+    "BodyFailure",
+    "BodyTooLargeFailure",
+    "CallOptions",
+    "CallSettings",
+    "InternalFailure",
+    "UnknownPathFailure",
+    "build_error",
+    "build_outcome",
+    "read_options",
+]
+
+IDEMPOTENT_METHODS = ("DELETE", "GET", "HEAD", "OPTIONS", "PUT", "TRACE")
+KEY_PATTERN = re.compile(r"[!-~]{1,200}")
+MILLISECONDS = 1000
+JSON_TYPE = ("Content-Type", "application/json")
+
+
+@dataclass(frozen=True)
+class CallSettings:
+    """Limits of a caller's request; times in seconds, sizes in bytes.
+
+    `read_seconds` bounds headers and body together from the first byte,
+    `idle_seconds` the wait for any one byte.
+    """
+
+    __pydantic_config__ = STRICT
+
+    default_timeout_seconds: float = 30.0
+    maximum_timeout_seconds: float = 300.0
+    body_bytes: int = 4 * 1024 * 1024
+    header_bytes: int = 32 * 1024
+    read_seconds: float = 10.0
+    idle_seconds: int = 10
+
+
+@dataclass(frozen=True)
+class CallOptions:
+    """What the headers of a request ask for."""
+
+    request_id: str
+    repeatable: bool
+    timeout_seconds: float
+    urgency: str
+    idempotent: bool
+
+
+@dataclass(frozen=True)
+class BadHeaderFailure(Failure):
+    """A header has a value that is not allowed."""
+
+    header: str
+    problem: str
+
+
+@dataclass(frozen=True)
+class BodyTooLargeFailure(Failure):
+    """The body exceeds the limit."""
+
+    limit: int
+
+
+@dataclass(frozen=True)
+class BodyFailure(Failure):
+    """The body ended early, came too slowly or is framed wrongly."""
+
+    problem: str
+
+
+@dataclass(frozen=True)
+class InternalFailure(Failure):
+    """This daemon failed in a way that it did not foresee."""
+
+    problem: str
+
+
+@dataclass(frozen=True)
+class UnknownPathFailure(Failure):
+    """The path is not of the form /call/{service}/{path}."""
+
+    path: str
+
+
+def _read_timeout(
+    text: str | None, settings: CallSettings
+) -> Result[float, BadHeaderFailure]:
+    if text is None:
+        return Ok(settings.default_timeout_seconds)
+    if not re.fullmatch(r"[0-9]{1,9}", text) or int(text) == 0:
+        return Err(BadHeaderFailure("X-Timeout-Ms", "not a whole number"))
+    seconds = int(text) / MILLISECONDS
+    return Ok(min(seconds, settings.maximum_timeout_seconds))
+
+
+def _read_flag(
+    text: str | None, default: bool
+) -> Result[bool, BadHeaderFailure]:
+    match text:
+        case None:
+            return Ok(default)
+        case "true":
+            return Ok(True)
+        case "false":
+            return Ok(False)
+    return Err(BadHeaderFailure("X-Idempotent", "not true or false"))
+
+
+def _read_key(text: str | None) -> Result[str, BadHeaderFailure]:
+    if text is None:
+        return Ok(uuid.uuid4().hex)
+    if not KEY_PATTERN.fullmatch(text):
+        problem = "not 1 to 200 printable ASCII characters"
+        return Err(BadHeaderFailure("Idempotency-Key", problem))
+    return Ok(text)
+
+
+def read_options(
+    method: str, headers: Mapping[str, str], settings: CallSettings
+) -> Result[CallOptions, BadHeaderFailure]:
+    """Return what the headers ask for, or the first mistake in them."""
+    given_key = headers.get("Idempotency-Key")
+    key = _read_key(given_key)
+    timeout = _read_timeout(headers.get("X-Timeout-Ms"), settings)
+    by_default = method in IDEMPOTENT_METHODS
+    idempotent = _read_flag(headers.get("X-Idempotent"), by_default)
+    if isinstance(key, Err):
+        return key
+    if isinstance(timeout, Err):
+        return timeout
+    if isinstance(idempotent, Err):
+        return idempotent
+    return Ok(
+        CallOptions(
+            key.ok_value,
+            given_key is not None,
+            timeout.ok_value,
+            headers.get("X-Urgency", ""),
+            idempotent.ok_value,
+        )
+    )
+
+
+def _choose_status(failure: Failure) -> int:
+    match failure:
+        case UnknownServiceFailure() | UnknownPathFailure():
+            return 404
+        case UnknownClassFailure() | BadHeaderFailure():
+            return 400
+        case BodyFailure():
+            return 400
+        case BodyTooLargeFailure():
+            return 413
+        case DeadlineFailure():
+            return 504
+        case (
+            NoTargetFailure()
+            | QueueFullFailure()
+            | StoppingFailure()
+            | ClaimFailure()
+        ):
+            return 503
+        case InternalFailure():
+            return 500
+    return 502
+
+
+def build_error(
+    request_id: str, failure: Failure, ran: Ran, retry_after: float = 0.0
+) -> Answer:
+    """Return the answer that reports the failure."""
+    document = {"error": type(failure).__name__, "detail": asdict(failure)}
+    headers = [JSON_TYPE, ("X-Request-Id", request_id), ("X-Ran", ran)]
+    if retry_after > 0:
+        headers.append(("Retry-After", str(math.ceil(retry_after))))
+    body = json.dumps(document).encode()
+    return Answer(_choose_status(failure), tuple(headers), body)
+
+
+def _build_claimed(outcome: ClaimedOutcome) -> Answer:
+    document = {"error": "ClaimedOutcome", "detail": {"ran": outcome.ran}}
+    headers = (
+        JSON_TYPE,
+        ("X-Request-Id", outcome.request_id),
+        ("X-Ran", outcome.ran),
+    )
+    return Answer(409, headers, json.dumps(document).encode())
+
+
+def build_outcome(outcome: RequestOutcome) -> Answer:
+    """Return the answer that the caller gets for the outcome."""
+    match outcome:
+        case AnsweredOutcome(request_id, answer, ran):
+            added = (("X-Request-Id", request_id), ("X-Ran", ran))
+            headers = (*answer.headers, *added)
+            return Answer(answer.status, headers, answer.body)
+        case RefusedOutcome(request_id, failure, retry_after):
+            return build_error(request_id, failure, Ran.NO, retry_after)
+        case UnknownOutcome(request_id, failure):
+            return build_error(request_id, failure, Ran.UNKNOWN)
+        case ClaimedOutcome():
+            return _build_claimed(outcome)
--- /dev/null
+++ b/chestnutstair/tests/requests_support.py
@@ -0,0 +1,75 @@
+"""Helpers for the tests of the request path."""
+
+import socket
+import threading
+from collections.abc import Callable
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.request import Request
+from chestnutstair.standins.table import MemoryTable
+from chestnutstair.state.change import TicketChange
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.ticket import Ticket
+from chestnutstair.tests.support import build_log
+
+__all__ = ["ScriptedTarget", "build_request", "build_runner_log"]
+
+
+def build_request(clock: Clock, seconds: float = 10.0, **fields) -> Request:  # type: ignore[no-untyped-def]
+    """Return a request for the service `quotes`."""
+    deadline = Deadline.after(clock, seconds)
+    values = {"id": "r1", "service": "quotes", "method": "POST", "path": "/"}
+    return Request(**{**values, "deadline": deadline, **fields})
+
+
+def build_runner_log(
+    clock: Clock, addresses: list[str], zones: int = 1, **fields: object
+) -> ChangeLog:
+    """Return a log whose pool `quotes` has a runner at each address."""
+    names = [f"zone-{index}" for index in range(zones)]
+    vms = tuple(
+        Vm(f"quotes-{i}", "quotes", names[i % zones], f"rack-{i}", address)
+        for i, address in enumerate(addresses)
+    )
+    pool = Pool("quotes", PoolKind.RUNNERS, "quotes", 0, **fields)  # type: ignore[arg-type]
+    zone_list = tuple(Zone(name, "region") for name in names)
+    ticket = Ticket(1, "tester", zones=zone_list, pools=(pool,), vms=vms)
+    log = build_log(MemoryTable(), clock)
+    change = TicketChange(ticket)
+    log.append(change, Deadline.after(clock, 10)).unwrap()
+    return log
+
+
+class ScriptedTarget:
+    """A target that runs a script for each connection it accepts."""
+
+    def __init__(self, script: Callable[[socket.socket], None]) -> None:
+        self._script = script
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.connections = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(
+                target=self._run, args=(sock,), daemon=True
+            ).start()
+
+    def _run(self, sock: socket.socket) -> None:
+        with sock:
+            try:
+                self._script(sock)
+            except OSError:
+                return
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
--- /dev/null
+++ b/chestnutstair/transport/callers.py
@@ -0,0 +1,217 @@
+"""The HTTP server for callers, built on cherrypy and cheroot."""
+
+import re
+import uuid
+from typing import Any
+
+import cheroot.wsgi
+import cherrypy
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.forwarder import Forwarder
+from chestnutstair.coordination.request import Answer, Ran, Request
+from chestnutstair.protocol.callers import (
+    BadHeaderFailure,
+    BodyFailure,
+    BodyTooLargeFailure,
+    CallOptions,
+    CallSettings,
+    InternalFailure,
+    UnknownPathFailure,
+    build_error,
+    build_outcome,
+    read_options,
+)
+from chestnutstair.state.deadline import Clock, Deadline, SystemClock
+from chestnutstair.state.failure import Failure
+
+__all__ = ["build_callers_application", "build_callers_server"]
+
+PREFIX = "/call/"
+CHUNK_BYTES = 65536
+SINGLE_HEADERS = ("Content-Length", "Content-Type")
+
+
+class _CallHandler:
+    """Answers one request at a time on the thread that read it."""
+
+    def __init__(
+        self, forwarder: Forwarder, settings: CallSettings, clock: Clock
+    ) -> None:
+        self._forwarder = forwarder
+        self._settings = settings
+        self._clock = clock
+
+    def dispatch(self, path_info: str) -> None:
+        """Serve every path here, whatever cherrypy's trees hold."""
+        request = cherrypy.serving.request
+        request.config = {**cherrypy.config, **request.app.config["/"]}
+        request.handler = self.handle
+
+    def handle(self) -> bytes:
+        """Forward the current request and give cherrypy its answer."""
+        request = cherrypy.serving.request
+        options = read_options(request.method, request.headers, self._settings)
+        match options:
+            case Err(failure):
+                answer = build_error(uuid.uuid4().hex, failure, Ran.NO)
+            case Ok(found):
+                answer = self._answer(request, found)
+        return _give_answer(request, answer)
+
+    def _answer(self, request: Any, options: CallOptions) -> Answer:
+        arrived = self._clock.read_monotonic()
+        deadline = Deadline(arrived + options.timeout_seconds)
+        uri = request.wsgi_environ.get("REQUEST_URI", request.path_info)
+        split = _split_path(uri)
+        if isinstance(split, Err):
+            return build_error(options.request_id, split.err_value, Ran.NO)
+        body = self._read_body(request)
+        if isinstance(body, Err):
+            return build_error(options.request_id, body.err_value, Ran.NO)
+        service, path = split.ok_value
+        call = Request(
+            id=options.request_id,
+            service=service,
+            method=request.method,
+            path=path,
+            deadline=deadline,
+            headers=_list_headers(request.wsgi_environ),
+            body=body.ok_value,
+            urgency=options.urgency,
+            idempotent=options.idempotent,
+            repeatable=options.repeatable,
+        )
+        return build_outcome(self._forwarder.forward(call))
+
+    def _read_body(self, request: Any) -> Result[bytes, Failure]:
+        chunked = "Transfer-Encoding" in request.headers
+        text = "0" if chunked else request.headers.get("Content-Length", "0")
+        if not re.fullmatch(r"[0-9]{1,18}", text):
+            return Err(BadHeaderFailure("Content-Length", "not a number"))
+        limit = self._settings.body_bytes
+        if int(text) > limit:
+            return Err(BodyTooLargeFailure(limit))
+        try:
+            body = _read_stream(request.wsgi_environ["wsgi.input"], limit)
+        except (OSError, ValueError) as error:
+            return Err(BodyFailure(type(error).__name__))
+        if len(body) > limit:
+            return Err(BodyTooLargeFailure(limit))
+        if not chunked and len(body) != int(text):
+            return Err(BodyFailure("ended early"))
+        return Ok(body)
+
+
+def _list_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
+    headers = [
+        (key.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    ]
+    if "CONTENT_TYPE" in environ:
+        headers.append(("Content-Type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+def _read_stream(stream: Any, limit: int) -> bytes:
+    parts = []
+    size = 0
+    while size <= limit and (part := stream.read(CHUNK_BYTES)):
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts)
+
+
+def _split_path(uri: str) -> Result[tuple[str, str], UnknownPathFailure]:
+    if not uri.startswith(PREFIX):
+        return Err(UnknownPathFailure(uri))
+    service, slash, rest = uri[len(PREFIX) :].partition("/")
+    if not service or not slash:
+        return Err(UnknownPathFailure(uri))
+    return Ok((service, "/" + rest))
+
+
+def _give_answer(request: Any, answer: Answer) -> bytes:
+    response = cherrypy.serving.response
+    response.status = answer.status
+    response.headers.pop("Content-Type", None)
+    for name in SINGLE_HEADERS:
+        for key, value in answer.headers:
+            if key.lower() == name.lower():
+                response.headers[name] = value
+    response.headers["Content-Length"] = str(len(answer.body))
+    others = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in answer.headers
+        if name.title() not in SINGLE_HEADERS
+    ]
+    request.hooks.attach(
+        "on_end_resource", lambda: response.header_list.extend(others)
+    )
+    return answer.body
+
+
+def _report_error(status: str, message: str, **_: str) -> str:
+    """Replace cherrypy's own error pages; its 4xx come before a send."""
+    response = cherrypy.serving.response
+    ran = Ran.NO if status.startswith("4") else Ran.UNKNOWN
+    answer = build_error(uuid.uuid4().hex, InternalFailure(status), ran)
+    for name, value in answer.headers:
+        response.headers[name] = value
+    return answer.body.decode()
+
+
+def build_callers_application(
+    forwarder: Forwarder,
+    settings: CallSettings,
+    clock: Clock | None = None,
+) -> cherrypy.Application:
+    """Return the WSGI application that serves /call/{service}/{path}."""
+    handler = _CallHandler(forwarder, settings, clock or SystemClock())
+    config = {
+        "request.dispatch": handler.dispatch,
+        "request.process_request_body": False,
+        "request.query_string_encoding": "latin-1",
+        "request.show_tracebacks": False,
+        "error_page.default": _report_error,
+        "tools.log_headers.on": False,
+        "tools.log_tracebacks.on": False,
+        "tools.trailing_slash.on": False,
+    }
+    application = cherrypy.Application(None, "", {"/": config})
+    application.log.access_log.propagate = False
+    application.log.screen = False
+    return application
+
+
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Closes the connection when the application says so."""
+
+    def start_response(self, status, headers, exc_info=None):  # type: ignore[no-untyped-def]
+        """Begin the answer; heed a header `Connection: close`."""
+        if ("Connection", "close") in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
+
+
+def build_callers_server(
+    application: Any,
+    address: tuple[str, int],
+    settings: CallSettings,
+    threads: int,
+    queue: int = 1024,
+) -> cheroot.wsgi.Server:
+    """Return the server; `queue` is the backlog of new connections."""
+    server = cheroot.wsgi.Server(
+        address,
+        application,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=queue,
+        timeout=settings.idle_seconds,
+    )
+    server.gateway = _Gateway
+    server.max_request_header_size = settings.header_bytes
+    server.keep_alive_conn_limit = queue
+    return server
--- /dev/null
+++ b/chestnutstair/transport/reaper.py
@@ -0,0 +1,77 @@
+"""Shuts down sockets whose deadline has passed."""
+
+import contextlib
+import heapq
+import itertools
+import logging
+import socket
+import threading
+
+from chestnutstair.state.deadline import Clock, Deadline
+
+__all__ = ["SocketReaper"]
+
+logger = logging.getLogger(__name__)
+
+
+class SocketReaper:
+    """Bounds whole exchanges, which socket timeouts can not do.
+
+    A socket timeout starts again with every byte that arrives; a peer
+    that sends a byte now and then would hold its thread for ever.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._due: list[tuple[float, int]] = []
+        self._sockets: dict[int, socket.socket] = {}
+        self._numbers = itertools.count()
+        self._stopped = False
+        self._thread = threading.Thread(
+            target=self._run, name="socket-reaper", daemon=True
+        )
+        self._thread.start()
+
+    def add(self, sock: socket.socket, deadline: Deadline) -> int:
+        """Shut the socket down at the deadline unless discarded before."""
+        with self._changed:
+            number = next(self._numbers)
+            self._sockets[number] = sock
+            heapq.heappush(self._due, (deadline.at, number))
+            if self._due[0][1] == number:
+                self._changed.notify()
+            return number
+
+    def discard(self, number: int) -> bool:
+        """Forget the socket; tell whether it was still open."""
+        with self._changed:
+            return self._sockets.pop(number, None) is not None
+
+    def stop(self) -> None:
+        """End the thread; sockets that are still held stay open."""
+        with self._changed:
+            self._stopped = True
+            self._changed.notify()
+        self._thread.join()
+
+    def _run(self) -> None:
+        with self._changed:
+            while not self._stopped:
+                self._shut_due()
+                self._changed.wait(self._measure_wait())
+
+    def _measure_wait(self) -> float | None:
+        if not self._due:
+            return None
+        return max(0.0, self._due[0][0] - self._clock.read_monotonic())
+
+    def _shut_due(self) -> None:
+        now = self._clock.read_monotonic()
+        while self._due and self._due[0][0] <= now:
+            _, number = heapq.heappop(self._due)
+            sock = self._sockets.pop(number, None)
+            if sock is not None:
+                logger.info("shutting down a socket past its deadline")
+                with contextlib.suppress(OSError):
+                    sock.shutdown(socket.SHUT_RDWR)
