Add planned drains, moves and outages of VMs

Cause: VMs have to be cleaned and moved within the availability budget of their pool, and any daemon has to be able to resume an operation.

Change: a conductor starts, advances and undoes drains per pool under the duty maintenance/{pool}; each step is a record of the log with a stored deadline. Undoing and moving end in phases of their own (returning, arriving), so that a daemon that takes over knows that the VM has yet to be told. The log refuses reboots and moves while paused or beyond the budget. A watcher records outages and recoveries from the VM list.

Ruled out: fencing commands by the duty's token. The tokens of two pools' duties are not comparable on a VM that moves; the revision at which a phase began rises with every phase and is the same for whoever resumes.

--- /dev/null
+++ b/chestnutstair/coordination/conductor.py
@@ -0,0 +1,216 @@
+"""The control loop that conducts the maintenance of each pool."""
+
+import logging
+import uuid
+from collections.abc import Mapping
+
+from prometheus_client import Counter, Gauge
+from result import Err, Ok
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.drain import (
+    DrainSettings,
+    DrainStepper,
+    Listing,
+    append_change,
+)
+from chestnutstair.coordination.duty import Duty, DutyHolder
+from chestnutstair.coordination.maintenance import (
+    LoadForecast,
+    MaintenanceSettings,
+    PlannedDrain,
+    PoolState,
+    group_pools,
+    plan_drains,
+)
+from chestnutstair.coordination.messenger import Membership
+from chestnutstair.coordination.platform import VmControl, VmDirectory
+from chestnutstair.state.change import DrainChange
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+from chestnutstair.state.view import FleetView, VmPhase, VmStatus
+
+__all__ = ["DrainConductor", "build_duty_name"]
+
+logger = logging.getLogger(__name__)
+
+DUTY_PREFIX = "maintenance/"
+OPERATING_PHASES = (
+    VmPhase.DRAINING,
+    VmPhase.REBOOTING,
+    VmPhase.PROVING,
+    VmPhase.RETURNING,
+    VmPhase.ARRIVING,
+)
+
+DRAINS = Counter(
+    "chestnutstair_drains_started",
+    "Planned drains that this daemon started",
+    ["pool"],
+)
+UNDONE_DRAINS = Counter(
+    "chestnutstair_drains_undone",
+    "Planned drains that this daemon undid before their reboot or move",
+    ["pool"],
+)
+OVERDUE_VMS = Gauge(
+    "chestnutstair_maintenance_overdue_vms",
+    "VMs past the end of their maintenance period",
+    ["pool"],
+)
+RESERVE_HELD = Gauge(
+    "chestnutstair_maintenance_reserve_held",
+    "1 if the budget would hold if a rack failed during a drain",
+    ["pool"],
+)
+
+
+def build_duty_name(pool: str) -> str:
+    """Return the name of the duty to conduct the pool's maintenance."""
+    return DUTY_PREFIX + pool
+
+
+def _expect_no_load(pool: str) -> float:
+    return 0.0
+
+
+class DrainConductor:
+    """Starts, advances and undoes the planned drains of each pool.
+
+    It works on the pools whose duty this daemon holds. Everything that
+    has to survive is in the view; what it remembers only saves work.
+    """
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        holder: DutyHolder,
+        directory: VmDirectory,
+        control: VmControl,
+        membership: Membership,
+        clock: Clock,
+        forecast: LoadForecast = _expect_no_load,
+        planning: MaintenanceSettings | None = None,
+        drains: DrainSettings | None = None,
+    ) -> None:
+        self._log = log
+        self._holder = holder
+        self._directory = directory
+        self._clock = clock
+        self._forecast = forecast
+        self._planning = planning or MaintenanceSettings()
+        self._drains = drains or DrainSettings()
+        self._stepper = DrainStepper(
+            log, control, membership, clock, self._drains
+        )
+        self._retry_deadlines: dict[str, Deadline] = {}
+        self._grouped: FleetView | None = None
+        self._states: Mapping[str, PoolState] = {}
+
+    def run_once(self, deadline: Deadline) -> None:
+        """Do one round over the pools whose duty this daemon holds."""
+        duties = {
+            pool: duty
+            for pool in sorted(self._log.view.pools)
+            if (duty := self._holder.find_duty(build_duty_name(pool)))
+        }
+        if not duties:
+            return
+        listing = self._read_listing(deadline)
+        for pool, duty in duties.items():
+            if state := self._read_states().get(pool):
+                self._run_pool(state, duty, listing, deadline)
+
+    def _read_listing(self, deadline: Deadline) -> Listing | None:
+        match self._directory.list_vms(deadline):
+            case Ok(vms):
+                return {vm.name: vm for vm in vms}
+            case Err(failure):
+                logger.warning("no VM list: %s", describe_failure(failure))
+        return None
+
+    def _read_states(self) -> Mapping[str, PoolState]:
+        view = self._log.view
+        if view is not self._grouped:
+            self._grouped = view
+            self._states = group_pools(view)
+        return self._states
+
+    def _run_pool(
+        self,
+        state: PoolState,
+        duty: Duty,
+        listing: Listing | None,
+        deadline: Deadline,
+    ) -> None:
+        """Undo what has to be; with a VM list, go on with the rest."""
+        undone = self._choose_undone(state)
+        for vm in undone:
+            self._undo(vm, state.statuses[vm], duty, deadline)
+        if listing is None:
+            return
+        for vm in state.list_phase(*OPERATING_PHASES):
+            if vm in undone:
+                continue
+            self._stepper.advance(
+                vm, state.statuses[vm], listing.get(vm), duty, deadline
+            )
+        if not undone and not self._log.view.paused:
+            self._start_drains(state, duty, deadline)
+
+    def _choose_undone(self, state: PoolState) -> list[str]:
+        """Return the drains to undo: none, the excess, or all if paused.
+
+        The newest go first, for they have the least behind them.
+        """
+        draining = sorted(
+            state.list_phase(VmPhase.DRAINING),
+            key=lambda vm: -state.statuses[vm].phase_revision,
+        )
+        view = self._log.view
+        if view.paused:
+            return draining
+        unavailable = view.count_unavailable(state.pool.name)
+        excess = max(0, unavailable - state.pool.availability_budget)
+        misdirected = [
+            vm
+            for vm in draining[excess:]
+            if state.statuses[vm].destination
+            and state.statuses[vm].destination != view.vms[vm].pool
+        ]
+        return draining[:excess] + misdirected
+
+    def _undo(
+        self, vm: str, status: VmStatus, duty: Duty, deadline: Deadline
+    ) -> None:
+        UNDONE_DRAINS.labels(duty.name.removeprefix(DUTY_PREFIX)).inc()
+        self._stepper.undo(vm, status.operation, duty, deadline)
+
+    def _start_drains(
+        self, state: PoolState, duty: Duty, deadline: Deadline
+    ) -> None:
+        pool = state.pool.name
+        plan = plan_drains(
+            state,
+            self._clock.read_wall(),
+            self._forecast(pool),
+            self._planning,
+        )
+        OVERDUE_VMS.labels(pool).set(len(plan.overdue))
+        RESERVE_HELD.labels(pool).set(plan.reserve_held)
+        for planned in plan.drains:
+            if append_change(
+                self._log, self._build_drain(planned), duty, deadline
+            ).is_err():
+                return
+            DRAINS.labels(pool).inc()
+
+    def _build_drain(self, planned: PlannedDrain) -> DrainChange:
+        now = self._clock.read_wall()
+        return DrainChange(
+            planned.vm,
+            uuid.uuid4().hex,
+            now + self._drains.drain_seconds,
+            planned.destination,
+            now + self._drains.confirm_seconds,
+        )
--- /dev/null
+++ b/chestnutstair/coordination/drain.py
@@ -0,0 +1,301 @@
+"""Carries a planned drain of one VM on, one step at a time."""
+
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.changelog import (
+    AppendFailure,
+    ChangeLog,
+    RaceFailure,
+)
+from chestnutstair.coordination.duty import Duty
+from chestnutstair.coordination.messenger import Membership
+from chestnutstair.coordination.platform import (
+    ListedVm,
+    PlatformFailure,
+    VmControl,
+)
+from chestnutstair.state.change import (
+    Change,
+    ChangeRecord,
+    MoveChange,
+    OutageChange,
+    ProofChange,
+    RebootChange,
+    RecoveryChange,
+    UndoChange,
+)
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+from chestnutstair.state.view import VmPhase, VmStatus
+
+__all__ = ["DrainSettings", "DrainStepper", "Listing", "append_change"]
+
+logger = logging.getLogger(__name__)
+
+APPEND_ATTEMPTS = 5
+
+Listing = Mapping[str, ListedVm]
+
+
+@dataclass(frozen=True)
+class DrainSettings:
+    """How long each step of a drain may take, in seconds.
+
+    `confirm_seconds` must exceed the lease of a daemon's membership: by
+    then a daemon that is cut off has left the list of live ones.
+    `skew_seconds` is how far the daemons' wall clocks may be apart; no
+    stored deadline is acted on before it has passed by that much.
+    `idle_checks` and `healthy_checks` are consecutive observations, one
+    in each round.
+    """
+
+    __pydantic_config__ = STRICT
+
+    confirm_seconds: float = 15.0
+    drain_seconds: float = 900.0
+    reboot_seconds: float = 600.0
+    proof_seconds: float = 120.0
+    skew_seconds: float = 2.0
+    call_seconds: float = 2.0
+    idle_checks: int = 2
+    healthy_checks: int = 3
+
+
+def append_change(
+    log: ChangeLog, change: Change, duty: Duty, deadline: Deadline
+) -> Result[ChangeRecord, AppendFailure]:
+    """Commit the change while the duty is held, past lost races.
+
+    A repeated attempt is safe, for the log judges the change anew against
+    the view that won.
+    """
+    fence = [duty.build_condition()]
+    outcome = log.append(change, deadline, conditions=fence)
+    for _ in range(APPEND_ATTEMPTS - 1):
+        match outcome:
+            case Err(RaceFailure()):
+                outcome = log.append(change, deadline, conditions=fence)
+            case _:
+                break
+    match outcome:
+        case Err(failure):
+            logger.info(
+                "change not committed: %s",
+                describe_failure(failure),
+                extra={"vm": getattr(change, "vm", "")},
+            )
+            log.refresh(deadline)
+    return outcome
+
+
+@dataclass
+class _Progress:
+    """What this daemon has seen and done in one phase of one VM."""
+
+    phase_revision: int
+    told: bool = False  # the platform took this phase's command
+    checks: int = 0
+
+
+@dataclass(frozen=True)
+class _Step:
+    """One VM in one round."""
+
+    vm: str
+    status: VmStatus
+    listed: ListedVm | None
+    duty: Duty
+    deadline: Deadline
+    progress: _Progress = field(compare=False)
+
+
+class DrainStepper:
+    """Advances planned operations from what the view says of a VM.
+
+    Commands to the platform carry the revision at which the phase began
+    as their fencing token: it rises with every phase of a VM, also when
+    another duty takes over, and whoever resumes the phase has the same.
+    """
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        control: VmControl,
+        membership: Membership,
+        clock: Clock,
+        settings: DrainSettings,
+    ) -> None:
+        self._log = log
+        self._control = control
+        self._membership = membership
+        self._clock = clock
+        self._settings = settings
+        self._progress: dict[str, _Progress] = {}
+
+    def advance(
+        self,
+        vm: str,
+        status: VmStatus,
+        listed: ListedVm | None,
+        duty: Duty,
+        deadline: Deadline,
+    ) -> None:
+        """Do the next step of the VM's operation, if it can be done."""
+        progress = self._progress.get(vm)
+        if progress is None or (
+            progress.phase_revision != status.phase_revision
+        ):
+            progress = _Progress(status.phase_revision)
+            self._progress[vm] = progress
+        step = _Step(vm, status, listed, duty, deadline, progress)
+        match status.phase:
+            case VmPhase.DRAINING:
+                self._drain(step)
+            case VmPhase.REBOOTING:
+                self._reboot(step)
+            case VmPhase.PROVING:
+                self._prove(step)
+            case VmPhase.RETURNING | VmPhase.ARRIVING:
+                self._bring_back(step)
+
+    def undo(
+        self, vm: str, operation: str, duty: Duty, deadline: Deadline
+    ) -> None:
+        """Undo a drain that has not passed the point of no return."""
+        append_change(self._log, UndoChange(vm, operation), duty, deadline)
+
+    def has_confirmation(self, status: VmStatus) -> bool:
+        """Tell whether every live daemon has the start of the phase."""
+        behind = [
+            member.name
+            for member in self._membership.list_live()
+            if member.revision < status.phase_revision
+        ]
+        return not behind or self._has_passed(status.confirm_deadline)
+
+    def tell_stay(
+        self, vm: str, status: VmStatus, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Tell the VM that its drain is over, fencing what came before."""
+        return self._control.cancel_drain(
+            vm,
+            status.operation,
+            status.phase_revision,
+            self._limit(deadline),
+        )
+
+    def _has_passed(self, wall_deadline: float) -> bool:
+        now = self._clock.read_wall()
+        return now > wall_deadline + self._settings.skew_seconds
+
+    def _limit(self, deadline: Deadline) -> Deadline:
+        own = Deadline.after(self._clock, self._settings.call_seconds)
+        return min(own, deadline)
+
+    def _find_wall_deadline(self, seconds: float) -> float:
+        return self._clock.read_wall() + seconds
+
+    def _tell(
+        self,
+        step: _Step,
+        command: Callable[..., Result[None, PlatformFailure]],
+    ) -> bool:
+        """Send the phase's command until the platform has taken it once."""
+        if step.progress.told:
+            return True
+        match command(
+            step.vm,
+            step.status.operation,
+            step.status.phase_revision,
+            self._limit(step.deadline),
+        ):
+            case Err(failure):
+                logger.warning(
+                    "command not taken: %s",
+                    describe_failure(failure),
+                    extra={"vm": step.vm},
+                )
+                return False
+        step.progress.told = True
+        return True
+
+    def _append(self, step: _Step, change: Change) -> None:
+        append_change(self._log, change, step.duty, step.deadline)
+
+    def _drain(self, step: _Step) -> None:
+        status = step.status
+        if not self.has_confirmation(status):
+            return
+        told = self._tell(step, self._control.announce_drain)
+        if told and self._is_idle(step):
+            self._leave(step)
+        elif not status.destination and self._has_passed(status.step_deadline):
+            self.undo(step.vm, status.operation, step.duty, step.deadline)
+
+    def _is_idle(self, step: _Step) -> bool:
+        limit = self._limit(step.deadline)
+        match self._control.count_running(step.vm, limit):
+            case Ok(0):
+                step.progress.checks += 1
+            case _:
+                step.progress.checks = 0
+        return step.progress.checks >= self._settings.idle_checks
+
+    def _leave(self, step: _Step) -> None:
+        status = step.status
+        if status.destination:
+            move = MoveChange(step.vm, status.operation, status.destination)
+            self._append(step, move)
+        elif step.listed is not None:
+            deadline = self._find_wall_deadline(self._settings.reboot_seconds)
+            reboot = RebootChange(
+                step.vm, status.operation, deadline, step.listed.boot
+            )
+            self._append(step, reboot)
+
+    def _reboot(self, step: _Step) -> None:
+        status = step.status
+        told = self._tell(step, self._control.reboot)
+        back = (
+            step.listed is not None
+            and step.listed.live
+            and step.listed.boot > status.boot
+        )
+        if told and back:
+            deadline = self._find_wall_deadline(self._settings.proof_seconds)
+            self._append(
+                step, ProofChange(step.vm, status.operation, deadline)
+            )
+        elif self._has_passed(status.step_deadline):
+            self._append(step, OutageChange(step.vm))
+
+    def _prove(self, step: _Step) -> None:
+        limit = self._limit(step.deadline)
+        answers = self._control.count_running(step.vm, limit).is_ok()
+        if answers and _is_listed_healthy(step.listed):
+            step.progress.checks += 1
+        else:
+            step.progress.checks = 0
+        if step.progress.checks >= self._settings.healthy_checks:
+            recovery = RecoveryChange(
+                step.vm, step.status.operation, self._clock.read_wall()
+            )
+            self._append(step, recovery)
+        elif self._has_passed(step.status.step_deadline):
+            self._append(step, OutageChange(step.vm))
+
+    def _bring_back(self, step: _Step) -> None:
+        if not self._tell(step, self._control.cancel_drain):
+            return
+        if _is_listed_healthy(step.listed):
+            recovery = RecoveryChange(step.vm, step.status.operation)
+            self._append(step, recovery)
+
+
+def _is_listed_healthy(listed: ListedVm | None) -> bool:
+    return listed is not None and listed.live and not listed.leaving
--- /dev/null
+++ b/chestnutstair/coordination/outage.py
@@ -0,0 +1,177 @@
+"""Records unplanned failures of VMs and their recovery."""
+
+import logging
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.conductor import build_duty_name
+from chestnutstair.coordination.drain import Listing, append_change
+from chestnutstair.coordination.duty import Duty, DutyHolder
+from chestnutstair.coordination.platform import VmControl, VmDirectory
+from chestnutstair.state.change import OutageChange, RecoveryChange
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+from chestnutstair.state.view import VmPhase, VmStatus
+
+__all__ = ["OutageSettings", "OutageWatcher"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class OutageSettings:
+    """When the VM list is believed.
+
+    A VM is recorded as down once it was missing, dead or leaving without
+    a plan for `down_seconds`, which must exceed the list's lag, and in
+    `down_checks` consecutive lists; as back after `up_checks`.
+    """
+
+    __pydantic_config__ = STRICT
+
+    down_seconds: float = 5.0
+    down_checks: int = 3
+    up_checks: int = 3
+    call_seconds: float = 2.0
+
+
+@dataclass
+class _Sighting:
+    """How often in a row a VM was seen other than the view says."""
+
+    phase_revision: int
+    since: float  # monotonic seconds
+    checks: int = 0
+
+
+class OutageWatcher:
+    """Compares the VM list with the view, for the pools in its duty.
+
+    The list lags, so a difference must last before it counts.
+    """
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        holder: DutyHolder,
+        directory: VmDirectory,
+        control: VmControl,
+        clock: Clock,
+        settings: OutageSettings | None = None,
+    ) -> None:
+        self._log = log
+        self._holder = holder
+        self._directory = directory
+        self._control = control
+        self._clock = clock
+        self._settings = settings or OutageSettings()
+        self._sightings: dict[str, _Sighting] = {}
+
+    def run_once(self, deadline: Deadline) -> None:
+        """Do one round over the pools whose duty this daemon holds."""
+        view = self._log.view
+        duties = {
+            pool: self._holder.find_duty(build_duty_name(pool))
+            for pool in view.pools
+        }
+        if not any(duties.values()):
+            return
+        match self._directory.list_vms(deadline):
+            case Err(failure):
+                logger.warning("no VM list: %s", describe_failure(failure))
+                return
+            case Ok(vms):
+                listing: Listing = {vm.name: vm for vm in vms}
+        for name, status in view.statuses.items():
+            if duty := duties[status.pool]:
+                self._compare(name, status, listing, duty, deadline)
+
+    def _compare(
+        self,
+        name: str,
+        status: VmStatus,
+        listing: Listing,
+        duty: Duty,
+        deadline: Deadline,
+    ) -> None:
+        if not _differs(name, status, listing):
+            self._sightings.pop(name, None)
+            return
+        sighting = self._note(name, status)
+        if status.phase is VmPhase.DOWN:
+            if sighting.checks >= self._settings.up_checks:
+                self._recover(name, status, listing, duty, deadline)
+        elif self._is_lasting(sighting):
+            append_change(self._log, OutageChange(name), duty, deadline)
+
+    def _note(self, name: str, status: VmStatus) -> _Sighting:
+        sighting = self._sightings.get(name)
+        if sighting is None or (
+            sighting.phase_revision != status.phase_revision
+        ):
+            now = self._clock.read_monotonic()
+            sighting = _Sighting(status.phase_revision, now)
+            self._sightings[name] = sighting
+        sighting.checks += 1
+        return sighting
+
+    def _is_lasting(self, sighting: _Sighting) -> bool:
+        lasted = self._clock.read_monotonic() - sighting.since
+        return (
+            sighting.checks >= self._settings.down_checks
+            and lasted >= self._settings.down_seconds
+        )
+
+    def _recover(
+        self,
+        name: str,
+        status: VmStatus,
+        listing: Listing,
+        duty: Duty,
+        deadline: Deadline,
+    ) -> None:
+        """Record the recovery, once no cut-off operation can go on.
+
+        A command of an operation that the outage cut off may still be on
+        its way; the platform refuses it after the newer token here.
+        """
+        if status.operation:
+            own = Deadline.after(self._clock, self._settings.call_seconds)
+            match self._control.cancel_drain(
+                name,
+                status.operation,
+                status.phase_revision,
+                min(own, deadline),
+            ):
+                case Err(failure):
+                    logger.warning(
+                        "drain not cancelled: %s",
+                        describe_failure(failure),
+                        extra={"vm": name},
+                    )
+                    return
+        if listing[name].leaving:
+            return
+        change = RecoveryChange(name, status.operation)
+        append_change(self._log, change, duty, deadline)
+
+
+def _differs(name: str, status: VmStatus, listing: Listing) -> bool:
+    """Tell whether the list contradicts the view of the VM."""
+    listed = listing.get(name)
+    live = listed is not None and listed.live
+    leaving = listed is not None and listed.leaving
+    match status.phase:
+        case VmPhase.DOWN:
+            # An operation that was cut off leaves the VM marked until it
+            # is cancelled.
+            return live and (not leaving or bool(status.operation))
+        case VmPhase.SERVING:
+            return not live or leaving
+        case VmPhase.REBOOTING:
+            return False
+        case _:
+            return not live
--- a/chestnutstair/state/change.py
+++ b/chestnutstair/state/change.py
@@ -37,7 +37,9 @@
 class DrainChange:
     """A planned drain of a serving VM began, for cleaning or a move.
 
-    `step_deadline` is wall-clock epoch seconds.
+    `destination` is the pool that the VM moves to, or empty for cleaning.
+    `confirm_deadline` bounds the wait for every daemon's confirmation and
+    `step_deadline` the whole drain, both in wall-clock epoch seconds.
     """
 
     __pydantic_config__ = STRICT
@@ -45,12 +47,17 @@
     vm: str
     operation: str
     step_deadline: float
+    destination: str = ""
+    confirm_deadline: float = 0.0
     kind: Literal["drain"] = "drain"
 
 
 @dataclass(frozen=True)
 class UndoChange:
-    """A drain was undone before its reboot; the VM serves again."""
+    """A drain was undone before its reboot or move.
+
+    The VM serves again after the recovery that follows once it was told.
+    """
 
     __pydantic_config__ = STRICT
 
@@ -61,13 +68,17 @@
 
 @dataclass(frozen=True)
 class RebootChange:
-    """A drained VM is about to reboot: the point of no return."""
+    """A drained VM is about to reboot: the point of no return.
+
+    `boot` is its boot number in the VM list before the reboot.
+    """
 
     __pydantic_config__ = STRICT
 
     vm: str
     operation: str
     step_deadline: float
+    boot: int = 0
     kind: Literal["reboot"] = "reboot"
 
 
@@ -110,7 +121,10 @@
 
 @dataclass(frozen=True)
 class MoveChange:
-    """A drained VM left its pool for another and serves there."""
+    """A drained VM left its pool for another.
+
+    It serves there after the recovery that follows once it was told.
+    """
 
     __pydantic_config__ = STRICT
 
--- a/chestnutstair/state/fold.py
+++ b/chestnutstair/state/fold.py
@@ -75,6 +75,11 @@
 )
 
 
+RECOVERABLE_PHASES = frozenset(
+    {VmPhase.PROVING, VmPhase.RETURNING, VmPhase.ARRIVING, VmPhase.DOWN}
+)
+
+
 class _Named(Protocol):
     @property
     def name(self) -> str: ...
@@ -116,6 +121,17 @@
     )
 
 
+def _enter(
+    view: FleetView, name: str, status: VmStatus
+) -> Result[FleetView, ChangeFailure]:
+    entered = replace(status, phase_revision=view.revision + 1)
+    return Ok(view.replace_status(name, entered))
+
+
+def _refuse_phase(name: str, status: VmStatus) -> Err[PhaseFailure]:
+    return Err(PhaseFailure(name, status.phase, status.operation))
+
+
 def _set_phase(
     view: FleetView,
     change: UndoChange | RebootChange | ProofChange | MoveChange,
@@ -124,29 +140,59 @@
 ) -> Result[FleetView, ChangeFailure]:
     status = view.statuses[change.vm]
     if status.phase is not needed or status.operation != change.operation:
-        return Err(PhaseFailure(change.vm, status.phase, status.operation))
-    return Ok(view.replace_status(change.vm, new))
+        return _refuse_phase(change.vm, status)
+    return _enter(view, change.vm, new)
+
+
+def _check_stop(
+    view: FleetView, pool: str, added: int
+) -> Result[None, BudgetFailure | PausedFailure]:
+    """Check that planned stops may go on with `added` more in the pool."""
+    if view.paused:
+        return Err(PausedFailure())
+    budget = view.pools[pool].availability_budget
+    unavailable = view.count_unavailable(pool)
+    if unavailable + added > budget:
+        return Err(BudgetFailure(pool, budget, unavailable))
+    return Ok(None)
 
 
 def _start_drain(
     view: FleetView, change: DrainChange
 ) -> Result[FleetView, ChangeFailure]:
-    if view.paused:
-        return Err(PausedFailure())
     status = view.statuses[change.vm]
     if status.phase is not VmPhase.SERVING:
-        return Err(PhaseFailure(change.vm, status.phase, status.operation))
-    budget = view.pools[status.pool].availability_budget
-    unavailable = view.count_unavailable(status.pool)
-    if unavailable + 1 > budget:
-        return Err(BudgetFailure(status.pool, budget, unavailable))
+        return _refuse_phase(change.vm, status)
+    if change.destination and change.destination not in view.pools:
+        return Err(UnknownNameFailure(change.destination))
+    match _check_stop(view, status.pool, 1):
+        case Err(failure):
+            return Err(failure)
     draining = replace(
         status,
         phase=VmPhase.DRAINING,
         operation=change.operation,
         step_deadline=change.step_deadline,
+        destination=change.destination,
+        confirm_deadline=change.confirm_deadline,
     )
-    return Ok(view.replace_status(change.vm, draining))
+    return _enter(view, change.vm, draining)
+
+
+def _reboot(
+    view: FleetView, change: RebootChange
+) -> Result[FleetView, ChangeFailure]:
+    status = view.statuses[change.vm]
+    match _check_stop(view, status.pool, 0):
+        case Err(failure):
+            return Err(failure)
+    rebooting = replace(
+        status,
+        phase=VmPhase.REBOOTING,
+        step_deadline=change.step_deadline,
+        boot=change.boot,
+    )
+    return _set_phase(view, change, VmPhase.DRAINING, rebooting)
 
 
 def _recover(
@@ -154,15 +200,24 @@
 ) -> Result[FleetView, ChangeFailure]:
     status = view.statuses[change.vm]
     if (
-        status.phase not in (VmPhase.PROVING, VmPhase.DOWN)
+        status.phase not in RECOVERABLE_PHASES
         or status.operation != change.operation
     ):
-        return Err(PhaseFailure(change.vm, status.phase, status.operation))
+        return _refuse_phase(change.vm, status)
     cleaned_at = (
         status.cleaned_at if change.cleaned_at is None else change.cleaned_at
     )
     serving = VmStatus(pool=status.pool, cleaned_at=cleaned_at)
-    return Ok(view.replace_status(change.vm, serving))
+    return _enter(view, change.vm, serving)
+
+
+def _fail(
+    view: FleetView, change: OutageChange
+) -> Result[FleetView, ChangeFailure]:
+    status = view.statuses[change.vm]
+    if status.phase is VmPhase.DOWN:
+        return _refuse_phase(change.vm, status)
+    return _enter(view, change.vm, replace(status, phase=VmPhase.DOWN))
 
 
 def _move(
@@ -171,7 +226,10 @@
     if change.pool not in view.pools:
         return Err(UnknownNameFailure(change.pool))
     status = view.statuses[change.vm]
-    moved = VmStatus(pool=change.pool, cleaned_at=status.cleaned_at)
+    match _check_stop(view, status.pool, 0):
+        case Err(failure):
+            return Err(failure)
+    moved = replace(status, pool=change.pool, phase=VmPhase.ARRIVING)
     return _set_phase(view, change, VmPhase.DRAINING, moved)
 
 
@@ -183,13 +241,10 @@
         case DrainChange():
             return _start_drain(view, change)
         case UndoChange():
-            serving = VmStatus(status.pool, cleaned_at=status.cleaned_at)
-            return _set_phase(view, change, VmPhase.DRAINING, serving)
-        case RebootChange(step_deadline=deadline):
-            new = replace(
-                status, phase=VmPhase.REBOOTING, step_deadline=deadline
-            )
+            new = replace(status, phase=VmPhase.RETURNING)
             return _set_phase(view, change, VmPhase.DRAINING, new)
+        case RebootChange():
+            return _reboot(view, change)
         case ProofChange(step_deadline=deadline):
             new = replace(
                 status, phase=VmPhase.PROVING, step_deadline=deadline
@@ -197,11 +252,8 @@
             return _set_phase(view, change, VmPhase.REBOOTING, new)
         case RecoveryChange():
             return _recover(view, change)
-        case OutageChange(vm=name):
-            down = VmStatus(
-                status.pool, VmPhase.DOWN, cleaned_at=status.cleaned_at
-            )
-            return Ok(view.replace_status(name, down))
+        case OutageChange():
+            return _fail(view, change)
         case MoveChange():
             return _move(view, change)
     raise AssertionError(change)
@@ -224,10 +276,26 @@
             return _apply_vm_change(view, change)
 
 
+def _stamp_added_vms(view: FleetView, record: ChangeRecord) -> FleetView:
+    """Start the first maintenance period of VMs that a ticket added."""
+    statuses = {
+        name: replace(status, cleaned_at=record.recorded_at)
+        if status == VmStatus(status.pool)
+        else status
+        for name, status in view.statuses.items()
+    }
+    return replace(view, statuses=statuses)
+
+
 def apply_record(
     view: FleetView, record: ChangeRecord
 ) -> Result[FleetView, ChangeFailure]:
     """Return the view at the revision of the record."""
-    return apply_change(view, record.change).map(
-        lambda new: replace(new, revision=record.revision)
-    )
+    match apply_change(view, record.change):
+        case Err(failure):
+            return Err(failure)
+        case Ok(new):
+            if isinstance(record.change, TicketChange):
+                new = _stamp_added_vms(new, record)
+            return Ok(replace(new, revision=record.revision))
+    raise AssertionError(record)
--- a/chestnutstair/state/view.py
+++ b/chestnutstair/state/view.py
@@ -7,7 +7,7 @@
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.fleet import Job, Pool, Team, Vm, Zone
 
-__all__ = ["FleetView", "VmPhase", "VmStatus"]
+__all__ = ["AVAILABLE_PHASES", "FleetView", "VmPhase", "VmStatus"]
 
 
 class VmPhase(StrEnum):
@@ -17,17 +17,27 @@
     DRAINING = "draining"  # takes no new work, ends what it has
     REBOOTING = "rebooting"  # past the point of no return
     PROVING = "proving"  # back, and not yet shown healthy
+    RETURNING = "returning"  # drain undone, the VM not yet told
+    ARRIVING = "arriving"  # moved, not yet serving in its new pool
     DOWN = "down"  # failed, not planned
 
 
+# An arriving VM takes nothing from the pool that it has just joined.
+AVAILABLE_PHASES = frozenset({VmPhase.SERVING, VmPhase.ARRIVING})
+
+
 @dataclass(frozen=True)
 class VmStatus:
     """The state of one VM that the system changes by itself.
 
     `pool` is the one pool the VM belongs to; the pool that operators
     declared for it may differ until its move is complete.
-    `operation` is the drain or move in progress, or empty.
-    `step_deadline` and `cleaned_at` are wall-clock epoch seconds.
+    `operation` is the drain or move in progress, or that an outage cut
+    off, or empty; `destination` is the pool that it moves the VM to.
+    `confirm_deadline`, `step_deadline` and `cleaned_at` are wall-clock
+    epoch seconds; a VM that was never cleaned has the time it was added.
+    `phase_revision` is the revision at which the phase began, and `boot`
+    the VM's boot number before its planned reboot.
     """
 
     __pydantic_config__ = STRICT
@@ -37,6 +47,10 @@
     operation: str = ""
     step_deadline: float = 0.0
     cleaned_at: float = 0.0
+    destination: str = ""
+    confirm_deadline: float = 0.0
+    phase_revision: int = 0
+    boot: int = 0
 
 
 @dataclass(frozen=True)
@@ -68,9 +82,9 @@
         )
 
     def count_unavailable(self, pool: str) -> int:
-        """Return how many VMs of the pool are not serving."""
+        """Return how many VMs of the pool are unavailable."""
         return sum(
-            status.pool == pool and status.phase is not VmPhase.SERVING
+            status.pool == pool and status.phase not in AVAILABLE_PHASES
             for status in self.statuses.values()
         )
 
