Count failed subtests as failures in the check command

Cause: nose2 reports a failed subtest with an outcome of its own, so the command printed no failure and exited 0. Seen: a mutant of the planner that failed in a subtest of test_spreads_a_pool_evenly_over_the_period gave '9 passed, 0 failed'. Conclusion: with the change the same mutant is listed as failed.

--- a/tools/check.py
+++ b/tools/check.py
@@ -30,10 +30,11 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Note one outcome; a test with a failed part has failed."""
-        bad = event.outcome in ("failed", "error") or (
-            event.outcome == "skipped"
+        bad = event.outcome in ("failed", "error", "skipped") or (
+            event.outcome == "subtest" and event.exc_info is not None
         )
-        (self.failed if bad else self.passed).add(event.test.id())
+        test = getattr(event.test, "test_case", event.test)
+        (self.failed if bad else self.passed).add(test.id())
 
 
 def read_known_red() -> set[str]:
