Spread cleaning over the period and keep room for a rack

Change: a pool's ages are kept below a line that is even over the period; load chooses among three such lines, so that busy pools are cleaned later but still one by one. A drain leaves room for the failure of the largest rack, or of one VM where the budget can not hold a rack and a drain; an overdue VM may use that room alone. A zone keeps its last VM.

Ruled out: waiting for quiet hours up to a fixed age, for a pool of equal ages that is always busy would then be cleaned all at once.

Command: python -m tools.check chestnutstair.tests.test_maintenance

--- a/chestnutstair/coordination/conductor.py
+++ b/chestnutstair/coordination/conductor.py
@@ -19,11 +19,10 @@
     LoadForecast,
     MaintenanceSettings,
     PlannedDrain,
-    PoolState,
-    group_pools,
     plan_drains,
 )
 from chestnutstair.coordination.messenger import Membership
+from chestnutstair.coordination.occupancy import PoolState, group_pools
 from chestnutstair.coordination.platform import VmControl, VmDirectory
 from chestnutstair.state.change import DrainChange
 from chestnutstair.state.deadline import Clock, Deadline
@@ -103,7 +102,6 @@
         self._stepper = DrainStepper(
             log, control, membership, clock, self._drains
         )
-        self._retry_deadlines: dict[str, Deadline] = {}
         self._grouped: FleetView | None = None
         self._states: Mapping[str, PoolState] = {}
 
@@ -195,6 +193,7 @@
             self._clock.read_wall(),
             self._forecast(pool),
             self._planning,
+            self._stepper.list_deferred(),
         )
         OVERDUE_VMS.labels(pool).set(len(plan.overdue))
         RESERVE_HELD.labels(pool).set(plan.reserve_held)
--- a/chestnutstair/coordination/drain.py
+++ b/chestnutstair/coordination/drain.py
@@ -49,7 +49,8 @@
     `confirm_seconds` must exceed the lease of a daemon's membership: by
     then a daemon that is cut off has left the list of live ones.
     `skew_seconds` is how far the daemons' wall clocks may be apart; no
-    stored deadline is acted on before it has passed by that much.
+    stored deadline is acted on before it has passed by that much. A VM
+    whose drain took too long is left alone for `retry_seconds`.
     `idle_checks` and `healthy_checks` are consecutive observations, one
     in each round.
     """
@@ -60,6 +61,7 @@
     drain_seconds: float = 900.0
     reboot_seconds: float = 600.0
     proof_seconds: float = 120.0
+    retry_seconds: float = 1800.0
     skew_seconds: float = 2.0
     call_seconds: float = 2.0
     idle_checks: int = 2
@@ -136,6 +138,7 @@
         self._clock = clock
         self._settings = settings
         self._progress: dict[str, _Progress] = {}
+        self._retry_deadlines: dict[str, Deadline] = {}
 
     def advance(
         self,
@@ -163,6 +166,15 @@
             case VmPhase.RETURNING | VmPhase.ARRIVING:
                 self._bring_back(step)
 
+    def list_deferred(self) -> frozenset[str]:
+        """Return the VMs whose last drain took too long, for a while."""
+        self._retry_deadlines = {
+            vm: deadline
+            for vm, deadline in self._retry_deadlines.items()
+            if not deadline.has_passed(self._clock)
+        }
+        return frozenset(self._retry_deadlines)
+
     def undo(
         self, vm: str, operation: str, duty: Duty, deadline: Deadline
     ) -> None:
@@ -235,6 +247,9 @@
         if told and self._is_idle(step):
             self._leave(step)
         elif not status.destination and self._has_passed(status.step_deadline):
+            self._retry_deadlines[step.vm] = Deadline.after(
+                self._clock, self._settings.retry_seconds
+            )
             self.undo(step.vm, status.operation, step.duty, step.deadline)
 
     def _is_idle(self, step: _Step) -> bool:
--- /dev/null
+++ b/chestnutstair/coordination/occupancy.py
@@ -0,0 +1,111 @@
+"""What is unavailable in a pool, and what a further drain would leave."""
+
+import math
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from chestnutstair.state.fleet import Pool, Vm
+from chestnutstair.state.view import (
+    AVAILABLE_PHASES,
+    FleetView,
+    VmPhase,
+    VmStatus,
+)
+
+__all__ = ["Occupancy", "PoolState", "group_pools"]
+
+
+@dataclass(frozen=True)
+class PoolState:
+    """A pool with the VMs that belong to it now, and their statuses."""
+
+    pool: Pool
+    vms: tuple[Vm, ...]
+    statuses: Mapping[str, VmStatus]
+
+    def list_phase(self, *phases: VmPhase) -> tuple[str, ...]:
+        """Return the names of the VMs in one of the phases, sorted."""
+        return tuple(
+            sorted(
+                name
+                for name, status in self.statuses.items()
+                if status.phase in phases
+            )
+        )
+
+
+def group_pools(view: FleetView) -> Mapping[str, PoolState]:
+    """Return the state of every pool."""
+    vms: dict[str, list[Vm]] = {name: [] for name in view.pools}
+    statuses: dict[str, dict[str, VmStatus]] = {name: {} for name in vms}
+    for name, status in view.statuses.items():
+        vms[status.pool].append(view.vms[name])
+        statuses[status.pool][name] = status
+    return {
+        name: PoolState(pool, tuple(vms[name]), statuses[name])
+        for name, pool in view.pools.items()
+    }
+
+
+class Occupancy:
+    """Counts the unavailable VMs of a pool by rack and by zone.
+
+    The reserve is what may fail during a drain with the budget still
+    held: the largest rack, or one VM where the budget can't hold a rack
+    and a drain.
+    """
+
+    def __init__(self, state: PoolState) -> None:
+        self._budget = state.pool.availability_budget
+        self._size = len(state.vms)
+        self._unavailable = 0
+        self._planned = 0
+        self._planned_racks: Counter[str] = Counter()
+        self._zones = Counter(vm.zone for vm in state.vms)
+        self._free_zones = Counter(self._zones)
+        self._free_racks = Counter(vm.rack for vm in state.vms)
+        largest = max(self._free_racks.values(), default=0)
+        self.can_hold_rack = largest < self._budget
+        for vm in state.vms:
+            phase = state.statuses[vm.name].phase
+            if phase not in AVAILABLE_PHASES:
+                self.take(vm, planned=phase is not VmPhase.DOWN)
+
+    def take(self, vm: Vm, planned: bool = True) -> None:
+        """Count the VM as unavailable."""
+        self._unavailable += 1
+        self._planned += planned
+        self._planned_racks[vm.rack] += planned
+        self._free_racks[vm.rack] -= 1
+        self._free_zones[vm.zone] -= 1
+
+    def has_room(self) -> bool:
+        """Tell whether the budget allows one more drain."""
+        return self._unavailable < self._budget
+
+    def keeps_reserve(self, vm: Vm) -> bool:
+        """Tell whether a drain of the VM leaves the reserve."""
+        if not self.can_hold_rack:
+            return self._unavailable + 2 <= self._budget
+        worst = max(
+            free - (rack == vm.rack) for rack, free in self._free_racks.items()
+        )
+        return self._unavailable + 1 + worst <= self._budget
+
+    def is_first(self) -> bool:
+        """Tell whether no planned operation takes from the budget."""
+        return self._planned == 0
+
+    def strips_zone(self, vm: Vm) -> bool:
+        """Tell whether the VM is the last available one of several."""
+        return self._zones[vm.zone] > 1 and self._free_zones[vm.zone] <= 1
+
+    def shares_rack(self, vm: Vm) -> bool:
+        """Tell whether a planned operation goes on in the VM's rack."""
+        return self._planned_racks[vm.rack] > 0
+
+    def measure_load(self, share: float) -> float:
+        """Return the load of the rest after one more drain."""
+        rest = self._size - self._unavailable - 1
+        return share * self._size / rest if rest > 0 else math.inf
