Place, watch and stop the tasks of jobs

Cause: jobs of tickets had no one to run them.

The conductor runs one round per pool of workers under the duty `placement/{pool}`: stop what is cancelled or on a draining worker, read reports, renew leases in one call per worker, record ends, commit new starts with their fencing tokens, then tell the workers. Every commit carries the duty's condition and the versions of its rows. A task on a worker that does not answer starts elsewhere only after the last lease has run out on the worker's clock, with skew and delivery margins; for tasks inherited from a former holder, after that holder's grace and one call delayed by a pause.

Ruled out: a table row per worker with its lease horizon. It costs a write per worker and renewal, and the duty's takeover already bounds the former holder's calls.

Seen to fail with its guard removed: the wait for the lease (test_starts_elsewhere_only_after_the_lease).

The placer is a plain best fit and quotas are counted per pool only.

--- /dev/null
+++ b/chestnutstair/coordination/conductor.py
@@ -0,0 +1,173 @@
+"""Places the tasks of every pool of workers whose duty this daemon holds."""
+
+import logging
+from collections import Counter
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.duty import DutyHolder
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    Table,
+    WorkerControl,
+)
+from chestnutstair.coordination.pool_round import (
+    PlacementSettings,
+    PoolFleet,
+    PoolRound,
+)
+from chestnutstair.coordination.tasks import decode_task, scan_tasks
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+from chestnutstair.state.fleet import Job, PoolKind
+from chestnutstair.state.task import TaskStage
+from chestnutstair.state.view import FleetView
+
+__all__ = [
+    "JobStatus",
+    "TaskConductor",
+    "build_duty_name",
+    "list_duty_names",
+]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class JobStatus:
+    """A job, how many tasks stand in each stage, and what blocks it."""
+
+    job: Job
+    tasks: dict[str, int] = field(default_factory=dict)
+    blocked: str = ""
+
+
+def build_duty_name(pool: str) -> str:
+    """Return the name of the duty to place the pool's tasks."""
+    return f"placement/{pool}"
+
+
+def list_duty_names(view: FleetView) -> list[str]:
+    """Return the placement duties of all pools of workers."""
+    return [
+        build_duty_name(pool.name)
+        for pool in view.pools.values()
+        if pool.kind is PoolKind.WORKERS
+    ]
+
+
+def split_fleet(view: FleetView) -> dict[str, PoolFleet]:
+    """Return what the view holds for each pool of workers."""
+    members: dict[str, dict] = {name: {} for name in view.pools}
+    phases: dict[str, dict] = {name: {} for name in view.pools}
+    jobs: dict[str, dict] = {name: {} for name in view.pools}
+    for name, status in view.statuses.items():
+        members[status.pool][name] = view.vms[name]
+        phases[status.pool][name] = status.phase
+    for job in view.jobs.values():
+        jobs[job.pool][job.name] = job
+    return {
+        pool.name: PoolFleet(
+            pool,
+            members[pool.name],
+            phases[pool.name],
+            jobs[pool.name],
+            view.teams,
+        )
+        for pool in view.pools.values()
+        if pool.kind is PoolKind.WORKERS
+    }
+
+
+class TaskConductor:
+    """The control loop that starts, watches and stops tasks."""
+
+    def __init__(
+        self,
+        log: ChangeLog,
+        table: Table,
+        duties: DutyHolder,
+        workers: WorkerControl,
+        clock: Clock,
+        settings: PlacementSettings,
+    ) -> None:
+        self._log = log
+        self._table = table
+        self._duties = duties
+        self._workers = workers
+        self._clock = clock
+        self._settings = settings
+        self._rounds: dict[str, PoolRound] = {}
+        self._split_view: FleetView | None = None
+        self._fleets: dict[str, PoolFleet] = {}
+
+    def _split(self) -> dict[str, PoolFleet]:
+        view = self._log.view
+        if view is not self._split_view:
+            self._fleets = split_fleet(view)
+            self._split_view = view
+        return self._fleets
+
+    def run_once(self, deadline: Deadline) -> None:
+        """Run one round of each pool whose duty this daemon holds."""
+        for name, fleet in self._split().items():
+            duty = self._duties.find_duty(build_duty_name(name))
+            if duty is None:
+                self._rounds.pop(name, None)
+                continue
+            pool_round = self._rounds.get(name)
+            if pool_round is None or pool_round.token != duty.token:
+                pool_round = PoolRound(
+                    self._table,
+                    self._workers,
+                    self._clock,
+                    self._settings,
+                    duty,
+                )
+                self._rounds[name] = pool_round
+            outcome = pool_round.run(fleet, duty, deadline)
+            if outcome.is_err():
+                logger.warning(
+                    "placement round of %s ended early: %s",
+                    name,
+                    outcome.unwrap_err(),
+                )
+
+    def report_jobs(
+        self, deadline: Deadline
+    ) -> Result[tuple[JobStatus, ...], PlatformFailure]:
+        """Return where the tasks of every job stand, from the table.
+
+        What blocks a job is known only where its pool's duty is held.
+        """
+        statuses: list[JobStatus] = []
+        for name, fleet in self._split().items():
+            match scan_tasks(self._table, name, deadline):
+                case Err(failure):
+                    return Err(failure)
+                case Ok(rows):
+                    counts: dict[str, Counter[str]] = {}
+                    for task, row in rows.items():
+                        stage = decode_task(row).stage
+                        counts.setdefault(task.job, Counter())[stage] += 1
+            statuses += [
+                self._describe(name, job, counts.get(job.name, Counter()))
+                for job in fleet.jobs.values()
+            ]
+        return Ok(tuple(statuses))
+
+    def _describe(
+        self, pool: str, job: Job, counts: Counter[str]
+    ) -> JobStatus:
+        waiting = TaskStage.CANCELLED if job.cancelled else TaskStage.PENDING
+        tasks = {str(stage): count for stage, count in counts.items()}
+        unseen = job.task_count - sum(counts.values())
+        if unseen > 0:
+            tasks[waiting] = tasks.get(waiting, 0) + unseen
+        pool_round = self._rounds.get(pool)
+        block = pool_round.blocks.get(job.name) if pool_round else None
+        return JobStatus(
+            job, tasks, "" if block is None else describe_failure(block)
+        )
--- /dev/null
+++ b/chestnutstair/coordination/tasks.py
@@ -0,0 +1,217 @@
+"""The rows of a pool's tasks, cached by the daemon that places them."""
+
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
+from itertools import chain
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.duty import Duty
+from chestnutstair.coordination.platform import (
+    ABSENT,
+    Condition,
+    ConflictFailure,
+    Key,
+    PlatformFailure,
+    Row,
+    Table,
+    Write,
+)
+from chestnutstair.state.codec import decode_value, encode_value
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.state.fleet import Job
+from chestnutstair.state.task import (
+    PENDING_TASK,
+    TaskName,
+    TaskRecord,
+    TaskStage,
+)
+
+__all__ = [
+    "TASK_TABLE",
+    "CommitFailure",
+    "TaskLedger",
+    "build_task_key",
+    "decode_task",
+    "scan_tasks",
+]
+
+TASK_TABLE = "tasks"
+SCAN_LIMIT = 500  # rows
+COMMIT_LIMIT = 100  # rows
+
+CommitFailure = ConflictFailure | PlatformFailure
+
+
+def build_task_key(pool: str, task: TaskName) -> Key:
+    """Return the key of the task's row."""
+    return Key(TASK_TABLE, f"{pool}/{task}")
+
+
+def _parse_key(key: Key) -> TaskName:
+    _, _, task = key.key.partition("/")
+    return TaskName.parse(task)
+
+
+def decode_task(row: Row) -> TaskRecord:
+    """Return the record in a task's row."""
+    return decode_value(TaskRecord, row.value).unwrap()
+
+
+def scan_tasks(
+    table: Table, pool: str, deadline: Deadline
+) -> Result[dict[TaskName, Row], PlatformFailure]:
+    """Return all task rows of the pool."""
+    rows: dict[TaskName, Row] = {}
+    start, end = f"{pool}/", f"{pool}0"  # "0" follows "/"
+    while True:
+        match table.scan(TASK_TABLE, start, end, SCAN_LIMIT, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(found):
+                rows.update((_parse_key(row.key), row) for row in found)
+                if len(found) < SCAN_LIMIT:
+                    return Ok(rows)
+                start = found[-1].key.key + "\0"
+
+
+class TaskLedger:
+    """The tasks of one pool during one tenure of its placement duty.
+
+    Each commit carries the duty's condition and the versions of the rows
+    it changes. After any failure the cache is dropped and read anew,
+    because the commit may have taken effect.
+    """
+
+    def __init__(self, table: Table, pool: str) -> None:
+        self._table = table
+        self._pool = pool
+        self._versions: dict[TaskName, int] = {}
+        self._loaded = False
+        self._records: dict[TaskName, TaskRecord] = {}
+        self._row_counts: Counter[str] = Counter()
+        self._pending: dict[str, set[int]] = defaultdict(set)
+        self._live: dict[str, set[TaskName]] = defaultdict(set)
+        self.commit_count = 0
+        self.row_count = 0
+
+    @property
+    def records(self) -> Mapping[TaskName, TaskRecord]:
+        """Every task that has a row."""
+        return self._records
+
+    def get(self, task: TaskName) -> TaskRecord:
+        """Return the task's record; without a row it is pending."""
+        return self._records.get(task, PENDING_TASK)
+
+    def list_live(self, worker: str) -> list[TaskName]:
+        """Return the tasks that the worker may be running."""
+        return sorted(self._live.get(worker, ()))
+
+    def list_busy_workers(self) -> list[str]:
+        """Return the workers that may be running a task."""
+        return sorted(name for name, tasks in self._live.items() if tasks)
+
+    def find_pending(self, job: Job, count: int) -> list[TaskName]:
+        """Return up to `count` tasks of the job that wait for a worker.
+
+        Rows are made in the order of their index, so that all tasks from
+        the number of rows up have none yet.
+        """
+        known = sorted(self._pending.get(job.name, ()))
+        first = self._row_counts[job.name]
+        new = range(first, min(job.task_count, first + count))
+        waiting = (index for index in known if index < job.task_count)
+        chosen = list(chain(waiting, new))[:count]
+        return [TaskName(job.name, index) for index in chosen]
+
+    def load(self, deadline: Deadline) -> Result[None, PlatformFailure]:
+        """Read all rows, unless the cache is whole."""
+        if self._loaded:
+            return Ok(None)
+        match scan_tasks(self._table, self._pool, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(rows):
+                for task in list(self._records):
+                    self._drop(task)
+                for task, row in rows.items():
+                    self._keep(task, row)
+                self._loaded = True
+                return Ok(None)
+
+    def invalidate(self) -> None:
+        """Drop the cache, so that the next load reads it anew."""
+        self._loaded = False
+
+    def _drop(self, task: TaskName) -> None:
+        record = self._records.pop(task, None)
+        if record is None:
+            return
+        self._versions.pop(task)
+        self._row_counts[task.job] -= 1
+        self._pending[task.job].discard(task.index)
+        self._live[record.worker].discard(task)
+
+    def _keep(self, task: TaskName, row: Row | None) -> None:
+        self._drop(task)
+        if row is None:
+            return
+        record = decode_task(row)
+        self._versions[task] = row.version
+        self._records[task] = record
+        self._row_counts[task.job] += 1
+        if record.stage is TaskStage.PENDING:
+            self._pending[task.job].add(task.index)
+        if record.is_live():
+            self._live[record.worker].add(task)
+
+    def commit(
+        self,
+        duty: Duty,
+        changes: Mapping[TaskName, TaskRecord | None],
+        deadline: Deadline,
+    ) -> Result[None, CommitFailure]:
+        """Write the records, and delete those that are None."""
+        items = list(changes.items())
+        for start in range(0, len(items), COMMIT_LIMIT):
+            batch = items[start : start + COMMIT_LIMIT]
+            committed = self._commit_batch(duty, batch, deadline)
+            if committed.is_err():
+                self._loaded = False
+                return committed
+        return Ok(None)
+
+    def _commit_batch(
+        self,
+        duty: Duty,
+        batch: Sequence[tuple[TaskName, TaskRecord | None]],
+        deadline: Deadline,
+    ) -> Result[None, CommitFailure]:
+        conditions = [duty.build_condition()]
+        writes = []
+        for task, record in batch:
+            key = build_task_key(self._pool, task)
+            version = self._versions.get(task, ABSENT)
+            conditions.append(Condition(key, version))
+            value = None if record is None else encode_value(record)
+            writes.append(Write(key, value))
+        committed = self._table.commit(conditions, writes, deadline)
+        if committed.is_err():
+            return committed
+        self.commit_count += 1
+        self.row_count += len(batch)
+        return self._read_back([task for task, _ in batch], deadline)
+
+    def _read_back(
+        self, tasks: Sequence[TaskName], deadline: Deadline
+    ) -> Result[None, CommitFailure]:
+        """Learn the versions that the rows have after a commit."""
+        keys = [build_task_key(self._pool, task) for task in tasks]
+        match self._table.read(keys, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(rows):
+                for task, row in zip(tasks, rows, strict=True):
+                    self._keep(task, row)
+                return Ok(None)
--- /dev/null
+++ b/chestnutstair/coordination/visit.py
@@ -0,0 +1,188 @@
+"""Calls to workers about tasks, made by one holder of a placement duty."""
+
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    TaskReport,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+    WorkerControl,
+)
+from chestnutstair.coordination.worker_lease import WorkerLeases
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import Failure
+from chestnutstair.state.task import TaskName, TaskRecord
+
+__all__ = ["VisitSettings", "Visitor"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class VisitSettings:
+    """How often workers with tasks are called, and for how long.
+
+    A worker is visited every `visit_seconds`, and each round while a
+    start or stop is unconfirmed. After a failed call nothing more is sent
+    to it before `retry_seconds` have passed, doubled with each further
+    failure up to `retry_limit_seconds`.
+    """
+
+    __pydantic_config__ = STRICT
+
+    visit_seconds: float = 4.0
+    retry_seconds: float = 1.0
+    retry_limit_seconds: float = 16.0
+    call_seconds: float = 1.0
+
+
+def _pick_newest(reports: Iterable[TaskReport]) -> dict[str, TaskReport]:
+    newest: dict[str, TaskReport] = {}
+    for report in reports:
+        known = newest.get(report.task)
+        if known is None or report.token >= known.token:
+            newest[report.task] = report
+    return newest
+
+
+class Visitor:
+    """Calls workers and remembers which of them do not answer."""
+
+    def __init__(
+        self,
+        workers: WorkerControl,
+        clock: Clock,
+        leases: WorkerLeases,
+        settings: VisitSettings,
+    ) -> None:
+        self._workers = workers
+        self._clock = clock
+        self._leases = leases
+        self._settings = settings
+        self._next_visits: dict[str, Deadline] = {}
+        self._silent: dict[str, int] = {}  # calls failed in a row
+
+    def is_due(self, worker: str) -> bool:
+        """Tell whether the worker is to be visited now."""
+        due = self._next_visits.get(worker)
+        return due is None or due.has_passed(self._clock)
+
+    def is_silent(self, worker: str) -> bool:
+        """Tell whether the worker has not answered its last visit."""
+        return worker in self._silent
+
+    def list_silent(self) -> list[str]:
+        """Return the workers that have not answered their last call."""
+        return sorted(self._silent)
+
+    def expect_change(self, worker: str) -> None:
+        """Visit the worker in the next round, unless it is silent."""
+        if worker not in self._silent:
+            self._next_visits.pop(worker, None)
+
+    def _limit(self, deadline: Deadline) -> Deadline:
+        seconds = self._settings.call_seconds
+        return min(deadline, Deadline.after(self._clock, seconds))
+
+    def _note_silence(self, worker: str, failure: Failure) -> None:
+        logger.warning(
+            "worker does not answer: %s", failure, extra={"vm": worker}
+        )
+        failures = self._silent.get(worker, 0)
+        self._silent[worker] = failures + 1
+        seconds = min(
+            self._settings.retry_seconds * 2.0 ** min(failures, 10),
+            self._settings.retry_limit_seconds,
+        )
+        self._next_visits[worker] = Deadline.after(self._clock, seconds)
+
+    def read_reports(
+        self, worker: str, deadline: Deadline
+    ) -> dict[str, TaskReport] | None:
+        """Return the newest report of each task, or None if no answer."""
+        match self._workers.report_tasks(worker, self._limit(deadline)):
+            case Err(failure):
+                self._note_silence(worker, failure)
+                return None
+            case Ok(reports):
+                self._silent.pop(worker, None)
+                self._next_visits[worker] = Deadline.after(
+                    self._clock, self._settings.visit_seconds
+                )
+                return _pick_newest(reports)
+        return None
+
+    def renew(
+        self,
+        worker: str,
+        tokens: list[tuple[str, int]],
+        deadline: Deadline,
+    ) -> None:
+        """Extend the leases of the tasks, all in one call."""
+        outcome = self._workers.renew_tasks(
+            worker, tokens, self._leases.lease_seconds, self._limit(deadline)
+        )
+        self._note_lease_call(worker, outcome)
+
+    def start(
+        self,
+        task: TaskName,
+        record: TaskRecord,
+        payload: str,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Tell the worker to start the task; safe to repeat."""
+        outcome = self._workers.start_task(
+            record.worker,
+            str(task),
+            record.token,
+            self._leases.lease_seconds,
+            payload,
+            self._limit(deadline),
+        )
+        self._note_lease_call(record.worker, outcome)
+        self.expect_change(record.worker)
+        return outcome
+
+    def _note_lease_call(
+        self, worker: str, outcome: Result[None, PlatformFailure]
+    ) -> None:
+        match outcome:
+            case Ok():
+                self._leases.note_extension(worker)
+            case Err(UnknownOutcomeFailure() as failure):
+                self._leases.note_extension(worker)
+                self._note_silence(worker, failure)
+            case Err(UnavailableFailure() as failure):
+                self._note_silence(worker, failure)
+            case Err(failure):
+                logger.warning(
+                    "worker refused a call: %s", failure, extra={"vm": worker}
+                )
+
+    def stop(
+        self,
+        task: TaskName,
+        record: TaskRecord,
+        checkpoint: bool,
+        deadline: Deadline,
+    ) -> None:
+        """Tell the worker to end the task; safe to repeat."""
+        outcome = self._workers.stop_task(
+            record.worker,
+            str(task),
+            record.token,
+            checkpoint,
+            self._limit(deadline),
+        )
+        match outcome:
+            case Err(UnknownOutcomeFailure() as failure):
+                self._note_silence(record.worker, failure)
+            case _:
+                self.expect_change(record.worker)
--- /dev/null
+++ b/chestnutstair/standins/workers.py
@@ -0,0 +1,268 @@
+"""Workers in memory that run tasks under leases and log what they do."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from itertools import pairwise
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    RefusedFailure,
+    TaskPhase,
+    TaskReport,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+    WorkerControl,
+)
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.resource import NO_RESOURCES, Resources
+
+__all__ = ["MemoryWorkers", "TaskBehaviour", "TaskRun"]
+
+
+@dataclass(frozen=True)
+class TaskBehaviour:
+    """How every task of one job behaves once it is started.
+
+    `run_seconds` is the whole work, less what a checkpoint kept.
+    """
+
+    run_seconds: float = 60.0
+    used: Resources = NO_RESOURCES
+    fails: bool = False
+
+
+@dataclass(frozen=True)
+class TaskRun:
+    """One start of a task; times are seconds of the shared clock.
+
+    `ended_at` is the end, or while it runs the end that its work or its
+    lease will bring about.
+    """
+
+    worker: str
+    task: str
+    token: int
+    started_at: float
+    lease_end: float
+    work_end: float
+    share: float = 1.0
+    phase: TaskPhase = TaskPhase.RUNNING
+    ended_at: float = float("inf")
+
+
+class Reach(StrEnum):
+    """How calls to a worker fare."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"  # calls have no effect
+    MUTE = "mute"  # calls take effect, but no answer comes
+
+
+class MemoryWorkers(WorkerControl):
+    """All workers of a fleet, with faults that a test switches on.
+
+    `rates` slows a worker's clock (below 1) so that its leases last
+    longer. `bad_workers` fail every task. `runs` is the oracle's log.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._newest: dict[tuple[str, str], TaskRun] = {}
+        self._running: dict[str, set[str]] = defaultdict(set)
+        self._progress: dict[str, float] = {}
+        self._fences: dict[tuple[str, str], int] = {}
+        self.runs: dict[tuple[str, str, int], TaskRun] = {}
+        self.behaviours: dict[str, TaskBehaviour] = {}
+        self.reach: dict[str, Reach] = {}
+        self.rates: dict[str, float] = {}
+        self.bad_workers: set[str] = set()
+        self.call_count = 0
+
+    def _behave(self, task: str) -> TaskBehaviour:
+        job = task.rpartition("/")[0]
+        return self.behaviours.get(job, TaskBehaviour())
+
+    def _answer(self, worker: str) -> Result[None, PlatformFailure]:
+        if self.reach.get(worker, Reach.WHOLE) is Reach.MUTE:
+            return Err(UnknownOutcomeFailure("the answer was lost"))
+        return Ok(None)
+
+    def _enter(self, worker: str) -> bool:
+        """Settle the worker's tasks; tell whether the call arrives."""
+        self.call_count += 1
+        self.settle([worker])
+        return self.reach.get(worker, Reach.WHOLE) is not Reach.REFUSED
+
+    def settle(self, workers: Iterable[str] | None = None) -> None:
+        """End the tasks whose work or lease has run out by now."""
+        now = self._clock.read_monotonic()
+        for worker in list(self._running) if workers is None else workers:
+            for task in list(self._running.get(worker, ())):
+                run = self._newest[worker, task]
+                if run.work_end <= min(now, run.lease_end):
+                    self._end(run, self._judge(run), run.work_end)
+                elif run.lease_end <= now:
+                    self._end(run, TaskPhase.LAPSED, run.lease_end)
+
+    def _judge(self, run: TaskRun) -> TaskPhase:
+        bad = run.worker in self.bad_workers or self._behave(run.task).fails
+        return TaskPhase.FAILED if bad else TaskPhase.FINISHED
+
+    def _keep(self, run: TaskRun) -> None:
+        self._newest[run.worker, run.task] = run
+        self.runs[run.worker, run.task, run.token] = run
+        if run.phase is TaskPhase.RUNNING:
+            self._running[run.worker].add(run.task)
+        else:
+            self._running[run.worker].discard(run.task)
+
+    def _end(self, run: TaskRun, phase: TaskPhase, at: float) -> None:
+        self._keep(replace(run, phase=phase, ended_at=at))
+
+    def _find(self, worker: str, task: str, token: int) -> TaskRun | None:
+        run = self._newest.get((worker, task))
+        if run is None or run.token != token:
+            return None
+        return run if run.phase is TaskPhase.RUNNING else None
+
+    def _lease_end(self, worker: str, lease_seconds: float) -> float:
+        rate = self.rates.get(worker, 1.0)
+        return self._clock.read_monotonic() + lease_seconds / rate
+
+    def start_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        lease_seconds: float,
+        payload: str,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Start the task once per token; lower tokens are refused."""
+        if not self._enter(worker):
+            return Err(UnavailableFailure("no route to the worker"))
+        fence = self._fences.get((worker, task), 0)
+        if token < fence:
+            return Err(RefusedFailure("a newer token is known"))
+        if token > fence:
+            self._fences[worker, task] = token
+            self._begin(worker, task, token, lease_seconds)
+        return self._answer(worker)
+
+    def _begin(
+        self, worker: str, task: str, token: int, lease_seconds: float
+    ) -> None:
+        known = self._newest.get((worker, task))
+        now = self._clock.read_monotonic()
+        if known is not None and known.phase is TaskPhase.RUNNING:
+            self._end(known, TaskPhase.STOPPED, now)
+        left = self._behave(task).run_seconds - self._progress.get(task, 0.0)
+        if worker in self.bad_workers or self._behave(task).fails:
+            left = min(left, 1.0)
+        lease_end = self._lease_end(worker, lease_seconds)
+        self._keep(TaskRun(worker, task, token, now, lease_end, now + left))
+
+    def renew_tasks(
+        self,
+        worker: str,
+        tokens: Sequence[tuple[str, int]],
+        lease_seconds: float,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Extend the leases of the tasks that still have these tokens."""
+        if not self._enter(worker):
+            return Err(UnavailableFailure("no route to the worker"))
+        for task, token in tokens:
+            run = self._find(worker, task, token)
+            if run is not None:
+                end = max(
+                    run.lease_end, self._lease_end(worker, lease_seconds)
+                )
+                self._keep(replace(run, lease_end=end))
+        return self._answer(worker)
+
+    def stop_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        checkpoint: bool,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """End the task, keeping a checkpoint for its next start if asked."""
+        if not self._enter(worker):
+            return Err(UnavailableFailure("no route to the worker"))
+        fence = self._fences.get((worker, task), 0)
+        self._fences[worker, task] = max(fence, token)
+        run = self._find(worker, task, token)
+        if run is not None:
+            now = self._clock.read_monotonic()
+            if checkpoint:
+                done = self._progress.get(task, 0.0) + now - run.started_at
+                self._progress[task] = done
+            self._end(run, TaskPhase.STOPPED, now)
+        return self._answer(worker)
+
+    def throttle_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        share: float,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Limit the task to a share (0 to 1) of its processor time."""
+        if not self._enter(worker):
+            return Err(UnavailableFailure("no route to the worker"))
+        run = self._find(worker, task, token)
+        if run is not None:
+            self._keep(replace(run, share=share))
+        return self._answer(worker)
+
+    def report_tasks(
+        self, worker: str, deadline: Deadline
+    ) -> Result[tuple[TaskReport, ...], PlatformFailure]:
+        """Return the running tasks, and recent ends, of the worker."""
+        if not self._enter(worker):
+            return Err(UnavailableFailure("no route to the worker"))
+        if self._answer(worker).is_err():
+            return Err(UnknownOutcomeFailure("the answer was lost"))
+        return Ok(
+            tuple(
+                self._report(run)
+                for (name, _), run in self._newest.items()
+                if name == worker
+            )
+        )
+
+    def _report(self, run: TaskRun) -> TaskReport:
+        used = self._behave(run.task).used
+        return TaskReport(run.task, run.worker, run.token, run.phase, used)
+
+    def find_overlaps(self) -> list[tuple[TaskRun, TaskRun]]:
+        """Return pairs of runs of one task that were live at once."""
+        self.settle()
+        by_task: dict[str, list[TaskRun]] = defaultdict(list)
+        for run in self.runs.values():
+            by_task[run.task].append(run)
+        pairs = []
+        for runs in by_task.values():
+            runs.sort(key=lambda run: run.started_at)
+            pairs += [
+                (first, second)
+                for first, second in pairwise(runs)
+                if second.started_at < first.ended_at
+            ]
+        return pairs
+
+    def count_finishes(self) -> dict[str, int]:
+        """Return how often each task ran to its end."""
+        self.settle()
+        counts: dict[str, int] = defaultdict(int)
+        for run in self.runs.values():
+            counts[run.task] += run.phase is TaskPhase.FINISHED
+        return dict(counts)
--- /dev/null
+++ b/chestnutstair/tests/test_conductor.py
@@ -0,0 +1,143 @@
+"""Tests of the control loop that places tasks."""
+
+import unittest
+from dataclasses import replace
+
+from chestnutstair.coordination.conductor import TaskConductor
+from chestnutstair.coordination.pool_round import PlacementSettings
+from chestnutstair.standins.table import MemoryTable
+from chestnutstair.standins.workers import (
+    MemoryWorkers,
+    Reach,
+    TaskBehaviour,
+)
+from chestnutstair.state.change import DrainChange, TicketChange
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.state.fleet import Job
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.ticket import Removal, Ticket
+from chestnutstair.tests.support import (
+    FixedDutyHolder,
+    ManualClock,
+    build_log,
+    build_ticket,
+)
+
+
+class ConductorTest(unittest.TestCase):
+    """Tasks are started, watched, ended and stopped as the view asks."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.table = MemoryTable()
+        self.log = build_log(self.table, self.clock)
+        self.workers = MemoryWorkers(self.clock)
+        self.conductor = TaskConductor(
+            self.log,
+            self.table,
+            FixedDutyHolder(self.table, self.clock),
+            self.workers,
+            self.clock,
+            PlacementSettings(),
+        )
+        self.accept(replace(build_ticket(), jobs=()))
+
+    def deadline(self) -> Deadline:
+        return Deadline.after(self.clock, 5.0)
+
+    def accept(self, ticket: Ticket) -> None:
+        self.log.append(TicketChange(ticket), self.deadline()).unwrap()
+
+    def file(self, *jobs: Job, removed: tuple[str, ...] = ()) -> None:
+        number = self.log.view.ticket + 1
+        self.accept(
+            Ticket(number, "ana", jobs=jobs, remove=Removal(jobs=removed))
+        )
+
+    def build_job(self, name: str = "build", count: int = 4) -> Job:
+        size = Resources(32, 64)
+        return Job(name, "toys", "boxes", "normal", size, 60.0, count)
+
+    def run_rounds(self, seconds: float, step: float = 1.0) -> None:
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.conductor.run_once(self.deadline())
+            self.clock.now += step
+
+    def count(self, name: str = "build") -> dict[str, int]:
+        statuses = self.conductor.report_jobs(self.deadline()).unwrap()
+        return next(s.tasks for s in statuses if s.job.name == name)
+
+    def test_runs_every_task_once(self) -> None:
+        self.file(self.build_job(count=20))
+        self.run_rounds(140)
+        self.assertEqual(self.count(), {"finished": 20})
+        finishes = self.workers.count_finishes()
+        self.assertEqual(set(finishes.values()), {1})
+        self.assertEqual(self.workers.find_overlaps(), [])
+
+    def test_resolves_a_start_whose_answer_was_lost(self) -> None:
+        for index in range(8):
+            self.workers.reach[f"boxes-{index}"] = Reach.MUTE
+        self.file(self.build_job(count=1))
+        self.run_rounds(3)
+        self.workers.reach.clear()
+        self.run_rounds(80)
+        self.assertEqual(self.count(), {"finished": 1})
+        self.assertEqual(len(self.workers.runs), 1)
+
+    def test_starts_elsewhere_only_after_the_lease(self) -> None:
+        self.file(self.build_job(count=1))
+        self.run_rounds(3)
+        (run,) = self.workers.runs.values()
+        self.workers.reach[run.worker] = Reach.REFUSED
+        self.workers.rates[run.worker] = 0.995
+        self.run_rounds(120)
+        self.assertEqual(len(self.workers.runs), 2)
+        self.assertEqual(self.workers.find_overlaps(), [])
+        self.assertEqual(self.count(), {"finished": 1})
+
+    def test_cancels_before_it_starts_anything(self) -> None:
+        self.file(self.build_job(count=16))
+        self.run_rounds(3)
+        cancelled = replace(self.build_job(count=16), cancelled=True)
+        self.file(cancelled, self.build_job("other", 16))
+        self.run_rounds(2)
+        self.assertEqual(self.count(), {"cancelled": 16})
+        self.assertEqual(self.count("other"), {"running": 16})
+
+    def test_forgets_a_removed_job(self) -> None:
+        self.file(self.build_job())
+        self.run_rounds(3)
+        self.file(removed=("build",))
+        self.run_rounds(3)
+        rows = self.table.scan("tasks", "", "~", 10, self.deadline())
+        self.assertEqual(rows.unwrap(), ())
+
+    def test_moves_tasks_off_a_draining_worker(self) -> None:
+        self.file(self.build_job(count=1))
+        self.run_rounds(31)
+        (run,) = self.workers.runs.values()
+        drain = DrainChange(run.worker, "wave-1", 0.0)
+        self.log.append(drain, self.deadline()).unwrap()
+        self.run_rounds(35)  # enough only from the checkpoint
+        self.assertEqual(self.count(), {"finished": 1})
+        workers = {run.worker for run in self.workers.runs.values()}
+        self.assertEqual(len(workers), 2)
+
+    def test_gives_up_a_job_that_fails_everywhere(self) -> None:
+        self.workers.behaviours["build"] = TaskBehaviour(fails=True)
+        self.file(self.build_job(count=1))
+        self.run_rounds(40)
+        self.assertEqual(self.count(), {"failed": 1})
+        workers = {run.worker for run in self.workers.runs.values()}
+        self.assertEqual(len(workers), 4)
+
+    def test_reports_what_can_never_run_and_goes_on(self) -> None:
+        huge = replace(self.build_job("huge"), resources=Resources(65, 1))
+        self.file(huge, self.build_job())
+        self.run_rounds(3)
+        statuses = self.conductor.report_jobs(self.deadline()).unwrap()
+        blocked = {s.job.name: s.blocked for s in statuses}
+        self.assertIn("OversizeBlock", blocked["huge"])
+        self.assertEqual(self.count(), {"running": 4})
