--- a/tools/check.py
+++ b/tools/check.py
@@ -58,7 +58,7 @@
     plugin = OutcomePlugin()
     nose2.discover(
         exit=False,
-        argv=["nose2", "-s", str(ROOT), "-t", str(ROOT), *selection],
+        argv=["nose2", "--log-capture", "-t", str(ROOT), *selection],
         extraHooks=[("testOutcome", plugin)],
     )
     return plugin
