--- a/chestnutstair/coordination/outage.py
+++ b/chestnutstair/coordination/outage.py
@@ -6,8 +6,8 @@
 from result import Err, Ok
 
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.conductor import build_duty_name
 from chestnutstair.coordination.drain import Listing, append_change
+from chestnutstair.coordination.drain_conductor import build_duty_name
 from chestnutstair.coordination.duty import Duty, DutyHolder
 from chestnutstair.coordination.platform import VmControl, VmDirectory
 from chestnutstair.state.change import OutageChange, RecoveryChange
--- a/chestnutstair/tests/maintenance_support.py
+++ b/chestnutstair/tests/maintenance_support.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.conductor import DrainConductor
+from chestnutstair.coordination.drain_conductor import DrainConductor
 from chestnutstair.coordination.messenger import Member, Membership
 from chestnutstair.coordination.outage import OutageWatcher
 from chestnutstair.coordination.platform import (
