Add the platform over HTTP and the stand-ins for it and its targets

Cause: nothing carried the platform's interfaces over the network, and no process stood in for the platform or for a runner.

Change: protocol/platform.py holds the messages; transport/platform.py offers the clients, whose every call has a deadline. A call that never left is unavailable; a write that was sent and got no answer has an unknown outcome.

Ruled out: cherrypy's own application object for the stand-ins; it costs about 1 ms a request by the library notes, while the platform has to take about two thousand reads a second.

Seen to fail with the guard removed: VM fencing token, VM operation id (the first test of it passed without the guard, as the target itself drops a repeated reboot; a test on a worker's VM was added), task token, task lease, 8 slots, 64 connections, unknown outcome.

--- /dev/null
+++ b/chestnutstair/protocol/platform.py
@@ -0,0 +1,118 @@
+"""The messages of the platform's HTTP interface."""
+
+from dataclasses import dataclass
+
+from chestnutstair.coordination.platform import Condition, Key, Write
+from chestnutstair.state.codec import STRICT
+
+__all__ = [
+    "PARTY_HEADER",
+    "ZONE_HEADER",
+    "CommitCall",
+    "ReadCall",
+    "RefusalAnswer",
+    "RenewCall",
+    "ScanCall",
+    "StartCall",
+    "StopCall",
+    "ThrottleCall",
+    "VmCall",
+]
+
+PARTY_HEADER = "X-Party"  # the name of the calling process
+ZONE_HEADER = "X-Zone"  # the availability zone of the calling process
+
+
+@dataclass(frozen=True)
+class ReadCall:
+    """Asks for rows, all at one moment."""
+
+    __pydantic_config__ = STRICT
+
+    keys: tuple[Key, ...]
+
+
+@dataclass(frozen=True)
+class ScanCall:
+    """Asks for at most `limit` rows with start <= key < end."""
+
+    __pydantic_config__ = STRICT
+
+    table: str
+    start: str
+    end: str
+    limit: int
+
+
+@dataclass(frozen=True)
+class CommitCall:
+    """Asks for all writes if all conditions hold."""
+
+    __pydantic_config__ = STRICT
+
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+@dataclass(frozen=True)
+class VmCall:
+    """Asks for one operation on a VM, fenced by the token."""
+
+    __pydantic_config__ = STRICT
+
+    operation: str
+    token: int
+
+
+@dataclass(frozen=True)
+class StartCall:
+    """Asks a worker to start a task under a lease."""
+
+    __pydantic_config__ = STRICT
+
+    task: str
+    token: int
+    lease_seconds: float
+    payload: str
+
+
+@dataclass(frozen=True)
+class RenewCall:
+    """Asks a worker to extend leases, given as task and token."""
+
+    __pydantic_config__ = STRICT
+
+    tokens: tuple[tuple[str, int], ...]
+    lease_seconds: float
+
+
+@dataclass(frozen=True)
+class StopCall:
+    """Asks a worker to end a task."""
+
+    __pydantic_config__ = STRICT
+
+    task: str
+    token: int
+    checkpoint: bool
+
+
+@dataclass(frozen=True)
+class ThrottleCall:
+    """Asks a worker to limit a task to a share of its processor time."""
+
+    __pydantic_config__ = STRICT
+
+    task: str
+    token: int
+    share: float
+
+
+@dataclass(frozen=True)
+class RefusalAnswer:
+    """Why the platform refused; `rows` are those whose condition broke."""
+
+    __pydantic_config__ = STRICT
+
+    reason: str
+    rows: tuple[Key, ...] = ()
--- /dev/null
+++ b/chestnutstair/standins/platform.py
@@ -0,0 +1,254 @@
+"""The platform over HTTP: table, object store, VMs and workers."""
+
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    ConflictFailure,
+    PlatformFailure,
+    RefusedFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.protocol.platform import (
+    CommitCall,
+    ReadCall,
+    RefusalAnswer,
+    RenewCall,
+    ScanCall,
+    StartCall,
+    StopCall,
+    ThrottleCall,
+    VmCall,
+)
+from chestnutstair.standins.fault import FaultSwitches
+from chestnutstair.standins.table import MemoryObjectStore, MemoryTable
+from chestnutstair.standins.vm import (
+    VmFleet,
+    VmRegistration,
+    VmSettings,
+    VmVerb,
+)
+from chestnutstair.standins.webserver import (
+    Answer,
+    Application,
+    Request,
+    WebServer,
+    WebServerSettings,
+    answer_json,
+)
+from chestnutstair.standins.worker import WorkerFleet, WorkerSettings
+from chestnutstair.state.codec import STRICT, DecodeFailure, decode_json
+from chestnutstair.state.deadline import Clock, Deadline, SystemClock
+
+__all__ = ["Platform", "PlatformSettings"]
+
+logger = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+FOREVER = Deadline(float("inf"))
+OUTAGE_PATHS = ("table", "objects", "vms", "workers")
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """Settings of the platform's parts."""
+
+    __pydantic_config__ = STRICT
+
+    threads: int = 32
+    vms: VmSettings = field(default_factory=VmSettings)
+    workers: WorkerSettings = field(default_factory=WorkerSettings)
+
+
+class Platform(Application):
+    """The platform, in memory, behind one HTTP server."""
+
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        port: int = 0,
+        clock: Clock | None = None,
+    ) -> None:
+        clock = clock or SystemClock()
+        self.table = MemoryTable()
+        self.objects = MemoryObjectStore()
+        self.switches = FaultSwitches()
+        self.workers = WorkerFleet(clock, settings.workers, self.switches)
+        self.vms = VmFleet(clock, settings.vms, self.workers)
+        self._server = WebServer(
+            self, port, WebServerSettings(threads=settings.threads)
+        )
+
+    @property
+    def address(self) -> str:
+        """The address that the platform serves on."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Serve, and begin to watch the VMs."""
+        self._server.start()
+        self.vms.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+        self.vms.stop()
+
+    def answer(self, request: Request) -> Answer:
+        """Answer one call, unless a fault does."""
+        if request.path[0] in OUTAGE_PATHS:
+            spoiled = self.switches.apply_before(request)
+            if spoiled is not None:
+                return spoiled
+        match (request.method, request.path):
+            case ("POST", ("table", action)):
+                return self._answer_table(action, request)
+            case ("PUT", ("objects", name)):
+                done = self.objects.put(name, request.body, FOREVER)
+                return _answer_result(done)
+            case ("GET", ("objects", name)):
+                return self._answer_object(name)
+            case (_, ("vms", *rest)):
+                return self._answer_vms(tuple(rest), request)
+            case (_, ("workers", worker, "tasks", *rest)):
+                return self._answer_workers(worker, tuple(rest), request)
+            case ("GET", ("execution-log",)):
+                return answer_json(self.workers.list_runs())
+            case ("POST", ("faults",)):
+                values = json.loads(request.body or b"{}")
+                return answer_json(self.switches.change(values))
+        return _refuse(HTTPStatus.NOT_FOUND, "no such path")
+
+    def _answer_table(self, action: str, request: Request) -> Answer:
+        match action:
+            case "read":
+                return _run(ReadCall, request, self._read)
+            case "scan":
+                return _run(ScanCall, request, self._scan)
+            case "commit":
+                answer = _run(CommitCall, request, self._commit)
+                return self.switches.apply_after(answer)
+        return _refuse(HTTPStatus.NOT_FOUND, f"no action {action}")
+
+    def _read(self, call: ReadCall) -> Result[Any, PlatformFailure]:
+        return self.table.read(call.keys, FOREVER)
+
+    def _scan(self, call: ScanCall) -> Result[Any, PlatformFailure]:
+        return self.table.scan(
+            call.table, call.start, call.end, call.limit, FOREVER
+        )
+
+    def _commit(
+        self, call: CommitCall
+    ) -> Result[None, ConflictFailure | PlatformFailure]:
+        return self.table.commit(call.conditions, call.writes, FOREVER)
+
+    def _answer_object(self, name: str) -> Answer:
+        match self.objects.get(name, FOREVER):
+            case Ok(None):
+                return _refuse(HTTPStatus.NOT_FOUND, f"no object {name}")
+            case Ok(bytes() as body):
+                kind = {"Content-Type": "application/octet-stream"}
+                return Answer(HTTPStatus.OK, body, kind)
+            case outcome:
+                return _answer_result(outcome)
+
+    def _answer_vms(self, rest: tuple[str, ...], request: Request) -> Answer:
+        match (request.method, rest):
+            case ("GET", ()):
+                return answer_json(self.vms.list_vms())
+            case ("POST", ()):
+                return _run(VmRegistration, request, self._register)
+            case ("GET", (name, "running")):
+                return _answer_result(self.vms.count_running(name))
+            case ("POST", (name, verb)) if verb in list(VmVerb):
+                return _run(
+                    VmCall,
+                    request,
+                    lambda call: self.vms.operate(name, VmVerb(verb), call),
+                )
+        return _refuse(HTTPStatus.NOT_FOUND, "no such path")
+
+    def _register(
+        self, registration: VmRegistration
+    ) -> Result[None, PlatformFailure]:
+        self.vms.register(registration)
+        return Ok(None)
+
+    def _answer_workers(
+        self, worker: str, rest: tuple[str, ...], request: Request
+    ) -> Answer:
+        fleet = self.workers
+        match (request.method, rest):
+            case ("GET", ()):
+                return _answer_result(fleet.report_tasks(worker))
+            case ("POST", ("start",)):
+                return _run(
+                    StartCall,
+                    request,
+                    lambda call: fleet.start_task(worker, call),
+                )
+            case ("POST", ("renew",)):
+                return _run(
+                    RenewCall,
+                    request,
+                    lambda call: fleet.renew_tasks(worker, call),
+                )
+            case ("POST", ("stop",)):
+                return _run(
+                    StopCall,
+                    request,
+                    lambda call: fleet.stop_task(worker, call),
+                )
+            case ("POST", ("throttle",)):
+                return _run(
+                    ThrottleCall,
+                    request,
+                    lambda call: fleet.throttle_task(worker, call),
+                )
+        return _refuse(HTTPStatus.NOT_FOUND, "no such path")
+
+
+def _run(
+    kind: type[T],
+    request: Request,
+    operate: Callable[[T], Result[Any, ConflictFailure | PlatformFailure]],
+) -> Answer:
+    """Decode the body and answer with what the operation returns."""
+    match decode_json(kind, request.body):
+        case Ok(call):
+            return _answer_result(operate(call))
+        case Err(DecodeFailure(mistakes)):
+            reason = "; ".join(f"{m.path}: {m.problem}" for m in mistakes)
+            return _refuse(HTTPStatus.BAD_REQUEST, reason)
+    raise AssertionError(kind)
+
+
+def _answer_result(
+    outcome: Result[Any, ConflictFailure | PlatformFailure],
+) -> Answer:
+    match outcome:
+        case Ok(value):
+            return answer_json(value)
+        case Err(ConflictFailure(rows)):
+            refusal = RefusalAnswer("a condition did not hold", rows)
+            return answer_json(refusal, HTTPStatus.CONFLICT)
+        case Err(RefusedFailure(reason)):
+            return _refuse(HTTPStatus.FORBIDDEN, reason)
+        case Err(UnavailableFailure(reason)):
+            return _refuse(HTTPStatus.SERVICE_UNAVAILABLE, reason)
+        case Err(UnknownOutcomeFailure(reason)):
+            return _refuse(HTTPStatus.GATEWAY_TIMEOUT, reason)
+    raise AssertionError(outcome)
+
+
+def _refuse(status: HTTPStatus, reason: str) -> Answer:
+    return answer_json(RefusalAnswer(reason), status)
--- /dev/null
+++ b/chestnutstair/standins/platformd.py
@@ -0,0 +1,21 @@
+"""The platform as a process; prints its address and ends on SIGTERM."""
+
+from chestnutstair.standins.platform import Platform, PlatformSettings
+from chestnutstair.standins.process import print_addresses, read_arguments
+from chestnutstair.standins.webserver import wait_for_stop_signal
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    port, settings = read_arguments(PlatformSettings)
+    platform = Platform(settings, port)
+    platform.start()
+    print_addresses(address=platform.address)
+    wait_for_stop_signal()
+    platform.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutstair/standins/target.py
@@ -0,0 +1,308 @@
+"""A runner that answers requests in slots, and logs what it ran."""
+
+import hashlib
+import json
+import logging
+import threading
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from http import HTTPStatus
+
+from chestnutstair.standins.fault import FaultSwitches
+from chestnutstair.standins.webserver import (
+    HOST,
+    Answer,
+    Application,
+    Request,
+    WebServer,
+    WebServerSettings,
+    answer_json,
+    break_connection,
+    reserve_port,
+)
+from chestnutstair.state.codec import STRICT
+
+__all__ = [
+    "RunOutcome",
+    "Target",
+    "TargetLog",
+    "TargetRun",
+    "TargetSettings",
+    "TargetStatus",
+]
+
+logger = logging.getLogger(__name__)
+
+SPARE_THREADS = 4  # beyond one for each connection
+CONTROL_THREADS = 4
+ANSWER_SECONDS = 0.05  # for the answer to leave before a reboot
+
+
+@dataclass(frozen=True)
+class TargetSettings:
+    """Limits of the runner; times in seconds."""
+
+    __pydantic_config__ = STRICT
+
+    name: str = "target"
+    slots: int = 8
+    connections: int = 64
+    work_ms: float = 5.0  # of a request that does not say
+    reboot_seconds: float = 1.0
+    leaving_grace_seconds: float = 3.0
+    log_overshoots: bool = True
+
+
+@dataclass(frozen=True)
+class TargetStatus:
+    """How the runner is; `down` while it reboots."""
+
+    __pydantic_config__ = STRICT
+
+    running: int
+    leaving: bool
+    boot: int
+    down: bool = False
+
+
+class RunOutcome(StrEnum):
+    """How the run of a request ended."""
+
+    RUNNING = "running"
+    DONE = "done"
+    CUT = "cut"  # by a reboot
+
+
+@dataclass(frozen=True)
+class TargetRun:
+    """One run of a request; times are wall-clock epoch seconds."""
+
+    request_id: str
+    attempt: str
+    started_at: float
+    ended_at: float | None
+    boot: int
+    leaving: bool
+    outcome: RunOutcome
+
+
+@dataclass(frozen=True)
+class TargetLog:
+    """Every run, and counts of what was refused or cut."""
+
+    runs: tuple[TargetRun, ...]
+    overshoots: int
+    refused_leaving: int
+    closed_connections: int
+    cut: int
+
+
+class Target(Application):
+    """The runner, with a listener for work and one for control.
+
+    Both listeners answer the same paths. Only the one for work has the
+    limit of connections, and only it closes during a reboot.
+    """
+
+    def __init__(self, settings: TargetSettings, port: int = 0) -> None:
+        self._settings = settings
+        self._switches = FaultSwitches()
+        self._lock = threading.Lock()
+        self._runs: list[TargetRun] = []
+        self._running = 0
+        self._leaving_at: float | None = None
+        self._boot = 1
+        self._down = False
+        self._rebooted: set[str] = set()
+        self._cut = threading.Event()
+        self._stopped = threading.Event()
+        self._overshoots = 0
+        self._refused_leaving = 0
+        self._reservation = reserve_port(port)
+        self._server = WebServer(
+            self,
+            self._reservation.getsockname()[1],
+            WebServerSettings(
+                settings.connections + SPARE_THREADS, settings.connections
+            ),
+        )
+        self._control = WebServer(
+            self, 0, WebServerSettings(threads=CONTROL_THREADS)
+        )
+
+    @property
+    def address(self) -> str:
+        """The address for work."""
+        return f"{HOST}:{self._reservation.getsockname()[1]}"
+
+    @property
+    def control_address(self) -> str:
+        """The address for control, which answers during reboots too."""
+        return self._control.address
+
+    def start(self) -> None:
+        """Listen on both addresses."""
+        self._control.start()
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close both listeners, cutting what runs."""
+        self._stopped.set()
+        self._cut.set()
+        self._server.stop()
+        self._control.stop()
+        self._reservation.close()
+
+    def answer(self, request: Request) -> Answer:
+        """Answer a control call, or run the request."""
+        match (request.method, request.path):
+            case ("GET", ("status",)):
+                return answer_json(self.get_status())
+            case ("GET", ("execution-log",)):
+                return answer_json(self.get_log())
+            case ("POST", ("faults",)):
+                values = json.loads(request.body or b"{}")
+                return answer_json(self._switches.change(values))
+            case ("POST", ("drain",)):
+                return self._set_leaving(True)
+            case ("POST", ("undrain",)):
+                return self._set_leaving(False)
+            case ("POST", ("reboot",)):
+                return self._begin_reboot(request)
+            case _:
+                return self._answer_work(request)
+
+    def get_status(self) -> TargetStatus:
+        """Return how the runner is."""
+        with self._lock:
+            leaving = self._leaving_at is not None
+            return TargetStatus(self._running, leaving, self._boot, self._down)
+
+    def get_log(self) -> TargetLog:
+        """Return every run and the counts."""
+        with self._lock:
+            return TargetLog(
+                tuple(self._runs),
+                self._overshoots,
+                self._refused_leaving,
+                self._server.count_closed(),
+                sum(run.outcome is RunOutcome.CUT for run in self._runs),
+            )
+
+    def _set_leaving(self, leaving: bool) -> Answer:
+        with self._lock:
+            if not leaving:
+                self._leaving_at = None
+            elif self._leaving_at is None:
+                self._leaving_at = time.monotonic()
+        return answer_json(self.get_status())
+
+    def _begin_reboot(self, request: Request) -> Answer:
+        operation = str(json.loads(request.body or b"{}").get("operation", ""))
+        with self._lock:
+            repeated = operation != "" and operation in self._rebooted
+            self._rebooted.add(operation)
+            begins = not repeated and not self._down
+            self._down = self._down or begins
+        if begins:
+            threading.Thread(target=self._reboot, daemon=True).start()
+        return answer_json(self.get_status())
+
+    def _reboot(self) -> None:
+        logger.info("reboot", extra={"vm": self._settings.name})
+        time.sleep(ANSWER_SECONDS)
+        self._cut.set()
+        self._server.stop()
+        self._stopped.wait(self._settings.reboot_seconds)
+        if self._stopped.is_set():
+            return
+        with self._lock:
+            self._cut = threading.Event()
+            self._boot += 1
+            self._leaving_at = None
+            self._down = False
+        self._server.start()
+
+    def _answer_work(self, request: Request) -> Answer:
+        spoiled = self._switches.apply_before(request)
+        if spoiled is not None:
+            return _add_headers(spoiled, {"X-Ran": "no"})
+        begun = self._begin_run(request)
+        if isinstance(begun, Answer):
+            return begun
+        work_ms = request.headers.get("x-work-ms") or request.query.get(
+            "work_ms", str(self._settings.work_ms)
+        )
+        cut = self._cut.wait(float(work_ms) / 1000)
+        self._end_run(begun, RunOutcome.CUT if cut else RunOutcome.DONE)
+        if cut:
+            break_connection()
+        answer = self._build_answer(request)
+        return self._switches.apply_after(answer)
+
+    def _begin_run(self, request: Request) -> int | Answer:
+        """Take a slot and return the run's index, or refuse."""
+        with self._lock:
+            now = time.monotonic()
+            leaving = self._leaving_at is not None
+            grace = self._settings.leaving_grace_seconds
+            if self._leaving_at is not None and now > self._leaving_at + grace:
+                self._refused_leaving += 1
+                return _build_refusal("leaving", {"X-Leaving": "true"})
+            if self._down or self._running >= self._settings.slots:
+                self._overshoots += self._settings.log_overshoots
+                return _build_refusal("no free slot", {})
+            self._running += 1
+            self._runs.append(
+                TargetRun(
+                    request.headers.get("x-request-id", ""),
+                    request.headers.get("x-attempt", ""),
+                    time.time(),
+                    None,
+                    self._boot,
+                    leaving,
+                    RunOutcome.RUNNING,
+                )
+            )
+            return len(self._runs) - 1
+
+    def _end_run(self, index: int, outcome: RunOutcome) -> None:
+        with self._lock:
+            self._running -= 1
+            self._runs[index] = replace(
+                self._runs[index], ended_at=time.time(), outcome=outcome
+            )
+
+    def _build_answer(self, request: Request) -> Answer:
+        nonce = request.headers.get("x-nonce", "")
+        if self._switches.take("crossed_answers"):
+            nonce = f"{nonce}-of-another"
+        size = int(request.headers.get("x-answer-bytes", "0"))
+        content = {
+            "nonce": nonce,
+            "request_id": request.headers.get("x-request-id", ""),
+            "target": self._settings.name,
+            "received_bytes": len(request.body),
+            "padding": "x" * size,
+        }
+        body = json.dumps(content).encode()
+        headers = {
+            "X-Nonce": nonce,
+            "X-Checksum": hashlib.sha256(body).hexdigest(),
+            "X-Ran": "yes",
+        }
+        if self._leaving_at is not None:
+            headers["X-Leaving"] = "true"
+        return Answer(HTTPStatus.OK, body, headers)
+
+
+def _add_headers(answer: Answer, headers: Mapping[str, str]) -> Answer:
+    return replace(answer, headers={**answer.headers, **headers})
+
+
+def _build_refusal(reason: str, headers: Mapping[str, str]) -> Answer:
+    body = json.dumps({"reason": reason}).encode()
+    refusal = Answer(HTTPStatus.SERVICE_UNAVAILABLE, body)
+    return _add_headers(refusal, {"X-Ran": "no", **headers})
--- /dev/null
+++ b/chestnutstair/standins/vm.py
@@ -0,0 +1,233 @@
+"""VMs as the platform knows them: a lagging list, and operations."""
+
+import logging
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
+
+import urllib3
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    ListedVm,
+    PlatformFailure,
+    RefusedFailure,
+    UnavailableFailure,
+)
+from chestnutstair.protocol.platform import VmCall
+from chestnutstair.standins.target import TargetStatus
+from chestnutstair.standins.worker import WorkerFleet
+from chestnutstair.state.codec import STRICT, decode_json, encode_json
+from chestnutstair.state.deadline import Clock
+
+__all__ = ["VmFleet", "VmRegistration", "VmSettings", "VmVerb"]
+
+logger = logging.getLogger(__name__)
+
+POLL_THREADS = 8
+
+
+@dataclass(frozen=True)
+class VmSettings:
+    """Lag of the list, and how target processes are asked, in seconds."""
+
+    __pydantic_config__ = STRICT
+
+    list_lag_seconds: float = 1.0
+    poll_seconds: float = 0.5
+    call_timeout_seconds: float = 1.0
+
+
+@dataclass(frozen=True)
+class VmRegistration:
+    """A VM; `address` is that of its process, empty for a worker."""
+
+    __pydantic_config__ = STRICT
+
+    name: str
+    zone: str
+    address: str = ""
+
+
+class VmVerb(StrEnum):
+    """The operations on a VM."""
+
+    ANNOUNCE_DRAIN = "announce_drain"
+    CANCEL_DRAIN = "cancel_drain"
+    REBOOT = "reboot"
+
+
+TARGET_PATHS = {
+    VmVerb.ANNOUNCE_DRAIN: "/drain",
+    VmVerb.CANCEL_DRAIN: "/undrain",
+    VmVerb.REBOOT: "/reboot",
+}
+
+
+class _Vm:
+    """What the platform knows of one VM."""
+
+    def __init__(self, registration: VmRegistration) -> None:
+        self.registration = registration
+        self.lock = threading.Lock()
+        self.token = 0
+        self.done: set[tuple[VmVerb, str]] = set()
+        self.leaving = False
+        self.boot = 1
+
+    def check(self, verb: VmVerb, call: VmCall) -> PlatformFailure | None:
+        """Return why the operation is refused, if it is."""
+        if call.token < self.token:
+            return RefusedFailure(f"token {call.token} is below {self.token}")
+        opposite = (
+            VmVerb.REBOOT
+            if verb is VmVerb.CANCEL_DRAIN
+            else VmVerb.CANCEL_DRAIN
+        )
+        if (opposite, call.operation) in self.done:
+            return RefusedFailure(f"{opposite} of {call.operation} was first")
+        return None
+
+
+class VmFleet:
+    """All VMs; `start` begins to ask the target processes how they are."""
+
+    def __init__(
+        self, clock: Clock, settings: VmSettings, workers: WorkerFleet
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._workers = workers
+        self._vms: dict[str, _Vm] = {}
+        self._snapshots: list[tuple[float, tuple[ListedVm, ...]]] = []
+        self._http = urllib3.PoolManager(
+            num_pools=1024,
+            retries=False,
+            timeout=settings.call_timeout_seconds,
+        )
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin to take snapshots."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the snapshots."""
+        self._stopped.set()
+        self._thread.join()
+        self._http.clear()
+
+    def register(self, registration: VmRegistration) -> None:
+        """Add the VM, or replace its zone and address."""
+        known = self._vms.get(registration.name)
+        if known is not None:
+            known.registration = registration
+            return
+        self._vms[registration.name] = _Vm(registration)
+        if not registration.address:
+            self._workers.add(registration.name)
+
+    def list_vms(self) -> tuple[ListedVm, ...]:
+        """Return the list as it was some seconds ago."""
+        past = self._clock.read_monotonic() - self._settings.list_lag_seconds
+        found: tuple[ListedVm, ...] = ()
+        for at, listed in list(self._snapshots):
+            if at <= past:
+                found = listed
+        return found
+
+    def operate(
+        self, name: str, verb: VmVerb, call: VmCall
+    ) -> Result[None, PlatformFailure]:
+        """Carry out the operation once per id."""
+        vm = self._vms.get(name)
+        if vm is None:
+            return Err(RefusedFailure(f"no VM {name}"))
+        with vm.lock:
+            failure = vm.check(verb, call)
+            if failure is not None:
+                return Err(failure)
+            vm.token = call.token
+            if (verb, call.operation) in vm.done:
+                return Ok(None)
+            outcome = self._carry_out(vm, verb, call)
+            if outcome.is_ok():
+                vm.done.add((verb, call.operation))
+            return outcome
+
+    def _carry_out(
+        self, vm: _Vm, verb: VmVerb, call: VmCall
+    ) -> Result[None, PlatformFailure]:
+        logger.info("VM operation", extra={"verb": verb, "vm": vm})
+        if vm.registration.address:
+            return self._call_target(vm, verb, call)
+        vm.leaving = verb is VmVerb.ANNOUNCE_DRAIN
+        if verb is VmVerb.REBOOT:
+            vm.boot += 1
+            self._workers.reboot(vm.registration.name)
+        return Ok(None)
+
+    def _call_target(
+        self, vm: _Vm, verb: VmVerb, call: VmCall
+    ) -> Result[None, PlatformFailure]:
+        url = f"http://{vm.registration.address}{TARGET_PATHS[verb]}"
+        try:
+            answer = self._http.request("POST", url, body=encode_json(call))
+        except urllib3.exceptions.HTTPError as error:
+            return Err(UnavailableFailure(f"no answer from the VM: {error}"))
+        if answer.status != HTTPStatus.OK:
+            return Err(UnavailableFailure(f"the VM answered {answer.status}"))
+        return Ok(None)
+
+    def count_running(self, name: str) -> Result[int, PlatformFailure]:
+        """Return the requests or tasks that run on the VM."""
+        vm = self._vms.get(name)
+        if vm is None:
+            return Err(RefusedFailure(f"no VM {name}"))
+        if not vm.registration.address:
+            return self._workers.count_running(name)
+        status = self._ask_target(vm)
+        if status is None or status.down:
+            return Err(UnavailableFailure("no answer from the VM"))
+        return Ok(status.running)
+
+    def _ask_target(self, vm: _Vm) -> TargetStatus | None:
+        url = f"http://{vm.registration.address}/status"
+        try:
+            body = self._http.request("GET", url).data
+        except urllib3.exceptions.HTTPError:
+            return None
+        return decode_json(TargetStatus, body).ok()
+
+    def _run(self) -> None:
+        with ThreadPoolExecutor(POLL_THREADS) as pool:
+            while not self._stopped.is_set():
+                vms = list(self._vms.values())
+                listed = tuple(pool.map(self._observe, vms))
+                self._keep_snapshot(listed)
+                self._stopped.wait(self._settings.poll_seconds)
+
+    def _observe(self, vm: _Vm) -> ListedVm:
+        name = vm.registration.name
+        live = True
+        if vm.registration.address:
+            status = self._ask_target(vm)
+            live = status is not None and not status.down
+            if status is not None:
+                vm.leaving = status.leaving
+                vm.boot = status.boot
+        else:
+            live = self._workers.find_trouble(name) is None
+        zone = vm.registration.zone
+        return ListedVm(name, zone, live, vm.leaving, vm.boot)
+
+    def _keep_snapshot(self, listed: tuple[ListedVm, ...]) -> None:
+        now = self._clock.read_monotonic()
+        past = now - self._settings.list_lag_seconds
+        if not self._snapshots or self._snapshots[-1][1] != listed:
+            self._snapshots.append((now, listed))
+        while len(self._snapshots) > 1 and self._snapshots[1][0] <= past:
+            self._snapshots.pop(0)
--- /dev/null
+++ b/chestnutstair/standins/webserver.py
@@ -0,0 +1,243 @@
+"""A small HTTP server that all stand-ins share, on 127.0.0.1."""
+
+import errno
+import logging
+import signal
+import socket
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+from cheroot.server import HTTPConnection
+from cheroot.wsgi import Server
+
+from chestnutstair.state.codec import encode_json
+
+__all__ = [
+    "HOST",
+    "Answer",
+    "Application",
+    "Request",
+    "WebServer",
+    "WebServerSettings",
+    "answer_json",
+    "break_connection",
+    "reserve_port",
+    "wait_for_stop_signal",
+]
+
+logger = logging.getLogger(__name__)
+
+HOST = "127.0.0.1"
+REQUEST_QUEUE_SIZE = 1024  # connections that wait to be accepted
+MAX_IDLE_CONNECTIONS = 4096  # that stay open between requests
+IDLE_SECONDS = 60  # until an idle connection is closed
+POLL_SECONDS = 0.2  # of the loop that accepts connections
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request as the application sees it; header names in lower case."""
+
+    method: str
+    path: tuple[str, ...]
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer; only `sent_bytes` of the body are sent if it is set."""
+
+    status: HTTPStatus = HTTPStatus.OK
+    body: bytes = b"{}"
+    headers: Mapping[str, str] = field(default_factory=dict)
+    sent_bytes: int | None = None
+
+
+class Application(ABC):
+    """Answers requests, several at once."""
+
+    @abstractmethod
+    def answer(self, request: Request) -> Answer:
+        """Return the answer, or raise as `break_connection` does."""
+
+
+@dataclass(frozen=True)
+class WebServerSettings:
+    """Threads, and the most connections; the next one is closed at once."""
+
+    threads: int = 32
+    connections: int = 1024
+
+
+def answer_json(value: Any, status: HTTPStatus = HTTPStatus.OK) -> Answer:
+    """Return an answer with the value as JSON."""
+    return Answer(status, encode_json(value))
+
+
+def break_connection() -> None:
+    """Close the connection of the current request without an answer."""
+    raise ConnectionResetError(errno.ECONNRESET, "closed by a fault")
+
+
+def reserve_port(port: int = 0) -> socket.socket:
+    """Return a socket that keeps the port from others until it is closed.
+
+    It never listens: a server of this process may bind the same port, and
+    callers are refused while none does.
+    """
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((HOST, port))
+    return reservation
+
+
+def wait_for_stop_signal() -> None:
+    """Block until SIGTERM or SIGINT arrives."""
+    stopped = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+
+
+class _CountedConnection(HTTPConnection):
+    """A connection that tells its server when it is closed."""
+
+    def close(self) -> None:
+        super().close()
+        self.server.forget_connection(self)
+
+
+class _LimitedServer(Server):
+    """A server that closes connections beyond a limit at once."""
+
+    ConnectionClass = _CountedConnection
+    expiration_interval = POLL_SECONDS
+    keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    connection_limit = 0
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._open: set[HTTPConnection] = set()
+        self._open_lock = threading.Lock()
+        self.closed_count = 0
+
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Serve the connection, unless it is new and beyond the limit."""
+        with self._open_lock:
+            beyond = (
+                conn not in self._open
+                and len(self._open) >= self.connection_limit
+            )
+            if not beyond:
+                self._open.add(conn)
+        if beyond:
+            self.closed_count += 1
+            conn.close()
+        else:
+            super().process_conn(conn)
+
+    def forget_connection(self, conn: HTTPConnection) -> None:
+        """Make room for another connection."""
+        with self._open_lock:
+            self._open.discard(conn)
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Pass messages of the library to the log."""
+        logger.log(min(level, logging.INFO), msg, exc_info=traceback)
+
+
+def _read_request(environ: Mapping[str, Any]) -> Request:
+    parts = environ["PATH_INFO"].strip("/").split("/")
+    return Request(
+        environ["REQUEST_METHOD"],
+        tuple(unquote(part) for part in parts),
+        dict(parse_qsl(environ.get("QUERY_STRING", ""))),
+        {
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        },
+        environ["wsgi.input"].read(),
+    )
+
+
+def _send_part(body: bytes) -> Iterator[bytes]:
+    yield body
+    break_connection()
+
+
+class WebServer:
+    """Serves an application until it is stopped; can start again."""
+
+    def __init__(
+        self,
+        application: Application,
+        port: int = 0,
+        settings: WebServerSettings = WebServerSettings(),
+    ) -> None:
+        self._application = application
+        self._settings = settings
+        self._port = port
+        self._server: _LimitedServer | None = None
+        self._thread: threading.Thread | None = None
+        self._closed_count = 0
+
+    @property
+    def address(self) -> str:
+        """Return `IP:port`, known once the server has started."""
+        return f"{HOST}:{self._port}"
+
+    def count_closed(self) -> int:
+        """Return how many connections were beyond the limit so far."""
+        server = self._server
+        return self._closed_count + (server.closed_count if server else 0)
+
+    def start(self) -> None:
+        """Listen, and serve in threads of its own."""
+        server = _LimitedServer(
+            (HOST, self._port),
+            self._run_application,
+            numthreads=self._settings.threads,
+            request_queue_size=REQUEST_QUEUE_SIZE,
+            timeout=IDLE_SECONDS,
+            shutdown_timeout=0,
+        )
+        server.connection_limit = self._settings.connections
+        server.prepare()
+        self._port = server.bind_addr[1]
+        self._server = server
+        self._thread = threading.Thread(target=server.serve, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the socket and every connection."""
+        server, self._server = self._server, None
+        if server is None or self._thread is None:
+            return
+        server.stop()
+        self._thread.join()
+        self._closed_count += server.closed_count
+
+    def _run_application(
+        self, environ: Mapping[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        answer = self._application.answer(_read_request(environ))
+        headers = {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(answer.body)),
+            **answer.headers,
+        }
+        status = f"{answer.status.value} {answer.status.phrase}"
+        start_response(status, list(headers.items()))
+        if answer.sent_bytes is not None:
+            return _send_part(answer.body[: answer.sent_bytes])
+        return [answer.body]
--- a/chestnutstair/tests/support.py
+++ b/chestnutstair/tests/support.py
@@ -1,8 +1,11 @@
 """Helpers that several test modules share."""
 
+import time
+from collections.abc import Callable
+
 from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.duty import Duty, DutyHolder
-from chestnutstair.coordination.platform import Key, Write
+from chestnutstair.coordination.platform import Key, Table, Write
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.fleet import Job, Pool, PoolKind, Team, Vm, Zone
@@ -15,8 +18,12 @@
     "ManualClock",
     "build_log",
     "build_ticket",
+    "wait_until",
 ]
 
+WAIT_SECONDS = 30.0  # generous: a busy machine must not fail a test
+POLL_SECONDS = 0.01
+
 
 class ManualClock(Clock):
     """A clock that moves only when a test moves it."""
@@ -91,8 +98,15 @@
     )
 
 
-def build_log(
-    table: MemoryTable, clock: Clock, name: str = "entry-0"
-) -> ChangeLog:
+def build_log(table: Table, clock: Clock, name: str = "entry-0") -> ChangeLog:
     """Return an empty change log on the table."""
     return ChangeLog(table, clock, name, FleetView())
+
+
+def wait_until(condition: Callable[[], object]) -> None:
+    """Poll until the condition holds; fail after a generous deadline."""
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition did not come to hold")
+        time.sleep(POLL_SECONDS)
--- /dev/null
+++ b/chestnutstair/transport/platform.py
@@ -0,0 +1,21 @@
+"""The platform over HTTP: everything that its interfaces need."""
+
+from chestnutstair.transport.platform_client import PlatformClientSettings
+from chestnutstair.transport.platform_control import (
+    HttpVmControl,
+    HttpVmDirectory,
+    HttpWorkerControl,
+)
+from chestnutstair.transport.platform_storage import (
+    HttpObjectStore,
+    HttpTable,
+)
+
+__all__ = [
+    "HttpObjectStore",
+    "HttpTable",
+    "HttpVmControl",
+    "HttpVmDirectory",
+    "HttpWorkerControl",
+    "PlatformClientSettings",
+]
--- /dev/null
+++ b/chestnutstair/transport/platform_client.py
@@ -0,0 +1,156 @@
+"""A client of the platform's HTTP interface."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    EmptyPoolError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from chestnutstair.coordination.platform import (
+    ConflictFailure,
+    PlatformFailure,
+    RefusedFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.protocol.platform import (
+    PARTY_HEADER,
+    ZONE_HEADER,
+    RefusalAnswer,
+)
+from chestnutstair.state.codec import STRICT, decode_json, encode_json
+from chestnutstair.state.deadline import Clock, Deadline
+
+__all__ = [
+    "PlatformClient",
+    "PlatformClientSettings",
+    "check_status",
+    "forbid_conflict",
+]
+
+T = TypeVar("T")
+
+CallFailure = ConflictFailure | PlatformFailure
+
+
+@dataclass(frozen=True)
+class PlatformClientSettings:
+    """The most connections that one client holds open."""
+
+    __pydantic_config__ = STRICT
+
+    connections: int = 8
+
+
+class PlatformClient:
+    """Makes calls with a deadline and turns what failed into failures."""
+
+    def __init__(
+        self,
+        base_url: str,
+        party: str,
+        zone: str,
+        clock: Clock,
+        settings: PlatformClientSettings = PlatformClientSettings(),
+    ) -> None:
+        self._clock = clock
+        self._pool = urllib3.connection_from_url(
+            base_url,
+            maxsize=settings.connections,
+            block=True,
+            retries=False,
+            headers={PARTY_HEADER: party, ZONE_HEADER: zone},
+        )
+
+    def query(
+        self, kind: Any, method: str, path: str, deadline: Deadline, call: Any
+    ) -> Result[Any, PlatformFailure]:
+        """Make a call without effects and decode its answer."""
+        body = None if call is None else encode_json(call)
+        answer = self.send(method, path, body, deadline)
+        match answer.and_then(check_status):
+            case Ok(data):
+                decoded = decode_json(kind, data)
+                return decoded.map_err(
+                    lambda _: UnavailableFailure("unreadable answer")
+                )
+            case Err(UnknownOutcomeFailure(reason)):
+                return Err(UnavailableFailure(reason))
+            case failed:
+                return forbid_conflict(failed)
+
+    def command(
+        self, path: str, call: Any, deadline: Deadline
+    ) -> Result[None, CallFailure]:
+        """Make a call that has effects."""
+        answer = self.send("POST", path, encode_json(call), deadline)
+        return answer.and_then(check_status).map(lambda _: None)
+
+    def send(
+        self, method: str, path: str, body: bytes | None, deadline: Deadline
+    ) -> Result[urllib3.BaseHTTPResponse, PlatformFailure]:
+        """Send a request and return its answer, whatever its status."""
+        left = deadline.measure_left(self._clock)
+        if left <= 0:
+            return Err(UnavailableFailure("the deadline has passed"))
+        try:
+            return Ok(
+                self._pool.urlopen(
+                    method,
+                    path,
+                    body=body,
+                    timeout=urllib3.Timeout(total=left),
+                    pool_timeout=left,  # type: ignore[arg-type]
+                )
+            )
+        except (
+            NewConnectionError,
+            ConnectTimeoutError,
+            EmptyPoolError,
+        ) as error:
+            return Err(UnavailableFailure(str(error)))
+        except HTTPError as error:
+            return Err(UnknownOutcomeFailure(str(error)))
+
+
+def check_status(
+    answer: urllib3.BaseHTTPResponse,
+) -> Result[bytes, CallFailure]:
+    """Return the body, or the failure that the status stands for."""
+    if answer.status == HTTPStatus.OK:
+        return Ok(answer.data)
+    refusal = decode_json(RefusalAnswer, answer.data).unwrap_or(
+        RefusalAnswer(f"status {answer.status}")
+    )
+    if answer.status == HTTPStatus.CONFLICT:
+        return Err(ConflictFailure(refusal.rows))
+    if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return Err(UnavailableFailure(refusal.reason))
+    if HTTPStatus.BAD_REQUEST <= answer.status < 500:
+        return Err(RefusedFailure(refusal.reason))
+    return Err(UnknownOutcomeFailure(refusal.reason))
+
+
+def forbid_conflict(
+    outcome: Result[T, CallFailure],
+) -> Result[T, PlatformFailure]:
+    """Turn a conflict, where none can be, into a refusal."""
+    match outcome:
+        case Ok(value):
+            return Ok(value)
+        case Err(ConflictFailure()):
+            return Err(RefusedFailure("conflict"))
+        case Err(UnavailableFailure() as failure):
+            return Err(failure)
+        case Err(UnknownOutcomeFailure() as failure):
+            return Err(failure)
+        case Err(RefusedFailure() as failure):
+            return Err(failure)
+    raise AssertionError(outcome)
--- /dev/null
+++ b/chestnutstair/transport/platform_control.py
@@ -0,0 +1,152 @@
+"""The platform's VMs and workers over HTTP."""
+
+from collections.abc import Sequence
+from typing import Any
+from urllib.parse import quote
+
+from result import Result
+
+from chestnutstair.coordination.platform import (
+    ListedVm,
+    PlatformFailure,
+    TaskReport,
+    VmControl,
+    VmDirectory,
+    WorkerControl,
+)
+from chestnutstair.protocol.platform import (
+    RenewCall,
+    StartCall,
+    StopCall,
+    ThrottleCall,
+    VmCall,
+)
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.transport.platform_client import (
+    PlatformClient,
+    forbid_conflict,
+)
+
+__all__ = ["HttpVmControl", "HttpVmDirectory", "HttpWorkerControl"]
+
+
+class HttpVmDirectory(PlatformClient, VmDirectory):
+    """The platform's list of VMs."""
+
+    def list_vms(
+        self, deadline: Deadline
+    ) -> Result[tuple[ListedVm, ...], PlatformFailure]:
+        """Return every VM that the platform knows."""
+        kind = tuple[ListedVm, ...]
+        return self.query(kind, "GET", "/vms", deadline, None)
+
+
+class HttpVmControl(PlatformClient, VmControl):
+    """Operations on single VMs."""
+
+    def announce_drain(
+        self, vm: str, operation: str, token: int, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Tell the VM that it is leaving."""
+        return self._operate(vm, "announce_drain", operation, token, deadline)
+
+    def cancel_drain(
+        self, vm: str, operation: str, token: int, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Tell the VM that it stays after all."""
+        return self._operate(vm, "cancel_drain", operation, token, deadline)
+
+    def count_running(
+        self, vm: str, deadline: Deadline
+    ) -> Result[int, PlatformFailure]:
+        """Return the requests and tasks that run on the VM."""
+        path = f"/vms/{quote(vm, safe='')}/running"
+        return self.query(int, "GET", path, deadline, None)
+
+    def reboot(
+        self, vm: str, operation: str, token: int, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Reboot once per operation; lower tokens are refused."""
+        return self._operate(vm, "reboot", operation, token, deadline)
+
+    def _operate(
+        self,
+        vm: str,
+        verb: str,
+        operation: str,
+        token: int,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        path = f"/vms/{quote(vm, safe='')}/{verb}"
+        call = VmCall(operation, token)
+        return forbid_conflict(self.command(path, call, deadline))
+
+
+class HttpWorkerControl(PlatformClient, WorkerControl):
+    """Tasks on workers."""
+
+    def start_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        lease_seconds: float,
+        payload: str,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Start the task once per token; lower tokens are refused."""
+        call = StartCall(task, token, lease_seconds, payload)
+        return self._operate(worker, "/start", call, deadline)
+
+    def renew_tasks(
+        self,
+        worker: str,
+        tokens: Sequence[tuple[str, int]],
+        lease_seconds: float,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Extend the leases of the tasks that still have these tokens."""
+        call = RenewCall(tuple(tokens), lease_seconds)
+        return self._operate(worker, "/renew", call, deadline)
+
+    def stop_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        checkpoint: bool,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """End the task, keeping a checkpoint for its next start if asked."""
+        call = StopCall(task, token, checkpoint)
+        return self._operate(worker, "/stop", call, deadline)
+
+    def throttle_task(
+        self,
+        worker: str,
+        task: str,
+        token: int,
+        share: float,
+        deadline: Deadline,
+    ) -> Result[None, PlatformFailure]:
+        """Limit the task to a share (0 to 1) of its processor time."""
+        call = ThrottleCall(task, token, share)
+        return self._operate(worker, "/throttle", call, deadline)
+
+    def report_tasks(
+        self, worker: str, deadline: Deadline
+    ) -> Result[tuple[TaskReport, ...], PlatformFailure]:
+        """Return the running tasks, and recent ends, of the worker."""
+        path = _build_tasks_path(worker)
+        kind = tuple[TaskReport, ...]
+        return self.query(kind, "GET", path, deadline, None)
+
+    def _operate(
+        self, worker: str, suffix: str, call: Any, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        path = _build_tasks_path(worker) + suffix
+        return forbid_conflict(self.command(path, call, deadline))
+
+
+def _build_tasks_path(worker: str) -> str:
+    return f"/workers/{quote(worker, safe='')}/tasks"
--- /dev/null
+++ b/chestnutstair/transport/platform_storage.py
@@ -0,0 +1,95 @@
+"""The platform's table and object store over HTTP."""
+
+from collections.abc import Sequence
+from http import HTTPStatus
+from urllib.parse import quote
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    Condition,
+    ConflictFailure,
+    Key,
+    ObjectStore,
+    PlatformFailure,
+    Row,
+    Table,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+    Write,
+)
+from chestnutstair.protocol.platform import (
+    CommitCall,
+    ReadCall,
+    ScanCall,
+)
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.transport.platform_client import (
+    PlatformClient,
+    check_status,
+    forbid_conflict,
+)
+
+__all__ = ["HttpObjectStore", "HttpTable"]
+
+
+class HttpTable(PlatformClient, Table):
+    """The table service."""
+
+    def read(
+        self, keys: Sequence[Key], deadline: Deadline
+    ) -> Result[tuple[Row | None, ...], PlatformFailure]:
+        """Return the rows, all at one moment, None for absent ones."""
+        call = ReadCall(tuple(keys))
+        kind = tuple[Row | None, ...]
+        return self.query(kind, "POST", "/table/read", deadline, call)
+
+    def scan(
+        self, table: str, start: str, end: str, limit: int, deadline: Deadline
+    ) -> Result[tuple[Row, ...], PlatformFailure]:
+        """Return rows with start <= key < end in order, at most limit."""
+        call = ScanCall(table, start, end, limit)
+        kind = tuple[Row, ...]
+        return self.query(kind, "POST", "/table/scan", deadline, call)
+
+    def commit(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Deadline,
+    ) -> Result[None, ConflictFailure | PlatformFailure]:
+        """Make all writes if all conditions hold, else none."""
+        call = CommitCall(tuple(conditions), tuple(writes))
+        return self.command("/table/commit", call, deadline)
+
+
+class HttpObjectStore(PlatformClient, ObjectStore):
+    """The object store."""
+
+    def put(
+        self, name: str, body: bytes, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Store the object, replacing any of that name."""
+        path = f"/objects/{quote(name, safe='')}"
+        answer = self.send("PUT", path, body, deadline)
+        done = answer.and_then(check_status).map(lambda _: None)
+        return forbid_conflict(done)
+
+    def get(
+        self, name: str, deadline: Deadline
+    ) -> Result[bytes | None, PlatformFailure]:
+        """Return the object, or None if there is none of that name."""
+        path = f"/objects/{quote(name, safe='')}"
+        match self.send("GET", path, None, deadline):
+            case Ok(answer) if answer.status == HTTPStatus.NOT_FOUND:
+                return Ok(None)
+            case Ok(answer) if answer.status == HTTPStatus.OK:
+                return Ok(answer.data)
+            case Ok(answer):
+                reason = f"status {answer.status}"
+                return Err(UnavailableFailure(reason))
+            case Err(UnknownOutcomeFailure(reason)):
+                return Err(UnavailableFailure(reason))
+            case Err(failure):
+                return Err(failure)
+        raise AssertionError(name)
