Let the tests of compaction tell the holder from the others

Cause: after the wait before a daemon's first duties, the duty moved to the daemon that two tests replaced or took for stale.

Change: the tests ask who holds the duty and use another daemon.

--- a/chestnutstair/tests/test_snapshot.py
+++ b/chestnutstair/tests/test_snapshot.py
@@ -20,7 +20,16 @@
         self.cluster = Cluster(3)
         self.cluster.run(10)
         self.deadline = self.cluster.make_deadline()
-        self.first = self.cluster.daemons["entry-0"]
+        self.holder = next(
+            daemon
+            for daemon in self.cluster.daemons.values()
+            if daemon.duties.find_duty(COMPACTION_DUTY)
+        )
+        self.first, self.other = (
+            daemon
+            for daemon in self.cluster.daemons.values()
+            if daemon is not self.holder
+        )
         self.first.log.append(TicketChange(build_ticket()), self.deadline)
 
     def append(self, count: int) -> None:
@@ -29,12 +38,10 @@
             self.first.log.append(change, self.deadline).unwrap()
 
     def compact(self) -> int:
-        for daemon in self.cluster.daemons.values():
-            duty = daemon.duties.find_duty(COMPACTION_DUTY)
-            if duty is not None:
-                daemon.log.refresh(self.deadline)
-                return daemon.compactor.compact(duty).unwrap()
-        raise AssertionError("nobody holds the duty")
+        duty = self.holder.duties.find_duty(COMPACTION_DUTY)
+        assert duty is not None
+        self.holder.log.refresh(self.deadline)
+        return self.holder.compactor.compact(duty).unwrap()
 
     def count_rows(self) -> int:
         rows = self.cluster.table.scan(LOG_TABLE, "", "~", 9999, self.deadline)
@@ -44,7 +51,7 @@
         self.append(3 * SEGMENT_SIZE)
         self.assertEqual(self.compact(), 2 * SEGMENT_SIZE)
         self.assertEqual(self.count_rows(), SEGMENT_SIZE + 1)
-        new = self.cluster.replace("entry-2")
+        new = self.cluster.replace(self.other.name)
         new.spreader.poll()
         self.assertEqual(new.log.view, self.first.log.view)
         self.append(SEGMENT_SIZE)
@@ -53,7 +60,7 @@
         self.assertEqual([item.revision for item in records], [*range(1, 11)])
 
     def test_a_stale_daemon_can_not_commit_over_removed_records(self) -> None:
-        stale = self.cluster.daemons["entry-2"]
+        stale = self.other
         stale.log.refresh(self.deadline)
         before = stale.log.view.revision
         self.append(3 * SEGMENT_SIZE)
@@ -68,11 +75,9 @@
 
     def test_a_holder_that_lost_the_duty_can_not_raise_the_floor(self) -> None:
         self.append(3 * SEGMENT_SIZE)
-        holder, duty = next(
-            (daemon, duty)
-            for daemon in self.cluster.daemons.values()
-            if (duty := daemon.duties.find_duty(COMPACTION_DUTY))
-        )
+        holder = self.holder
+        duty = holder.duties.find_duty(COMPACTION_DUTY)
+        assert duty is not None
         holder.paused = True
         self.cluster.run(20)
         holder.log.refresh(self.deadline)
@@ -104,7 +109,7 @@
     def check_start_from_peer(self) -> FakeDaemon:
         self.cluster.table.down = True
         self.cluster.objects.down = True
-        new = self.cluster.replace("entry-2")
+        new = self.cluster.replace(self.other.name)
         self.cluster.run(6)
         self.assertTrue(new.spreader.is_ready())
         self.assertEqual(new.log.view, self.first.log.view)
