Count starting daemons before a ticket is in force

Cause: a report took the daemons it had heard of, and left out those that were starting. In the demo ticket 1 was 'in force on entry-0' after 0.04 s while entry-1 and entry-2 refused 181 requests with 404; readiness was said before the callers' server listened (4 connections refused). Ruled out: slow spreading, because ticket 2 took 0.65 s on all three. Change: a daemon registers before it reads the log, a report reads the rows after the ticket, and readiness waits for the listening server. Conclusion: in force now means every daemon that serves or may start to.

--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -137,10 +137,19 @@
             loop.stop()
         self._write_own(self._make_deadline())
 
+    def register(self) -> None:
+        """Write the own row now, before the log is read to start from it.
+
+        Whoever commits a ticket later reads this row and waits for this
+        daemon; whatever was committed before is in the log by then.
+        """
+        self._write_own(self._make_deadline())
+
     def mark_ready(self) -> None:
         """Say from now on that this daemon serves."""
         with self._lock:
             self._own = replace(self._own, ready=True)
+        self.register()
 
     def get_self(self) -> Member:
         """Return this daemon."""
@@ -317,7 +326,7 @@
         """Read the others' rows when it is time, and renew the own."""
         deadline = self._make_deadline()
         if self._clock.read_monotonic() >= self._scan_at:
-            self._scan(deadline)
+            self.read_rows(deadline)
         self._write_own(deadline)
 
     def _write_own(self, deadline: Deadline) -> None:
@@ -327,7 +336,8 @@
             case Err(failure):
                 logger.info("renewal: %s", describe_failure(failure))
 
-    def _scan(self, deadline: Deadline) -> None:
+    def read_rows(self, deadline: Deadline) -> None:
+        """Read the rows of all daemons, if the table answers."""
         now = self._clock.read_monotonic()
         match read_facts(self._table, deadline):
             case Ok(facts):
--- a/chestnutstair/coordination/tickets.py
+++ b/chestnutstair/coordination/tickets.py
@@ -121,8 +121,8 @@
 class TicketStatus:
     """A ticket and which daemons confirmed that they have it in force.
 
-    `in_force` is false as long as a daemon that may be serving, a cut
-    off one included, has not confirmed.
+    `in_force` is false as long as a daemon that may be serving, or may
+    start to, a cut off one included, has not confirmed.
     """
 
     entry: TicketEntry
@@ -275,6 +275,8 @@
                 expected = self._log.view.ticket + 1
                 return Err(UnknownTicketFailure(number, expected))
             case Ok(entry) if entry is not None:
+                # Daemons that registered before the ticket are in the rows.
+                self._members.read_rows(deadline)
                 return Ok(self._report(entry))
         raise AssertionError(number)
 
@@ -290,10 +292,7 @@
             for status in statuses
             if status.fact.revision < entry.revision
         )
-        in_force = all(
-            item.reason in (LagReason.STOPPED, LagReason.STARTING)
-            for item in lagging
-        )
+        in_force = all(item.reason is LagReason.STOPPED for item in lagging)
         moves = _list_pending_moves(self._log.view)
         return TicketStatus(entry, in_force, confirmed, lagging, moves)
 
@@ -305,7 +304,6 @@
     elif not status.live:
         reason, since = LagReason.CUT_OFF, status.heard_at
     elif not fact.ready:
-        # It serves nothing before it has the newest view.
         reason, since = LagReason.STARTING, entry.recorded_at
     else:
         reason, since = LagReason.BEHIND, entry.recorded_at
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -74,6 +74,7 @@
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
+        self._serving = threading.Event()
         self._stopping = threading.Event()
         self._build_platform()
         self._build_coordination()
@@ -230,7 +231,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        return self._spreader.is_ready() and not self._stopping.is_set()
+        return self._serving.is_set() and not self._stopping.is_set()
 
     def start(self) -> None:
         """Start every part; serve callers once the view is known.
@@ -239,20 +240,25 @@
         """
         self._admin.start()
         self._network.start()
+        self._members.register()
         self._members.start()
         self._spreader.start()
-        while not self.is_ready() and not self._stopping.is_set():
-            self._clock.sleep(READY_POLL_SECONDS)
+        self._wait_for_view()
         if self._stopping.is_set():
             return
         self._callers.start()
         self._members.mark_ready()
+        self._serving.set()
         self._duties.start()
         self._compactor.start()
         for loop in self._loops:
             loop.start()
         logger.info("serving from revision %d", self._log.view.revision)
 
+    def _wait_for_view(self) -> None:
+        while not self._spreader.is_ready() and not self._stopping.is_set():
+            self._clock.sleep(READY_POLL_SECONDS)
+
     def begin_stop(self) -> None:
         """Say that this daemon is not ready any more."""
         self._stopping.set()
--- /dev/null
+++ b/chestnutstair/tests/test_whole_path.py
@@ -0,0 +1,158 @@
+"""Tests of daemons, targets and the platform as separate processes."""
+
+import signal
+import unittest
+from typing import Any
+
+import urllib3
+
+from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
+from chestnutstair.standins.target import TargetSettings
+from chestnutstair.state.codec import encode_value
+from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.ticket import Ticket
+
+ZONES = ("zone-a", "zone-b")
+DAEMONS = ("entry-0", "entry-1", "entry-2")
+SETTINGS = {"stop": {"notice_seconds": 0.2}, "log": {"level": "info"}}
+
+
+class WholePathTest(unittest.TestCase):
+    """Three daemons in two zones serve from the tickets filed."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.cluster = LocalCluster()
+        cls.addClassCleanup(cls.cluster.stop)
+        cls.cluster.start_platform({"vms": {"list_lag_seconds": 0.5}})
+        for index, zone in enumerate(ZONES):
+            cls.cluster.start_target(TargetSettings(f"runner-{index}"), zone)
+        for index, name in enumerate(DAEMONS):
+            cls.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
+        for name in DAEMONS:
+            cls.cluster.wait_ready(name)
+        cls.next_number = 1
+
+    def build_ticket(self, **parts: Any) -> Ticket:
+        return Ticket(number=self.next_number, author="tester", **parts)
+
+    def build_first(self) -> Ticket:
+        targets = self.cluster.targets.items()
+        return self.build_ticket(
+            zones=tuple(Zone(name, "region") for name in ZONES),
+            pools=(Pool("quotes", PoolKind.RUNNERS, "quotes", 1),),
+            vms=tuple(
+                Vm(name, "quotes", ZONES[index], f"rack-{index}", address)
+                for index, (name, address) in enumerate(targets)
+            ),
+        )
+
+    def file(self, daemon: str, ticket: Ticket) -> None:
+        status, _ = self.cluster.call_admin(
+            daemon, "POST", "/tickets", encode_value(ticket)
+        )
+        self.assertEqual(status, 201)
+        type(self).next_number += 1
+
+    def wait_in_force(self, daemon: str, number: int) -> None:
+        def is_in_force() -> bool:
+            answer = self.cluster.call_admin(
+                daemon, "GET", f"/tickets/{number}"
+            )[1]
+            return bool(answer["in_force"])
+
+        wait_until("in force", is_in_force)
+
+    def setUp(self) -> None:
+        if self.next_number == 1:
+            self.file("entry-0", self.build_first())
+            self.wait_in_force("entry-0", 1)
+
+    def test_every_daemon_serves_once_a_ticket_is_in_force(self) -> None:
+        pool = Pool("spare", PoolKind.RUNNERS, "extra", 0, spare=True)
+        ticket = self.build_ticket(pools=(pool,))
+        self.file("entry-1", ticket)
+        self.wait_in_force("entry-1", ticket.number)
+        for name in DAEMONS:
+            pools = self.cluster.call_admin(name, "GET", "/pools")[1]
+            names = [item["pool"]["name"] for item in pools]
+            self.assertIn("spare", names)
+            answer = self.cluster.send(name, Call("quotes"))
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.headers["X-Ran"], "yes")
+
+    def test_a_killed_daemon_is_replaced_by_an_empty_one(self) -> None:
+        self.cluster.end("entry-2", signal.SIGKILL)
+        self.cluster.start_daemon("entry-2", ZONES[0], SETTINGS)
+        self.cluster.wait_ready("entry-2")
+        status = self.cluster.call_admin("entry-2", "GET", "/status")[1]
+        self.assertEqual(status["ticket"], self.next_number - 1)
+        answer = self.cluster.send("entry-2", Call("quotes"))
+        self.assertEqual(answer.status, 200)
+
+    def test_bad_tickets_are_refused_and_change_nothing(self) -> None:
+        number = self.next_number
+        unknown = {
+            "number": number,
+            "author": "tester",
+            "vms": [
+                {
+                    "name": "x",
+                    "pool": "no-pool",
+                    "zone": "no-zone",
+                    "rack": "r",
+                    "address": "127.0.0.1:1",
+                }
+            ],
+        }
+        cases = [
+            ([1], 400, "DecodeFailure"),
+            ({"number": "one"}, 400, "DecodeFailure"),
+            ({**unknown, "colour": 1}, 400, "DecodeFailure"),
+            (unknown, 400, "InvalidTicketFailure"),
+            (
+                {"number": number + 5, "author": "a"},
+                409,
+                "TicketNumberFailure",
+            ),
+        ]
+        for body, status, error in cases:
+            found = self.cluster.call_admin(
+                "entry-0", "POST", "/tickets", body
+            )
+            self.assertEqual((found[0], found[1]["error"]), (status, error))
+        answer = self.cluster.call_admin("entry-0", "GET", "/status")[1]
+        self.assertEqual(answer["ticket"], number - 1)
+
+    def test_refuses_text_that_is_not_json_and_oversized_bodies(self) -> None:
+        address = self.cluster.daemons["entry-0"].admin
+        url = f"http://{address}/api/v1/tickets"
+        answer = urllib3.request("POST", url, body=b"{not json")
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(answer.json()["error"], "DecodeFailure")
+        headers = {"Content-Length": str(10**10)}
+        answer = urllib3.request(
+            "POST", url, body=b"", headers=headers, retries=False
+        )
+        self.assertEqual(answer.status, 413)
+
+    def test_tells_what_does_not_exist(self) -> None:
+        status, answer = self.cluster.call_admin(
+            "entry-0", "GET", "/tickets/999"
+        )
+        self.assertEqual(status, 404)
+        self.assertEqual(answer["error"], "UnknownTicketFailure")
+        status, answer = self.cluster.call_admin("entry-0", "GET", "/nothing")
+        self.assertEqual(status, 404)
+        self.assertEqual(answer["error"], "HttpFailure")
+
+    def test_answers_health_readiness_and_metrics(self) -> None:
+        address = self.cluster.daemons["entry-1"].admin
+        for path, word in (
+            ("healthz", "ok"),
+            ("readyz", "ready"),
+            ("metrics", "chestnutstair_request_outcomes_total"),
+        ):
+            answer = urllib3.request("GET", f"http://{address}/{path}")
+            self.assertEqual(answer.status, 200)
+            self.assertIn(word, answer.data.decode())
