Type the attributes of the whole path's test

Ruled out: a fault in the code under test, since the attributes are only set by the class set-up. Change: the test class declares them.

--- a/chestnutstair/tests/test_whole_path.py
+++ b/chestnutstair/tests/test_whole_path.py
@@ -20,6 +20,9 @@
 class WholePathTest(unittest.TestCase):
     """Three daemons in two zones serve from the tickets filed."""
 
+    cluster: LocalCluster
+    next_number: int
+
     @classmethod
     def setUpClass(cls) -> None:
         cls.cluster = LocalCluster()
