Add the command-line client of operators

Cause: operators had no tool to file tickets and read back the fleet.

Change: a typer application with one module for each group of commands. A call tries the addresses in order and goes on when one can not be reached, does not answer, or answers with 500 or above. Failures are data classes; an error names its class, its fields and what to do next.

Ruled out: giving up at the first address that was sent a change and gave no answer. Every call of the API is safe to repeat, so the next address is asked; only if none gives a final answer is the outcome reported as unknown, before any refusal.

--- /dev/null
+++ b/chestnutstair/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the client, one module for each group."""
--- /dev/null
+++ b/chestnutstair/commands/audit.py
@@ -0,0 +1,52 @@
+"""Commands on the audit trail."""
+
+from typing import Annotated
+
+import typer
+
+from chestnutstair.commands.output import format_time, get_cli
+from chestnutstair.protocol.operators import JournalPage
+from chestnutstair.state.change import ChangeRecord, TicketChange
+from chestnutstair.state.codec import encode_value
+
+__all__ = ["app"]
+
+app = typer.Typer(help="See the audit trail of all changes.")
+
+
+@app.command("list")
+def list_records(
+    context: typer.Context,
+    after: Annotated[int, typer.Option(help="Begin after this revision.")] = 0,
+    limit: Annotated[int, typer.Option(help="Show at most so many.")] = 50,
+) -> None:
+    """List committed changes, oldest first."""
+    cli = get_cli(context)
+    query = {"after": after, "limit": limit}
+    page = cli.unwrap(cli.client.get(JournalPage, "/audit", query))
+    columns = ("revision", "recorded", "author", "change", "of")
+    rows = [
+        (
+            record.revision,
+            format_time(record.recorded_at),
+            record.author,
+            record.change.kind,
+            _describe_change(record),
+        )
+        for record in page.records
+    ]
+    cli.print_rows(page, columns, rows)
+    if len(page.records) == limit:
+        hint = f"more: chestnutstair audit list --after {page.next_after}"
+        typer.echo(hint, err=True)
+
+
+def _describe_change(record: ChangeRecord) -> str:
+    """Return the subject of a change on one line."""
+    match record.change:
+        case TicketChange(ticket=ticket):
+            return f"ticket {ticket.number}: {ticket.reason}"
+        case change:
+            parts = encode_value(change)
+            del parts["kind"]
+            return " ".join(f"{key}={parts[key]}" for key in parts)
--- /dev/null
+++ b/chestnutstair/commands/client.py
@@ -0,0 +1,198 @@
+"""Calls the operators' API at the first address that can serve."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import urlencode
+
+import urllib3
+from result import Err, Ok, Result
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from chestnutstair.protocol.operators import ErrorAnswer
+from chestnutstair.state.codec import decode_json
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import Failure
+
+__all__ = [
+    "ClientFailure",
+    "OperatorClient",
+    "RefusalFailure",
+    "UnansweredFailure",
+    "UnreachableFailure",
+    "UnreadableFailure",
+]
+
+API_PATH = "/api/v1"
+MIN_CALL_SECONDS = 0.5  # for an address, however little time is left
+
+
+@dataclass(frozen=True)
+class UnreachableFailure(Failure):
+    """No connection to an address; nothing was sent."""
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class UnansweredFailure(Failure):
+    """A call was sent and no whole answer came."""
+
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class RefusalFailure(Failure):
+    """A daemon answered that it does not do it."""
+
+    address: str
+    status: int
+    answer: ErrorAnswer
+    retry_after: str = ""  # seconds, if the daemon named them
+
+
+@dataclass(frozen=True)
+class UnreadableFailure(Failure):
+    """A daemon answered with something that the client does not know."""
+
+    address: str
+    status: int
+
+
+ClientFailure = (
+    UnreachableFailure | UnansweredFailure | RefusalFailure | UnreadableFailure
+)
+
+
+class OperatorClient:
+    """Makes calls that are safe to repeat at another address.
+
+    Every call of the API is: reads change nothing, a ticket is known by
+    its number and content, and to pause twice is to pause once.
+    """
+
+    def __init__(
+        self, addresses: Sequence[str], timeout_seconds: float, clock: Clock
+    ) -> None:
+        self.addresses = tuple(addresses)
+        self._timeout_seconds = timeout_seconds
+        self._clock = clock
+        self._http = urllib3.PoolManager(retries=False)
+
+    def get(
+        self,
+        kind: Any,
+        path: str,
+        query: Mapping[str, Any] | None = None,
+        latest: Deadline | None = None,
+    ) -> Result[Any, ClientFailure]:
+        """Read something and decode it, by `latest` if that is sooner."""
+        return self._call(kind, "GET", path, query, None, latest)
+
+    def post(
+        self,
+        kind: Any,
+        path: str,
+        body: bytes,
+        query: Mapping[str, Any] | None = None,
+    ) -> Result[Any, ClientFailure]:
+        """Ask for a change and decode the answer."""
+        return self._call(kind, "POST", path, query, body)
+
+    def _call(
+        self,
+        kind: Any,
+        method: str,
+        path: str,
+        query: Mapping[str, Any] | None,
+        body: bytes | None,
+        latest: Deadline | None = None,
+    ) -> Result[Any, ClientFailure]:
+        """Try the addresses in order until one gives a final answer."""
+        deadline = Deadline.after(self._clock, self._timeout_seconds)
+        deadline = min(deadline, latest or deadline)
+        failures: list[ClientFailure] = []
+        for index, address in enumerate(self.addresses):
+            outcome: Result[Any, ClientFailure]
+            left = deadline.measure_left(self._clock)
+            seconds = left / (len(self.addresses) - index)
+            match self._send(address, method, path, query, body, seconds):
+                case Ok(answer):
+                    outcome = _read(kind, address, answer)
+                case Err(failure):
+                    outcome = Err(failure)
+            match outcome:
+                case Err(failure) if _is_worth_another(failure):
+                    failures.append(failure)
+                case _:
+                    return outcome
+        return Err(_choose_failure(failures))
+
+    def _send(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        query: Mapping[str, Any] | None,
+        body: bytes | None,
+        seconds: float,
+    ) -> Result[urllib3.BaseHTTPResponse, ClientFailure]:
+        url = f"http://{address}{API_PATH}{path}"
+        if query:
+            url += "?" + urlencode(query)
+        headers = {"Content-Type": "application/json"}
+        timeout = urllib3.Timeout(total=max(seconds, MIN_CALL_SECONDS))
+        try:
+            return Ok(
+                self._http.request(
+                    method, url, body=body, headers=headers, timeout=timeout
+                )
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            return Err(UnreachableFailure(address, _describe(error)))
+        except HTTPError as error:
+            return Err(UnansweredFailure(address, _describe(error)))
+
+
+def _describe(error: Exception) -> str:
+    return str(error).rpartition(": ")[2] or type(error).__name__
+
+
+def _read(
+    kind: Any, address: str, answer: urllib3.BaseHTTPResponse
+) -> Result[Any, ClientFailure]:
+    if answer.status in (HTTPStatus.OK, HTTPStatus.CREATED):
+        return decode_json(kind, answer.data).map_err(
+            lambda _: UnreadableFailure(address, answer.status)
+        )
+    match decode_json(ErrorAnswer, answer.data):
+        case Ok(error):
+            wait = answer.headers.get("Retry-After", "")
+            return Err(RefusalFailure(address, answer.status, error, wait))
+    return Err(UnreadableFailure(address, answer.status))
+
+
+def _is_worth_another(failure: ClientFailure) -> bool:
+    """Tell whether another address may do better."""
+    match failure:
+        case RefusalFailure(status=status):
+            return status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        case UnreadableFailure():
+            return False
+    return True
+
+
+def _choose_failure(failures: Sequence[ClientFailure]) -> ClientFailure:
+    """Return the failure that says most about what may have happened."""
+    for kind in (UnansweredFailure, RefusalFailure):
+        for failure in failures:
+            if isinstance(failure, kind):
+                return failure
+    return failures[-1]
--- /dev/null
+++ b/chestnutstair/commands/exitcode.py
@@ -0,0 +1,40 @@
+"""The exit codes of the client; docs/cli.md explains each."""
+
+from enum import IntEnum
+
+__all__ = ["EXIT_CODE_HELP", "ExitCode"]
+
+
+class ExitCode(IntEnum):
+    """What a command came to."""
+
+    DONE = 0
+    INTERNAL_ERROR = 1
+    USAGE = 2
+    REFUSED = 3
+    NOT_FOUND = 4
+    CONFLICT = 5
+    UNAVAILABLE = 6
+    UNREACHABLE = 7
+    UNKNOWN_OUTCOME = 8
+    NOT_IN_FORCE = 9
+    UNREADABLE = 10
+
+
+_MEANINGS = {
+    ExitCode.DONE: "done",
+    ExitCode.INTERNAL_ERROR: "a fault of the client itself",
+    ExitCode.USAGE: "wrong options or arguments",
+    ExitCode.REFUSED: "refused as invalid; nothing changed",
+    ExitCode.NOT_FOUND: "no such thing",
+    ExitCode.CONFLICT: "refused, as another change came first",
+    ExitCode.UNAVAILABLE: "the daemons can not do it now; try again",
+    ExitCode.UNREACHABLE: "no address could be reached; nothing was sent",
+    ExitCode.UNKNOWN_OUTCOME: "no answer came; it may have taken effect",
+    ExitCode.NOT_IN_FORCE: "not in force everywhere by the deadline",
+    ExitCode.UNREADABLE: "an answer that this client can not read",
+}
+
+EXIT_CODE_HELP = "Exit codes:\n\n" + "\n\n".join(
+    f"{code.value}: {meaning}" for code, meaning in _MEANINGS.items()
+)
--- /dev/null
+++ b/chestnutstair/commands/ticket.py
@@ -0,0 +1,199 @@
+"""Commands on change tickets."""
+
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from result import Err, Ok, Result
+
+from chestnutstair.commands.client import ClientFailure
+from chestnutstair.commands.exitcode import ExitCode
+from chestnutstair.commands.output import (
+    Cli,
+    exit_with,
+    format_time,
+    get_cli,
+)
+from chestnutstair.protocol.operators import (
+    Difference,
+    ErrorAnswer,
+    TicketReceipt,
+    TicketReport,
+)
+from chestnutstair.state.codec import (
+    DecodeFailure,
+    decode_json,
+    encode_json,
+    encode_value,
+)
+from chestnutstair.state.deadline import Deadline, SystemClock
+from chestnutstair.state.ticket import Ticket
+
+__all__ = ["app"]
+
+app = typer.Typer(help="File change tickets, and see where they stand.")
+
+POLL_SECONDS = 0.5
+
+
+@app.command("file")
+def file_ticket(
+    context: typer.Context,
+    file: Annotated[
+        str, typer.Argument(help="A JSON file, or - for standard input.")
+    ] = "-",
+    dry_run: Annotated[
+        bool, typer.Option(help="Only show what the ticket would change.")
+    ] = False,
+) -> None:
+    """File a ticket; to file the same one again is safe."""
+    cli = get_cli(context)
+    body = encode_json(_read_ticket(cli, file))
+    if dry_run:
+        _show_differences(cli, body)
+        return
+    receipt = cli.unwrap(cli.client.post(TicketReceipt, "/tickets", body))
+    manner = "had been accepted before" if receipt.repeated else "accepted"
+    cli.print_value(
+        receipt,
+        [
+            f"ticket {receipt.ticket} {manner}, revision {receipt.revision}",
+            f"next: chestnutstair ticket wait {receipt.ticket}",
+        ],
+    )
+
+
+def _read_ticket(cli: Cli, file: str) -> Ticket:
+    try:
+        text = sys.stdin.read() if file == "-" else Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        detail = {"file": file, "reason": str(error)}
+        hint = "name a readable JSON file, or - for standard input"
+        cli.print_error(ErrorAnswer("UnreadableFile", detail, hint))
+        exit_with(ExitCode.USAGE)
+    match decode_json(Ticket, text):
+        case Ok(ticket):
+            return ticket
+        case Err(DecodeFailure(mistakes)):
+            detail = {"mistakes": encode_value(mistakes)}
+            hint = "correct the ticket and file it again"
+            cli.print_error(ErrorAnswer("DecodeFailure", detail, hint))
+    exit_with(ExitCode.REFUSED)
+
+
+def _show_differences(cli: Cli, body: bytes) -> None:
+    outcome = cli.client.post(
+        tuple[Difference, ...], "/tickets", body, {"dry_run": 1}
+    )
+    found = cli.unwrap(outcome)
+    rows = [(item.path, item.before, item.after) for item in found]
+    cli.print_rows(found, ("path", "before", "after"), rows)
+
+
+@app.command("list")
+def list_tickets(
+    context: typer.Context,
+    after: Annotated[int, typer.Option(help="Begin after this number.")] = 0,
+    limit: Annotated[int, typer.Option(help="Show at most so many.")] = 50,
+) -> None:
+    """List accepted tickets, oldest first."""
+    cli = get_cli(context)
+    query = {"after": after, "limit": limit}
+    outcome = cli.client.get(tuple[TicketReport, ...], "/tickets", query)
+    reports = cli.unwrap(outcome)
+    columns = (
+        "ticket",
+        "author",
+        "recorded",
+        "in force",
+        "lagging",
+        "pending moves",
+        "reason",
+    )
+    rows = [
+        (
+            report.number,
+            report.author,
+            format_time(report.recorded_at),
+            "yes" if report.in_force else "no",
+            len(report.lagging),
+            len(report.pending_moves),
+            report.reason,
+        )
+        for report in reports
+    ]
+    cli.print_rows(reports, columns, rows)
+
+
+@app.command("show")
+def show_ticket(context: typer.Context, number: int) -> None:
+    """Show a ticket and who has not confirmed it."""
+    cli = get_cli(context)
+    report = cli.unwrap(_fetch(cli, number))
+    cli.print_value(report, _describe(report))
+
+
+@app.command("wait")
+def wait_for_ticket(
+    context: typer.Context,
+    number: int,
+    timeout: Annotated[
+        float, typer.Option(help="Give up after so many seconds.")
+    ] = 30.0,
+) -> None:
+    """Wait until every live entry VM has the ticket in force."""
+    cli = get_cli(context)
+    clock = SystemClock()
+    deadline = Deadline.after(clock, timeout)
+    while True:
+        outcome = _fetch(cli, number, deadline)
+        match outcome:
+            case Ok(TicketReport(in_force=True) as report):
+                cli.print_value(report, _describe(report))
+                return
+        if deadline.has_passed(clock):
+            report = cli.unwrap(outcome)
+            _report_overdue(cli, report)
+            exit_with(ExitCode.NOT_IN_FORCE)
+        time.sleep(min(POLL_SECONDS, deadline.measure_left(clock)))
+
+
+def _report_overdue(cli: Cli, report: TicketReport) -> None:
+    detail = {
+        "ticket": report.number,
+        "lagging": [
+            f"{item.vm} in {item.zone}: {item.reason}, at revision "
+            f"{item.revision}, since {format_time(item.since)}"
+            for item in report.lagging
+        ],
+    }
+    hint = (
+        "the ticket stays accepted; wait again, and look after the entry "
+        "VMs that lag"
+    )
+    cli.print_error(ErrorAnswer("TicketNotInForce", detail, hint))
+
+
+def _fetch(
+    cli: Cli, number: int, latest: Deadline | None = None
+) -> Result[Any, ClientFailure]:
+    path = f"/tickets/{number}"
+    return cli.client.get(TicketReport, path, latest=latest)
+
+
+def _describe(report: TicketReport) -> Iterator[str]:
+    yield f"ticket {report.number} by {report.author}: {report.reason}"
+    recorded = format_time(report.recorded_at)
+    yield f"recorded {recorded} at revision {report.revision}"
+    yield f"in force: {'yes' if report.in_force else 'no'}"
+    yield f"confirmed: {', '.join(report.confirmed) or 'none'}"
+    for item in report.lagging:
+        yield (
+            f"lagging: {item.vm} in {item.zone}, {item.reason}, at revision "
+            f"{item.revision}, since {format_time(item.since)}"
+        )
+    for vm in report.pending_moves:
+        yield f"pending move: {vm}"
