--- a/chestnutstair/commands/audit.py
+++ b/chestnutstair/commands/audit.py
@@ -49,4 +49,5 @@
         case change:
             parts = encode_value(change)
             del parts["kind"]
-            return " ".join(f"{key}={parts[key]}" for key in parts)
+            filled = [key for key in parts if parts[key] not in ("", None)]
+            return " ".join(f"{key}={parts[key]}" for key in filled)
--- a/chestnutstair/commands/fleet.py
+++ b/chestnutstair/commands/fleet.py
@@ -1,13 +1,18 @@
 """Commands on the whole fleet: pause, resume and status."""
 
 import getpass
-import json
 from collections.abc import Iterator
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
 from chestnutstair.commands.output import get_cli
+from chestnutstair.protocol.operators import (
+    PauseReceipt,
+    PauseRequest,
+    StatusReport,
+)
+from chestnutstair.state.codec import encode_json
 
 __all__ = ["pause", "resume", "show_status"]
 
@@ -28,20 +33,29 @@
 
 def _ask(context: typer.Context, path: str, author: str) -> None:
     cli = get_cli(context)
-    body = json.dumps({"author": author or getpass.getuser()}).encode()
-    answer = cli.unwrap(cli.client.post(dict[str, Any], path, body))
-    cli.print_value(answer, _describe(answer))
+    request = PauseRequest(author or getpass.getuser())
+    outcome = cli.client.post(PauseReceipt, path, encode_json(request))
+    receipt = cli.unwrap(outcome)
+    state = "stopped" if receipt.paused else "going on"
+    line = f"planned drains and moves: {state}, revision {receipt.revision}"
+    cli.print_value(receipt, [line])
 
 
 def show_status(context: typer.Context) -> None:
-    """Show how the daemon that answers sees the fleet."""
+    """Show the daemon that answers and the daemons it believes to live."""
     cli = get_cli(context)
-    answer = cli.unwrap(cli.client.get(dict[str, Any], "/status"))
-    cli.print_value(answer, _describe(answer))
-
-
-def _describe(answer: dict[str, Any]) -> Iterator[str]:
-    for key, value in answer.items():
-        if isinstance(value, (dict, list)):
-            value = json.dumps(value)
-        yield f"{key}: {value}"
+    report = cli.unwrap(cli.client.get(StatusReport, "/status"))
+    cli.print_value(report, _describe(report))
+
+
+def _describe(report: StatusReport) -> Iterator[str]:
+    yield f"daemon: {report.vm} in {report.zone}"
+    yield f"ready: {'yes' if report.ready else 'no'}"
+    yield f"ticket: {report.ticket}, revision {report.revision}"
+    state = "stopped" if report.paused else "going on"
+    yield f"planned drains and moves: {state}"
+    for member in report.members:
+        yield (
+            f"live: {member.name} in {member.zone} at {member.address}, "
+            f"revision {member.revision}"
+        )
--- a/chestnutstair/commands/ticket.py
+++ b/chestnutstair/commands/ticket.py
@@ -1,5 +1,6 @@
 """Commands on change tickets."""
 
+import json
 import sys
 import time
 from collections.abc import Iterator
@@ -89,10 +90,26 @@
         tuple[Difference, ...], "/tickets", body, {"dry_run": 1}
     )
     found = cli.unwrap(outcome)
-    rows = [(item.path, item.before, item.after) for item in found]
+    rows = [(item.path, *_compare_sides(item)) for item in found]
     cli.print_rows(found, ("path", "before", "after"), rows)
 
 
+def _compare_sides(item: Difference) -> tuple[str, str]:
+    """Return both sides, without the fields that stay as they are."""
+    match item.before, item.after:
+        case (dict() as before, dict() as after):
+            changed = [key for key in after if before.get(key) != after[key]]
+            return (
+                _describe_side({key: before.get(key) for key in changed}),
+                _describe_side({key: after[key] for key in changed}),
+            )
+    return _describe_side(item.before), _describe_side(item.after)
+
+
+def _describe_side(value: Any) -> str:
+    return "-" if value is None else json.dumps(value)
+
+
 @app.command("list")
 def list_tickets(
     context: typer.Context,
--- a/chestnutstair/standins/table.py
+++ b/chestnutstair/standins/table.py
@@ -1,6 +1,7 @@
 """A table and an object store in memory, with faults to order."""
 
 import threading
+from bisect import bisect_left, insort
 from collections.abc import Sequence
 from copy import deepcopy
 
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[Key, Row] = {}
+        self._keys: dict[str, list[str]] = {}  # of each table, sorted
         self._version = ABSENT
         self._lock = threading.Lock()
         self.down = False
@@ -58,12 +60,15 @@
             return Err(UnavailableFailure("the table is down"))
         with self._lock:
             self.read_count += 1
-            keys = sorted(
-                key
-                for key in self._rows
-                if key.table == table and start <= key.key < end
+            keys = self._keys.get(table, [])
+            first = bisect_left(keys, start)
+            last = min(bisect_left(keys, end), first + limit)
+            return Ok(
+                tuple(
+                    deepcopy(self._rows[Key(table, key)])
+                    for key in keys[first:last]
+                )
             )
-            return Ok(tuple(deepcopy(self._rows[k]) for k in keys[:limit]))
 
     def commit(
         self,
@@ -96,9 +101,15 @@
 
     def _apply(self, write: Write) -> None:
         self._version += 1
+        known = write.key in self._rows
+        keys = self._keys.setdefault(write.key.table, [])
         if write.value is None:
-            self._rows.pop(write.key, None)
+            if known:
+                del self._rows[write.key]
+                del keys[bisect_left(keys, write.key.key)]
         else:
+            if not known:
+                insort(keys, write.key.key)
             value = deepcopy(write.value)
             self._rows[write.key] = Row(write.key, value, self._version)
 
--- a/chestnutstair/standins/target.py
+++ b/chestnutstair/standins/target.py
@@ -7,10 +7,15 @@
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
-from enum import StrEnum
 from http import HTTPStatus
 
 from chestnutstair.standins.fault import FaultSwitches
+from chestnutstair.standins.runlog import (
+    RunLog,
+    RunOutcome,
+    TargetLog,
+    TargetRun,
+)
 from chestnutstair.standins.webserver import (
     HOST,
     Answer,
@@ -67,38 +72,6 @@
     down: bool = False
 
 
-class RunOutcome(StrEnum):
-    """How the run of a request ended."""
-
-    RUNNING = "running"
-    DONE = "done"
-    CUT = "cut"  # by a reboot
-
-
-@dataclass(frozen=True)
-class TargetRun:
-    """One run of a request; times are wall-clock epoch seconds."""
-
-    request_id: str
-    attempt: str
-    started_at: float
-    ended_at: float | None
-    boot: int
-    leaving: bool
-    outcome: RunOutcome
-
-
-@dataclass(frozen=True)
-class TargetLog:
-    """Every run, and counts of what was refused or cut."""
-
-    runs: tuple[TargetRun, ...]
-    overshoots: int
-    refused_leaving: int
-    closed_connections: int
-    cut: int
-
-
 class Target(Application):
     """The runner, with a listener for work and one for control.
 
@@ -110,7 +83,7 @@
         self._settings = settings
         self._switches = FaultSwitches()
         self._lock = threading.Lock()
-        self._runs: list[TargetRun] = []
+        self._log = RunLog()
         self._running = 0
         self._leaving_at: float | None = None
         self._boot = 1
@@ -118,8 +91,6 @@
         self._rebooted: set[str] = set()
         self._cut = threading.Event()
         self._stopped = threading.Event()
-        self._overshoots = 0
-        self._refused_leaving = 0
         self._reservation = reserve_port(port)
         self._server = WebServer(
             self,
@@ -183,13 +154,7 @@
     def get_log(self) -> TargetLog:
         """Return every run and the counts."""
         with self._lock:
-            return TargetLog(
-                tuple(self._runs),
-                self._overshoots,
-                self._refused_leaving,
-                self._server.count_closed(),
-                sum(run.outcome is RunOutcome.CUT for run in self._runs),
-            )
+            return self._log.build(self._server.count_closed())
 
     def _set_leaving(self, leaving: bool) -> Answer:
         with self._lock:
@@ -249,31 +214,18 @@
             leaving = self._leaving_at is not None
             grace = self._settings.leaving_grace_seconds
             if self._leaving_at is not None and now > self._leaving_at + grace:
-                self._refused_leaving += 1
+                self._log.refused_leaving += 1
                 return _build_refusal("leaving", {"X-Leaving": "true"})
             if self._down or self._running >= self._settings.slots:
-                self._overshoots += self._settings.log_overshoots
+                self._log.overshoots += self._settings.log_overshoots
                 return _build_refusal("no free slot", {})
             self._running += 1
-            self._runs.append(
-                TargetRun(
-                    request.headers.get("x-request-id", ""),
-                    request.headers.get("x-attempt", ""),
-                    time.time(),
-                    None,
-                    self._boot,
-                    leaving,
-                    RunOutcome.RUNNING,
-                )
-            )
-            return len(self._runs) - 1
+            return self._log.begin(request.headers, self._boot, leaving)
 
     def _end_run(self, index: int, outcome: RunOutcome) -> None:
         with self._lock:
             self._running -= 1
-            self._runs[index] = replace(
-                self._runs[index], ended_at=time.time(), outcome=outcome
-            )
+            self._log.end(index, outcome)
 
     def _build_answer(self, request: Request) -> Answer:
         nonce = request.headers.get("x-nonce", "")
--- a/chestnutstair/standins/vm.py
+++ b/chestnutstair/standins/vm.py
@@ -161,7 +161,8 @@
     def _carry_out(
         self, vm: _Vm, verb: VmVerb, call: VmCall
     ) -> Result[None, PlatformFailure]:
-        logger.info("VM operation", extra={"verb": verb, "vm": vm})
+        name = vm.registration.name
+        logger.info("Operating a VM", extra={"verb": verb, "vm": name})
         if vm.registration.address:
             return self._call_target(vm, verb, call)
         vm.leaving = verb is VmVerb.ANNOUNCE_DRAIN
--- a/chestnutstair/tests/test_cli.py
+++ b/chestnutstair/tests/test_cli.py
@@ -18,6 +18,7 @@
     JobReport,
     JournalPage,
     LaggingVm,
+    PauseReceipt,
     PoolReport,
     TicketReceipt,
     TicketReport,
@@ -123,14 +124,20 @@
         self.assertEqual(daemon.requests, [])
 
     def test_previews_a_ticket(self) -> None:
-        found = [Difference("vms.quotes-3", None, {"pool": "quotes"})]
+        before = {"pool": "quotes", "zone": "zone-1"}
+        found = [
+            Difference("vms.quotes-3", before, {**before, "pool": "boxes"}),
+            Difference("vms.quotes-4", None, before),
+        ]
         daemon = self.build_daemon(answer_json(found))
         text = encode_json(TICKET).decode()
         result = self.run_at(
             [daemon], "ticket", "file", "--dry-run", text=text
         )
         self.assert_code(result, ExitCode.DONE)
-        self.assertIn("vms.quotes-3", result.stdout)
+        changed = r'vms.quotes-3 +{"pool": "quotes"} +{"pool": "boxes"} *\n'
+        self.assertRegex(result.stdout, changed)
+        self.assertRegex(result.stdout, r'vms.quotes-4 +- +{"pool": "quotes"')
         self.assertEqual(daemon.requests[0].query, {"dry_run": "1"})
 
     def test_waits_until_in_force(self) -> None:
@@ -177,6 +184,8 @@
             result = self.run_at(daemons, "pause", "--author", "ana")
             self.assert_code(result, ExitCode.UNKNOWN_OUTCOME)
         self.assertEqual(json.loads(busy.requests[0].body)["author"], "ana")
+        result = self.run_with(answer_json(PauseReceipt(9, True)), "pause")
+        self.assertIn("moves: stopped, revision 9", result.stdout)
 
     def test_explains_refusals(self) -> None:
         cases = {
