--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -2,12 +2,20 @@
 
 import logging
 import threading
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 from prometheus_client import Counter
 from result import Err, Ok
 
 from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.leaving import (
+    LeavingMessage,
+    LeavingSettings,
+    LeavingTracker,
+)
+from chestnutstair.coordination.messenger import Membership, Messenger
+from chestnutstair.coordination.platform import ListedVm
 from chestnutstair.coordination.request import (
     AnsweredOutcome,
     NoTargetFailure,
@@ -19,15 +27,21 @@
     UnknownOutcome,
     UnknownServiceFailure,
 )
-from chestnutstair.coordination.router import Router, TargetLoad
+from chestnutstair.coordination.router import (
+    ClosedReason,
+    Router,
+    TargetLoad,
+)
 from chestnutstair.coordination.target import (
     LostAnswerFailure,
     NotSentFailure,
     TargetClient,
 )
+from chestnutstair.state.change import ChangeRecord
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.fleet import Pool
+from chestnutstair.state.view import FleetView
 
 __all__ = ["Forwarder", "ForwarderSettings"]
 
@@ -48,6 +62,7 @@
 
     attempts: int = 3
     retry_after_seconds: float = 1.0
+    leaving: LeavingSettings = field(default_factory=LeavingSettings)
 
 
 class Forwarder:
@@ -58,16 +73,22 @@
         log: ChangeLog,
         client: TargetClient,
         clock: Clock,
-        zone: str,
+        membership: Membership,
+        messenger: Messenger,
         settings: ForwarderSettings,
     ) -> None:
         self._log = log
         self._client = client
         self._clock = clock
         self._settings = settings
-        self._router = Router(zone)
+        self._router = Router(membership.get_self().zone)
         self._lock = threading.Lock()
         self._stopping = False
+        self._leaving = LeavingTracker(
+            clock, messenger, membership, self._mark_leaving, settings.leaving
+        )
+        log.add_listener(self._fold_record)
+        messenger.add_handler(LeavingMessage, self._take_message)
 
     def forward(self, request: Request) -> RequestOutcome:
         """Forward the request; block until its outcome or deadline."""
@@ -80,6 +101,25 @@
         """Refuse new requests and let those in flight end."""
         self._stopping = True
 
+    def note_directory(self, listed: Sequence[ListedVm]) -> None:
+        """Take the platform's list of VMs into account."""
+        with self._lock:
+            self._leaving.note_directory(listed, self._log.view.revision)
+
+    def _fold_record(self, record: ChangeRecord, view: FleetView) -> None:
+        with self._lock:
+            self._leaving.note_record(record, view)
+
+    def _take_message(self, peer: str, message: LeavingMessage) -> None:
+        with self._lock:
+            self._leaving.note_message(message)
+
+    def _mark_leaving(self, vm: str, leaving: bool) -> None:
+        if leaving:
+            self._router.close(vm, ClosedReason.LEAVING)
+        else:
+            self._router.reopen(vm, ClosedReason.LEAVING)
+
     def _forward(self, request: Request) -> RequestOutcome:
         if self._stopping:
             return self._refuse(request, StoppingFailure())
@@ -107,6 +147,7 @@
 
     def _take(self, pool: Pool) -> TargetLoad | None:
         with self._lock:
+            self._router.install_view(self._log.view)
             zones = self._router.list_zones(pool.name)
             return self._router.take(pool.name, zones)
 
@@ -114,6 +155,7 @@
         self, pool: Pool, load: TargetLoad, request: Request
     ) -> RequestOutcome | None:
         limit = pool.connections_per_vm
+        revision = self._log.view.revision
         try:
             sent = self._client.send(load.vm, limit, request)
         finally:
@@ -123,7 +165,7 @@
             case Ok(found):
                 if found.leaving:
                     with self._lock:
-                        self._router.close(load.vm.name, "leaving")
+                        self._leaving.note_target(load.vm.name, revision)
                 if found.ran is Ran.NO:
                     return None
                 return AnsweredOutcome(request.id, found.answer, found.ran)
--- a/chestnutstair/coordination/router.py
+++ b/chestnutstair/coordination/router.py
@@ -2,12 +2,22 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from enum import StrEnum
 
 from chestnutstair.state.fleet import Pool, PoolKind, Vm
 from chestnutstair.state.view import FleetView, VmPhase
 
-__all__ = ["Router", "TargetLoad"]
+__all__ = ["ClosedReason", "Router", "TargetLoad"]
+
+
+class ClosedReason(StrEnum):
+    """Why a target gets no new work."""
+
+    PHASE = "phase"  # the change log does not show it serving
+    LEAVING = "leaving"
+    FULL = "full"
+    EJECTED = "ejected"
 
 
 @dataclass
@@ -17,8 +27,8 @@
     vm: Vm
     pool: str
     limit: int
+    closed: set[ClosedReason]
     in_flight: int = 0
-    closed: set[str] = field(default_factory=set)  # why it takes no work
     place: int = -1  # index within its bucket
 
 
@@ -65,6 +75,7 @@
         self._chooser = random.Random(seed)
         self._view: FleetView | None = None
         self._loads: dict[str, TargetLoad] = {}
+        self._closed: dict[str, set[ClosedReason]] = {}
         self._buckets: dict[tuple[str, str], _Buckets] = {}
         self._zones: dict[str, list[str]] = {}
         self._services: dict[str, Pool] = {}
@@ -94,16 +105,17 @@
             return
         load = self._loads.get(vm.name)
         if load is None:
-            load = TargetLoad(vm, status.pool, pool.slots_per_vm)
+            closed = self._closed.setdefault(vm.name, set())
+            load = TargetLoad(vm, status.pool, pool.slots_per_vm, closed)
             self._loads[vm.name] = load
         self._unlink(load)
         load.vm = vm
         load.pool = status.pool
         load.limit = pool.slots_per_vm
         if status.phase is VmPhase.SERVING:
-            load.closed.discard("phase")
+            load.closed.discard(ClosedReason.PHASE)
         else:
-            load.closed.add("phase")
+            load.closed.add(ClosedReason.PHASE)
         self._link(load)
 
     def _link(self, load: TargetLoad) -> None:
@@ -143,17 +155,18 @@
         if self._loads.get(load.vm.name) is load:
             self._link(load)
 
-    def close(self, vm: str, reason: str) -> None:
-        """Give the target no new work until reopened for the reason."""
+    def close(self, vm: str, reason: ClosedReason) -> None:
+        """Give the target, known yet or not, no new work."""
         load = self._loads.get(vm)
         if load is not None:
             self._unlink(load)
-            load.closed.add(reason)
+        self._closed.setdefault(vm, set()).add(reason)
 
-    def reopen(self, vm: str, reason: str) -> None:
+    def reopen(self, vm: str, reason: ClosedReason) -> None:
         """Drop one reason for which the target was closed."""
         load = self._loads.get(vm)
         if load is not None:
             self._unlink(load)
-            load.closed.discard(reason)
+        self._closed.get(vm, set()).discard(reason)
+        if load is not None:
             self._link(load)
--- a/chestnutstair/tests/requests_support.py
+++ b/chestnutstair/tests/requests_support.py
@@ -1,11 +1,25 @@
 """Helpers for the tests of the request path."""
 
+import contextlib
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
+
+from result import Result
 
 from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.messenger import (
+    Member,
+    Membership,
+    Message,
+    Messenger,
+)
 from chestnutstair.coordination.request import Request
+from chestnutstair.coordination.target import (
+    TargetAnswer,
+    TargetClient,
+    TargetFailure,
+)
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.state.change import TicketChange
 from chestnutstair.state.deadline import Clock, Deadline
@@ -13,7 +27,14 @@
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.tests.support import build_log
 
-__all__ = ["ScriptedTarget", "build_request", "build_runner_log"]
+__all__ = [
+    "FakeTargetClient",
+    "LoneMembership",
+    "RecordingMessenger",
+    "ScriptedTarget",
+    "build_request",
+    "build_runner_log",
+]
 
 
 def build_request(clock: Clock, seconds: float = 10.0, **fields) -> Request:  # type: ignore[no-untyped-def]
@@ -32,7 +53,8 @@
         Vm(f"quotes-{i}", "quotes", names[i % zones], f"rack-{i}", address)
         for i, address in enumerate(addresses)
     )
-    pool = Pool("quotes", PoolKind.RUNNERS, "quotes", 0, **fields)  # type: ignore[arg-type]
+    fields = {"availability_budget": 0, **fields}
+    pool = Pool("quotes", PoolKind.RUNNERS, "quotes", **fields)  # type: ignore[arg-type]
     zone_list = tuple(Zone(name, "region") for name in names)
     ticket = Ticket(1, "tester", zones=zone_list, pools=(pool,), vms=vms)
     log = build_log(MemoryTable(), clock)
@@ -41,6 +63,63 @@
     return log
 
 
+class LoneMembership(Membership):
+    """One live daemon, and as many others as a test names."""
+
+    def __init__(self, zone: str = "zone-0", others: int = 0) -> None:
+        names = [f"entry-{index}" for index in range(others + 1)]
+        self.members = tuple(
+            Member(name, zone, "127.0.0.1:1", "i") for name in names
+        )
+
+    def get_self(self) -> Member:
+        """Return the first member."""
+        return self.members[0]
+
+    def list_live(self) -> tuple[Member, ...]:
+        """Return all members."""
+        return self.members
+
+
+class RecordingMessenger(Messenger):
+    """Keeps what is sent, and hands over what a test receives."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, Message]] = []
+        self._handlers: dict[type, Callable] = {}
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Keep the message."""
+        self.sent.append((peer, message))
+        return True
+
+    def add_handler(self, kind: type, handler: Callable) -> None:
+        """Keep the handler."""
+        self._handlers[kind] = handler
+
+    def receive(self, peer: str, message: Message) -> None:
+        """Call the handler of the message."""
+        self._handlers[type(message)](peer, message)
+
+
+class FakeTargetClient(TargetClient):
+    """Answers by a function of the VM and the request."""
+
+    def __init__(self, answer: Callable) -> None:
+        self.answer = answer
+        self.sent: list[str] = []
+
+    def send(
+        self, vm: Vm, connection_limit: int, request: Request
+    ) -> Result[TargetAnswer, TargetFailure]:
+        """Note the VM and ask the function."""
+        self.sent.append(vm.name)
+        return self.answer(vm, request)
+
+    def retain(self, addresses: Collection[str]) -> None:
+        """Hold no connections."""
+
+
 class ScriptedTarget:
     """A target that runs a script for each connection it accepts."""
 
@@ -71,5 +150,6 @@
 
     def close(self) -> None:
         """Accept no more connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
--- a/chestnutstair/tests/test_callers.py
+++ b/chestnutstair/tests/test_callers.py
@@ -10,6 +10,8 @@
 from chestnutstair.protocol.callers import CallSettings
 from chestnutstair.state.deadline import SystemClock
 from chestnutstair.tests.requests_support import (
+    LoneMembership,
+    RecordingMessenger,
     ScriptedTarget,
     build_runner_log,
 )
@@ -47,7 +49,12 @@
         log = build_runner_log(clock, [self.target.address])
         client = HttpTargetClient(clock, TargetSettings(), self.reaper)
         forwarder = Forwarder(
-            log, client, clock, "zone-0", ForwarderSettings()
+            log,
+            client,
+            clock,
+            LoneMembership(),
+            RecordingMessenger(),
+            ForwarderSettings(),
         )
         settings = CallSettings(body_bytes=1000)
         application = build_callers_application(forwarder, settings, clock)
--- /dev/null
+++ b/chestnutstair/tests/test_leaving.py
@@ -0,0 +1,101 @@
+"""Tests that a leaving target gets no new work from any hint on."""
+
+import unittest
+
+from result import Ok
+
+from chestnutstair.coordination.forwarder import Forwarder, ForwarderSettings
+from chestnutstair.coordination.leaving import LeavingMessage
+from chestnutstair.coordination.platform import ListedVm
+from chestnutstair.coordination.request import Answer, Ran, Request
+from chestnutstair.coordination.target import TargetAnswer
+from chestnutstair.state.change import DrainChange, UndoChange
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.state.fleet import Vm
+from chestnutstair.tests.requests_support import (
+    FakeTargetClient,
+    LoneMembership,
+    RecordingMessenger,
+    build_request,
+    build_runner_log,
+)
+from chestnutstair.tests.support import ManualClock
+
+
+class LeavingTest(unittest.TestCase):
+    """Two targets, of which `quotes-0` is leaving."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        addresses = ["127.0.0.1:1", "127.0.0.1:2"]
+        self.log = build_runner_log(
+            self.clock, addresses, availability_budget=1
+        )
+        self.says_leaving: set[str] = set()
+        self.client = FakeTargetClient(self.answer)
+        self.messenger = RecordingMessenger()
+        self.forwarder = Forwarder(
+            self.log,
+            self.client,
+            self.clock,
+            LoneMembership(others=2),
+            self.messenger,
+            ForwarderSettings(),
+        )
+
+    def answer(self, vm: Vm, request: Request) -> Ok[TargetAnswer]:
+        leaving = vm.name in self.says_leaving
+        return Ok(TargetAnswer(Answer(200), Ran.YES, leaving))
+
+    def list_used(self) -> set[str]:
+        self.client.sent.clear()
+        for _ in range(40):
+            self.forwarder.forward(build_request(self.clock))
+        return set(self.client.sent)
+
+    def list_vm(self, leaving: bool) -> ListedVm:
+        return ListedVm("quotes-0", "zone-0", True, leaving, 1)
+
+    def append(self, change: DrainChange | UndoChange) -> None:
+        self.log.append(change, Deadline.after(self.clock, 5)).unwrap()
+
+    def test_its_own_word_is_heeded_and_passed_on_once(self) -> None:
+        self.says_leaving = {"quotes-0"}
+        self.list_used()
+        self.assertEqual(self.client.sent.count("quotes-0"), 1)
+        message = LeavingMessage("quotes-0", 1)
+        expected = [("entry-1", message), ("entry-2", message)]
+        self.assertEqual(self.messenger.sent, expected)
+
+    def test_a_peers_word_is_heeded(self) -> None:
+        message = LeavingMessage("quotes-0", 1)
+        self.messenger.receive("entry-1", message)
+        self.assertEqual(self.list_used(), {"quotes-1"})
+        self.assertEqual(self.messenger.sent, [])
+
+    def test_the_directory_is_heeded_until_it_says_otherwise(self) -> None:
+        self.forwarder.note_directory([self.list_vm(True)])
+        self.assertEqual(self.list_used(), {"quotes-1"})
+        self.forwarder.note_directory([self.list_vm(False)])
+        self.assertEqual(len(self.list_used()), 2)
+
+    def test_a_lagging_directory_does_not_outweigh_the_target(self) -> None:
+        self.messenger.receive("entry-1", LeavingMessage("quotes-0", 1))
+        self.forwarder.note_directory([self.list_vm(False)])
+        self.assertEqual(self.list_used(), {"quotes-1"})
+        self.clock.now += 60
+        self.forwarder.note_directory([self.list_vm(False)])
+        self.assertEqual(len(self.list_used()), 2)
+
+    def test_an_undone_drain_ends_older_hints(self) -> None:
+        message = LeavingMessage("quotes-0", 1)
+        self.messenger.receive("entry-1", message)
+        self.append(DrainChange("quotes-0", "op", 0.0))
+        self.assertEqual(self.list_used(), {"quotes-1"})
+        self.append(UndoChange("quotes-0", "op"))
+        self.messenger.receive("entry-2", message)  # arrives late
+        self.assertEqual(len(self.list_used()), 2)
+
+    def test_the_change_log_is_heeded(self) -> None:
+        self.append(DrainChange("quotes-0", "op", 0.0))
+        self.assertEqual(self.list_used(), {"quotes-1"})
--- a/chestnutstair/transport/reaper.py
+++ b/chestnutstair/transport/reaper.py
@@ -24,8 +24,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._changed = threading.Condition()
-        self._due: list[tuple[float, int]] = []
-        self._sockets: dict[int, socket.socket] = {}
+        self._due: list[tuple[float, int, socket.socket]] = []
+        self._current: dict[socket.socket, int] = {}
         self._numbers = itertools.count()
         self._stopped = False
         self._thread = threading.Thread(
@@ -33,20 +33,19 @@
         )
         self._thread.start()
 
-    def add(self, sock: socket.socket, deadline: Deadline) -> int:
-        """Shut the socket down at the deadline unless discarded before."""
+    def add(self, sock: socket.socket, deadline: Deadline) -> None:
+        """Shut the socket down at the deadline; replaces an earlier one."""
         with self._changed:
             number = next(self._numbers)
-            self._sockets[number] = sock
-            heapq.heappush(self._due, (deadline.at, number))
+            self._current[sock] = number
+            heapq.heappush(self._due, (deadline.at, number, sock))
             if self._due[0][1] == number:
                 self._changed.notify()
-            return number
 
-    def discard(self, number: int) -> bool:
-        """Forget the socket; tell whether it was still open."""
+    def discard(self, sock: socket.socket) -> None:
+        """Forget the socket."""
         with self._changed:
-            return self._sockets.pop(number, None) is not None
+            self._current.pop(sock, None)
 
     def stop(self) -> None:
         """End the thread; sockets that are still held stay open."""
@@ -69,9 +68,10 @@
     def _shut_due(self) -> None:
         now = self._clock.read_monotonic()
         while self._due and self._due[0][0] <= now:
-            _, number = heapq.heappop(self._due)
-            sock = self._sockets.pop(number, None)
-            if sock is not None:
-                logger.info("shutting down a socket past its deadline")
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
+            _, number, sock = heapq.heappop(self._due)
+            if self._current.get(sock) != number:
+                continue
+            del self._current[sock]
+            logger.info("shutting down a socket past its deadline")
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
--- a/chestnutstair/transport/targets.py
+++ b/chestnutstair/transport/targets.py
@@ -1,10 +1,12 @@
 """Sends requests to targets over HTTP with urllib3."""
 
 import http.client
+import logging
 import socket
 import threading
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 import urllib3
 from result import Err, Ok, Result
@@ -24,12 +26,14 @@
     TargetFailure,
 )
 from chestnutstair.state.codec import STRICT
-from chestnutstair.state.deadline import Clock
+from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.fleet import Vm
 from chestnutstair.transport.reaper import SocketReaper
 
 __all__ = ["HttpTargetClient", "TargetSettings"]
 
+logger = logging.getLogger(__name__)
+
 HOP_HEADERS = frozenset(
     (
         "connection",
@@ -55,31 +59,41 @@
 
 @dataclass(frozen=True)
 class TargetSettings:
-    """Limits of the exchange with one target."""
+    """Limits of the exchange with one target.
+
+    A connection idle for longer than `idle_seconds` is not used again,
+    as the target may be closing it.
+    """
 
     __pydantic_config__ = STRICT
 
     connect_seconds: float = 1.0
+    idle_seconds: float = 5.0
     answer_bytes: int = 16 * 1024 * 1024
 
 
 class _Answer(http.client.HTTPResponse):
     """An answer whose socket is shut down if more than it was sent."""
 
-    def __init__(self, sock: socket.socket, *args, **kwargs) -> None:  # type: ignore[no-untyped-def]
+    def __init__(  # type: ignore[no-untyped-def]
+        self, sock: socket.socket, *args, reaper: SocketReaper, **kwargs
+    ) -> None:
         super().__init__(sock, *args, **kwargs)
         self._reader = self.fp
         self._sock = sock
+        self._reaper = reaper
 
     def _close_conn(self) -> None:
+        self._reaper.discard(self._sock)
         if self._holds_more():
+            logger.info("closing a connection that holds unread bytes")
             self._sock.shutdown(socket.SHUT_RDWR)
         super()._close_conn()  # type: ignore[misc]
 
     def _holds_more(self) -> bool:
         timeout = self._sock.gettimeout()
-        self._sock.setblocking(False)
         try:
+            self._sock.setblocking(False)
             return bool(self._reader.peek(1))
         except OSError:
             return False
@@ -88,9 +102,59 @@
 
 
 class _Connection(HTTPConnection):
-    """A connection that notices more than one answer to a request."""
+    """A connection on which every exchange ends by its deadline.
 
-    response_class = _Answer
+    urllib3 sets `timeout` to the seconds left before each request.
+    """
+
+    def __init__(  # type: ignore[no-untyped-def]
+        self,
+        *args,
+        reaper: SocketReaper,
+        clock: Clock,
+        settings: TargetSettings,
+        **kwargs,
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self.response_class = partial(_Answer, reaper=reaper)  # type: ignore[assignment]
+        self._reaper = reaper
+        self._clock = clock
+        self._settings = settings
+        self._used_at = 0.0
+
+    def connect(self) -> None:
+        """Connect within a timeout of its own."""
+        whole = self.timeout
+        self.timeout = min(whole or 0.0, self._settings.connect_seconds)
+        try:
+            super().connect()
+        finally:
+            self.timeout = whole
+
+    def request(self, *args, **kwargs) -> None:  # type: ignore[no-untyped-def]
+        """Send a request on this connection, or a new one if long idle."""
+        deadline = Deadline.after(self._clock, self.timeout or 0.0)
+        idle = self._clock.read_monotonic() - self._used_at
+        if self.sock is not None and idle > self._settings.idle_seconds:
+            self.close()
+        if self.sock is None:
+            self.connect()
+        self._used_at = deadline.at
+        self.sock.settimeout(deadline.measure_left(self._clock))
+        self._reaper.add(self.sock, deadline)
+        super().request(*args, **kwargs)
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Wait for the head of the answer."""
+        response = super().getresponse()
+        self._used_at = self._clock.read_monotonic()
+        return response
+
+    def close(self) -> None:
+        """Close the connection, whatever it still holds."""
+        if self.sock is not None:
+            self._reaper.discard(self.sock)
+        super().close()
 
 
 class _Pool(urllib3.HTTPConnectionPool):
@@ -145,10 +209,7 @@
                 headers=headers,
                 retries=False,
                 redirect=False,
-                timeout=urllib3.Timeout(
-                    connect=min(left, self._settings.connect_seconds),
-                    read=left,
-                ),
+                timeout=urllib3.Timeout(total=left, connect=left, read=left),
                 pool_timeout=0,
                 preload_content=False,
                 decode_content=False,
@@ -177,7 +238,15 @@
             if found is not None:
                 found[1].close()
             host, _, port = address.rpartition(":")
-            pool = _Pool(host, int(port), maxsize=limit, block=True)
+            pool = _Pool(
+                host,
+                int(port),
+                maxsize=limit,
+                block=True,
+                reaper=self._reaper,
+                clock=self._clock,
+                settings=self._settings,
+            )
             self._pools[address] = (limit, pool)
             return pool
 
@@ -208,6 +277,8 @@
     def _find_problem(
         self, request: Request, response: urllib3.BaseHTTPResponse
     ) -> str:
+        if response.status < 200:
+            return "interim answer"
         echoed = response.headers.get("X-Request-Id", request.id)
         if echoed != request.id:
             return "answer to another request"
