--- a/tools/check.py
+++ b/tools/check.py
@@ -30,10 +30,11 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Note one outcome; a test with a failed part has failed."""
-        bad = event.outcome in ("failed", "error") or (
-            event.outcome == "skipped"
+        bad = event.outcome in ("failed", "error", "skipped") or (
+            event.outcome == "subtest" and event.exc_info is not None
         )
-        (self.failed if bad else self.passed).add(event.test.id())
+        test = getattr(event.test, "test_case", event.test)
+        (self.failed if bad else self.passed).add(test.id())
 
 
 def read_known_red() -> set[str]:
@@ -57,7 +58,7 @@
     plugin = OutcomePlugin()
     nose2.discover(
         exit=False,
-        argv=["nose2", "-s", str(ROOT), "-t", str(ROOT), *selection],
+        argv=["nose2", "--log-capture", "-t", str(ROOT), *selection],
         extraHooks=[("testOutcome", plugin)],
     )
     return plugin
