Name every end of an exchange, and heed every leaving hint

LeavingTracker holds hints from the target, peers and the platform's list, passes first-hand ones on as LeavingMessage, and drops them by the phase revision in the view or by a list that has had time to catch up.

The first form of the dribble test passed without the reaper; it now checks that the target had not yet finished when the client gave up.

--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -37,11 +37,9 @@
     NotSentFailure,
     TargetClient,
 )
-from chestnutstair.state.change import ChangeRecord
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.fleet import Pool
-from chestnutstair.state.view import FleetView
 
 __all__ = ["Forwarder", "ForwarderSettings"]
 
@@ -87,7 +85,6 @@
         self._leaving = LeavingTracker(
             clock, messenger, membership, self._mark_leaving, settings.leaving
         )
-        log.add_listener(self._fold_record)
         messenger.add_handler(LeavingMessage, self._take_message)
 
     def forward(self, request: Request) -> RequestOutcome:
@@ -104,15 +101,11 @@
     def note_directory(self, listed: Sequence[ListedVm]) -> None:
         """Take the platform's list of VMs into account."""
         with self._lock:
-            self._leaving.note_directory(listed, self._log.view.revision)
-
-    def _fold_record(self, record: ChangeRecord, view: FleetView) -> None:
-        with self._lock:
-            self._leaving.note_record(record, view)
+            self._leaving.note_directory(listed, self._log.view)
 
     def _take_message(self, peer: str, message: LeavingMessage) -> None:
         with self._lock:
-            self._leaving.note_message(message)
+            self._leaving.note_message(message, self._log.view)
 
     def _mark_leaving(self, vm: str, leaving: bool) -> None:
         if leaving:
@@ -124,7 +117,7 @@
         if self._stopping:
             return self._refuse(request, StoppingFailure())
         with self._lock:
-            self._router.install_view(self._log.view)
+            self._install_view()
             pool = self._router.find_pool(request.service)
         if pool is None:
             failure = UnknownServiceFailure(request.service)
@@ -138,6 +131,11 @@
                 return outcome
         return self._refuse(request, NoTargetFailure(request.service))
 
+    def _install_view(self) -> None:
+        view = self._log.view
+        if self._router.install_view(view):
+            self._leaving.note_view(view)
+
     def _refuse(
         self, request: Request, failure: NoTargetFailure | StoppingFailure
     ) -> RefusedOutcome:
@@ -147,7 +145,7 @@
 
     def _take(self, pool: Pool) -> TargetLoad | None:
         with self._lock:
-            self._router.install_view(self._log.view)
+            self._install_view()
             zones = self._router.list_zones(pool.name)
             return self._router.take(pool.name, zones)
 
@@ -165,7 +163,9 @@
             case Ok(found):
                 if found.leaving:
                     with self._lock:
-                        self._leaving.note_target(load.vm.name, revision)
+                        self._leaving.note_target(
+                            load.vm.name, revision, self._log.view
+                        )
                 if found.ran is Ran.NO:
                     return None
                 return AnsweredOutcome(request.id, found.answer, found.ran)
--- a/chestnutstair/coordination/leaving.py
+++ b/chestnutstair/coordination/leaving.py
@@ -11,15 +11,9 @@
     Messenger,
 )
 from chestnutstair.coordination.platform import ListedVm
-from chestnutstair.state.change import (
-    ChangeRecord,
-    MoveChange,
-    RecoveryChange,
-    UndoChange,
-)
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
-from chestnutstair.state.view import FleetView
+from chestnutstair.state.view import FleetView, VmPhase
 
 __all__ = ["LeavingMessage", "LeavingSettings", "LeavingTracker"]
 
@@ -60,7 +54,7 @@
     """Which targets are leaving by any hint but the change log itself.
 
     `on_change` is called with a VM and whether it is leaving. A hint
-    holds until a later record shows the VM back in service, or until the
+    holds until a later view shows the VM back in service, or until the
     directory, once it must have caught up, says that the VM stays. Not
     safe for threads: its user holds a lock.
     """
@@ -79,46 +73,44 @@
         self._on_change = on_change
         self._settings = settings
         self._hints: dict[str, _Hint] = {}
-        self._returns: dict[str, int] = {}
 
-    def note_target(self, vm: str, revision: int) -> None:
+    def note_target(self, vm: str, revision: int, view: FleetView) -> None:
         """Note what a target said of itself in answer to a request.
 
         `revision` is that of the view when the request was sent.
         """
-        if self._add(vm, revision, _Source.TARGET):
+        if self._add(vm, revision, _Source.TARGET, view):
             self._announce(vm, revision)
 
-    def note_message(self, message: LeavingMessage) -> None:
+    def note_message(self, message: LeavingMessage, view: FleetView) -> None:
         """Note what another daemon learned."""
-        self._add(message.vm, message.revision, _Source.PEER)
+        self._add(message.vm, message.revision, _Source.PEER, view)
 
     def note_directory(
-        self, listed: Iterable[ListedVm], revision: int
+        self, listed: Iterable[ListedVm], view: FleetView
     ) -> None:
         """Note the platform's list of VMs."""
+        revision = view.revision
         for vm in listed:
-            if vm.leaving:
-                if self._add(vm.name, revision, _Source.DIRECTORY):
-                    self._announce(vm.name, revision)
-            else:
+            if not vm.leaving:
                 self._drop_unless_trusted(vm.name)
-
-    def note_record(self, record: ChangeRecord, view: FleetView) -> None:
-        """Drop the hint of a VM that a record returned to service."""
-        match record.change:
-            case UndoChange(vm=vm) | RecoveryChange(vm=vm) | MoveChange(vm=vm):
-                self._returns[vm] = record.revision
-                hint = self._hints.get(vm)
-                if hint is not None and hint.revision < record.revision:
-                    self._drop(vm)
-
-    def _add(self, vm: str, revision: int, source: _Source) -> bool:
-        if vm in self._hints or revision < self._returns.get(vm, 0):
-            return False
+            elif self._add(vm.name, revision, _Source.DIRECTORY, view):
+                self._announce(vm.name, revision)
+
+    def note_view(self, view: FleetView) -> None:
+        """Drop the hints of VMs that have returned to service since."""
+        for vm, hint in list(self._hints.items()):
+            if vm not in view.statuses or _has_returned(vm, hint, view):
+                self._drop(vm)
+
+    def _add(
+        self, vm: str, revision: int, source: _Source, view: FleetView
+    ) -> bool:
         lag = self._settings.directory_lag_seconds
-        trust_until = Deadline.after(self._clock, lag)
-        self._hints[vm] = _Hint(source, revision, trust_until)
+        hint = _Hint(source, revision, Deadline.after(self._clock, lag))
+        if vm in self._hints or _has_returned(vm, hint, view):
+            return False
+        self._hints[vm] = hint
         logger.info(
             "target is leaving", extra={"vm": vm, "source": source.value}
         )
@@ -143,3 +135,12 @@
         for member in self._membership.list_live():
             if member.name != own:
                 self._messenger.send(member.name, message)
+
+
+def _has_returned(vm: str, hint: _Hint, view: FleetView) -> bool:
+    status = view.statuses.get(vm)
+    return (
+        status is not None
+        and status.phase is VmPhase.SERVING
+        and status.phase_revision > hint.revision
+    )
--- a/chestnutstair/coordination/router.py
+++ b/chestnutstair/coordination/router.py
@@ -80,10 +80,10 @@
         self._zones: dict[str, list[str]] = {}
         self._services: dict[str, Pool] = {}
 
-    def install_view(self, view: FleetView) -> None:
-        """Bring the index up to the view; free if it is the same one."""
+    def install_view(self, view: FleetView) -> bool:
+        """Bring the index up to the view; tell whether it was a new one."""
         if view is self._view:
-            return
+            return False
         self._view = view
         self._services = {
             pool.service: pool
@@ -97,6 +97,7 @@
         self._zones = {}
         for pool_name, zone in sorted(self._buckets):
             self._zones.setdefault(pool_name, []).append(zone)
+        return True
 
     def _update(self, view: FleetView, vm: Vm) -> None:
         status = view.statuses[vm.name]
--- a/chestnutstair/tests/test_leaving.py
+++ b/chestnutstair/tests/test_leaving.py
@@ -9,7 +9,12 @@
 from chestnutstair.coordination.platform import ListedVm
 from chestnutstair.coordination.request import Answer, Ran, Request
 from chestnutstair.coordination.target import TargetAnswer
-from chestnutstair.state.change import DrainChange, UndoChange
+from chestnutstair.state.change import (
+    Change,
+    DrainChange,
+    RecoveryChange,
+    UndoChange,
+)
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.state.fleet import Vm
 from chestnutstair.tests.requests_support import (
@@ -56,7 +61,7 @@
     def list_vm(self, leaving: bool) -> ListedVm:
         return ListedVm("quotes-0", "zone-0", True, leaving, 1)
 
-    def append(self, change: DrainChange | UndoChange) -> None:
+    def append(self, change: Change) -> None:
         self.log.append(change, Deadline.after(self.clock, 5)).unwrap()
 
     def test_its_own_word_is_heeded_and_passed_on_once(self) -> None:
@@ -93,6 +98,9 @@
         self.append(DrainChange("quotes-0", "op", 0.0))
         self.assertEqual(self.list_used(), {"quotes-1"})
         self.append(UndoChange("quotes-0", "op"))
+        self.assertEqual(self.list_used(), {"quotes-1"})
+        self.append(RecoveryChange("quotes-0", "op"))
+        self.assertEqual(len(self.list_used()), 2)
         self.messenger.receive("entry-2", message)  # arrives late
         self.assertEqual(len(self.list_used()), 2)
 
--- a/chestnutstair/tests/test_targets.py
+++ b/chestnutstair/tests/test_targets.py
@@ -95,15 +95,22 @@
                 self.assert_lost(self.send())
 
     def test_dribbled_answer_ends_at_the_deadline(self) -> None:
-        def script(sock: socket.socket) -> None:
-            read_request(sock)
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n")
-            while True:
-                sock.sendall(b"x")
-                time.sleep(0.01)
+        finished: list[bytes] = []
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n"
+        for start in (head + b"X-Slow: ", head + b"\r\n"):
+            with self.subTest(start):
 
-        self.serve(script)
-        self.assert_lost(self.send(0.3))
+                def script(sock: socket.socket, start=start) -> None:  # type: ignore[no-untyped-def]
+                    read_request(sock)
+                    sock.sendall(start)
+                    for _ in range(100):
+                        sock.sendall(b"x")
+                        time.sleep(0.01)
+                    finished.append(start)
+
+                self.serve(script)
+                self.assert_lost(self.send(0.3))
+                self.assertEqual(finished, [])
 
     def test_late_answer_never_reaches_the_next_request(self) -> None:
         def script(sock: socket.socket) -> None:
