Heed leaving hints from the VM list on every daemon

Cause: the forwarder took hints from the list, but nothing read it there. Ruled out: passing the list on from the outage watcher, since only the holder of a pool's duty runs it. Change: a reader on every daemon, and the leaving message among the kinds that peers exchange. Conclusion: wired.

--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.directory import DirectoryReader
 from chestnutstair.coordination.drain_conductor import DrainConductor
 from chestnutstair.coordination.drain_conductor import (
     build_duty_name as build_maintenance_name,
@@ -13,6 +14,7 @@
 from chestnutstair.coordination.duties import LeasedDuties
 from chestnutstair.coordination.forwarder import Forwarder
 from chestnutstair.coordination.gossip import FactsMessage, HeartbeatMessage
+from chestnutstair.coordination.leaving import LeavingMessage
 from chestnutstair.coordination.loop import Loop
 from chestnutstair.coordination.membership import MemberList
 from chestnutstair.coordination.messenger import Member
@@ -61,6 +63,7 @@
 MESSAGE_KINDS = (
     FactsMessage,
     HeartbeatMessage,
+    LeavingMessage,
     PullMessage,
     RecordsMessage,
     ViewMessage,
@@ -138,7 +141,8 @@
             self._log,
             HttpTargetClient(clock, settings.targets, SocketReaper(clock)),
             clock,
-            settings.zone,
+            self._members,
+            self._network,
             settings.forwarding,
         )
 
@@ -179,7 +183,13 @@
             self._clock,
             settings.placement,
         )
+        reader = DirectoryReader(
+            self._directory, self._forwarder.note_directory
+        )
         self._loops = (
+            self._build_loop(
+                "directory", reader.run_once, loops.directory_seconds
+            ),
             self._build_loop("drains", drains.run_once, loops.drain_seconds),
             self._build_loop(
                 "outages", outages.run_once, loops.outage_seconds
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -59,6 +59,7 @@
 
     __pydantic_config__ = STRICT
 
+    directory_seconds: float = 1.0
     drain_seconds: float = 1.0
     outage_seconds: float = 1.0
     placement_seconds: float = 0.5
