Answer an unknown fault switch with 400

Cause: POST /faults with a misspelt name ended in an unexpected error with status 500, and two stand-ins held the same lines for it.

Change: FaultSwitches decodes the request itself and lists the mistakes; a test that names an unknown switch expects 400.

--- a/chestnutstair/standins/fault.py
+++ b/chestnutstair/standins/fault.py
@@ -8,13 +8,22 @@
 from http import HTTPStatus
 from typing import Any
 
+from result import Err, Ok, Result
+
 from chestnutstair.protocol.platform import PARTY_HEADER, ZONE_HEADER
 from chestnutstair.standins.webserver import (
     Answer,
     Request,
+    answer_json,
     break_connection,
 )
-from chestnutstair.state.codec import STRICT, decode_value, encode_value
+from chestnutstair.state.codec import (
+    STRICT,
+    DecodeFailure,
+    decode_json,
+    decode_value,
+    encode_value,
+)
 
 __all__ = ["FaultSwitches", "Faults", "OutageKind"]
 
@@ -63,13 +72,26 @@
         """The faults in force."""
         return self._faults
 
-    def change(self, values: dict[str, Any]) -> Faults:
+    def change(self, values: dict[str, Any]) -> Result[Faults, DecodeFailure]:
         """Replace the named faults and keep the others."""
         with self._lock:
             merged = {**encode_value(self._faults), **values}
-            self._faults = decode_value(Faults, merged).unwrap()
-            logger.info("faults changed", extra={"faults": values})
-            return self._faults
+            changed = decode_value(Faults, merged)
+            self._faults = changed.unwrap_or(self._faults)
+        logger.info("Faults changed", extra={"faults": values})
+        return changed
+
+    def answer_change(self, request: Request) -> Answer:
+        """Change the faults that the body of a request names."""
+        changed = decode_json(dict[str, Any], request.body).and_then(
+            self.change
+        )
+        match changed:
+            case Ok(faults):
+                return answer_json(faults)
+            case Err(failure):
+                return answer_json(failure, HTTPStatus.BAD_REQUEST)
+        raise AssertionError(changed)
 
     def take(self, name: str) -> bool:
         """Use up one of the named count; tell whether one was left."""
--- a/chestnutstair/standins/platform.py
+++ b/chestnutstair/standins/platform.py
@@ -1,6 +1,5 @@
 """The platform over HTTP: table, object store, VMs and workers."""
 
-import json
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -123,8 +122,7 @@
             case ("GET", ("execution-log",)):
                 return answer_json(self.workers.list_runs())
             case ("POST", ("faults",)):
-                values = json.loads(request.body or b"{}")
-                return answer_json(self.switches.change(values))
+                return self.switches.answer_change(request)
         return _refuse(HTTPStatus.NOT_FOUND, "no such path")
 
     def _answer_table(self, action: str, request: Request) -> Answer:
--- a/chestnutstair/standins/target.py
+++ b/chestnutstair/standins/target.py
@@ -134,8 +134,7 @@
             case ("GET", ("execution-log",)):
                 return answer_json(self.get_log())
             case ("POST", ("faults",)):
-                values = json.loads(request.body or b"{}")
-                return answer_json(self._switches.change(values))
+                return self._switches.answer_change(request)
             case ("POST", ("drain",)):
                 return self._set_leaving(True)
             case ("POST", ("undrain",)):
--- a/chestnutstair/tests/test_platform.py
+++ b/chestnutstair/tests/test_platform.py
@@ -53,7 +53,7 @@
         return Deadline.after(CLOCK, seconds)
 
     def change_faults(self, **faults: Any) -> None:
-        self.platform.switches.change(faults)
+        self.platform.switches.change(faults).unwrap()
 
 
 class HttpTableTest(PlatformTest):
--- a/chestnutstair/tests/test_standins.py
+++ b/chestnutstair/tests/test_standins.py
@@ -79,7 +79,7 @@
         self.assertIs(self.find("boxes-0").phase, TaskPhase.RUNNING)
 
     def test_a_broken_worker_fails_everything(self) -> None:
-        self.switches.change({"failing_workers": ["boxes-0"]})
+        self.switches.change({"failing_workers": ["boxes-0"]}).unwrap()
         self.start("boxes-0", 1, run_seconds=6).unwrap()
         self.assertIs(self.find("boxes-0").phase, TaskPhase.FAILED)
 
@@ -193,6 +193,7 @@
             self.control("faults", **{fault: 1})
             with self.assertRaises(urllib3.exceptions.HTTPError):
                 self.ask(X_Answer_Bytes="1000")
+        self.assertEqual(self.control("faults", no_such=1).status, 400)
         self.control("faults", crossed_answers=1)
         self.assertNotEqual(self.ask(X_Nonce="n").json()["nonce"], "n")
         self.assertEqual(len(self.target.get_log().runs), 3)
