--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -1,6 +1,7 @@
 """Daemons, targets and a platform as processes on loopback."""
 
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -96,6 +97,7 @@
             [sys.executable, "-m", module, *arguments],
             stdout=subprocess.PIPE,
             stderr=log,
+            env={**os.environ, "PYTHONFAULTHANDLER": "1"},
         )
 
     def _path(self, name: str) -> Path:
@@ -110,26 +112,30 @@
         path.write_text(json.dumps(value))
         return str(path)
 
-    def _spawn_standin(self, name: str, module: str, settings: Any) -> str:
+    def _spawn_standin(
+        self, name: str, module: str, settings: Any
+    ) -> dict[str, str]:
         path = self._write(name, settings)
         self._spawn(name, module, "--settings", path)
         output = self._processes[name].stdout
         assert output is not None
-        return str(json.loads(output.readline())["address"])
+        return dict(json.loads(output.readline()))
 
     def start_platform(self, settings: Mapping[str, Any]) -> None:
         """Start the platform with the settings of its stand-in."""
         module = "chestnutstair.standins.platformd"
-        self.platform = self._spawn_standin("platform", module, settings)
+        addresses = self._spawn_standin("platform", module, settings)
+        self.platform = addresses["address"]
 
     def start_target(self, settings: TargetSettings, zone: str) -> str:
         """Start a target, register it, and return its address."""
         module = "chestnutstair.standins.targetd"
         name = settings.name
-        address = self._spawn_standin(name, module, encode_value(settings))
-        self.targets[name] = address
-        self.register_vm(name, zone, address)
-        return address
+        addresses = self._spawn_standin(name, module, encode_value(settings))
+        self.targets[name] = addresses["address"]
+        # Calls of the platform must not take connections from callers.
+        self.register_vm(name, zone, addresses["control_address"])
+        return addresses["address"]
 
     def register_vm(self, name: str, zone: str, address: str = "") -> None:
         """Tell the platform of a VM; a worker has no address."""
@@ -179,7 +185,13 @@
         """End one process and return its exit status."""
         process = self._processes.pop(name)
         process.send_signal(number)
-        return process.wait(WAIT_SECONDS)
+        try:
+            return process.wait(WAIT_SECONDS)
+        except subprocess.TimeoutExpired as error:
+            # Python's fault handler then logs where each thread stands.
+            process.send_signal(signal.SIGABRT)
+            process.wait(WAIT_SECONDS)
+            raise TimeoutError(self.read_log(name)) from error
 
     def stop(self) -> None:
         """End every process."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -10,7 +11,7 @@
 
 from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
 from chestnutstair.standins.target import TargetSettings
-from chestnutstair.state.codec import encode_value
+from chestnutstair.state.codec import encode_json
 from chestnutstair.state.fleet import Job, Pool, PoolKind, Team, Vm, Zone
 from chestnutstair.state.resource import Resources
 from chestnutstair.state.ticket import Ticket
@@ -134,23 +135,34 @@
         cluster.wait_ready(name)
 
 
-def _file(cluster: LocalCluster, daemon: str, ticket: Ticket) -> None:
-    began = time.monotonic()
-    status, answer = cluster.call_admin(
-        daemon, "POST", "/tickets", encode_value(ticket)
+def _run_client(
+    cluster: LocalCluster, daemon: str, *arguments: str, text: str = ""
+) -> str:
+    address = cluster.daemons[daemon].admin
+    command = ["-m", "chestnutstair.cli", "--address", address, *arguments]
+    done = subprocess.run(
+        [sys.executable, *command],
+        input=text,
+        capture_output=True,
+        text=True,
+        check=False,
     )
-    if status != 201:
-        sys.exit(f"ticket {ticket.number} refused: {json.dumps(answer)}")
+    if done.returncode:
+        sys.exit(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
+    return done.stdout
 
-    def read_report() -> dict[str, Any] | None:
-        path = f"/tickets/{ticket.number}"
-        report = cluster.call_admin(daemon, "GET", path)[1]
-        return report if report["in_force"] else None
 
-    report = wait_until("ticket in force", read_report)
-    took = time.monotonic() - began
-    names = ", ".join(report["confirmed"])
-    _say(f"ticket {ticket.number} in force on {names} after {took:.2f} s")
+def _file(cluster: LocalCluster, daemon: str, ticket: Ticket) -> None:
+    number = str(ticket.number)
+    began = time.monotonic()
+    _run_client(
+        cluster, daemon, "ticket", "file", text=encode_json(ticket).decode()
+    )
+    _run_client(cluster, daemon, "ticket", "wait", number)
+    _say(
+        f"ticket {number} filed and in force {time.monotonic() - began:.2f} s"
+    )
+    print(_run_client(cluster, daemon, "ticket", "show", number))
 
 
 def _watch_drain(cluster: LocalCluster) -> None:
@@ -168,6 +180,7 @@
 
     vm = wait_until("a drain", find_drain)["vm"]
     _say(f"{vm} is drained for its cleaning")
+    print(_run_client(cluster, "entry-0", "pool", "list"))
     wait_until("its recovery", lambda: find_cleaned(vm))
     _say(f"{vm} was rebooted, proved healthy and serves again")
 
