Resume, fence and end operations past every fault

Cause: a drain was only tested where nothing died, raced or lied.

Found by the new tests, and mended: a VM that booted by itself in the middle of a drain had forgotten that it was leaving, and a request was cut; the list must now show it leaving before it reboots. A VM that booted by itself while its reboot command was on its way would have been booted again; its operation is ended first. A VM that was down with a cut-off operation is told that it stays before it serves; a refusal there says that the operation had ended. The wait for confirmations is 30 s, as the membership's lease grows with the fleet.

--- a/chestnutstair/coordination/drain.py
+++ b/chestnutstair/coordination/drain.py
@@ -1,18 +1,20 @@
 """Carries a planned drain of one VM on, one step at a time."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from result import Err, Ok, Result
 
-from chestnutstair.coordination.changelog import (
-    AppendFailure,
-    ChangeLog,
-    RaceFailure,
-)
+from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.duty import Duty
 from chestnutstair.coordination.messenger import Membership
+from chestnutstair.coordination.operation import (
+    append_change,
+    end_operation,
+    is_listed_healthy,
+    is_listed_leaving,
+)
 from chestnutstair.coordination.platform import (
     ListedVm,
     PlatformFailure,
@@ -20,7 +22,6 @@
 )
 from chestnutstair.state.change import (
     Change,
-    ChangeRecord,
     MoveChange,
     OutageChange,
     ProofChange,
@@ -33,14 +34,10 @@
 from chestnutstair.state.failure import describe_failure
 from chestnutstair.state.view import VmPhase, VmStatus
 
-__all__ = ["DrainSettings", "DrainStepper", "Listing", "append_change"]
+__all__ = ["DrainSettings", "DrainStepper"]
 
 logger = logging.getLogger(__name__)
 
-APPEND_ATTEMPTS = 5
-
-Listing = Mapping[str, ListedVm]
-
 
 @dataclass(frozen=True)
 class DrainSettings:
@@ -51,50 +48,21 @@
     `skew_seconds` is how far the daemons' wall clocks may be apart; no
     stored deadline is acted on before it has passed by that much. A VM
     whose drain took too long is left alone for `retry_seconds`.
-    `idle_checks` and `healthy_checks` are consecutive observations, one
-    in each round.
+    `healthy_checks` are consecutive observations, one in each round.
     """
 
     __pydantic_config__ = STRICT
 
-    confirm_seconds: float = 15.0
+    confirm_seconds: float = 30.0
     drain_seconds: float = 900.0
     reboot_seconds: float = 600.0
     proof_seconds: float = 120.0
     retry_seconds: float = 1800.0
     skew_seconds: float = 2.0
     call_seconds: float = 2.0
-    idle_checks: int = 2
     healthy_checks: int = 3
 
 
-def append_change(
-    log: ChangeLog, change: Change, duty: Duty, deadline: Deadline
-) -> Result[ChangeRecord, AppendFailure]:
-    """Commit the change while the duty is held, past lost races.
-
-    A repeated attempt is safe, for the log judges the change anew against
-    the view that won.
-    """
-    fence = [duty.build_condition()]
-    outcome = log.append(change, deadline, conditions=fence)
-    for _ in range(APPEND_ATTEMPTS - 1):
-        match outcome:
-            case Err(RaceFailure()):
-                outcome = log.append(change, deadline, conditions=fence)
-            case _:
-                break
-    match outcome:
-        case Err(failure):
-            logger.info(
-                "change not committed: %s",
-                describe_failure(failure),
-                extra={"vm": getattr(change, "vm", "")},
-            )
-            log.refresh(deadline)
-    return outcome
-
-
 @dataclass
 class _Progress:
     """What this daemon has seen and done in one phase of one VM."""
@@ -190,17 +158,6 @@
         ]
         return not behind or self._has_passed(status.confirm_deadline)
 
-    def tell_stay(
-        self, vm: str, status: VmStatus, deadline: Deadline
-    ) -> Result[None, PlatformFailure]:
-        """Tell the VM that its drain is over, fencing what came before."""
-        return self._control.cancel_drain(
-            vm,
-            status.operation,
-            status.phase_revision,
-            self._limit(deadline),
-        )
-
     def _has_passed(self, wall_deadline: float) -> bool:
         now = self._clock.read_wall()
         return now > wall_deadline + self._settings.skew_seconds
@@ -220,21 +177,21 @@
         """Send the phase's command until the platform has taken it once."""
         if step.progress.told:
             return True
-        match command(
+        outcome = command(
             step.vm,
             step.status.operation,
             step.status.phase_revision,
             self._limit(step.deadline),
-        ):
+        )
+        match outcome:
             case Err(failure):
                 logger.warning(
                     "command not taken: %s",
                     describe_failure(failure),
                     extra={"vm": step.vm},
                 )
-                return False
-        step.progress.told = True
-        return True
+        step.progress.told = outcome.is_ok()
+        return step.progress.told
 
     def _append(self, step: _Step, change: Change) -> None:
         append_change(self._log, change, step.duty, step.deadline)
@@ -246,20 +203,28 @@
         told = self._tell(step, self._control.announce_drain)
         if told and self._is_idle(step):
             self._leave(step)
-        elif not status.destination and self._has_passed(status.step_deadline):
+        elif self._is_stalled(step):
             self._retry_deadlines[step.vm] = Deadline.after(
                 self._clock, self._settings.retry_seconds
             )
             self.undo(step.vm, status.operation, step.duty, step.deadline)
 
     def _is_idle(self, step: _Step) -> bool:
+        """Tell whether the VM refuses new work and has none left.
+
+        A VM that booted by itself has lost what it was told; the list
+        shows that.
+        """
+        if not is_listed_leaving(step.listed):
+            return False
         limit = self._limit(step.deadline)
-        match self._control.count_running(step.vm, limit):
-            case Ok(0):
-                step.progress.checks += 1
-            case _:
-                step.progress.checks = 0
-        return step.progress.checks >= self._settings.idle_checks
+        return self._control.count_running(step.vm, limit) == Ok(0)
+
+    def _is_stalled(self, step: _Step) -> bool:
+        """Tell whether the drain has failed; a move waits for work."""
+        moving = bool(step.status.destination)
+        working = moving and is_listed_leaving(step.listed)
+        return not working and self._has_passed(step.status.step_deadline)
 
     def _leave(self, step: _Step) -> None:
         status = step.status
@@ -275,13 +240,19 @@
 
     def _reboot(self, step: _Step) -> None:
         status = step.status
-        told = self._tell(step, self._control.reboot)
         back = (
             step.listed is not None
             and step.listed.live
             and step.listed.boot > status.boot
         )
-        if told and back:
+        if back:
+            # It may have booted by itself: then it must not boot again.
+            limit = self._limit(step.deadline)
+            ended = end_operation(self._control, step.vm, status, limit)
+        else:
+            self._tell(step, self._control.reboot)
+            ended = False
+        if ended:
             deadline = self._find_wall_deadline(self._settings.proof_seconds)
             self._append(
                 step, ProofChange(step.vm, status.operation, deadline)
@@ -292,7 +263,7 @@
     def _prove(self, step: _Step) -> None:
         limit = self._limit(step.deadline)
         answers = self._control.count_running(step.vm, limit).is_ok()
-        if answers and _is_listed_healthy(step.listed):
+        if answers and is_listed_healthy(step.listed):
             step.progress.checks += 1
         else:
             step.progress.checks = 0
@@ -307,10 +278,6 @@
     def _bring_back(self, step: _Step) -> None:
         if not self._tell(step, self._control.cancel_drain):
             return
-        if _is_listed_healthy(step.listed):
+        if is_listed_healthy(step.listed):
             recovery = RecoveryChange(step.vm, step.status.operation)
             self._append(step, recovery)
-
-
-def _is_listed_healthy(listed: ListedVm | None) -> bool:
-    return listed is not None and listed.live and not listed.leaving
--- a/chestnutstair/coordination/drain_conductor.py
+++ b/chestnutstair/coordination/drain_conductor.py
@@ -8,12 +8,7 @@
 from result import Err, Ok
 
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.drain import (
-    DrainSettings,
-    DrainStepper,
-    Listing,
-    append_change,
-)
+from chestnutstair.coordination.drain import DrainSettings, DrainStepper
 from chestnutstair.coordination.duty import Duty, DutyHolder
 from chestnutstair.coordination.maintenance import (
     LoadForecast,
@@ -23,6 +18,7 @@
 )
 from chestnutstair.coordination.messenger import Membership
 from chestnutstair.coordination.occupancy import PoolState, group_pools
+from chestnutstair.coordination.operation import Listing, append_change
 from chestnutstair.coordination.platform import VmControl, VmDirectory
 from chestnutstair.state.change import DrainChange
 from chestnutstair.state.deadline import Clock, Deadline
--- a/chestnutstair/coordination/outage.py
+++ b/chestnutstair/coordination/outage.py
@@ -6,9 +6,13 @@
 from result import Err, Ok
 
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.drain import Listing, append_change
 from chestnutstair.coordination.drain_conductor import build_duty_name
 from chestnutstair.coordination.duty import Duty, DutyHolder
+from chestnutstair.coordination.operation import (
+    Listing,
+    append_change,
+    end_operation,
+)
 from chestnutstair.coordination.platform import VmControl, VmDirectory
 from chestnutstair.state.change import OutageChange, RecoveryChange
 from chestnutstair.state.codec import STRICT
@@ -133,26 +137,12 @@
         duty: Duty,
         deadline: Deadline,
     ) -> None:
-        """Record the recovery, once no cut-off operation can go on.
-
-        A command of an operation that the outage cut off may still be on
-        its way; the platform refuses it after the newer token here.
-        """
-        if status.operation:
-            own = Deadline.after(self._clock, self._settings.call_seconds)
-            match self._control.cancel_drain(
-                name,
-                status.operation,
-                status.phase_revision,
-                min(own, deadline),
-            ):
-                case Err(failure):
-                    logger.warning(
-                        "drain not cancelled: %s",
-                        describe_failure(failure),
-                        extra={"vm": name},
-                    )
-                    return
+        """Record the recovery, once no cut-off operation can go on."""
+        limit = Deadline.after(self._clock, self._settings.call_seconds)
+        if status.operation and not end_operation(
+            self._control, name, status, min(limit, deadline)
+        ):
+            return
         if listing[name].leaving:
             return
         change = RecoveryChange(name, status.operation)
--- a/chestnutstair/tests/test_drain.py
+++ b/chestnutstair/tests/test_drain.py
@@ -1,108 +1,213 @@
-"""Tests of planned drains through all their steps."""
+"""Tests of planned drains and of outages through all their steps."""
 
+import logging
 import unittest
 from dataclasses import replace
+from functools import partial
 
-from chestnutstair.state.change import PauseChange, TicketChange
+from chestnutstair.coordination.operation import append_change
+from chestnutstair.coordination.platform import ConflictFailure
+from chestnutstair.state.change import (
+    OutageChange,
+    PauseChange,
+    RecoveryChange,
+    TicketChange,
+    UndoChange,
+)
+from chestnutstair.state.fold import PhaseFailure, apply_change
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import FleetView, VmPhase
-from chestnutstair.tests.maintenance_support import Fleet, check_history
-from chestnutstair.tests.support import build_ticket
+from chestnutstair.tests.maintenance_support import (
+    START_SECONDS,
+    Fleet,
+    check_history,
+    find_phase,
+)
+from chestnutstair.tests.support import FixedDutyHolder, build_ticket
 
 DAY_SECONDS = 86_400.0
+VM = "quotes-0"
 
 
-def find_phase(view: FleetView, phase: VmPhase) -> list[str]:
-    """Return the VMs in the phase."""
-    return [
-        name for name, item in view.statuses.items() if item.phase is phase
-    ]
+class FleetTest(unittest.TestCase):
+    """The base of tests on a fleet with one VM that is due for cleaning."""
 
+    def setUp(self) -> None:
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.ticket = build_ticket(runners=4, workers=4, zones=2)
+        self.fleet = Fleet(self.ticket)
+        self.vms = self.fleet.vms
 
-class ConductorTest(unittest.TestCase):
-    """Drains keep the budget, cut nothing and survive lost answers."""
+    def move_to(self, pool: str, number: int) -> None:
+        vm = replace(self.ticket.vms[0], pool=pool)
+        self.fleet.append(TicketChange(Ticket(number, "tester", vms=(vm,))))
 
-    def setUp(self) -> None:
-        self.fleet = Fleet(build_ticket(runners=4, workers=0, zones=2))
-        self.fleet.clock.sleep(1.5 * DAY_SECONDS)
+    def tick(self, count: int) -> None:
+        for _ in range(count):
+            self.fleet.tick()
 
-    def run_to(self, phase: VmPhase) -> str:
-        self.fleet.tick_until(lambda view: bool(find_phase(view, phase)))
-        return find_phase(self.fleet.log.view, phase)[0]
+    def run_to(self, *phases: VmPhase, limit: int = 300) -> None:
+        def is_in(view: FleetView, phase: VmPhase) -> bool:
+            return view.statuses[VM].phase is phase
+
+        for phase in phases:
+            self.fleet.tick_until(partial(is_in, phase=phase), limit)
+
+    def start_drain(self) -> None:
+        self.fleet.clock.sleep(1.3 * DAY_SECONDS)
+        self.run_to(VmPhase.DRAINING)
+
+    def finish(self) -> None:
+        self.run_to(VmPhase.SERVING)
+        self.kinds = check_history(self.fleet)
+        self.assertEqual(self.vms.cut, [])
+        self.assertFalse(self.vms.is_leaving(VM))
 
-    def finish(self, vm: str) -> None:
-        self.fleet.tick_until(
-            lambda view: view.statuses[vm].phase is VmPhase.SERVING
-        )
-        check_history(self.fleet)
-        self.assertEqual(self.fleet.vms.cut, [])
 
-    def test_cleans_a_vm(self) -> None:
-        vm = self.run_to(VmPhase.DRAINING)
-        self.finish(vm)
-        status = self.fleet.log.view.statuses[vm]
-        self.assertGreater(status.cleaned_at, 1.5 * DAY_SECONDS)
-        self.assertEqual(list(self.fleet.vms.reboots.values()), [1])
+class DrainTest(FleetTest):
+    """Drains keep the budget, cut nothing and survive lost answers."""
+
+    def test_cleans_a_vm_when_it_is_due(self) -> None:
+        self.tick(10)
+        self.assertEqual(find_phase(self.fleet.log.view, VmPhase.DRAINING), [])
+        self.start_drain()
+        started_at = self.fleet.clock.now
+        self.finish()
+        status = self.fleet.log.view.statuses[VM]
+        self.assertGreater(status.cleaned_at, started_at)
+        self.assertIn(VM, {vm for vm, _ in self.vms.reboots})
 
     def test_waits_for_running_requests(self) -> None:
-        self.fleet.vms.set_running("quotes-0", 1)
-        vm = self.run_to(VmPhase.DRAINING)
-        self.assertEqual(vm, "quotes-0")
-        for _ in range(30):
-            self.fleet.tick()
-        self.assertEqual(
-            self.fleet.log.view.statuses[vm].phase, VmPhase.DRAINING
-        )
-        self.fleet.vms.set_running(vm, 0)
-        self.finish(vm)
+        self.vms.start_request(VM)
+        self.start_drain()
+        self.tick(30)
+        self.vms.end_requests(VM, 1)
+        self.finish()
 
     def test_undoes_a_drain_that_takes_too_long(self) -> None:
-        self.fleet.vms.set_running("quotes-0", 1)
-        vm = self.run_to(VmPhase.DRAINING)
-        self.fleet.tick_until(
-            lambda view: view.statuses[vm].phase is VmPhase.RETURNING, 1000
-        )
-        self.finish(vm)
-        self.assertFalse(self.fleet.vms.is_leaving(vm))
-        self.assertEqual(sum(self.fleet.vms.reboots.values()), 0)
+        self.vms.start_request(VM)
+        self.start_drain()
+        self.run_to(VmPhase.RETURNING, limit=1000)
+        self.finish()
+        self.tick(20)
+        phase = self.fleet.log.view.statuses[VM].phase
+        self.assertIs(phase, VmPhase.SERVING)
 
     def test_waits_for_confirmation_a_bounded_time(self) -> None:
-        self.fleet.stuck["entry-9"] = 1
-        vm = self.run_to(VmPhase.DRAINING)
-        for _ in range(10):
-            self.fleet.tick()
-        self.assertFalse(self.fleet.vms.is_leaving(vm))
-        self.finish(vm)
+        self.fleet.stuck.append(1)
+        self.start_drain()
+        self.tick(25)
+        self.assertFalse(self.vms.is_leaving(VM))
+        self.assertEqual(self.vms.reboots.total(), 0)
+        self.finish()
+
+    def test_believes_no_stale_list(self) -> None:
+        self.vms.lag = 10.0
+        self.start_drain()
+        self.run_to(VmPhase.REBOOTING)
+        self.finish()
+        self.assertEqual(self.kinds["outage"], 0)
+        self.vms.start_request("quotes-1")
+        self.fleet.clock.sleep(1.3 * DAY_SECONDS)
+        self.tick(60)
+        self.fleet.append(PauseChange(True))
+        self.tick(60)
+        kinds = check_history(self.fleet)
+        self.assertEqual((kinds["outage"], kinds["undo"]), (0, 1))
+
+    def test_does_not_reboot_what_booted_by_itself(self) -> None:
+        self.start_drain()
+        self.tick(2)
+        self.vms.commands_down = True
+        self.run_to(VmPhase.REBOOTING)
+        for live in (False, True):
+            self.vms.set_live([VM], live)
+            self.tick(10)
+        phase = self.fleet.log.view.statuses[VM].phase
+        self.assertIs(phase, VmPhase.REBOOTING)
+        self.vms.commands_down = False
+        self.finish()
+        operations = [op for vm, op in self.vms.reboots if vm == VM]
+        self.assertEqual(operations, [])
 
     def test_reboots_once_though_answers_are_lost(self) -> None:
-        vm = self.run_to(VmPhase.DRAINING)
-        self.fleet.vms.lose_answers = 3
-        self.finish(vm)
-        self.assertEqual(list(self.fleet.vms.reboots.values()), [1])
+        self.start_drain()
+        self.vms.lose_answers = 8
+        self.finish()
+        self.assertEqual(set(self.vms.reboots.values()), {1})
+
+    def test_gives_up_a_vm_that_does_not_come_back(self) -> None:
+        self.vms.reboot_seconds = 1000.0
+        self.start_drain()
+        self.run_to(VmPhase.REBOOTING, VmPhase.DOWN, limit=700)
+        self.vms.set_live([VM], True)
+        self.finish()
+
+    def test_gives_up_a_vm_that_does_not_prove_healthy(self) -> None:
+        self.start_drain()
+        self.run_to(VmPhase.PROVING)
+        self.tick(1)
+        self.vms.withdrawn = {VM}
+        self.run_to(VmPhase.DOWN)
+        self.vms.withdrawn = set()
+        self.finish()
+        status = self.fleet.log.view.statuses[VM]
+        self.assertEqual(status.cleaned_at, START_SECONDS)
 
     def test_moves_a_vm_to_the_declared_pool(self) -> None:
-        ticket = build_ticket(runners=4, workers=4, zones=2)
-        moved = replace(ticket.vms[0], pool="boxes")
-        fleet = self.fleet = Fleet(ticket)
-        change = TicketChange(Ticket(2, "tester", vms=(moved,)))
-        fleet.log.append(change, fleet.deadline).unwrap()
-        self.assertEqual(self.run_to(VmPhase.ARRIVING), "quotes-0")
-        self.finish("quotes-0")
-        self.assertEqual(fleet.log.view.statuses["quotes-0"].pool, "boxes")
-        self.assertFalse(fleet.vms.is_leaving("quotes-0"))
+        self.move_to("boxes", 2)
+        self.run_to(VmPhase.DRAINING, VmPhase.ARRIVING)
+        self.finish()
+        self.assertEqual(self.fleet.log.view.statuses[VM].pool, "boxes")
+
+    def test_undoes_a_move_that_is_called_off(self) -> None:
+        self.vms.start_request(VM)
+        self.move_to("boxes", 2)
+        self.run_to(VmPhase.DRAINING)
+        self.tick(1000)
+        self.assertEqual(check_history(self.fleet)["undo"], 0)
+        self.move_to("quotes", 3)
+        self.finish()
 
     def test_undoes_drains_while_paused(self) -> None:
-        vm = self.run_to(VmPhase.DRAINING)
-        self.fleet.log.append(PauseChange(True), self.fleet.deadline).unwrap()
-        self.finish(vm)
-        for _ in range(20):
-            self.fleet.tick()
-        self.assertEqual(find_phase(self.fleet.log.view, VmPhase.DRAINING), [])
-        self.fleet.log.append(PauseChange(False), self.fleet.deadline).unwrap()
-        self.finish(self.run_to(VmPhase.DRAINING))
+        self.start_drain()
+        self.fleet.append(PauseChange(True))
+        self.finish()
+        self.tick(20)
+        self.assertEqual(
+            check_history(self.fleet)["drain"], self.kinds["drain"]
+        )
+        self.fleet.append(PauseChange(False))
+        self.run_to(VmPhase.DRAINING)
+        self.finish()
+
+    def test_a_lost_duty_fences_the_log(self) -> None:
+        holder = FixedDutyHolder(self.fleet.table, self.fleet.clock)
+        duty = holder.find_duty("maintenance/quotes")
+        assert duty is not None
+        self.fleet.take_over("quotes")
+        failure = append_change(
+            self.fleet.log, PauseChange(True), duty, self.fleet.deadline
+        ).unwrap_err()
+        self.assertIsInstance(failure, ConflictFailure)
+
+    def test_another_operation_is_refused(self) -> None:
+        self.start_drain()
+        view = self.fleet.log.view
+        undo = UndoChange(VM, view.statuses[VM].operation)
+        returning = apply_change(view, undo).unwrap()
+        down = apply_change(view, OutageChange(VM)).unwrap()
+        for failed in (
+            apply_change(view, UndoChange(VM, "other")),
+            apply_change(returning, undo),
+            apply_change(returning, RecoveryChange(VM, "other")),
+            apply_change(down, OutageChange(VM)),
+        ):
+            self.assertIsInstance(failed.unwrap_err(), PhaseFailure)
 
 
-class OutageTest(unittest.TestCase):
+class OutageTest(FleetTest):
     """Failures take the budget from planned drains, and give it back."""
 
     def test_undoes_drains_when_a_rack_fails(self) -> None:
@@ -112,7 +217,7 @@
         draining = find_phase(fleet.log.view, VmPhase.DRAINING)
         self.assertEqual(draining, ["quotes-0", "quotes-1", "quotes-2"])
         for vm in draining:
-            fleet.vms.set_running(vm, 1)
+            fleet.vms.start_request(vm)
         rack = [f"quotes-{index}" for index in range(4, 8)]
         fleet.vms.set_live(rack, False)
         fleet.tick_until(
@@ -129,6 +234,36 @@
         check_history(fleet)
         self.assertEqual(fleet.vms.cut, [])
 
+    def test_overlooks_what_does_not_last(self) -> None:
+        self.vms.hidden = {VM}
+        self.tick(4)
+        self.vms.hidden = set()
+        self.tick(10)
+        self.assertEqual(check_history(self.fleet)["outage"], 0)
+
+    def test_counts_a_withdrawn_vm_as_down(self) -> None:
+        self.vms.withdrawn = {VM}
+        self.run_to(VmPhase.DOWN)
+        self.vms.withdrawn = set()
+        self.tick(2)
+        self.vms.withdrawn = {VM}
+        self.tick(10)
+        self.vms.withdrawn = set()
+        self.finish()
+        self.assertEqual(self.kinds["recovery"], 1)
+
+    def test_cancels_a_drain_that_an_outage_cut_off(self) -> None:
+        self.vms.lag = 10.0
+        self.vms.start_request(VM)
+        self.start_drain()
+        self.tick(3)
+        self.vms.hidden = {VM}
+        self.run_to(VmPhase.DOWN)
+        self.vms.hidden = set()
+        self.finish()
+        self.tick(15)
+        self.assertEqual(check_history(self.fleet)["outage"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
