--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,7 +23,7 @@
 WORKER_COUNT = 2
 PERIOD_SECONDS = 20.0  # short, so that a VM is cleaned while we watch
 SETTINGS: dict[str, Any] = {
-    "drains": {"idle_checks": 1, "healthy_checks": 1},
+    "drains": {"healthy_checks": 1},
     "stop": {"notice_seconds": 0.5},
     "log": {"level": "warning"},
 }
