Weigh placers, keep quotas, and stop work for urgent tasks

Cause: the placer tried every worker for each task, quotas were counted per pool only, and urgent work waited behind a flood of patient work.

The score of a worker is what a task would leave unused and unevenly, and what share of its job the rack and zone hold. Urgent tasks that find no room are promised that of tasks being stopped; further tasks are stopped only beyond that, the cheapest first. A checkpoint that takes over 1.5 s is cut. Pools hold grants of a team's quota, all in one row per team, so their sum can not exceed it. Blocked jobs carry a typed reason.

--- a/chestnutstair/coordination/conductor.py
+++ b/chestnutstair/coordination/conductor.py
@@ -13,11 +13,8 @@
     Table,
     WorkerControl,
 )
-from chestnutstair.coordination.pool_round import (
-    PlacementSettings,
-    PoolFleet,
-    PoolRound,
-)
+from chestnutstair.coordination.pool_fleet import PoolFleet, split_fleet
+from chestnutstair.coordination.pool_round import PlacementSettings, PoolRound
 from chestnutstair.coordination.tasks import decode_task, scan_tasks
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
@@ -58,29 +55,6 @@
     ]
 
 
-def split_fleet(view: FleetView) -> dict[str, PoolFleet]:
-    """Return what the view holds for each pool of workers."""
-    members: dict[str, dict] = {name: {} for name in view.pools}
-    phases: dict[str, dict] = {name: {} for name in view.pools}
-    jobs: dict[str, dict] = {name: {} for name in view.pools}
-    for name, status in view.statuses.items():
-        members[status.pool][name] = view.vms[name]
-        phases[status.pool][name] = status.phase
-    for job in view.jobs.values():
-        jobs[job.pool][job.name] = job
-    return {
-        pool.name: PoolFleet(
-            pool,
-            members[pool.name],
-            phases[pool.name],
-            jobs[pool.name],
-            view.teams,
-        )
-        for pool in view.pools.values()
-        if pool.kind is PoolKind.WORKERS
-    }
-
-
 class TaskConductor:
     """The control loop that starts, watches and stops tasks."""
 
--- a/chestnutstair/coordination/placement.py
+++ b/chestnutstair/coordination/placement.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from chestnutstair.state.failure import Failure
+from chestnutstair.state.fleet import Job
 from chestnutstair.state.resource import Resources
 from chestnutstair.state.task import TaskName
 
@@ -13,7 +14,6 @@
     "OversizeBlock",
     "Placement",
     "QuotaBlock",
-    "TaskRequest",
     "Worker",
 ]
 
@@ -29,21 +29,12 @@
 
 
 @dataclass(frozen=True)
-class TaskRequest:
-    """A task that waits for a worker; a lower rank is more urgent."""
+class Placement:
+    """A decision to start a task, with the size, on a worker."""
 
     task: TaskName
-    team: str
-    rank: int
+    job: Job
     size: Resources
-    avoid: frozenset[str] = frozenset()  # workers where it failed
-
-
-@dataclass(frozen=True)
-class Placement:
-    """A decision to start a task on a worker."""
-
-    request: TaskRequest
     worker: str
 
 
--- a/chestnutstair/coordination/placer.py
+++ b/chestnutstair/coordination/placer.py
@@ -1,64 +1,143 @@
-"""Chooses workers for tasks: best fit with a penalty for crowding."""
+"""Chooses workers for the equal tasks of a job.
 
-from collections import Counter
-from collections.abc import Iterable
+The score of a worker is what the task would leave unused there, and how
+unevenly, plus penalties for the share of the job that the worker's rack
+and zone hold. The lowest score wins.
+"""
 
-from chestnutstair.coordination.placement import TaskRequest, Worker
+import heapq
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from functools import partial
+
+from chestnutstair.coordination.placement import Worker
+from chestnutstair.coordination.room import FleetRoom
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.fleet import Job
 from chestnutstair.state.resource import Resources
 
-__all__ = ["FleetRoom", "find_best_worker"]
+__all__ = [
+    "BestFitPlacer",
+    "Placer",
+    "ScoreSettings",
+    "measure_score",
+]
 
-RACK_PENALTY = 1.0
-ZONE_PENALTY = 0.5
+SAMPLE_SIZE = 128  # workers
+SAMPLE_SEED = 1
 
 
-class FleetRoom:
-    """The free resources of workers, and where each job has its tasks."""
+@dataclass(frozen=True)
+class ScoreSettings:
+    """The weights of a score.
 
-    def __init__(self, workers: Iterable[Worker]) -> None:
-        self.workers = {worker.name: worker for worker in workers}
-        self.free = {
-            worker.name: worker.size for worker in self.workers.values()
-        }
-        self._racks: Counter[tuple[str, str]] = Counter()
-        self._zones: Counter[tuple[str, str]] = Counter()
+    `unused_weight` counts for a worker left empty, `uneven_weight` for
+    one left with all of its cores and none of its memory or the reverse,
+    `rack_weight` and `zone_weight` for a rack or zone that holds the
+    whole job, `accelerator_weight` for a task that needs none on a worker
+    that has some.
+    """
 
-    def take(self, name: str, job: str, size: Resources) -> None:
-        """Count a task of the job on the worker, if it is known."""
-        worker = self.workers.get(name)
-        if worker is None:
-            return
-        self.free[name] -= size
-        self._racks[job, worker.rack] += 1
-        self._zones[job, worker.zone] += 1
+    __pydantic_config__ = STRICT
 
-    def measure_crowding(self, job: str, worker: Worker) -> float:
-        """Return the penalty for tasks of the job nearby."""
-        return (
-            RACK_PENALTY * self._racks[job, worker.rack]
-            + ZONE_PENALTY * self._zones[job, worker.zone]
-        )
+    unused_weight: float = 0.2
+    uneven_weight: float = 1.0
+    rack_weight: float = 2.0
+    zone_weight: float = 1.0
+    accelerator_weight: float = 4.0
 
 
-def _measure_waste(
-    free: Resources, size: Resources, whole: Resources
+def measure_score(
+    room: FleetRoom,
+    settings: ScoreSettings,
+    worker: Worker,
+    job: Job,
+    size: Resources,
 ) -> float:
-    left = free - size
-    cores = left.cores / whole.cores if whole.cores else 0.0
-    memory = left.memory_gb / whole.memory_gb if whole.memory_gb else 0.0
-    return cores + memory
-
-
-def find_best_worker(room: FleetRoom, request: TaskRequest) -> str | None:
-    """Return the worker where the task leaves least room and crowding."""
-    best = None
-    for worker in room.workers.values():
-        free = room.free[worker.name]
-        if worker.name in request.avoid or not request.size.fits_into(free):
-            continue
-        waste = _measure_waste(free, request.size, worker.size)
-        crowding = room.measure_crowding(request.task.job, worker)
-        score = (waste + crowding, worker.name)
-        if best is None or score < best:
-            best = score
-    return best[1] if best else None
+    """Return how badly a task of the job suits the worker."""
+    free, whole = room.free[worker.name], worker.size
+    cores = (free.cores - size.cores) / (whole.cores or 1.0)
+    memory = (free.memory_gb - size.memory_gb) / (whole.memory_gb or 1.0)
+    score = settings.unused_weight * (cores + memory) / 2
+    score += settings.uneven_weight * abs(cores - memory)
+    crowding = settings.rack_weight * room.racks[job.name, worker.rack]
+    crowding += settings.zone_weight * room.zones[job.name, worker.zone]
+    score += crowding / job.task_count
+    if whole.accelerators and not size.accelerators:
+        score += settings.accelerator_weight
+    return score
+
+
+class Placer(ABC):
+    """A way to choose workers for the tasks of one job."""
+
+    @abstractmethod
+    def choose(
+        self,
+        room: FleetRoom,
+        job: Job,
+        size: Resources,
+        avoided: frozenset[str] = frozenset(),
+    ) -> Iterator[str]:
+        """Yield workers with room for a task each, the best one first.
+
+        The caller takes the room of each worker that it uses before it
+        asks for the next.
+        """
+
+
+class BestFitPlacer(Placer):
+    """Scores every worker with room once per job, or a sample of many.
+
+    Of more than `sample` workers that many are scored, and the others
+    only if these are full. Taking a worker can only worsen the scores of
+    others, so a heap whose entries are scored anew when they come up
+    yields the order of the scores.
+    """
+
+    def __init__(
+        self, settings: ScoreSettings, sample: int = SAMPLE_SIZE
+    ) -> None:
+        self._settings = settings
+        self._sample = sample
+        self._random = random.Random(SAMPLE_SEED)
+
+    def choose(
+        self,
+        room: FleetRoom,
+        job: Job,
+        size: Resources,
+        avoided: frozenset[str] = frozenset(),
+    ) -> Iterator[str]:
+        """Yield workers with room for a task each, the best one first."""
+        names = [name for name in room.workers if name not in avoided]
+        if len(names) > self._sample:
+            sample = self._random.sample(names, self._sample)
+            yield from self._choose_from(sample, room, job, size)
+        yield from self._choose_from(names, room, job, size)
+
+    def _choose_from(
+        self, names: Iterable[str], room: FleetRoom, job: Job, size: Resources
+    ) -> Iterator[str]:
+        score = partial(measure_score, room, self._settings)
+        workers = room.workers
+        heap = [
+            (score(workers[name], job, size), name)
+            for name in names
+            if size.fits_into(room.free[name])
+        ]
+        heapq.heapify(heap)
+        while heap:
+            known, name = heap[0]
+            if not size.fits_into(room.free[name]):
+                heapq.heappop(heap)
+                continue
+            current = score(workers[name], job, size)
+            if current > known:
+                heapq.heapreplace(heap, (current, name))
+                continue
+            yield name
+            again = score(workers[name], job, size)
+            heapq.heapreplace(heap, (again, name))
--- /dev/null
+++ b/chestnutstair/coordination/plan.py
@@ -0,0 +1,281 @@
+"""Decides what one round starts and stops; makes no calls itself."""
+
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from chestnutstair.coordination.placement import (
+    JobBlock,
+    NoRoomBlock,
+    OversizeBlock,
+    Placement,
+    QuotaBlock,
+    Worker,
+)
+from chestnutstair.coordination.placer import (
+    BestFitPlacer,
+    Placer,
+    ScoreSettings,
+)
+from chestnutstair.coordination.preemption import (
+    Preemption,
+    Victim,
+    find_preemptions,
+)
+from chestnutstair.coordination.room import FleetRoom
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.fleet import Job
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.task import TaskName
+
+__all__ = [
+    "LiveTask",
+    "PlanSettings",
+    "PoolSnapshot",
+    "RoundPlan",
+    "WaitingJob",
+    "plan_round",
+]
+
+
+@dataclass(frozen=True)
+class PlanSettings:
+    """Limits of one round.
+
+    A round starts at most `start_limit` tasks and stops at most
+    `preemption_limit` for more urgent ones. Only classes of at most
+    `preempting_rank` make others stop.
+    """
+
+    __pydantic_config__ = STRICT
+
+    start_limit: int = 100
+    preemption_limit: int = 200
+    preempting_rank: int = 0
+    score: ScoreSettings = field(default_factory=ScoreSettings)
+
+
+@dataclass(frozen=True)
+class LiveTask:
+    """A task that a worker runs; a lower rank is more urgent.
+
+    `stopping` says that it was told to end, but has not confirmed it.
+    """
+
+    task: TaskName
+    worker: str
+    team: str
+    rank: int
+    size: Resources
+    started_at: float
+    stopping: bool = False
+
+
+@dataclass(frozen=True)
+class WaitingJob:
+    """A job with tasks that wait for a worker.
+
+    `size` is what each is given; `find_tasks` returns up to the given
+    number of them, and `find_avoided` the workers to avoid for one.
+    """
+
+    job: Job
+    rank: int
+    size: Resources
+    find_tasks: Callable[[int], Sequence[TaskName]]
+    find_avoided: Callable[[TaskName], frozenset[str]]
+
+
+@dataclass(frozen=True)
+class PoolSnapshot:
+    """What a round has to decide on.
+
+    `workers` may take new tasks, `sizes` are those of all workers of the
+    pool, and `jobs` are in the order of urgency. `rooms` is by team what
+    its tasks may hold in this pool, and `quotas` what they may hold in
+    all. `now` is wall-clock epoch seconds.
+    """
+
+    workers: tuple[Worker, ...]
+    sizes: frozenset[Resources]
+    live: tuple[LiveTask, ...]
+    jobs: tuple[WaitingJob, ...]
+    rooms: Mapping[str, Resources]
+    quotas: Mapping[str, Resources]
+    now: float
+
+
+@dataclass
+class RoundPlan:
+    """The decisions of one round, collected in order."""
+
+    placements: list[Placement] = field(default_factory=list)
+    victims: list[Victim] = field(default_factory=list)
+    blocks: dict[str, JobBlock] = field(default_factory=dict)
+
+
+class _Planner:
+    """Collects the plan of one round.
+
+    `_room` is what is free now, less what waiting urgent tasks have been
+    promised. `_promised` also has the room of tasks that are stopping.
+    """
+
+    def __init__(
+        self, snapshot: PoolSnapshot, settings: PlanSettings, placer: Placer
+    ) -> None:
+        self._snapshot = snapshot
+        self._settings = settings
+        self._placer = placer
+        self._room = FleetRoom(snapshot.workers)
+        self._promised = FleetRoom(snapshot.workers)
+        self._held: dict[str, Resources] = defaultdict(Resources)
+        self._victims: dict[str, list[Victim]] = defaultdict(list)
+        self._hopeless: list[Resources] = []
+        self.plan = RoundPlan()
+        for live in snapshot.live:
+            self._count(live)
+
+    def _count(self, live: LiveTask) -> None:
+        job = live.task.job
+        self._held[live.team] += live.size
+        self._room.take(live.worker, job, live.size)
+        if live.stopping:
+            return
+        self._promised.take(live.worker, job, live.size)
+        loss = live.size.cores * (self._snapshot.now - live.started_at)
+        may_stop = live.rank > self._settings.preempting_rank
+        if may_stop and live.worker in self._room.workers:
+            self._victims[live.worker].append(
+                Victim(live.task, live.worker, live.rank, live.size, loss)
+            )
+
+    def place_job(self, waiting: WaitingJob) -> None:
+        """Place as many of the job's tasks as there is room for."""
+        block = self._check_size(waiting)
+        if block is None:
+            block = self._place_tasks(waiting)
+        if block is not None:
+            self.plan.blocks[waiting.job.name] = block
+
+    def _check_size(self, waiting: WaitingJob) -> JobBlock | None:
+        size = waiting.size
+        sizes = self._snapshot.sizes
+        if not any(size.fits_into(whole) for whole in sizes):
+            return OversizeBlock(size, len(sizes))
+        team = waiting.job.team
+        quota = self._snapshot.quotas[team]
+        if not size.fits_into(quota):
+            return QuotaBlock(team, quota, size, permanent=True)
+        return None
+
+    def _place_tasks(self, waiting: WaitingJob) -> JobBlock | None:
+        left = self._settings.start_limit - len(self.plan.placements)
+        tasks = waiting.find_tasks(left)
+        if not tasks:
+            return None
+        if self._is_hopeless(waiting.size) and not self._may_preempt(waiting):
+            return NoRoomBlock(waiting.size)
+        fits = self._placer.choose(self._room, waiting.job, waiting.size)
+        unplaced = []
+        for task in tasks:
+            if not self._has_quota(waiting):
+                return self._block_by_quota(waiting)
+            worker = self._choose(waiting, task, fits)
+            if worker is None:
+                unplaced.append(task)
+            else:
+                self._take(waiting, task, worker)
+        return self._wait(waiting, unplaced) if unplaced else None
+
+    def _is_hopeless(self, size: Resources) -> bool:
+        return any(small.fits_into(size) for small in self._hopeless)
+
+    def _may_preempt(self, waiting: WaitingJob) -> bool:
+        return waiting.rank <= self._settings.preempting_rank
+
+    def _has_quota(self, waiting: WaitingJob) -> bool:
+        team = waiting.job.team
+        room = self._snapshot.rooms[team]
+        return (self._held[team] + waiting.size).fits_into(room)
+
+    def _block_by_quota(self, waiting: WaitingJob) -> QuotaBlock:
+        team = waiting.job.team
+        return QuotaBlock(team, self._snapshot.quotas[team], waiting.size)
+
+    def _choose(
+        self, waiting: WaitingJob, task: TaskName, fits: Iterator[str]
+    ) -> str | None:
+        avoided = waiting.find_avoided(task)
+        if not avoided:
+            return next(fits, None)
+        others = self._placer.choose(
+            self._room, waiting.job, waiting.size, avoided
+        )
+        return next(others, None)
+
+    def _take(self, waiting: WaitingJob, task: TaskName, worker: str) -> None:
+        self._reserve(waiting, worker)
+        self.plan.placements.append(
+            Placement(task, waiting.job, waiting.size, worker)
+        )
+
+    def _reserve(self, waiting: WaitingJob, worker: str) -> None:
+        job = waiting.job
+        self._room.take(worker, job.name, waiting.size)
+        self._promised.take(worker, job.name, waiting.size)
+        self._held[job.team] += waiting.size
+
+    def _wait(
+        self, waiting: WaitingJob, tasks: Sequence[TaskName]
+    ) -> JobBlock:
+        """Promise room to urgent tasks, and stop others to make it."""
+        block = NoRoomBlock(waiting.size)
+        if not any(map(waiting.find_avoided, tasks)):
+            self._hopeless.append(waiting.size)
+        if not self._may_preempt(waiting):
+            return block
+        promised = self._placer.choose(
+            self._promised, waiting.job, waiting.size
+        )
+        made = find_preemptions(self._promised, waiting.size, self._victims)
+        for _ in tasks:
+            if not self._has_quota(waiting):
+                return self._block_by_quota(waiting)
+            worker = next(promised, None) or self._preempt(made)
+            if worker is None:
+                break
+            self._reserve(waiting, worker)
+        return block
+
+    def _preempt(self, made: Iterator[Preemption]) -> str | None:
+        if len(self.plan.victims) >= self._settings.preemption_limit:
+            return None
+        preemption = next(made, None)
+        if preemption is None:
+            return None
+        stopped = set(preemption.victims)
+        self.plan.victims += preemption.victims
+        left = self._victims[preemption.worker]
+        self._victims[preemption.worker] = [
+            victim for victim in left if victim not in stopped
+        ]
+        for victim in preemption.victims:
+            self._promised.give_back(
+                victim.worker, victim.task.job, victim.size
+            )
+        return preemption.worker
+
+
+def plan_round(
+    snapshot: PoolSnapshot,
+    settings: PlanSettings,
+    placer: Placer | None = None,
+) -> RoundPlan:
+    """Return what to start and what to stop, and why jobs are blocked."""
+    planner = _Planner(
+        snapshot, settings, placer or BestFitPlacer(settings.score)
+    )
+    for waiting in snapshot.jobs:
+        planner.place_job(waiting)
+    return planner.plan
--- /dev/null
+++ b/chestnutstair/coordination/pool_fleet.py
@@ -0,0 +1,83 @@
+"""The part of the fleet view that concerns one pool of workers."""
+
+from collections import defaultdict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from chestnutstair.coordination.placement import Worker
+from chestnutstair.state.fleet import Job, Pool, PoolKind, Team, Vm
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.task import TaskName
+from chestnutstair.state.view import FleetView, VmPhase
+
+__all__ = ["PoolFleet", "split_fleet"]
+
+
+@dataclass(frozen=True)
+class PoolFleet:
+    """A pool's workers, their phases, its jobs by urgency, all teams."""
+
+    pool: Pool
+    members: Mapping[str, Vm]
+    phases: Mapping[str, VmPhase]
+    jobs: Mapping[str, Job]
+    teams: Mapping[str, Team]
+    serving: tuple[Worker, ...]
+    sizes: frozenset[Resources]
+
+    def get_rank(self, job: Job) -> int:
+        """Return the rank of the job's urgency; lower is more urgent."""
+        return _find_rank(self.pool, job)
+
+    def is_wanted(self, task: TaskName) -> bool:
+        """Tell whether the task's job exists and is not cancelled."""
+        job = self.jobs.get(task.job)
+        return job is not None and not job.cancelled
+
+    def is_draining(self, worker: str) -> bool:
+        """Tell whether the worker has to be emptied."""
+        return self.phases.get(worker) is VmPhase.DRAINING
+
+
+def _find_rank(pool: Pool, job: Job) -> int:
+    ranks = {item.name: item.rank for item in pool.classes}
+    return ranks.get(job.urgency, max(ranks.values()))
+
+
+def _build_fleet(
+    view: FleetView,
+    pool: Pool,
+    phases: Mapping[str, VmPhase],
+    jobs: list[Job],
+) -> PoolFleet:
+    members = {name: view.vms[name] for name in phases}
+    serving = tuple(
+        Worker(vm.name, vm.zone, vm.rack, vm.resources)
+        for vm in members.values()
+        if phases[vm.name] is VmPhase.SERVING
+    )
+    jobs.sort(key=lambda job: _find_rank(pool, job))
+    return PoolFleet(
+        pool=pool,
+        members=members,
+        phases=phases,
+        jobs={job.name: job for job in jobs},
+        teams=view.teams,
+        serving=serving,
+        sizes=frozenset(vm.resources for vm in members.values()),
+    )
+
+
+def split_fleet(view: FleetView) -> dict[str, PoolFleet]:
+    """Return what the view holds for each pool of workers."""
+    phases: dict[str, dict[str, VmPhase]] = defaultdict(dict)
+    jobs: dict[str, list[Job]] = defaultdict(list)
+    for name, status in view.statuses.items():
+        phases[status.pool][name] = status.phase
+    for job in view.jobs.values():
+        jobs[job.pool].append(job)
+    return {
+        pool.name: _build_fleet(view, pool, phases[pool.name], jobs[pool.name])
+        for pool in view.pools.values()
+        if pool.kind is PoolKind.WORKERS
+    }
--- a/chestnutstair/coordination/pool_round.py
+++ b/chestnutstair/coordination/pool_round.py
@@ -1,22 +1,20 @@
 """One round of placing the tasks of one pool."""
 
-import logging
-from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from functools import partial
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from chestnutstair.coordination.duty import Duty
-from chestnutstair.coordination.placement import (
-    JobBlock,
-    NoRoomBlock,
-    OversizeBlock,
-    Placement,
-    QuotaBlock,
-    TaskRequest,
-    Worker,
+from chestnutstair.coordination.placement import JobBlock, Placement
+from chestnutstair.coordination.plan import (
+    LiveTask,
+    PlanSettings,
+    PoolSnapshot,
+    RoundPlan,
+    WaitingJob,
+    plan_round,
 )
-from chestnutstair.coordination.placer import FleetRoom, find_best_worker
 from chestnutstair.coordination.platform import (
     RefusedFailure,
     Table,
@@ -25,68 +23,40 @@
     UnavailableFailure,
     WorkerControl,
 )
+from chestnutstair.coordination.pool_fleet import PoolFleet
+from chestnutstair.coordination.quota import QuotaGrants, QuotaSettings
+from chestnutstair.coordination.stops import StopOrders
 from chestnutstair.coordination.tasks import CommitFailure, TaskLedger
 from chestnutstair.coordination.visit import Visitor, VisitSettings
 from chestnutstair.coordination.worker_lease import LeaseSettings, WorkerLeases
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
-from chestnutstair.state.fleet import Job, Pool, Team, Vm
 from chestnutstair.state.resource import NO_RESOURCES
 from chestnutstair.state.task import TaskName, TaskRecord, TaskStage
-from chestnutstair.state.view import VmPhase
 
-__all__ = ["PlacementSettings", "PoolFleet", "PoolRound"]
-
-logger = logging.getLogger(__name__)
+__all__ = ["PlacementSettings", "PoolRound"]
 
 TENURE_BITS = 32  # of a task's token count starts within one tenure
 
 
 @dataclass(frozen=True)
 class PlacementSettings:
-    """Limits of one round.
+    """Limits of one pool's tasks.
 
-    A round starts at most `start_limit` tasks. A task is given up after
-    `failure_limit` failures.
+    A task is given up after `failure_limit` failures. A preempted task
+    has `checkpoint_seconds` to save its state before it is cut.
     """
 
     __pydantic_config__ = STRICT
 
-    start_limit: int = 100
     failure_limit: int = 4
+    checkpoint_seconds: float = 1.5
+    plan: PlanSettings = field(default_factory=PlanSettings)
+    quotas: QuotaSettings = field(default_factory=QuotaSettings)
     leases: LeaseSettings = field(default_factory=LeaseSettings)
     visits: VisitSettings = field(default_factory=VisitSettings)
 
 
-@dataclass(frozen=True)
-class PoolFleet:
-    """What the fleet view holds for one pool of workers."""
-
-    pool: Pool
-    members: Mapping[str, Vm]
-    phases: Mapping[str, VmPhase]
-    jobs: Mapping[str, Job]
-    teams: Mapping[str, Team]
-
-    def list_serving(self) -> list[Worker]:
-        """Return the workers that may take new tasks."""
-        return [
-            Worker(vm.name, vm.zone, vm.rack, vm.resources)
-            for vm in self.members.values()
-            if self.phases[vm.name] is VmPhase.SERVING
-        ]
-
-    def get_rank(self, job: Job) -> int:
-        """Return the rank of the job's urgency; lower is more urgent."""
-        ranks = {item.name: item.rank for item in self.pool.classes}
-        return ranks.get(job.urgency, max(ranks.values()))
-
-    def is_wanted(self, task: TaskName) -> bool:
-        """Tell whether the task's job exists and is not cancelled."""
-        job = self.jobs.get(task.job)
-        return job is not None and not job.cancelled
-
-
 def _judge_report(
     record: TaskRecord, report: TaskReport | None, failure_limit: int
 ) -> TaskRecord:
@@ -126,9 +96,12 @@
         self._clock = clock
         self._settings = settings
         self._duty = duty
-        self._ledger = TaskLedger(table, duty.name.removeprefix("placement/"))
         self._leases = WorkerLeases(clock, settings.leases)
         self._visitor = Visitor(workers, clock, self._leases, settings.visits)
+        self._stops = StopOrders(clock, settings.checkpoint_seconds)
+        pool = duty.name.removeprefix("placement/")
+        self._ledger = TaskLedger(table, pool)
+        self._grants = QuotaGrants(table, pool, clock, settings.quotas)
         self._last_token = duty.token << TENURE_BITS
         self.blocks: dict[str, JobBlock] = {}
 
@@ -146,31 +119,23 @@
         loaded = self._ledger.load(deadline)
         if loaded.is_err():
             return loaded
-        self._stop_unwanted(fleet, deadline)
+        self._repeat_stops(fleet, deadline)
         changes = self._visit_workers(fleet, deadline)
         changes.update(self._prune(fleet))
         committed = self._ledger.commit(duty, changes, deadline)
         if committed.is_err() or not self._may_call(deadline):
             return committed
-        placements = self._choose(fleet)
-        return self._start(fleet, placements, deadline)
+        return self._place(fleet, deadline)
 
     def _may_call(self, deadline: Deadline) -> bool:
         return not deadline.has_passed(self._clock)
 
-    def _stop_unwanted(self, fleet: PoolFleet, deadline: Deadline) -> None:
-        for worker in self._ledger.list_busy_workers():
-            if self._visitor.is_silent(worker):
-                continue
-            draining = fleet.phases.get(worker) is VmPhase.DRAINING
-            for task in self._ledger.list_live(worker):
-                wanted = fleet.is_wanted(task)
-                if wanted and not draining:
-                    continue
-                if not self._may_call(deadline):
-                    return
-                record = self._ledger.get(task)
-                self._visitor.stop(task, record, wanted, deadline)
+    def _repeat_stops(self, fleet: PoolFleet, deadline: Deadline) -> None:
+        for order in self._stops.list_orders(fleet, self._ledger):
+            if not self._may_call(deadline):
+                return
+            if not self._visitor.is_silent(order.record.worker):
+                self._visitor.stop(order, deadline)
 
     def _visit_workers(
         self, fleet: PoolFleet, deadline: Deadline
@@ -259,100 +224,143 @@
             if task.job not in fleet.jobs and not record.is_live()
         }
 
-    def _choose(self, fleet: PoolFleet) -> list[Placement]:
-        room = FleetRoom(
-            worker
-            for worker in fleet.list_serving()
-            if not self._visitor.is_silent(worker.name)
-        )
-        held = dict.fromkeys(fleet.teams, NO_RESOURCES)
-        for task, record in self._ledger.records.items():
-            if record.is_live():
-                room.take(record.worker, task.job, record.size)
+    def _find_waiting(self, fleet: PoolFleet) -> list[WaitingJob]:
+        return [
+            WaitingJob(
+                job,
+                fleet.get_rank(job),
+                job.resources,
+                partial(self._ledger.find_pending, job),
+                self._find_avoided,
+            )
+            for job in fleet.jobs.values()
+            if not job.cancelled and self._ledger.find_pending(job, 1)
+        ]
+
+    def _find_avoided(self, task: TaskName) -> frozenset[str]:
+        return frozenset(self._ledger.get(task).failed_on)
+
+    def _list_live(self, fleet: PoolFleet) -> list[LiveTask]:
+        lowest = max(item.rank for item in fleet.pool.classes)
+        live = []
+        for worker in self._ledger.list_busy_workers():
+            draining = fleet.is_draining(worker)
+            for task in self._ledger.list_live(worker):
+                record = self._ledger.get(task)
                 job = fleet.jobs.get(task.job)
-                if job is not None:
-                    held[job.team] += record.size
-        self.blocks = {}
-        placements: list[Placement] = []
-        jobs = (job for job in fleet.jobs.values() if not job.cancelled)
-        for job in sorted(jobs, key=fleet.get_rank):
-            limit = self._settings.start_limit - len(placements)
-            for task in self._ledger.find_pending(job, limit):
-                block = self._place(fleet, room, held, job, task, placements)
-                if block is not None:
-                    self.blocks[job.name] = block
-                    break
-        return placements
+                stopping = draining or self._stops.is_ordered(task, record)
+                live.append(
+                    LiveTask(
+                        task,
+                        worker,
+                        job.team if job else "",
+                        fleet.get_rank(job) if job else lowest,
+                        record.size,
+                        record.started_at,
+                        stopping or not fleet.is_wanted(task),
+                    )
+                )
+        return live
 
     def _place(
+        self, fleet: PoolFleet, deadline: Deadline
+    ) -> Result[None, CommitFailure]:
+        waiting = self._find_waiting(fleet)
+        live = self._list_live(fleet)
+        teams = {item.job.team for item in waiting}
+        refreshed = self._grants.refresh(
+            sorted(teams | self._grants.list_granted()), deadline
+        )
+        if refreshed.is_err():
+            return refreshed
+        plan = self._plan(fleet, waiting, live)
+        self.blocks = plan.blocks
+        for victim in plan.victims:
+            record = self._ledger.get(victim.task)
+            order = self._stops.preempt(victim.task, record)
+            if self._may_call(deadline):
+                self._visitor.stop(order, deadline)
+        claimed = self._claim(fleet, live, plan.placements, deadline)
+        if claimed.is_err():
+            return claimed
+        return self._start(plan.placements, deadline)
+
+    def _plan(
         self,
         fleet: PoolFleet,
-        room: FleetRoom,
-        held: dict,
-        job: Job,
-        task: TaskName,
-        placements: list[Placement],
-    ) -> JobBlock | None:
-        size = job.resources
-        if not any(
-            size.fits_into(vm.resources) for vm in fleet.members.values()
-        ):
-            return OversizeBlock(size, len(fleet.members))
-        quota = fleet.teams[job.team].quota
-        if not (held[job.team] + size).fits_into(quota):
-            return QuotaBlock(job.team, quota, size, not size.fits_into(quota))
-        record = self._ledger.get(task)
-        request = TaskRequest(
-            task,
-            job.team,
-            fleet.get_rank(job),
-            size,
-            frozenset(record.failed_on),
+        waiting: list[WaitingJob],
+        live: list[LiveTask],
+    ) -> RoundPlan:
+        quotas = {name: team.quota for name, team in fleet.teams.items()}
+        snapshot = PoolSnapshot(
+            workers=tuple(
+                worker
+                for worker in fleet.serving
+                if not self._visitor.is_silent(worker.name)
+            ),
+            sizes=fleet.sizes,
+            live=tuple(live),
+            jobs=tuple(waiting),
+            rooms={
+                item.job.team: self._grants.measure_room(
+                    item.job.team, quotas[item.job.team]
+                )
+                for item in waiting
+            },
+            quotas=quotas,
+            now=self._clock.read_wall(),
         )
-        worker = find_best_worker(room, request)
-        if worker is None:
-            return NoRoomBlock(size)
-        room.take(worker, job.name, size)
-        held[job.team] += size
-        placements.append(Placement(request, worker))
-        return None
+        return plan_round(snapshot, self._settings.plan)
 
-    def _start(
+    def _claim(
         self,
         fleet: PoolFleet,
+        live: list[LiveTask],
         placements: list[Placement],
         deadline: Deadline,
+    ) -> Result[None, CommitFailure]:
+        held = dict.fromkeys(self._grants.list_granted(), NO_RESOURCES)
+        holders = [(item.team, item.size) for item in live]
+        holders += [(item.job.team, item.size) for item in placements]
+        for team, size in holders:
+            held[team] = held.get(team, NO_RESOURCES) + size
+        quotas = {
+            team: fleet.teams[team].quota if team in fleet.teams else amount
+            for team, amount in held.items()
+        }
+        return self._grants.claim(self._duty, held, quotas, deadline)
+
+    def _start(
+        self, placements: list[Placement], deadline: Deadline
     ) -> Result[None, CommitFailure]:
         now = self._clock.read_wall()
         changes: dict[TaskName, TaskRecord | None] = {}
         for placement in placements:
             self._last_token += 1
-            request = placement.request
-            record = self._ledger.get(request.task)
-            changes[request.task] = record.assign(
-                placement.worker, self._last_token, request.size, now
+            record = self._ledger.get(placement.task)
+            changes[placement.task] = record.assign(
+                placement.worker, self._last_token, placement.size, now
             )
         committed = self._ledger.commit(self._duty, changes, deadline)
         if committed.is_err():
             return committed
-        undone = self._call_starts(fleet, list(changes), deadline)
+        undone = self._call_starts(placements, deadline)
         return self._ledger.commit(self._duty, undone, deadline)
 
     def _call_starts(
-        self, fleet: PoolFleet, tasks: list[TaskName], deadline: Deadline
+        self, placements: list[Placement], deadline: Deadline
     ) -> dict[TaskName, TaskRecord | None]:
         """Tell the workers; return the records of starts without effect."""
         undone: dict[TaskName, TaskRecord | None] = {}
-        for task in tasks:
+        for placement in placements:
             if not self._may_call(deadline):
                 break
+            task = placement.task
             record = self._ledger.get(task)
-            payload = fleet.jobs[task.job].payload
+            payload = placement.job.payload
             match self._visitor.start(task, record, payload, deadline):
                 case Err(UnavailableFailure()):
                     undone[task] = record.release(TaskStage.PENDING)
                 case Err(RefusedFailure()):
                     undone[task] = record.fail(self._settings.failure_limit)
-                case Ok() | Err(_):
-                    pass
         return undone
--- /dev/null
+++ b/chestnutstair/coordination/preemption.py
@@ -0,0 +1,137 @@
+"""Chooses less urgent tasks to stop, so that an urgent one has room."""
+
+import heapq
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from chestnutstair.coordination.room import FleetRoom
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.task import TaskName
+
+__all__ = [
+    "Preemption",
+    "Victim",
+    "choose_victims",
+    "find_preemptions",
+    "measure_cost",
+]
+
+LOWEST_RANK = 1_000_000
+
+
+@dataclass(frozen=True)
+class Victim:
+    """A running task that may be stopped.
+
+    `loss` is the core-seconds that are lost if its checkpoint fails.
+    """
+
+    task: TaskName
+    worker: str
+    rank: int
+    size: Resources
+    loss: float
+
+
+@dataclass(frozen=True)
+class Preemption:
+    """The tasks to stop on one worker."""
+
+    worker: str
+    victims: tuple[Victim, ...]
+
+
+def measure_cost(victims: Sequence[Victim]) -> tuple[int, float]:
+    """Return the cost: urgency of the victims first, then loss."""
+    if not victims:
+        return (-LOWEST_RANK, 0.0)
+    most_urgent = min(victim.rank for victim in victims)
+    return (-most_urgent, sum(victim.loss for victim in victims))
+
+
+def _share(size: Resources, lacking: Resources) -> float:
+    """Return how much of what is lacking the size gives, 0 to 3."""
+    parts = (
+        (size.cores, lacking.cores),
+        (size.memory_gb, lacking.memory_gb),
+        (size.accelerators, lacking.accelerators),
+    )
+    return sum(min(have / need, 1.0) for have, need in parts if need > 0)
+
+
+def _choose_cheapest(
+    free: Resources, size: Resources, gains: Mapping[Victim, float]
+) -> tuple[Victim, ...] | None:
+    """Add tasks by loss for the room gained, then drop needless ones."""
+    chosen: list[Victim] = []
+    for victim in sorted(gains, key=lambda item: item.loss / gains[item]):
+        if size.fits_into(free):
+            break
+        chosen.append(victim)
+        free += victim.size
+    if not size.fits_into(free):
+        return None
+    for victim in sorted(chosen, key=lambda item: -item.loss):
+        if size.fits_into(free - victim.size):
+            chosen.remove(victim)
+            free -= victim.size
+    return tuple(chosen)
+
+
+def choose_victims(
+    free: Resources, size: Resources, candidates: Sequence[Victim]
+) -> tuple[Victim, ...] | None:
+    """Return tasks whose end makes room for the size, or None.
+
+    More urgent tasks are considered only if the others do not suffice.
+    """
+    if size.fits_into(free):
+        return ()
+    lacking = size - free
+    gains = {item: _share(item.size, lacking) for item in candidates}
+    for rank in sorted({item.rank for item in candidates}, reverse=True):
+        allowed = {
+            item: gain
+            for item, gain in gains.items()
+            if gain and item.rank >= rank
+        }
+        chosen = _choose_cheapest(free, size, allowed)
+        if chosen is not None:
+            return chosen
+    return None
+
+
+def _find_on_worker(
+    room: FleetRoom,
+    worker: str,
+    size: Resources,
+    candidates: Sequence[Victim],
+) -> Preemption | None:
+    if not size.fits_into(room.workers[worker].size):
+        return None
+    victims = choose_victims(room.free[worker], size, candidates)
+    return None if victims is None else Preemption(worker, victims)
+
+
+def find_preemptions(
+    room: FleetRoom,
+    size: Resources,
+    candidates: Mapping[str, list[Victim]],
+) -> Iterator[Preemption]:
+    """Yield ways to make room for a task each, the cheapest first.
+
+    `candidates` are the tasks by worker; before asking for the next way
+    the caller removes those that it stops and updates the room.
+    """
+    heap = []
+    for worker in candidates:
+        found = _find_on_worker(room, worker, size, candidates[worker])
+        if found is not None:
+            heap.append((measure_cost(found.victims), worker, found))
+    heapq.heapify(heap)
+    while heap:
+        _, worker, found = heapq.heappop(heap)
+        yield found
+        again = _find_on_worker(room, worker, size, candidates[worker])
+        if again is not None:
+            heapq.heappush(heap, (measure_cost(again.victims), worker, again))
--- /dev/null
+++ b/chestnutstair/coordination/room.py
@@ -0,0 +1,42 @@
+"""The free resources of a pool's workers, and where jobs have tasks."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from chestnutstair.coordination.placement import Worker
+from chestnutstair.state.resource import Resources
+
+__all__ = ["FleetRoom"]
+
+
+class FleetRoom:
+    """Free resources by worker, and each job's tasks by rack and zone."""
+
+    def __init__(self, workers: Iterable[Worker]) -> None:
+        self.workers = {worker.name: worker for worker in workers}
+        self.free = {
+            worker.name: worker.size for worker in self.workers.values()
+        }
+        self.racks: Counter[tuple[str, str]] = Counter()
+        self.zones: Counter[tuple[str, str]] = Counter()
+
+    def take(self, name: str, job: str, size: Resources) -> None:
+        """Count a task of the job on the worker, if it is known."""
+        worker = self.workers.get(name)
+        if worker is not None:
+            self.free[name] -= size
+            self.racks[job, worker.rack] += 1
+            self.zones[job, worker.zone] += 1
+
+    def give_back(self, name: str, job: str, size: Resources) -> None:
+        """Undo one `take` of the same worker, job and size."""
+        worker = self.workers.get(name)
+        if worker is not None:
+            self.free[name] += size
+            self.racks[job, worker.rack] -= 1
+            self.zones[job, worker.zone] -= 1
+
+    def fits(self, name: str, size: Resources) -> bool:
+        """Tell whether the worker is known and has room for the size."""
+        free = self.free.get(name)
+        return free is not None and size.fits_into(free)
--- a/chestnutstair/coordination/visit.py
+++ b/chestnutstair/coordination/visit.py
@@ -13,6 +13,7 @@
     UnknownOutcomeFailure,
     WorkerControl,
 )
+from chestnutstair.coordination.stops import StopOrder
 from chestnutstair.coordination.worker_lease import WorkerLeases
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
@@ -166,23 +167,20 @@
                     "worker refused a call: %s", failure, extra={"vm": worker}
                 )
 
-    def stop(
-        self,
-        task: TaskName,
-        record: TaskRecord,
-        checkpoint: bool,
-        deadline: Deadline,
-    ) -> None:
+    def stop(self, order: StopOrder, deadline: Deadline) -> None:
         """Tell the worker to end the task; safe to repeat."""
+        worker = order.record.worker
         outcome = self._workers.stop_task(
-            record.worker,
-            str(task),
-            record.token,
-            checkpoint,
+            worker,
+            str(order.task),
+            order.record.token,
+            order.checkpoint,
             self._limit(deadline),
         )
         match outcome:
-            case Err(UnknownOutcomeFailure() as failure):
-                self._note_silence(record.worker, failure)
+            case Err(
+                UnavailableFailure() | UnknownOutcomeFailure() as failure
+            ):
+                self._note_silence(worker, failure)
             case _:
-                self.expect_change(record.worker)
+                self.expect_change(worker)
--- a/chestnutstair/standins/workers.py
+++ b/chestnutstair/standins/workers.py
@@ -27,21 +27,19 @@
 class TaskBehaviour:
     """How every task of one job behaves once it is started.
 
-    `run_seconds` is the whole work, less what a checkpoint kept.
+    `run_seconds` is the whole work, less what a checkpoint kept;
+    `checkpoint_seconds` is how long it takes to save one.
     """
 
     run_seconds: float = 60.0
+    checkpoint_seconds: float = 0.0
     used: Resources = NO_RESOURCES
     fails: bool = False
 
 
 @dataclass(frozen=True)
 class TaskRun:
-    """One start of a task; times are seconds of the shared clock.
-
-    `ended_at` is the end, or while it runs the end that its work or its
-    lease will bring about.
-    """
+    """One start of a task; times are seconds of the shared clock."""
 
     worker: str
     task: str
@@ -49,6 +47,7 @@
     started_at: float
     lease_end: float
     work_end: float
+    checkpoint_end: float = float("inf")
     share: float = 1.0
     phase: TaskPhase = TaskPhase.RUNNING
     ended_at: float = float("inf")
@@ -103,11 +102,18 @@
         for worker in list(self._running) if workers is None else workers:
             for task in list(self._running.get(worker, ())):
                 run = self._newest[worker, task]
-                if run.work_end <= min(now, run.lease_end):
+                if run.checkpoint_end <= min(now, run.lease_end):
+                    self._save(run)
+                elif run.work_end <= min(now, run.lease_end):
                     self._end(run, self._judge(run), run.work_end)
                 elif run.lease_end <= now:
                     self._end(run, TaskPhase.LAPSED, run.lease_end)
 
+    def _save(self, run: TaskRun) -> None:
+        done = self._progress.get(run.task, 0.0)
+        self._progress[run.task] = done + run.checkpoint_end - run.started_at
+        self._end(run, TaskPhase.STOPPED, run.checkpoint_end)
+
     def _judge(self, run: TaskRun) -> TaskPhase:
         bad = run.worker in self.bad_workers or self._behave(run.task).fails
         return TaskPhase.FAILED if bad else TaskPhase.FINISHED
@@ -199,11 +205,13 @@
         fence = self._fences.get((worker, task), 0)
         self._fences[worker, task] = max(fence, token)
         run = self._find(worker, task, token)
-        if run is not None:
-            now = self._clock.read_monotonic()
-            if checkpoint:
-                done = self._progress.get(task, 0.0) + now - run.started_at
-                self._progress[task] = done
+        now = self._clock.read_monotonic()
+        if run is not None and checkpoint:
+            seconds = self._behave(task).checkpoint_seconds
+            end = min(run.checkpoint_end, now + seconds)
+            self._keep(replace(run, checkpoint_end=end))
+            self.settle([worker])
+        elif run is not None:
             self._end(run, TaskPhase.STOPPED, now)
         return self._answer(worker)
 
--- a/chestnutstair/tests/test_conductor.py
+++ b/chestnutstair/tests/test_conductor.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from chestnutstair.coordination.conductor import TaskConductor
+from chestnutstair.coordination.platform import TaskPhase
 from chestnutstair.coordination.pool_round import PlacementSettings
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.standins.workers import (
@@ -141,3 +142,34 @@
         blocked = {s.job.name: s.blocked for s in statuses}
         self.assertIn("OversizeBlock", blocked["huge"])
         self.assertEqual(self.count(), {"running": 4})
+
+    def flood(self, checkpoint_seconds: float) -> None:
+        """Fill the pool with patient work, and file urgent work."""
+        patient = replace(self.build_job("slow", 32), urgency="patient")
+        self.workers.behaviours["slow"] = TaskBehaviour(
+            600.0, checkpoint_seconds=checkpoint_seconds
+        )
+        self.file(patient)
+        self.run_rounds(20, 0.5)
+        self.file(replace(self.build_job("now", 5), urgency="urgent"))
+        self.filed_at = self.clock.now
+
+    def test_starts_urgent_work_in_time(self) -> None:
+        self.flood(checkpoint_seconds=1.2)
+        self.run_rounds(3.8, 0.5)
+        runs = [r for r in self.workers.runs.values() if "now" in r.task]
+        self.assertEqual(len(runs), 5)
+        self.assertLessEqual(
+            max(run.started_at for run in runs) - self.filed_at, 3.8
+        )
+        stopped = [
+            run
+            for run in self.workers.runs.values()
+            if run.phase is TaskPhase.STOPPED
+        ]
+        self.assertEqual(len(stopped), 5)
+
+    def test_cuts_checkpoints_that_take_too_long(self) -> None:
+        self.flood(checkpoint_seconds=60.0)
+        self.run_rounds(3.8, 0.5)
+        self.assertEqual(self.count("now"), {"running": 5})
