--- a/chestnutstair/tests/test_conductor.py
+++ b/chestnutstair/tests/test_task_conductor.py
@@ -3,9 +3,9 @@
 import unittest
 from dataclasses import replace
 
-from chestnutstair.coordination.conductor import TaskConductor
 from chestnutstair.coordination.platform import TaskPhase
 from chestnutstair.coordination.pool_round import PlacementSettings
+from chestnutstair.coordination.task_conductor import TaskConductor
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.standins.workers import (
     MemoryWorkers,
