End a peer's link although a message arrives as it is cancelled

Cause: asyncio.wait_for in Python 3.11 returns the result and swallows the cancellation when the awaited event is set in the same moment. The threads of the daemon that hung were all idle but for the loop of peers, whose close waited. Ruled out: the callers' server, whose threads had ended by then; the signal handler, since later parts of the stop had run. Change: asyncio.timeout in its place.

--- /dev/null
+++ b/chestnutstair/tests/test_links.py
@@ -0,0 +1,26 @@
+"""Tests of one link to a peer."""
+
+import asyncio
+import unittest
+
+from chestnutstair.transport.links import LinkSettings, PeerLink
+
+
+async def cancel_on_arrival() -> bool:
+    """Cancel a waiting link as a message arrives; tell if it ended."""
+    loop = asyncio.get_running_loop()
+    link = PeerLink("127.0.0.1:9", {}, LinkSettings(), loop)
+    task = asyncio.create_task(link._wait())
+    for _ in range(3):
+        await asyncio.sleep(0)
+    link._arrived.set()
+    task.cancel()
+    await asyncio.wait([task])
+    return task.cancelled()
+
+
+class PeerLinkTest(unittest.TestCase):
+    """A link ends when it is told to."""
+
+    def test_a_message_does_not_hide_a_cancellation(self) -> None:
+        self.assertTrue(asyncio.run(cancel_on_arrival()))
--- a/chestnutstair/transport/links.py
+++ b/chestnutstair/transport/links.py
@@ -1,6 +1,7 @@
 """One outgoing stream to a peer, and the task that keeps it open."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import threading
@@ -141,9 +142,8 @@
         try:
             method = PeerStub(channel).Hold
             async with method.open(metadata=self._metadata) as stream:
-                await asyncio.wait_for(
-                    stream.send_request(), self._settings.connect_seconds
-                )
+                async with asyncio.timeout(self._settings.connect_seconds):
+                    await stream.send_request()
                 await self._send_queued(stream)
         finally:
             channel.close()
@@ -154,9 +154,8 @@
             if envelope is None:
                 await self._wait()
                 continue
-            await asyncio.wait_for(
-                stream.send_message(envelope), self._settings.send_seconds
-            )
+            async with asyncio.timeout(self._settings.send_seconds):
+                await stream.send_message(envelope)
             MESSAGE_COUNT.labels(envelope.kind, "sent").inc()
             MESSAGE_BYTES.labels("sent").inc(len(envelope.body))
         await stream.end()
@@ -179,9 +178,7 @@
             self._queued_bytes = 0
 
     async def _wait(self) -> None:
-        try:
-            await asyncio.wait_for(
-                self._arrived.wait(), self._settings.idle_seconds
-            )
-        except TimeoutError:
-            return
+        # Not asyncio.wait_for, which can swallow the cancellation of a stop.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.idle_seconds):
+                await self._arrived.wait()
--- a/chestnutstair/transport/peers.py
+++ b/chestnutstair/transport/peers.py
@@ -66,9 +66,8 @@
         sender = str((stream.metadata or {}).get("sender", ""))
         try:
             while True:
-                envelope = await asyncio.wait_for(
-                    stream.recv_message(), self._silence_seconds
-                )
+                async with asyncio.timeout(self._silence_seconds):
+                    envelope = await stream.recv_message()
                 if envelope is None:
                     await stream.send_message(Receipt())
                     return
