--- a/chestnutstair/coordination/duties.py
+++ b/chestnutstair/coordination/duties.py
@@ -31,6 +31,7 @@
 logger = logging.getLogger(__name__)
 
 BEAT_TABLE = "duty-beat"
+LOOK_SHARE = 0.7  # of the loop's interval, at least, between two looks
 HELD_COUNT = Gauge("chestnutstair_duties_held", "Duties that are held here.")
 TAKEOVERS = Counter("chestnutstair_duty_takeovers_total", "Duties taken over.")
 
@@ -51,6 +52,7 @@
     renew_seconds: float = 2.0
     settle_seconds: float = 4.0  # to learn of the others before taking any
     rank_seconds: float = 2.0  # that each less preferred daemon waits more
+    recheck_seconds: float = 30.0  # of a duty whose holder seems to live
     handover_seconds: float = 30.0  # until a preferred daemon gets its duty
     table_seconds: float = 1.5  # deadline of one operation
 
@@ -111,7 +113,8 @@
         self._lock = threading.Lock()
         self._held: dict[str, Duty] = {}
         self._sightings: dict[str, Sighting] = {}
-        self._look_at: dict[str, float] = {}
+        self._looked_at: dict[str, float] = {}
+        self._holders: dict[str, str] = {}
         self._unwanted_since: dict[str, float] = {}
         self._loop = Loop("duties", self._run)
 
@@ -215,6 +218,7 @@
         with self._lock:
             duties = [self._held.pop(name) for name in names]
         for duty in duties:
+            self._holders.pop(duty.name, None)
             self._unwanted_since.pop(duty.name, None)
             key = Key(DUTY_TABLE, duty.name)
             row = encode_value(DutyRow(duty.token))
@@ -249,19 +253,28 @@
         """Return the ranks of this daemon for duties to look at now."""
         now = self._clock.read_monotonic()
         members = self._membership.list_live()
+        unsuspected = self._membership.list_unsuspected()
         due = {}
         for name in names:
-            if name in self._held or now < self._look_at.get(name, 0.0):
-                continue
             ranked = rank_members(name, members)
-            if self._me.name not in ranked:
+            if name in self._held or self._me.name not in ranked:
                 continue
-            rank = due[name] = ranked.index(self._me.name)
-            pause = self._settings.renew_seconds * (1 + rank)
-            # Looks fall due with the loop's calls, which have jitter.
-            self._look_at[name] = now + pause * 0.7
+            rank = ranked.index(self._me.name)
+            healthy = self._holders.get(name) in unsuspected and rank > 0
+            if now - self._looked_at.get(name, 0.0) >= self._choose_pause(
+                rank, healthy
+            ):
+                due[name] = rank
+                self._looked_at[name] = now
         return due
 
+    def _choose_pause(self, rank: int, healthy: bool) -> float:
+        """Return the seconds between looks at a duty."""
+        if healthy:
+            return self._settings.recheck_seconds
+        # Looks fall due with the loop's calls, which have jitter.
+        return self._settings.renew_seconds * (rank + LOOK_SHARE)
+
     def _read_beats(
         self, found: dict[str, Row | None], deadline: Deadline
     ) -> Result[dict[str, int], PlatformFailure]:
@@ -293,6 +306,7 @@
         else:
             seen = decode_value(DutyRow, row.value).unwrap()
             version = row.version
+        self._holders[name] = seen.holder
         if seen.holder == self._me.incarnation:
             # Taken by a commit whose answer was lost.
             self._adopt(name, seen.token, version)
--- a/chestnutstair/coordination/gossip.py
+++ b/chestnutstair/coordination/gossip.py
@@ -12,10 +12,12 @@
     "FactBook",
     "FactsMessage",
     "HeartbeatMessage",
+    "abbreviate_incarnation",
     "build_member",
     "select_links",
 ]
 
+RUN_LENGTH = 8  # characters
 FORGOTTEN_LIMIT = 1000  # daemons
 
 
@@ -37,20 +39,22 @@
     revision: int = 0
     ready: bool = False
     stopping: bool = False
+    reaches_table: bool = True
 
 
 @dataclass(frozen=True)
 class HeartbeatMessage(Message):
     """Shows that the sender lives, and the revision it has in force.
 
-    `digest` covers all the facts that the sender knows, but for beats.
-    `facts` are those that changed since the last one to this peer.
-    `beats` are of other daemons, while the table can not tell them.
+    `run` is the end of the sender's incarnation. `digest` covers all the
+    facts that the sender knows, but for beats. `facts` are those that
+    changed since the last one to this peer. `beats` are of other daemons,
+    while the table can not tell them.
     """
 
     __pydantic_config__ = STRICT
 
-    incarnation: str
+    run: str
     beat: int
     revision: int
     digest: int
@@ -67,6 +71,11 @@
     facts: tuple[Fact, ...]
 
 
+def abbreviate_incarnation(incarnation: str) -> str:
+    """Return what heartbeats carry of the incarnation."""
+    return incarnation[-RUN_LENGTH:]
+
+
 def build_member(fact: Fact) -> Member:
     """Return the member that the fact describes."""
     return Member(
--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -14,6 +14,7 @@
     FactBook,
     FactsMessage,
     HeartbeatMessage,
+    abbreviate_incarnation,
     build_member,
     select_links,
 )
@@ -47,7 +48,8 @@
 logger = logging.getLogger(__name__)
 
 BEATS_PERIOD = 2  # heartbeats, of which one lists the others' beats
-MISMATCH_LIMIT = 3  # heartbeats with another digest before facts are sent
+SUSPECT_HEARTBEATS = 2.0  # missed by a peer that sent some before
+MISMATCH_LIMIT = 2  # heartbeats with another digest before facts are sent
 LIVE_COUNT = Gauge("chestnutstair_members_live", "Daemons seen to live.")
 
 
@@ -61,12 +63,13 @@
     __pydantic_config__ = STRICT
 
     seeds: tuple[str, ...] = ()
-    heartbeat_seconds: float = 1.0
-    renew_seconds: float = 2.0
+    heartbeat_seconds: float = 2.0
+    renew_seconds: float = 3.0
+    scan_seconds: float = 5.0  # least time between scans of all rows
     lease_seconds: float = 6.0
     forget_seconds: float = 600.0
     table_seconds: float = 2.0  # deadline of one operation
-    scan_row_seconds: float = 0.1  # between scans, for each daemon
+    scan_row_seconds: float = 0.25  # between scans, for each daemon
     mesh_limit: int = 8  # daemons that all hold streams to each other
     fact_limit: int = 64  # in one heartbeat
 
@@ -108,6 +111,7 @@
         self._lock = threading.RLock()
         self._book = FactBook()
         self._heard: dict[str, float] = {}
+        self._heard_directly: dict[str, float] = {}
         self._mismatches: dict[str, int] = {}
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
@@ -165,6 +169,24 @@
             if status.live and not status.fact.stopping
         )
 
+    def list_unsuspected(self) -> frozenset[str]:
+        """Return the incarnations of live daemons in good order.
+
+        They missed no heartbeat here and renew their rows in the table.
+        """
+        now = self._clock.read_monotonic()
+        limit = self._settings.heartbeat_seconds * SUSPECT_HEARTBEATS
+        with self._lock:
+            return frozenset(
+                status.fact.incarnation
+                for status in self.list_statuses()
+                if status.live
+                and not status.fact.stopping
+                and status.fact.reaches_table
+                and now - self._heard_directly.get(status.fact.name, now)
+                < limit
+            )
+
     def list_statuses(self) -> tuple[MemberStatus, ...]:
         """Return every daemon that is not forgotten, sorted by name."""
         with self._lock:
@@ -191,7 +213,7 @@
         # The interval grows with the rows, so that bytes stay bounded.
         rows = len(self._book.list_facts())
         return max(
-            self._settings.renew_seconds,
+            self._settings.scan_seconds,
             rows * self._settings.scan_row_seconds,
         )
 
@@ -257,7 +279,7 @@
     def _build_heartbeat(self, peer: str) -> HeartbeatMessage:
         own = self._own
         return HeartbeatMessage(
-            own.incarnation,
+            abbreviate_incarnation(own.incarnation),
             own.beat,
             own.revision,
             self._book.compute_digest(),
@@ -283,7 +305,10 @@
         with self._lock:
             self._take_news(sender, message.facts)
             fact = self._book.get(sender)
-            if fact is not None and fact.incarnation == message.incarnation:
+            if fact is not None and message.run == abbreviate_incarnation(
+                fact.incarnation
+            ):
+                self._heard_directly[sender] = self._clock.read_monotonic()
                 self._note(
                     replace(fact, beat=message.beat, revision=message.revision)
                 )
@@ -332,7 +357,10 @@
     def _write_own(self, deadline: Deadline) -> None:
         with self._lock:
             own = self._refresh_own()
-        match write_fact(self._table, own, deadline):
+        written = write_fact(self._table, own, deadline)
+        with self._lock:
+            self._own = replace(self._own, reaches_table=written.is_ok())
+        match written:
             case Err(failure):
                 logger.info("renewal: %s", describe_failure(failure))
 
@@ -355,6 +383,7 @@
             for fact in self._book.list_facts():
                 if fact.name not in listed and not self._is_fresh(fact.name):
                     self._book.forget(fact.name)
+                    self._heard_directly.pop(fact.name, None)
 
     def prune(
         self, fence: Condition, deadline: Deadline
--- a/chestnutstair/coordination/messenger.py
+++ b/chestnutstair/coordination/messenger.py
@@ -42,6 +42,10 @@
     def list_live(self) -> tuple[Member, ...]:
         """Return the live daemons with this one, sorted by name."""
 
+    def list_unsuspected(self) -> frozenset[str]:
+        """Return the incarnations of live daemons in good order."""
+        return frozenset(member.incarnation for member in self.list_live())
+
 
 class Messenger(ABC):
     """Best-effort messages to other daemons, in order for each peer."""
--- a/chestnutstair/coordination/spread.py
+++ b/chestnutstair/coordination/spread.py
@@ -81,7 +81,7 @@
 
     __pydantic_config__ = STRICT
 
-    poll_seconds: float = 1.0
+    poll_seconds: float = 1.5
     table_seconds: float = 2.0  # deadline of one read
     peer_wait_seconds: float = 2.0  # for peers' revisions when starting
     pull_seconds: float = 0.5  # between pulls
@@ -138,7 +138,7 @@
         self.poll()
         if self._ready:
             return self._settings.poll_seconds
-        return self._settings.poll_seconds / 4
+        return self._settings.poll_seconds / 6
 
     def poll(self) -> None:
         """Read new records from the table; before that, load a snapshot."""
--- a/chestnutstair/tests/test_duties.py
+++ b/chestnutstair/tests/test_duties.py
@@ -104,7 +104,7 @@
 
         def take_first() -> None:
             rival.table.before_write.clear()
-            rival.duties._look_at.clear()
+            rival.duties._looked_at.clear()
             rival.duties.keep()
 
         def give_up() -> None:
@@ -114,7 +114,7 @@
         rival.paused = True
         for _ in range(20):
             rival.table.before_write[Key(DUTY_TABLE, "pool-3")] = give_up
-            rival.duties._look_at.clear()
+            rival.duties._looked_at.clear()
             with contextlib.suppress(InterruptedError):
                 rival.duties.keep()
             cluster.run(1)
--- a/chestnutstair/tests/test_peers.py
+++ b/chestnutstair/tests/test_peers.py
@@ -15,7 +15,10 @@
 
     def open_network(self, name: str, port: int = 0) -> PeerNetwork:
         settings = PeerSettings(
-            port=port, link=LinkSettings(keepalive_seconds=0.3)
+            port=port,
+            link=LinkSettings(
+                keepalive_seconds=0.3, keepalive_limit_seconds=0.3
+            ),
         )
         network = PeerNetwork(name, f"{name}-run", [PullMessage], settings)
         network.start()
--- a/chestnutstair/transport/links.py
+++ b/chestnutstair/transport/links.py
@@ -17,13 +17,7 @@
 from chestnutstair.protocol.peers import Envelope
 from chestnutstair.state.codec import STRICT
 
-__all__ = [
-    "MESSAGE_BYTES",
-    "MESSAGE_COUNT",
-    "LinkSettings",
-    "PeerLink",
-    "build_configuration",
-]
+__all__ = ["MESSAGE_BYTES", "MESSAGE_COUNT", "LinkSettings", "PeerLink"]
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +48,8 @@
 
     connect_seconds: float = 2.0
     send_seconds: float = 5.0
-    keepalive_seconds: float = 4.0  # between pings, and to their answers
+    keepalive_seconds: float = 8.0  # between pings
+    keepalive_limit_seconds: float = 4.0  # to the answer of a ping
     idle_seconds: float = 30.0  # until a stream that is not held closes
     backoff_min_seconds: float = 0.1
     backoff_max_seconds: float = 3.0
@@ -62,16 +57,18 @@
     queue_bytes: int = 8 * 1024 * 1024
 
 
-def build_configuration(keepalive_seconds: float) -> Configuration:
+def _build_configuration(settings: LinkSettings) -> Configuration:
     """Return a configuration that closes connections without answers.
 
     TCP alone notices a cut only after minutes of retransmission.
     """
     return Configuration(
-        _keepalive_time=keepalive_seconds,
-        _keepalive_timeout=keepalive_seconds,
+        _keepalive_time=settings.keepalive_seconds,
+        _keepalive_timeout=settings.keepalive_limit_seconds,
         _http2_max_pings_without_data=0,
-        _http2_min_sent_ping_interval_without_data=keepalive_seconds / 2,
+        _http2_min_sent_ping_interval_without_data=(
+            settings.keepalive_seconds / 2
+        ),
     )
 
 
@@ -136,7 +133,7 @@
         channel = Channel(
             host.strip("[]"),
             int(port),
-            config=build_configuration(self._settings.keepalive_seconds),
+            config=_build_configuration(self._settings),
         )
         try:
             method = PeerStub(channel).Hold
--- a/chestnutstair/transport/peers.py
+++ b/chestnutstair/transport/peers.py
@@ -27,7 +27,6 @@
     MESSAGE_COUNT,
     LinkSettings,
     PeerLink,
-    build_configuration,
 )
 
 __all__ = ["PeerNetwork", "PeerServer", "PeerSettings"]
@@ -138,10 +137,7 @@
         return self.address
 
     async def _listen(self) -> str:
-        seconds = self._settings.link.keepalive_seconds
-        self._listener = Server(
-            [self._server], config=build_configuration(seconds)
-        )
+        self._listener = Server([self._server])
         await self._listener.start(self._settings.host, self._settings.port)
         sockets = self._listener._server.sockets
         host, port = sockets[0].getsockname()[:2]
@@ -223,6 +219,9 @@
     async def _run_link(self, peer: str, link: PeerLink) -> None:
         try:
             await link.run()
+        except Exception:
+            # The next message to the peer starts another link.
+            logger.exception("link to %s failed", peer)
         finally:
             del self._tasks[link]
             with self._lock:
--- /dev/null
+++ b/tools/bench_configuration.py
@@ -0,0 +1,308 @@
+"""Measures how fast tickets come into force, and what control costs.
+
+Starts daemons as processes on loopback beside the stand-in platform. The
+times compare the monotonic clocks of processes on one Linux machine.
+"""
+
+import argparse
+import multiprocessing
+import random
+import statistics
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Any
+
+from chestnutstair.standins.cluster import LocalCluster, wait_until
+from chestnutstair.state.fleet import Vm
+from chestnutstair.state.ticket import Ticket
+from tools.configuration_node import (
+    NodeSettings,
+    SpreadMode,
+    Usage,
+    run_node,
+)
+from tools.deployments import PAPAGALAKI, build_ticket
+
+__all__ = ["main"]
+
+SETTLE_SECONDS = 12.0
+IDLE_SECONDS = 20.0
+FORCE_SECONDS = 60.0
+ZONES = PAPAGALAKI.list_zones()
+
+
+@dataclass(frozen=True)
+class Case:
+    """One run of the benchmark."""
+
+    mode: SpreadMode = SpreadMode.PUSH
+    daemons: int = 7
+    loss: float = 0.0
+    vms: int = 0  # beyond those of the deployment
+    tickets: int = 0
+    gap_seconds: float = 0.5  # mean time between tickets
+
+
+class Fleet:
+    """The processes of one run."""
+
+    def __init__(self, case: Case, cluster: LocalCluster) -> None:
+        self.case = case
+        self.cluster = cluster
+        self.pipes: list[Any] = []
+        self.zones = [ZONES[i % len(ZONES)] for i in range(case.daemons)]
+        self.number = 0
+        context = multiprocessing.get_context("spawn")
+        seeds: tuple[str, ...] = ()
+        for index in range(case.daemons):
+            ours, theirs = context.Pipe()
+            settings = NodeSettings(
+                f"entry-{index:02d}",
+                self.zones[index],
+                cluster.platform,
+                seeds,
+                case.mode,
+                case.loss,
+                index,
+            )
+            context.Process(
+                target=run_node, args=(settings, theirs), daemon=True
+            ).start()
+            self.pipes.append(ours)
+            address = ours.recv()
+            if index < 2:
+                seeds = (*seeds, address)
+
+    def ask(self, *command: Any) -> list[Any]:
+        """Send a command to every node and return their answers."""
+        for pipe in self.pipes:
+            pipe.send(command)
+        return [pipe.recv() for pipe in self.pipes]
+
+    def file(self, index: int, ticket: Ticket) -> tuple[int, float]:
+        """File a ticket at one node."""
+        self.pipes[index].send(("file", ticket))
+        answer: tuple[int, float] = self.pipes[index].recv()
+        return answer
+
+    def file_next(self, index: int) -> tuple[int, float]:
+        """File the next small ticket at one node."""
+        self.number += 1
+        first = build_ticket(PAPAGALAKI)
+        if self.number == 1:
+            return self.file(index, add_vms(first, self.case.vms))
+        pool = first.pools[self.number % len(first.pools)]
+        pool = replace(pool, availability_budget=1 + self.number % 3)
+        ticket = Ticket(self.number, "bench", "a budget", pools=(pool,))
+        return self.file(index, ticket)
+
+    def wait_for(self, revision: int, indexes: Sequence[int] = ()) -> None:
+        """Block until the nodes, or all, have the revision in force."""
+        chosen = indexes or range(len(self.pipes))
+
+        def reached() -> bool:
+            revisions = self.ask("revision")
+            return all(revisions[index] >= revision for index in chosen)
+
+        wait_until(f"revision {revision}", reached, FORCE_SECONDS)
+
+    def stop(self) -> None:
+        """End the processes."""
+        for pipe in self.pipes:
+            pipe.send(("stop",))
+
+
+def add_vms(ticket: Ticket, count: int) -> Ticket:
+    """Return the ticket with that many VMs more."""
+    sample = ticket.vms[0]
+    more = tuple(build_vm(sample, index) for index in range(count))
+    return replace(ticket, vms=(*ticket.vms, *more))
+
+
+def build_vm(sample: Vm, index: int) -> Vm:
+    """Return another VM of the sample's pool."""
+    address = f"10.{100 + index // 62500}.{index // 250 % 250}.{index % 250}:1"
+    return replace(sample, name=f"more-{index}", address=address)
+
+
+def start_fleet(case: Case, cluster: LocalCluster) -> Fleet:
+    """Start the daemons, and file ticket 1."""
+    cluster.start_platform({})
+    fleet = Fleet(case, cluster)
+    wait_until(
+        "all daemons live",
+        lambda: set(fleet.ask("live")) == {case.daemons},
+        FORCE_SECONDS,
+    )
+    fleet.wait_for(fleet.file_next(0)[0])
+    time.sleep(SETTLE_SECONDS)
+    return fleet
+
+
+def find_quantile(values: Sequence[float], share: float) -> float:
+    """Return the smallest value that the share of values is within."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def describe_times(values: Sequence[float]) -> str:
+    """Return the quantiles of seconds as columns."""
+    p50, p99 = (find_quantile(values, share) for share in (0.5, 0.99))
+    return f"{p50:7.3f} {p99:7.3f} {max(values):7.3f}"
+
+
+def describe_usage(before: list[Usage], after: list[Usage]) -> str:
+    """Return the mean and the largest use of a node as columns."""
+    pairs = list(zip(before, after, strict=True))
+    spans = [b.seconds - a.seconds for a, b in pairs]
+    rows: dict[str, list[float]] = {
+        "cpu": [b.cpu_seconds - a.cpu_seconds for a, b in pairs],
+        "out": [b.sent_bytes - a.sent_bytes for a, b in pairs],
+        "in": [b.received_bytes - a.received_bytes for a, b in pairs],
+        "reads": [b.table_reads - a.table_reads for a, b in pairs],
+        "writes": [b.table_writes - a.table_writes for a, b in pairs],
+    }
+    rates = {
+        name: [value / spans[index] for index, value in enumerate(values)]
+        for name, values in rows.items()
+    }
+    mean = {name: statistics.mean(values) for name, values in rates.items()}
+    memory = max(item.memory_mb for item in after)
+    return (
+        f"{mean['cpu'] * 100:6.2f} {max(rates['cpu']) * 100:6.2f} "
+        f"{mean['out']:7.0f} {max(rates['out']):7.0f} "
+        f"{mean['in']:7.0f} {max(rates['in']):7.0f} "
+        f"{sum(rates['reads']):6.1f} {sum(rates['writes']):6.1f} "
+        f"{memory:6.0f}"
+    )
+
+
+USAGE_TITLE = (
+    " cpu%   max%   out/s     max    in/s     max  reads writes     MB"
+)
+
+
+def run_rollout(case: Case) -> None:
+    """Print the times from accepted to in force on every daemon."""
+    chance = random.Random(1)
+    with LocalCluster() as cluster:
+        fleet = start_fleet(case, cluster)
+        accepted = []
+        before = fleet.ask("measure")
+        for _ in range(case.tickets):
+            time.sleep(chance.expovariate(1 / case.gap_seconds))
+            accepted.append(fleet.file_next(chance.randrange(case.daemons)))
+        fleet.wait_for(accepted[-1][0])
+        after = fleet.ask("measure")
+        folds = fleet.ask("folds")
+        fleet.stop()
+    each = [item[rev] - at for rev, at in accepted for item in folds]
+    everywhere = [
+        max(item[rev] for item in folds) - at for rev, at in accepted
+    ]
+    print(
+        f"{case.mode:5} {case.daemons:3} {case.loss:4.1f} "
+        f"{describe_times(each)} {describe_times(everywhere)} "
+        f"{describe_usage(before, after)}",
+        flush=True,
+    )
+
+
+def run_idle(case: Case) -> None:
+    """Print what a node uses while no ticket is filed, or some are."""
+    chance = random.Random(1)
+    with LocalCluster() as cluster:
+        fleet = start_fleet(case, cluster)
+        before = fleet.ask("measure")
+        end = time.monotonic() + IDLE_SECONDS
+        for _ in range(case.tickets):
+            time.sleep(case.gap_seconds)
+            fleet.file_next(chance.randrange(case.daemons))
+        time.sleep(max(0.0, end - time.monotonic()))
+        after = fleet.ask("measure")
+        fleet.stop()
+    print(
+        f"{case.daemons:7} {case.vms:6} {case.tickets:7} "
+        f"{describe_usage(before, after)}",
+        flush=True,
+    )
+
+
+def run_cut(case: Case, platform_too: bool) -> None:
+    """Print the times while a zone is cut off, and after it is healed."""
+    with LocalCluster() as cluster:
+        fleet = start_fleet(case, cluster)
+        inside = [i for i, z in enumerate(fleet.zones) if z == ZONES[1]]
+        outside = [i for i in range(case.daemons) if i not in inside]
+        names = [f"entry-{index:02d}" for index in range(case.daemons)]
+        for index, pipe in enumerate(fleet.pipes):
+            others = outside if index in inside else inside
+            pipe.send(("cut", [names[other] for other in others]))
+            pipe.recv()
+        zones = [ZONES[1]] if platform_too else []
+        cluster.call_platform("POST", "/faults", {"cut_zones": zones})
+        accepted = []
+        for _ in range(case.tickets):
+            time.sleep(case.gap_seconds)
+            accepted.append(fleet.file_next(outside[0]))
+        fleet.wait_for(accepted[-1][0], outside)
+        healed = time.monotonic()
+        cluster.call_platform("POST", "/faults", {"cut_zones": []})
+        fleet.ask("cut", [])
+        fleet.wait_for(accepted[-1][0])
+        folds = fleet.ask("folds")
+        fleet.stop()
+    others = [folds[i][rev] - at for rev, at in accepted for i in outside]
+    within = [folds[i][rev] - at for rev, at in accepted for i in inside]
+    last = accepted[-1][0]
+    after = max(folds[i][last] for i in inside) - healed
+    cut = "and platform" if platform_too else "peers only"
+    print(
+        f"{case.daemons:3} {cut:12}"
+        f" {describe_times(others)} {describe_times(within)} {after:7.3f}",
+        flush=True,
+    )
+
+
+def print_rollouts(sizes: Sequence[int], tickets: int) -> None:
+    """Run every way of spreading at every size, with and without loss."""
+    print("seconds to in force: each daemon p50 p99 max, everywhere same")
+    print(f"mode  n   loss {' ' * 48}{USAGE_TITLE}")
+    for size in sizes:
+        for loss in (0.0, 0.2):
+            for mode in SpreadMode:
+                run_rollout(Case(mode, size, loss, tickets=tickets))
+
+
+def print_idle(sizes: Sequence[int]) -> None:
+    """Run idle daemons, by their number, by VMs and by tickets."""
+    print(f"daemons    VMs tickets{USAGE_TITLE}")
+    for size in sizes:
+        run_idle(Case(daemons=size))
+    run_idle(Case(daemons=7, vms=2000))
+    run_idle(Case(daemons=7, vms=9900))
+    run_idle(Case(daemons=7, tickets=10, gap_seconds=1.9))
+    run_idle(Case(daemons=7, tickets=38, gap_seconds=0.5))
+
+
+def main() -> None:
+    """Run the part of the benchmark that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("part", choices=["rollout", "idle", "cut"])
+    parser.add_argument("--sizes", type=int, nargs="+", default=[7, 28])
+    parser.add_argument("--tickets", type=int, default=60)
+    arguments = parser.parse_args()
+    match arguments.part:
+        case "rollout":
+            print_rollouts(arguments.sizes, arguments.tickets)
+        case "idle":
+            print_idle(arguments.sizes)
+        case "cut":
+            for size in arguments.sizes:
+                for platform_too in (False, True):
+                    run_cut(Case(daemons=size, tickets=10), platform_too)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/configuration_node.py
@@ -0,0 +1,289 @@
+"""One daemon's share of configuration, as a process of the benchmark."""
+
+import os
+import random
+import resource
+import socket
+import struct
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from multiprocessing.connection import Connection
+from typing import Any
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.duties import LeasedDuties
+from chestnutstair.coordination.gossip import FactsMessage, HeartbeatMessage
+from chestnutstair.coordination.membership import (
+    MemberList,
+    MembershipSettings,
+)
+from chestnutstair.coordination.messenger import Member, Message
+from chestnutstair.coordination.platform import (
+    Condition,
+    Key,
+    Write,
+)
+from chestnutstair.coordination.spread import (
+    PullMessage,
+    RecordsMessage,
+    Spreader,
+    ViewMessage,
+)
+from chestnutstair.coordination.tickets import TicketDesk
+from chestnutstair.state.change import ChangeRecord
+from chestnutstair.state.deadline import Deadline, SystemClock
+from chestnutstair.state.ticket import Ticket
+from chestnutstair.state.view import FleetView
+from chestnutstair.transport.peers import PeerNetwork
+from chestnutstair.transport.platform import HttpObjectStore, HttpTable
+
+__all__ = ["NodeSettings", "SpreadMode", "Usage", "run_node"]
+
+KINDS = (
+    FactsMessage,
+    HeartbeatMessage,
+    PullMessage,
+    RecordsMessage,
+    ViewMessage,
+)
+# Offsets in Linux' struct tcp_info: bytes acknowledged and received (both
+# 64 bits), then segments sent and received (both 32 bits).
+TCP_INFO_OFFSET = 120
+TCP_INFO_FORMAT = "=QQII"
+TCP_INFO_BYTES = 256
+HEADER_BYTES = 52  # IP and TCP with the timestamp option
+
+
+class SpreadMode(StrEnum):
+    """How records get from the daemon that accepted them to the others."""
+
+    POLL = "poll"  # every daemon polls, nothing else
+    ZONE = "zone"  # one poller in each zone pushes to the others
+    PUSH = "push"  # as shipped: push, digests in heartbeats, and polls
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """One process of the benchmark."""
+
+    name: str
+    zone: str
+    platform: str
+    seeds: tuple[str, ...]
+    mode: SpreadMode
+    loss: float
+    seed: int
+    duties: int = 10
+
+
+@dataclass(frozen=True)
+class Usage:
+    """What the process used since its start."""
+
+    seconds: float
+    cpu_seconds: float
+    sent_bytes: int
+    received_bytes: int
+    table_reads: int
+    table_writes: int
+    memory_mb: float
+
+
+class LossyNetwork(PeerNetwork):
+    """Loses a share of messages, and all to peers that are cut off."""
+
+    loss = 0.0
+    cut: frozenset[str] = frozenset()
+    chance = random.Random(0)
+
+    def send(self, peer: str, message: Message) -> bool:
+        """Lose the message or send it."""
+        if peer in self.cut or self.chance.random() < self.loss:
+            return True
+        return super().send(peer, message)
+
+
+class CountedTable(HttpTable):
+    """Counts the operations on the table."""
+
+    reads = 0
+    writes = 0
+
+    def read(self, keys: Sequence[Key], deadline: Deadline) -> Any:
+        """Count and read."""
+        self.reads += 1
+        return super().read(keys, deadline)
+
+    def scan(self, *arguments: Any) -> Any:
+        """Count and scan."""
+        self.reads += 1
+        return super().scan(*arguments)
+
+    def commit(
+        self,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Deadline,
+    ) -> Any:
+        """Count and commit."""
+        self.writes += 1
+        return super().commit(conditions, writes, deadline)
+
+
+class PollingSpreader(Spreader):
+    """Neither pushes nor pulls."""
+
+    def _push(self, record: ChangeRecord, view: FleetView) -> None:
+        return
+
+    def _take_heartbeat(self, sender: str, message: HeartbeatMessage) -> None:
+        self._note_revision(sender, message.revision)
+
+
+class ZoneSpreader(Spreader):
+    """Polls in one daemon of each zone; all pass on but the author."""
+
+    members: MemberList
+    filing = False
+
+    def _push(self, record: ChangeRecord, view: FleetView) -> None:
+        if not self.filing:
+            super()._push(record, view)
+
+    def poll(self) -> None:
+        """Poll when this is the zone's first live daemon by name."""
+        me = self.members.get_self()
+        zone = [
+            item.name
+            for item in self.members.list_live()
+            if item.zone == me.zone
+        ]
+        if not self._ready or zone[0] == me.name:
+            super().poll()
+
+
+@dataclass
+class BenchNode:
+    """The parts of a daemon that configuration needs."""
+
+    settings: NodeSettings
+    folds: dict[int, float] = field(default_factory=dict)
+
+    def start(self) -> str:
+        """Build and start all parts; return the address for peers."""
+        settings = self.settings
+        clock = SystemClock()
+        url = f"http://{settings.platform}"
+        arguments = (url, settings.name, settings.zone, clock)
+        self.table = CountedTable(*arguments)
+        incarnation = f"{settings.name}-{os.getpid()}"
+        self.network = LossyNetwork(settings.name, incarnation, KINDS)
+        self.network.chance = random.Random(settings.seed)
+        self.network.loss = settings.loss
+        address = self.network.start()
+        self.log = ChangeLog(
+            self.table,
+            clock,
+            settings.name,
+            FleetView(),
+            HttpObjectStore(*arguments),
+        )
+        self.members = MemberList(
+            Member(settings.name, settings.zone, address, incarnation),
+            self.log,
+            self.table,
+            self.network,
+            clock,
+            MembershipSettings(seeds=settings.seeds),
+        )
+        kinds = {
+            SpreadMode.POLL: PollingSpreader,
+            SpreadMode.ZONE: ZoneSpreader,
+        }
+        kind = kinds.get(settings.mode, Spreader)
+        self.spreader = kind(self.log, self.network, clock)
+        if isinstance(self.spreader, ZoneSpreader):
+            self.spreader.members = self.members
+        self.log.add_listener(self._note_fold)
+        names = [f"duty-{index}" for index in range(settings.duties)]
+        self.duties = LeasedDuties(
+            self.table, self.members, lambda: names, clock
+        )
+        self.desk = TicketDesk(self.log, self.members, self.table, clock)
+        self.members.start()
+        self.spreader.start()
+        self.duties.start()
+        return address
+
+    def _note_fold(self, record: ChangeRecord, view: FleetView) -> None:
+        self.folds[record.revision] = time.monotonic()
+
+    def file(self, ticket: Ticket) -> tuple[int, float]:
+        """File the ticket; return its revision and when it was accepted."""
+        if isinstance(self.spreader, ZoneSpreader):
+            self.spreader.filing = True
+        deadline = Deadline.after(SystemClock(), 10.0)
+        outcome = self.desk.file(ticket, deadline).unwrap()
+        if isinstance(self.spreader, ZoneSpreader):
+            self.spreader.filing = False
+        return outcome.revision, self.folds[outcome.revision]
+
+    def measure(self) -> Usage:
+        """Return what this process used."""
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        sent, received = count_bytes()
+        return Usage(
+            time.monotonic(),
+            used.ru_utime + used.ru_stime,
+            sent,
+            received,
+            self.table.reads,
+            self.table.writes,
+            used.ru_maxrss / 1024,
+        )
+
+
+def count_bytes() -> tuple[int, int]:
+    """Return the bytes with headers of this process's open TCP sockets."""
+    sent = received = 0
+    for number in os.listdir("/proc/self/fd"):
+        try:
+            if not os.readlink(f"/proc/self/fd/{number}").startswith("socket"):
+                continue
+            with socket.socket(fileno=os.dup(int(number))) as copy:
+                info = copy.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+                )
+        except OSError:
+            continue
+        acked, got, out, back = struct.unpack_from(
+            TCP_INFO_FORMAT, info, TCP_INFO_OFFSET
+        )
+        sent += acked + out * HEADER_BYTES
+        received += got + back * HEADER_BYTES
+    return sent, received
+
+
+def run_node(settings: NodeSettings, pipe: Connection) -> None:
+    """Start the node and answer the commands of the benchmark."""
+    node = BenchNode(settings)
+    pipe.send(node.start())
+    while True:
+        match pipe.recv():
+            case ("file", ticket):
+                pipe.send(node.file(ticket))
+            case ("folds",):
+                pipe.send(dict(node.folds))
+            case ("measure",):
+                pipe.send(node.measure())
+            case ("cut", names):
+                node.network.cut = frozenset(names)
+                pipe.send(True)
+            case ("live",):
+                pipe.send(len(node.members.list_live()))
+            case ("revision",):
+                pipe.send(node.log.view.revision)
+            case _:
+                return
