Remove the rows of earlier runs and split the leases' module

Change: the holder of the compaction duty deletes beats of incarnations that no known daemon has; to whoever watches a lease this is a beat like any other, so it can only delay a takeover. Duty rows and ranks are in duty.py, the watch over unchanged rows in lapse.py.

--- a/chestnutstair/coordination/duties.py
+++ b/chestnutstair/coordination/duties.py
@@ -1,6 +1,5 @@
 """Leases on exclusive duties, spread over the live daemons."""
 
-import hashlib
 import logging
 import threading
 from collections.abc import Callable, Sequence
@@ -9,9 +8,17 @@
 from prometheus_client import Counter, Gauge
 from result import Err, Ok, Result
 
-from chestnutstair.coordination.duty import DUTY_TABLE, Duty, DutyHolder
+from chestnutstair.coordination.duty import (
+    BEAT_TABLE,
+    DUTY_TABLE,
+    Duty,
+    DutyHolder,
+    DutyRow,
+    rank_members,
+)
+from chestnutstair.coordination.lapse import LapseWatch
 from chestnutstair.coordination.loop import Loop
-from chestnutstair.coordination.messenger import Member, Membership
+from chestnutstair.coordination.messenger import Membership
 from chestnutstair.coordination.platform import (
     ABSENT,
     Condition,
@@ -26,11 +33,10 @@
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
 
-__all__ = ["BEAT_TABLE", "DutySettings", "LeasedDuties", "rank_members"]
+__all__ = ["DutySettings", "LeasedDuties"]
 
 logger = logging.getLogger(__name__)
 
-BEAT_TABLE = "duty-beat"
 LOOK_SHARE = 0.7  # of the loop's interval, at least, between two looks
 HELD_COUNT = Gauge("chestnutstair_duties_held", "Duties that are held here.")
 TAKEOVERS = Counter("chestnutstair_duty_takeovers_total", "Duties taken over.")
@@ -57,34 +63,6 @@
     table_seconds: float = 1.5  # deadline of one operation
 
 
-@dataclass(frozen=True)
-class DutyRow:
-    """The row of a duty, written by takeovers and releases only."""
-
-    __pydantic_config__ = STRICT
-
-    token: int
-    holder: str = ""  # a daemon's incarnation, empty when released
-
-
-@dataclass(frozen=True)
-class Sighting:
-    """The versions of a duty's two rows, and since when they stood."""
-
-    duty_version: int
-    beat_version: int
-    since: float
-
-
-def rank_members(duty: str, members: Sequence[Member]) -> list[str]:
-    """Return the names, the preferred holder of the duty first."""
-
-    def score(member: Member) -> str:
-        return hashlib.sha256(f"{duty}/{member.name}".encode()).hexdigest()
-
-    return [member.name for member in sorted(members, key=score)]
-
-
 class LeasedDuties(DutyHolder):
     """Takes, renews and hands over duties through the table.
 
@@ -112,7 +90,7 @@
         self._beat = 0
         self._lock = threading.Lock()
         self._held: dict[str, Duty] = {}
-        self._sightings: dict[str, Sighting] = {}
+        self._watch = LapseWatch(clock)
         self._looked_at: dict[str, float] = {}
         self._holders: dict[str, str] = {}
         self._unwanted_since: dict[str, float] = {}
@@ -318,16 +296,10 @@
     def _has_lapsed(
         self, name: str, rank: int, holder: str, version: int, beat: int
     ) -> bool:
-        now = self._clock.read_monotonic()
-        sighting = self._sightings.get(name)
-        if sighting is None or (
-            (sighting.duty_version, sighting.beat_version) != (version, beat)
-        ):
-            sighting = Sighting(version, beat, now)
-            self._sightings[name] = sighting
+        still = self._watch.measure_still(name, (version, beat))
         lease = self._settings.lease_seconds if holder else 0.0
         wait = lease + rank * self._settings.rank_seconds
-        return now - sighting.since >= wait
+        return still >= wait
 
     def _adopt(self, name: str, token: int, version: int) -> None:
         # The deadline has passed: the next renewal makes it usable.
--- a/chestnutstair/coordination/duty.py
+++ b/chestnutstair/coordination/duty.py
@@ -1,14 +1,26 @@
 """Exclusive duties, held by lease in the table with a fencing token."""
 
+import hashlib
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from chestnutstair.coordination.messenger import Member
 from chestnutstair.coordination.platform import Condition, Key
+from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Deadline
 
-__all__ = ["DUTY_TABLE", "Duty", "DutyHolder"]
+__all__ = [
+    "BEAT_TABLE",
+    "DUTY_TABLE",
+    "Duty",
+    "DutyHolder",
+    "DutyRow",
+    "rank_members",
+]
 
 DUTY_TABLE = "duty"
+BEAT_TABLE = "duty-beat"
 
 
 @dataclass(frozen=True)
@@ -36,3 +48,22 @@
     @abstractmethod
     def find_duty(self, name: str) -> Duty | None:
         """Return the duty if held and its deadline has not passed."""
+
+
+@dataclass(frozen=True)
+class DutyRow:
+    """The row of a duty, written by takeovers and releases only."""
+
+    __pydantic_config__ = STRICT
+
+    token: int
+    holder: str = ""  # a daemon's incarnation, empty when released
+
+
+def rank_members(duty: str, members: Sequence[Member]) -> list[str]:
+    """Return the names, the preferred holder of the duty first."""
+
+    def score(member: Member) -> str:
+        return hashlib.sha256(f"{duty}/{member.name}".encode()).hexdigest()
+
+    return [member.name for member in sorted(members, key=score)]
--- a/chestnutstair/coordination/gossip.py
+++ b/chestnutstair/coordination/gossip.py
@@ -12,6 +12,7 @@
     "FactBook",
     "FactsMessage",
     "HeartbeatMessage",
+    "MemberStatus",
     "abbreviate_incarnation",
     "build_member",
     "select_links",
@@ -71,6 +72,20 @@
     facts: tuple[Fact, ...]
 
 
+@dataclass(frozen=True)
+class MemberStatus:
+    """A daemon, whether it lives, and when it was last heard of.
+
+    `heard_at` is wall-clock epoch seconds, `silent_seconds` the time since
+    then on the monotonic clock.
+    """
+
+    fact: Fact
+    live: bool
+    heard_at: float
+    silent_seconds: float
+
+
 def abbreviate_incarnation(incarnation: str) -> str:
     """Return what heartbeats carry of the incarnation."""
     return incarnation[-RUN_LENGTH:]
--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -14,6 +14,7 @@
     FactBook,
     FactsMessage,
     HeartbeatMessage,
+    MemberStatus,
     abbreviate_incarnation,
     build_member,
     select_links,
@@ -31,8 +32,8 @@
     Table,
 )
 from chestnutstair.coordination.registry import (
+    prune_rows,
     read_facts,
-    remove_facts,
     write_fact,
 )
 from chestnutstair.state.codec import STRICT
@@ -74,18 +75,6 @@
     fact_limit: int = 64  # in one heartbeat
 
 
-@dataclass(frozen=True)
-class MemberStatus:
-    """A daemon, whether it lives, and when it was last heard of.
-
-    `heard_at` is wall-clock epoch seconds of this daemon.
-    """
-
-    fact: Fact
-    live: bool
-    heard_at: float
-
-
 class MemberList(Membership):
     """Keeps the list of daemons from the table and from heartbeats.
 
@@ -199,6 +188,7 @@
                     fact,
                     self._is_fresh(fact.name),
                     wall - (now - self._heard[fact.name]),
+                    now - self._heard[fact.name],
                 )
                 for fact in self._book.list_facts()
             )
@@ -389,15 +379,10 @@
         self, fence: Condition, deadline: Deadline
     ) -> Result[None, ConflictFailure | PlatformFailure]:
         """Delete the rows of daemons that stopped, or are gone for long."""
-        gone = [
-            status.fact.name
-            for status in self.list_statuses()
-            if not status.live and self._is_forgettable(status.fact)
-        ]
-        if not gone:
-            return Ok(None)
-        return remove_facts(self._table, gone, fence, deadline)
-
-    def _is_forgettable(self, fact: Fact) -> bool:
-        age = self._clock.read_monotonic() - self._heard[fact.name]
-        return fact.stopping or age > self._settings.forget_seconds
+        return prune_rows(
+            self._table,
+            self.list_statuses(),
+            self._settings.forget_seconds,
+            fence,
+            deadline,
+        )
--- a/chestnutstair/coordination/registry.py
+++ b/chestnutstair/coordination/registry.py
@@ -1,10 +1,11 @@
 """The rows in which daemons register and renew their beats."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Sequence
 
-from result import Result
+from result import Err, Ok, Result
 
-from chestnutstair.coordination.gossip import Fact
+from chestnutstair.coordination.duty import BEAT_TABLE
+from chestnutstair.coordination.gossip import Fact, MemberStatus
 from chestnutstair.coordination.platform import (
     Condition,
     ConflictFailure,
@@ -16,7 +17,12 @@
 from chestnutstair.state.codec import decode_value, encode_value
 from chestnutstair.state.deadline import Deadline
 
-__all__ = ["MEMBER_TABLE", "read_facts", "remove_facts", "write_fact"]
+__all__ = [
+    "MEMBER_TABLE",
+    "prune_rows",
+    "read_facts",
+    "write_fact",
+]
 
 MEMBER_TABLE = "members"
 SCAN_LIMIT = 1000  # daemons
@@ -42,9 +48,44 @@
     return table.commit([], [Write(key, encode_value(fact))], deadline)
 
 
-def remove_facts(
-    table: Table, names: Iterable[str], fence: Condition, deadline: Deadline
+def prune_rows(
+    table: Table,
+    statuses: Sequence[MemberStatus],
+    forget_seconds: float,
+    fence: Condition,
+    deadline: Deadline,
 ) -> Result[None, ConflictFailure | PlatformFailure]:
-    """Delete the rows of daemons; the fence is a duty's condition."""
-    writes = [Write(Key(MEMBER_TABLE, name), None) for name in names]
+    """Delete the rows of daemons that stopped, or are gone for long.
+
+    The fence is the condition of the duty that allows it.
+    """
+    kept = {status.fact.incarnation for status in statuses}
+    removed = _remove_beats(table, kept, fence, deadline)
+    gone = [
+        status.fact.name
+        for status in statuses
+        if not status.live
+        and (status.fact.stopping or status.silent_seconds > forget_seconds)
+    ]
+    if removed.is_err() or not gone:
+        return removed
+    writes = [Write(Key(MEMBER_TABLE, name), None) for name in gone]
     return table.commit([fence], writes, deadline)
+
+
+def _remove_beats(
+    table: Table, kept: Collection[str], fence: Condition, deadline: Deadline
+) -> Result[None, ConflictFailure | PlatformFailure]:
+    """Delete the beats of incarnations that are not among the kept ones.
+
+    To an observer of a lease, this is a beat like any other.
+    """
+    rows = table.scan(BEAT_TABLE, "", "~", SCAN_LIMIT, deadline)
+    if isinstance(rows, Err):
+        return rows
+    gone = [row for row in rows.ok_value if row.key.key not in kept]
+    if not gone:
+        return Ok(None)
+    conditions = [Condition(row.key, row.version) for row in gone]
+    writes = [Write(row.key, None) for row in gone]
+    return table.commit([fence, *conditions], writes, deadline)
--- a/chestnutstair/tests/test_duties.py
+++ b/chestnutstair/tests/test_duties.py
@@ -5,8 +5,8 @@
 import unittest
 from collections.abc import Callable
 
-from chestnutstair.coordination.duties import DutySettings, rank_members
-from chestnutstair.coordination.duty import DUTY_TABLE, Duty
+from chestnutstair.coordination.duties import DutySettings
+from chestnutstair.coordination.duty import DUTY_TABLE, Duty, rank_members
 from chestnutstair.coordination.platform import ConflictFailure, Key
 from chestnutstair.state.change import PauseChange
 from chestnutstair.tests.cluster import Cluster, FakeDaemon
--- a/chestnutstair/tests/test_snapshot.py
+++ b/chestnutstair/tests/test_snapshot.py
@@ -59,6 +59,21 @@
         records = new.log.read_records(0, 10, self.deadline).unwrap()
         self.assertEqual([item.revision for item in records], [*range(1, 11)])
 
+    def test_rows_of_earlier_runs_are_removed(self) -> None:
+        for _ in range(4):
+            self.cluster.replace(self.other.name)
+            self.cluster.run(20)
+        self.deadline = self.cluster.make_deadline()
+        before = self.cluster.table.scan(
+            "duty-beat", "", "~", 99, self.deadline
+        )
+        self.compact()
+        after = self.cluster.table.scan(
+            "duty-beat", "", "~", 99, self.deadline
+        )
+        self.assertGreater(len(before.unwrap()), 3)
+        self.assertLessEqual(len(after.unwrap()), 3)
+
     def test_a_stale_daemon_can_not_commit_over_removed_records(self) -> None:
         stale = self.other
         stale.log.refresh(self.deadline)
--- a/tools/bench_configuration.py
+++ b/tools/bench_configuration.py
@@ -26,7 +26,7 @@
 
 __all__ = ["main"]
 
-SETTLE_SECONDS = 12.0
+SETTLE_SECONDS = 50.0  # duties handed over, spare streams closed
 IDLE_SECONDS = 20.0
 FORCE_SECONDS = 60.0
 ZONES = PAPAGALAKI.list_zones()
--- a/tools/configuration_node.py
+++ b/tools/configuration_node.py
@@ -1,10 +1,12 @@
 """One daemon's share of configuration, as a process of the benchmark."""
 
+import contextlib
 import os
 import random
 import resource
 import socket
 import struct
+import threading
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -53,6 +55,7 @@
 TCP_INFO_OFFSET = 120
 TCP_INFO_FORMAT = "=QQII"
 TCP_INFO_BYTES = 256
+SAMPLE_SECONDS = 1.0
 HEADER_BYTES = 52  # IP and TCP with the timestamp option
 
 
@@ -182,6 +185,7 @@
         self.network = LossyNetwork(settings.name, incarnation, KINDS)
         self.network.chance = random.Random(settings.seed)
         self.network.loss = settings.loss
+        self.counter = ByteCounter()
         address = self.network.start()
         self.log = ChangeLog(
             self.table,
@@ -233,7 +237,7 @@
     def measure(self) -> Usage:
         """Return what this process used."""
         used = resource.getrusage(resource.RUSAGE_SELF)
-        sent, received = count_bytes()
+        sent, received = self.counter.count()
         return Usage(
             time.monotonic(),
             used.ru_utime + used.ru_stime,
@@ -245,25 +249,47 @@
         )
 
 
-def count_bytes() -> tuple[int, int]:
-    """Return the bytes with headers of this process's open TCP sockets."""
-    sent = received = 0
-    for number in os.listdir("/proc/self/fd"):
-        try:
-            if not os.readlink(f"/proc/self/fd/{number}").startswith("socket"):
-                continue
-            with socket.socket(fileno=os.dup(int(number))) as copy:
-                info = copy.getsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
-                )
-        except OSError:
-            continue
+class ByteCounter:
+    """Adds up the bytes with headers of this process's TCP sockets.
+
+    Looks often, because the counts of a socket go with it.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._seen: dict[str, tuple[int, int]] = {}
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def _run(self) -> None:
+        while True:
+            self.count()
+            time.sleep(SAMPLE_SECONDS)
+
+    def count(self) -> tuple[int, int]:
+        """Return the bytes sent and received by all sockets so far."""
+        with self._lock:
+            for number in os.listdir("/proc/self/fd"):
+                with contextlib.suppress(OSError):
+                    self._look(number)
+            counts = list(self._seen.values())
+        return sum(out for out, _ in counts), sum(back for _, back in counts)
+
+    def _look(self, number: str) -> None:
+        inode = os.readlink(f"/proc/self/fd/{number}")
+        if not inode.startswith("socket"):
+            return
+        with socket.socket(fileno=os.dup(int(number))) as copy:
+            info = copy.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+            )
         acked, got, out, back = struct.unpack_from(
             TCP_INFO_FORMAT, info, TCP_INFO_OFFSET
         )
-        sent += acked + out * HEADER_BYTES
-        received += got + back * HEADER_BYTES
-    return sent, received
+        self._seen[inode] = (
+            acked + out * HEADER_BYTES,
+            got + back * HEADER_BYTES,
+        )
 
 
 def run_node(settings: NodeSettings, pipe: Connection) -> None:
