Add admission, retries, ejection and claims to the forwarder

Change: Admission grants slots from an index per pool, zone and load; PoolQueue keeps classes by rank with floors and measures the drain rate; a request that can not start by its deadline is refused at once with Retry-After. Any free slot may be used until a class finds its floor taken; then daemons tell each other and hold classes to their shares for two seconds. Overflow goes to the spare pool with hysteresis and leaves its owner a part. Retries spend a budget per pool, ejection takes at most a third of a pool. Claims are grouped into few transactions; ends of claims are written afterwards, and a deletion whose answer was lost is not repeated, as the row may be another attempt's by then. Connections to a target are divided by the daemons seen lately.

Ruled out: floors by a fixed share of each daemon, since at 28 daemons a share is two slots; deleting a claim without holding it.

--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -8,16 +8,27 @@
 from prometheus_client import Counter
 from result import Err, Ok
 
+from chestnutstair.coordination.admission import (
+    Admission,
+    AdmissionSettings,
+)
 from chestnutstair.coordination.changelog import ChangeLog
-from chestnutstair.coordination.leaving import (
-    LeavingMessage,
-    LeavingSettings,
-    LeavingTracker,
+from chestnutstair.coordination.claims import (
+    Claim,
+    ClaimLedger,
+    ClaimTakenFailure,
+    ClaimUnavailableFailure,
+    ClaimUnknownFailure,
+    build_claim_key,
 )
+from chestnutstair.coordination.grant import Entry, Grant, Refusal
 from chestnutstair.coordination.messenger import Membership, Messenger
 from chestnutstair.coordination.platform import ListedVm
 from chestnutstair.coordination.request import (
     AnsweredOutcome,
+    ClaimedOutcome,
+    ClaimFailure,
+    DeadlineFailure,
     NoTargetFailure,
     Ran,
     RefusedOutcome,
@@ -25,42 +36,55 @@
     RequestOutcome,
     StoppingFailure,
     UnknownOutcome,
-    UnknownServiceFailure,
-)
-from chestnutstair.coordination.router import (
-    ClosedReason,
-    Router,
-    TargetLoad,
 )
 from chestnutstair.coordination.target import (
     LostAnswerFailure,
     NotSentFailure,
+    TargetAnswer,
     TargetClient,
+    TargetFailure,
 )
+from chestnutstair.state.change import ChangeRecord, TicketChange
 from chestnutstair.state.codec import STRICT
-from chestnutstair.state.deadline import Clock
-from chestnutstair.state.fleet import Pool
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import Failure
+from chestnutstair.state.view import FleetView
 
 __all__ = ["Forwarder", "ForwarderSettings"]
 
 logger = logging.getLogger(__name__)
 
 OUTCOMES = Counter(
-    "chestnutstair_request_outcomes",
-    "Callers' requests by service and outcome.",
-    ["service", "outcome"],
+    "chestnutstair_request_outcomes", "Requests by outcome.", ["outcome"]
 )
+BUSY_STATUS = 503
 
 
 @dataclass(frozen=True)
 class ForwarderSettings:
-    """How requests are forwarded."""
+    """How requests are forwarded; times in seconds.
+
+    After the stop has begun, new requests are still taken for
+    `stop_notice_seconds`, until the balancer has seen it.
+    """
 
     __pydantic_config__ = STRICT
 
-    attempts: int = 3
     retry_after_seconds: float = 1.0
-    leaving: LeavingSettings = field(default_factory=LeavingSettings)
+    stop_notice_seconds: float = 5.0
+    admission: AdmissionSettings = field(default_factory=AdmissionSettings)
+
+
+@dataclass
+class _Progress:
+    """What is known of one request while it is being forwarded."""
+
+    entry: Entry
+    claim: Claim | None = None
+    refusals: int = 0
+    sent_at: float = 0.0  # monotonic seconds, of the newest attempt
+    lost: Failure | None = None  # an attempt that may have run
+    last: Failure | None = None
 
 
 class Forwarder:
@@ -73,104 +97,244 @@
         clock: Clock,
         membership: Membership,
         messenger: Messenger,
+        claims: ClaimLedger,
         settings: ForwarderSettings,
     ) -> None:
-        self._log = log
         self._client = client
         self._clock = clock
+        self._claims = claims
         self._settings = settings
-        self._router = Router(membership.get_self().zone)
-        self._lock = threading.Lock()
-        self._stopping = False
-        self._leaving = LeavingTracker(
-            clock, messenger, membership, self._mark_leaving, settings.leaving
+        self._admission = Admission(
+            log, clock, membership, messenger, settings.admission
         )
-        messenger.add_handler(LeavingMessage, self._take_message)
+        log.add_listener(self._drop_connections)
+        self._idle = threading.Condition()
+        self._in_flight = 0
+        self._refuse_from: Deadline | None = None
 
-    def forward(self, request: Request) -> RequestOutcome:
-        """Forward the request; block until its outcome or deadline."""
-        outcome = self._forward(request)
-        kind = type(outcome).__name__
-        OUTCOMES.labels(request.service, kind).inc()
-        return outcome
+    def start(self) -> None:
+        """Start the threads of the admission and the claims."""
+        self._admission.start()
+        self._claims.start()
+
+    def stop(self) -> None:
+        """End the threads; call it when nothing is in flight."""
+        self._admission.stop()
+        self._claims.stop()
 
     def begin_stop(self) -> None:
-        """Refuse new requests and let those in flight end."""
-        self._stopping = True
+        """Turn not ready, refuse new requests a little later."""
+        notice = self._settings.stop_notice_seconds
+        self._refuse_from = Deadline.after(self._clock, notice)
+
+    def is_stopping(self) -> bool:
+        """Tell whether the stop has begun, and the daemon is not ready."""
+        return self._refuse_from is not None
+
+    def wait_idle(self, deadline: Deadline) -> bool:
+        """Block until new requests are refused and none is in flight."""
+        refuse_from = self._refuse_from
+        if refuse_from is not None:
+            notice = min(refuse_from, deadline)
+            self._clock.sleep(notice.measure_left(self._clock))
+        with self._idle:
+            return self._idle.wait_for(
+                lambda: self._in_flight == 0,
+                deadline.measure_left(self._clock),
+            )
 
     def note_directory(self, listed: Sequence[ListedVm]) -> None:
         """Take the platform's list of VMs into account."""
-        with self._lock:
-            self._leaving.note_directory(listed, self._log.view)
+        self._admission.note_directory(listed)
 
-    def _take_message(self, peer: str, message: LeavingMessage) -> None:
-        with self._lock:
-            self._leaving.note_message(message, self._log.view)
+    def run_due(self) -> None:
+        """End the pauses and ejections of targets that are due."""
+        self._admission.run_due()
 
-    def _mark_leaving(self, vm: str, leaving: bool) -> None:
-        if leaving:
-            self._router.close(vm, ClosedReason.LEAVING)
-        else:
-            self._router.reopen(vm, ClosedReason.LEAVING)
+    def _drop_connections(self, record: ChangeRecord, view: FleetView) -> None:
+        if isinstance(record.change, TicketChange):
+            self._client.retain({vm.address for vm in view.vms.values()})
+
+    def forward(self, request: Request) -> RequestOutcome:
+        """Forward the request; block until its outcome or deadline."""
+        with self._idle:
+            self._in_flight += 1
+        try:
+            outcome = self._forward(request)
+        finally:
+            with self._idle:
+                self._in_flight -= 1
+                self._idle.notify_all()
+        OUTCOMES.labels(type(outcome).__name__).inc()
+        return outcome
 
     def _forward(self, request: Request) -> RequestOutcome:
-        if self._stopping:
-            return self._refuse(request, StoppingFailure())
-        with self._lock:
-            self._install_view()
-            pool = self._router.find_pool(request.service)
-        if pool is None:
-            failure = UnknownServiceFailure(request.service)
-            return RefusedOutcome(request.id, failure)
-        for _ in range(self._settings.attempts):
-            load = self._take(pool)
-            if load is None:
-                break
-            outcome = self._attempt(pool, load, request)
+        refuse_from = self._refuse_from
+        if refuse_from is not None and refuse_from.has_passed(self._clock):
+            wait = self._settings.retry_after_seconds
+            return RefusedOutcome(request.id, StoppingFailure(), wait)
+        match self._admission.enter(request):
+            case Err(Refusal(failure, retry_after)):
+                return RefusedOutcome(request.id, failure, retry_after)
+            case Ok(entry):
+                try:
+                    return self._run(request, _Progress(entry))
+                finally:
+                    self._admission.leave(entry)
+        raise AssertionError(request)
+
+    def _run(self, request: Request, progress: _Progress) -> RequestOutcome:
+        self._admission.earn_retry(progress.entry)
+        again = False
+        while True:
+            match self._admission.acquire(progress.entry, again):
+                case Err(refusal):
+                    return self._give_up(request, progress, refusal)
+                case Ok(grant):
+                    try:
+                        outcome = self._attempt(request, progress, grant)
+                    finally:
+                        self._admission.release(grant, progress.entry)
             if outcome is not None:
+                self._note_end(request, progress, outcome)
                 return outcome
-        return self._refuse(request, NoTargetFailure(request.service))
-
-    def _install_view(self) -> None:
-        view = self._log.view
-        if self._router.install_view(view):
-            self._leaving.note_view(view)
-
-    def _refuse(
-        self, request: Request, failure: NoTargetFailure | StoppingFailure
-    ) -> RefusedOutcome:
-        return RefusedOutcome(
-            request.id, failure, self._settings.retry_after_seconds
-        )
-
-    def _take(self, pool: Pool) -> TargetLoad | None:
-        with self._lock:
-            self._install_view()
-            zones = self._router.list_zones(pool.name)
-            return self._router.take(pool.name, zones)
+            again = True
 
     def _attempt(
-        self, pool: Pool, load: TargetLoad, request: Request
+        self, request: Request, progress: _Progress, grant: Grant
     ) -> RequestOutcome | None:
-        limit = pool.connections_per_vm
-        revision = self._log.view.revision
-        try:
-            sent = self._client.send(load.vm, limit, request)
-        finally:
-            with self._lock:
-                self._router.release(load)
-        match sent:
+        """Make one attempt; return None if there may be another."""
+        if request.repeatable and not request.idempotent:
+            refused = self._claim(request, progress)
+            if refused is not None:
+                return refused
+        if request.deadline.has_passed(self._clock):
+            late = DeadlineFailure(request.service)
+            return self._finish(request, progress, late)
+        load = grant.load
+        progress.sent_at = self._clock.read_monotonic()
+        match self._client.send(load.vm, load.slots, request):
             case Ok(found):
-                if found.leaving:
-                    with self._lock:
-                        self._leaving.note_target(
-                            load.vm.name, revision, self._log.view
-                        )
-                if found.ran is Ran.NO:
-                    return None
-                return AnsweredOutcome(request.id, found.answer, found.ran)
-            case Err(NotSentFailure()):
+                return self._judge_answer(request, progress, grant, found)
+            case Err(failure):
+                return self._judge_failure(request, progress, grant, failure)
+        raise AssertionError(request)
+
+    def _claim(
+        self, request: Request, progress: _Progress
+    ) -> RequestOutcome | None:
+        if progress.claim is not None:
+            return None
+        key = build_claim_key(request.service, request.id)
+        match self._claims.claim(key, request.deadline):
+            case Ok(claim):
+                progress.claim = claim
                 return None
-            case Err(LostAnswerFailure() as failure):
-                return UnknownOutcome(request.id, failure)
-        raise AssertionError(sent)
+            case Err(ClaimTakenFailure(ran)):
+                return ClaimedOutcome(request.id, ran)
+            case Err(ClaimUnknownFailure(reason)):
+                return UnknownOutcome(request.id, ClaimFailure(reason))
+            case Err(ClaimUnavailableFailure(reason)):
+                failure = ClaimFailure(reason)
+                wait = self._settings.retry_after_seconds
+                return RefusedOutcome(request.id, failure, wait)
+        raise AssertionError(request)
+
+    def _note_end(
+        self, request: Request, progress: _Progress, outcome: RequestOutcome
+    ) -> None:
+        if progress.claim is None:
+            return
+        match outcome:
+            case AnsweredOutcome(ran=found):
+                ran = found
+            case RefusedOutcome():
+                ran = Ran.NO
+            case _:
+                ran = Ran.UNKNOWN
+        key = build_claim_key(request.service, request.id)
+        self._claims.note_end(key, progress.claim, ran)
+
+    def _judge_answer(
+        self,
+        request: Request,
+        progress: _Progress,
+        grant: Grant,
+        found: TargetAnswer,
+    ) -> RequestOutcome | None:
+        if found.leaving:
+            self._admission.note_leaving(grant)
+        if found.ran is Ran.NO:
+            return self._judge_refusal(request, progress, grant, found)
+        failed = found.answer.status == BUSY_STATUS
+        seconds = self._clock.read_monotonic() - progress.sent_at
+        self._admission.note_answer(grant, progress.entry, seconds, failed)
+        if failed and request.idempotent:
+            progress.lost = NoTargetFailure(request.service, "answered 503")
+            if self._may_retry(request, progress):
+                return None
+        return AnsweredOutcome(request.id, found.answer, found.ran)
+
+    def _judge_refusal(
+        self,
+        request: Request,
+        progress: _Progress,
+        grant: Grant,
+        found: TargetAnswer,
+    ) -> RequestOutcome | None:
+        if not found.leaving:
+            self._admission.note_refusal(grant, progress.entry)
+        progress.refusals += 1
+        progress.last = NoTargetFailure(request.service, "targets are full")
+        if progress.refusals <= self._settings.admission.retry.refusals:
+            return None
+        return self._finish(request, progress, progress.last)
+
+    def _judge_failure(
+        self,
+        request: Request,
+        progress: _Progress,
+        grant: Grant,
+        failure: TargetFailure,
+    ) -> RequestOutcome | None:
+        seconds = self._clock.read_monotonic() - progress.sent_at
+        self._admission.note_failure(grant, progress.entry, seconds)
+        progress.last = NoTargetFailure(request.service, failure.reason)
+        match failure:
+            case LostAnswerFailure():
+                progress.lost = failure
+                retryable = request.idempotent
+            case NotSentFailure():
+                retryable = True
+        if retryable and self._may_retry(request, progress):
+            return None
+        return self._finish(request, progress, progress.last)
+
+    def _may_retry(self, request: Request, progress: _Progress) -> bool:
+        if request.deadline.has_passed(self._clock):
+            return False
+        return self._admission.spend_retry(progress.entry)
+
+    def _give_up(
+        self, request: Request, progress: _Progress, refusal: Refusal
+    ) -> RequestOutcome:
+        outcome = self._finish(
+            request, progress, refusal.failure, refusal.retry_after
+        )
+        self._note_end(request, progress, outcome)
+        return outcome
+
+    def _finish(
+        self,
+        request: Request,
+        progress: _Progress,
+        failure: Failure,
+        retry_after: float | None = None,
+    ) -> RequestOutcome:
+        """End without an answer; refused only if no attempt can have run."""
+        if progress.lost is not None:
+            return UnknownOutcome(request.id, progress.lost)
+        wait = self._settings.retry_after_seconds
+        if retry_after is not None:
+            wait = retry_after
+        return RefusedOutcome(request.id, failure, wait)
--- a/chestnutstair/coordination/router.py
+++ b/chestnutstair/coordination/router.py
@@ -1,7 +1,8 @@
 """Finds the least loaded target of a pool at a cost that stays flat."""
 
 import random
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -22,10 +23,15 @@
 
 @dataclass
 class TargetLoad:
-    """A target, and what this daemon has in flight on it."""
+    """A target, and what this daemon has in flight on it.
+
+    `slots` is the most that this daemon may have in flight, and open in
+    connections; `limit` is less after failures.
+    """
 
     vm: Vm
     pool: str
+    slots: int
     limit: int
     closed: set[ClosedReason]
     in_flight: int = 0
@@ -70,16 +76,28 @@
     Not safe for threads: its user holds a lock.
     """
 
-    def __init__(self, zone: str, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        zone: str,
+        divide_connections: Callable[[str, int], int],
+        seed: int | None = None,
+    ) -> None:
         self._zone = zone
+        self._divide_connections = divide_connections
         self._chooser = random.Random(seed)
         self._view: FleetView | None = None
         self._loads: dict[str, TargetLoad] = {}
         self._closed: dict[str, set[ClosedReason]] = {}
         self._buckets: dict[tuple[str, str], _Buckets] = {}
         self._zones: dict[str, list[str]] = {}
+        self._sizes: Counter[str] = Counter()
+        self._spare: Pool | None = None
         self._services: dict[str, Pool] = {}
 
+    def forget_view(self) -> None:
+        """Have the next view installed even if it is the same."""
+        self._view = None
+
     def install_view(self, view: FleetView) -> bool:
         """Bring the index up to the view; tell whether it was a new one."""
         if view is self._view:
@@ -94,9 +112,14 @@
             self._unlink(self._loads.pop(name))
         for vm in view.vms.values():
             self._update(view, vm)
+        self._sizes = Counter(load.pool for load in self._loads.values())
         self._zones = {}
         for pool_name, zone in sorted(self._buckets):
             self._zones.setdefault(pool_name, []).append(zone)
+        for zones in self._zones.values():
+            zones.sort(key=lambda zone: zone != self._zone)
+        spares = [pool for pool in self._services.values() if pool.spare]
+        self._spare = spares[0] if spares else None
         return True
 
     def _update(self, view: FleetView, vm: Vm) -> None:
@@ -104,15 +127,18 @@
         pool = view.pools[status.pool]
         if pool.kind is not PoolKind.RUNNERS:
             return
+        part = self._divide_connections(vm.name, pool.connections_per_vm)
+        slots = min(pool.slots_per_vm, part)
         load = self._loads.get(vm.name)
         if load is None:
             closed = self._closed.setdefault(vm.name, set())
-            load = TargetLoad(vm, status.pool, pool.slots_per_vm, closed)
+            load = TargetLoad(vm, status.pool, slots, slots, closed)
             self._loads[vm.name] = load
         self._unlink(load)
         load.vm = vm
         load.pool = status.pool
-        load.limit = pool.slots_per_vm
+        if load.slots != slots:
+            load.slots = load.limit = slots
         if status.phase is VmPhase.SERVING:
             load.closed.discard(ClosedReason.PHASE)
         else:
@@ -132,9 +158,17 @@
         """Return the pool of runners that serves the service."""
         return self._services.get(service)
 
-    def take(self, pool: str, zones: Iterable[str]) -> TargetLoad | None:
-        """Count a request on an open target of the first zone with one."""
-        for zone in zones:
+    def find_spare(self) -> Pool | None:
+        """Return the pool that takes the overflow of the others."""
+        return self._spare
+
+    def count_targets(self, pool: str) -> int:
+        """Return how many targets the pool has, open or not."""
+        return self._sizes[pool]
+
+    def take(self, pool: str) -> TargetLoad | None:
+        """Count a request on an open target, of the own zone if it can."""
+        for zone in self._zones.get(pool, ()):
             buckets = self._buckets.get((pool, zone))
             load = buckets.choose(self._chooser) if buckets else None
             if load is not None:
@@ -144,15 +178,19 @@
                 return load
         return None
 
-    def list_zones(self, pool: str) -> list[str]:
-        """Return the zones of the pool, this daemon's own one first."""
-        zones = self._zones.get(pool, [])
-        return sorted(zones, key=lambda zone: zone != self._zone)
+    def set_limit(self, load: TargetLoad, limit: int) -> None:
+        """Change how many requests the target may have in flight."""
+        self._unlink(load)
+        load.limit = limit
+        self._relink(load)
 
     def release(self, load: TargetLoad) -> None:
         """Count a request off its target."""
         self._unlink(load)
         load.in_flight -= 1
+        self._relink(load)
+
+    def _relink(self, load: TargetLoad) -> None:
         if self._loads.get(load.vm.name) is load:
             self._link(load)
 
--- /dev/null
+++ b/chestnutstair/coordination/timers.py
@@ -0,0 +1,67 @@
+"""Actions that a thread carries out when they are due."""
+
+import heapq
+import itertools
+import threading
+from collections.abc import Callable
+
+from chestnutstair.state.deadline import Clock
+
+__all__ = ["Timers"]
+
+
+class Timers:
+    """Carries out actions under the owner's lock, then calls `after`."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        lock: threading.Condition,
+        after: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._lock = lock
+        self._after = after
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._stopped = False
+
+    def schedule(self, seconds: float, action: Callable[[], None]) -> None:
+        """Have the action carried out later; the owner holds the lock."""
+        at = self._clock.read_monotonic() + seconds
+        number = next(self._numbers)
+        heapq.heappush(self._due, (at, number, action))
+        if self._due[0][1] == number:
+            self._lock.notify_all()
+
+    def run_due(self) -> None:
+        """Carry out what is due."""
+        with self._lock:
+            now = self._clock.read_monotonic()
+            if not self._due or self._due[0][0] > now:
+                return
+            while self._due and self._due[0][0] <= now:
+                heapq.heappop(self._due)[2]()
+            self._after()
+
+    def start(self) -> None:
+        """Start the thread."""
+        threading.Thread(target=self._run, name="timers", daemon=True).start()
+
+    def stop(self) -> None:
+        """Have the thread end."""
+        with self._lock:
+            self._stopped = True
+            self._lock.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._lock:
+                if self._stopped:
+                    return
+                wait = None
+                if self._due:
+                    now = self._clock.read_monotonic()
+                    wait = max(0.0, self._due[0][0] - now)
+                self._lock.wait(wait)
+            self.run_due()
--- a/chestnutstair/tests/requests_support.py
+++ b/chestnutstair/tests/requests_support.py
@@ -3,11 +3,13 @@
 import contextlib
 import socket
 import threading
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from result import Result
 
 from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.claims import ClaimLedger, ClaimSettings
+from chestnutstair.coordination.forwarder import Forwarder, ForwarderSettings
 from chestnutstair.coordination.messenger import (
     Member,
     Membership,
@@ -32,6 +34,7 @@
     "LoneMembership",
     "RecordingMessenger",
     "ScriptedTarget",
+    "build_forwarder",
     "build_request",
     "build_runner_log",
 ]
@@ -44,19 +47,33 @@
     return Request(**{**values, "deadline": deadline, **fields})
 
 
-def build_runner_log(
-    clock: Clock, addresses: list[str], zones: int = 1, **fields: object
+def build_runner_log(  # type: ignore[no-untyped-def]
+    clock: Clock,
+    addresses: list[str],
+    spare_addresses: Sequence[str] = (),
+    zones: int = 1,
+    **fields,
 ) -> ChangeLog:
-    """Return a log whose pool `quotes` has a runner at each address."""
+    """Return a log with a runner of the pool `quotes` at each address.
+
+    The spare pool `accounts` has the others.
+    """
     names = [f"zone-{index}" for index in range(zones)]
     vms = tuple(
-        Vm(f"quotes-{i}", "quotes", names[i % zones], f"rack-{i}", address)
-        for i, address in enumerate(addresses)
+        Vm(f"{pool}-{i}", pool, names[i % zones], f"rack-{i}", address)
+        for pool, some in (
+            ("quotes", addresses),
+            ("accounts", spare_addresses),
+        )
+        for i, address in enumerate(some)
     )
     fields = {"availability_budget": 0, **fields}
-    pool = Pool("quotes", PoolKind.RUNNERS, "quotes", **fields)  # type: ignore[arg-type]
+    pools = (
+        Pool("quotes", PoolKind.RUNNERS, "quotes", **fields),
+        Pool("accounts", PoolKind.RUNNERS, "accounts", 0, spare=True),
+    )
     zone_list = tuple(Zone(name, "region") for name in names)
-    ticket = Ticket(1, "tester", zones=zone_list, pools=(pool,), vms=vms)
+    ticket = Ticket(1, "tester", zones=zone_list, pools=pools, vms=vms)
     log = build_log(MemoryTable(), clock)
     change = TicketChange(ticket)
     log.append(change, Deadline.after(clock, 10)).unwrap()
@@ -120,6 +137,32 @@
         """Hold no connections."""
 
 
+def build_forwarder(
+    log: ChangeLog,
+    client: TargetClient,
+    clock: Clock,
+    others: int = 0,
+    table: MemoryTable | None = None,
+    settings: ForwarderSettings | None = None,
+) -> tuple[Forwarder, RecordingMessenger]:
+    """Return a forwarder, its threads not started, and its messenger."""
+    messenger = RecordingMessenger()
+    membership = LoneMembership(others=others)
+    ledger = ClaimLedger(
+        table or MemoryTable(), clock, membership, ClaimSettings()
+    )
+    forwarder = Forwarder(
+        log,
+        client,
+        clock,
+        membership,
+        messenger,
+        ledger,
+        settings or ForwarderSettings(),
+    )
+    return forwarder, messenger
+
+
 class ScriptedTarget:
     """A target that runs a script for each connection it accepts."""
 
--- /dev/null
+++ b/chestnutstair/tests/test_admission.py
@@ -0,0 +1,154 @@
+"""Tests of who gets a slot, and who is refused at once."""
+
+import unittest
+from unittest.mock import patch
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.admission import Admission, AdmissionSettings
+from chestnutstair.coordination.grant import Entry, Grant, Refusal
+from chestnutstair.coordination.overflow import OverflowSettings, may_overflow
+from chestnutstair.coordination.pressure import PressureMessage
+from chestnutstair.coordination.request import (
+    DeadlineFailure,
+    QueueFullFailure,
+)
+from chestnutstair.tests.requests_support import (
+    LoneMembership,
+    RecordingMessenger,
+    build_request,
+    build_runner_log,
+)
+from chestnutstair.tests.support import ManualClock
+
+WAITER = "chestnutstair.coordination.admission.Waiter"
+MOMENT = 0.01  # seconds that a request of these tests may wait
+
+
+class AdmissionTest(unittest.TestCase):
+    """One pool of eight slots a target, and a spare pool of eight."""
+
+    def set_up(self, targets: int = 1, others: int = 0) -> None:
+        self.clock = ManualClock()
+        homes = [f"127.0.0.1:{port}" for port in range(1, targets + 1)]
+        log = build_runner_log(self.clock, homes, ["127.0.0.2:1"])
+        self.messenger = RecordingMessenger()
+        self.admission = Admission(
+            log,
+            self.clock,
+            LoneMembership(others=others),
+            self.messenger,
+            AdmissionSettings(),
+        )
+
+    def enter(self, urgency: str = "patient", **fields: object) -> Entry:
+        request = build_request(self.clock, urgency=urgency, **fields)  # type: ignore[arg-type]
+        return self.admission.enter(request).unwrap()
+
+    def acquire(
+        self, urgency: str = "patient", seconds: float = MOMENT
+    ) -> Result[Grant, Refusal]:
+        return self.admission.acquire(self.enter(urgency, seconds=seconds))
+
+    def fill(self, urgency: str = "patient") -> list[Grant]:
+        grants = []
+        while True:
+            match self.acquire(urgency):
+                case Ok(grant):
+                    grants.append(grant)
+                case Err():
+                    return grants
+
+    def test_floors_are_kept_free_under_pressure(self) -> None:
+        self.set_up()
+        self.enter()
+        message = PressureMessage("quotes")
+        self.messenger.receive("entry-1", message)
+        # 8 slots less the floors of urgent (1.6) and normal (0.8)
+        self.assertEqual(len(self.fill()), 6)
+        self.assertEqual(len(self.fill("urgent")), 2)
+
+    def test_a_taken_floor_is_announced_once(self) -> None:
+        self.set_up(others=1)
+        self.fill()
+        for _ in range(3):
+            self.acquire("urgent")
+        expected = [("entry-1", PressureMessage("quotes"))]
+        self.assertEqual(self.messenger.sent, expected)
+
+    def test_a_queue_too_long_for_the_deadline_refuses_at_once(self) -> None:
+        self.set_up()
+        entry = self.enter()
+        grant = self.admission.acquire(entry).unwrap()
+        self.fill()
+        self.admission.note_answer(grant, entry, 20.0, False)
+        self.clock.now += 10  # only the run time tells the drain rate now
+        self.fill()  # of the spare pool
+        with patch(WAITER, side_effect=AssertionError("it waits")):
+            refusal = self.acquire(seconds=10.0).unwrap_err()
+        self.assertEqual(refusal.failure, DeadlineFailure("quotes"))
+        self.assertGreater(refusal.retry_after, 1.0)
+
+    def test_a_flood_leaves_threads_to_other_services(self) -> None:
+        self.set_up()
+        for _ in range(25):  # 0.4 of 64 threads
+            self.enter()
+        flood = self.admission.enter(build_request(self.clock))
+        failure = flood.unwrap_err().failure
+        self.assertEqual(failure, QueueFullFailure("quotes"))
+        self.enter(service="accounts")
+
+    def test_overflow_leaves_the_spare_pool_its_part(self) -> None:
+        self.set_up()
+        entry = self.enter()
+        grant = self.admission.acquire(entry).unwrap()
+        self.assertEqual(len(self.fill()), 7)  # no wait is known yet
+        self.admission.note_answer(grant, entry, 4.0, False)
+        grants = [self.acquire(seconds=60).unwrap() for _ in range(4)]
+        self.assertEqual({g.load.pool for g in grants}, {"accounts"})
+        with patch(WAITER, side_effect=InterruptedError):
+            self.assertRaises(InterruptedError, self.acquire, seconds=60)
+        self.admission.release(grants[0], entry)
+        grant = self.acquire(seconds=60).unwrap()
+        self.assertEqual(grant.load.pool, "accounts")
+
+    def test_overflow_starts_late_and_stops_later(self) -> None:
+        self.set_up()
+        queue = self.enter().queue
+        spare = self.enter(urgency="", service="accounts").queue
+        settings = OverflowSettings()
+        seen = []
+        for wait in (0.1, 0.3, 0.1, 0.01, 0.1):
+            with patch.object(queue, "estimate_wait", return_value=wait):
+                spills = may_overflow(queue, spare, 8.0, 0.0, settings)
+                seen.append(spills)
+        self.assertEqual(seen, [False, True, True, False, False])
+
+    def test_a_target_that_refused_gets_one_at_a_time(self) -> None:
+        self.set_up()
+        for _ in range(2):
+            entry = self.enter()
+            grant = self.admission.acquire(entry).unwrap()
+            self.admission.note_refusal(grant, entry)
+            self.admission.release(grant, entry)
+            self.assertTrue(self.acquire().is_err())
+            self.clock.now += 1
+            self.admission.run_due()
+        self.assertEqual(len(self.fill()), 1)
+
+    def test_ejects_at_most_a_third_and_lets_back_gradually(self) -> None:
+        self.set_up(targets=3)
+        entry = self.enter()
+        for _ in range(9):
+            grant = self.admission.acquire(entry).unwrap()
+            self.admission.note_failure(grant, entry, 0.0)
+            self.admission.release(grant, entry)
+        used = {grant.load.vm.name for grant in self.fill()}
+        self.assertEqual(len(used), 2)
+        self.clock.now += 5
+        self.admission.run_due()
+        self.assertEqual(len(self.fill()), 1)
+
+    def test_connection_parts_shrink_with_the_daemons(self) -> None:
+        self.set_up(others=31)  # 64 connections for 32 daemons
+        self.assertEqual(len(self.fill()), 2)
--- a/chestnutstair/tests/test_callers.py
+++ b/chestnutstair/tests/test_callers.py
@@ -6,13 +6,11 @@
 import threading
 import unittest
 
-from chestnutstair.coordination.forwarder import Forwarder, ForwarderSettings
 from chestnutstair.protocol.callers import CallSettings
 from chestnutstair.state.deadline import SystemClock
 from chestnutstair.tests.requests_support import (
-    LoneMembership,
-    RecordingMessenger,
     ScriptedTarget,
+    build_forwarder,
     build_runner_log,
 )
 from chestnutstair.transport.callers import (
@@ -48,14 +46,7 @@
         self.addCleanup(self.reaper.stop)
         log = build_runner_log(clock, [self.target.address])
         client = HttpTargetClient(clock, TargetSettings(), self.reaper)
-        forwarder = Forwarder(
-            log,
-            client,
-            clock,
-            LoneMembership(),
-            RecordingMessenger(),
-            ForwarderSettings(),
-        )
+        forwarder, _ = build_forwarder(log, client, clock)
         settings = CallSettings(body_bytes=1000)
         application = build_callers_application(forwarder, settings, clock)
         self.server = build_callers_server(
--- a/chestnutstair/tests/test_leaving.py
+++ b/chestnutstair/tests/test_leaving.py
@@ -4,7 +4,6 @@
 
 from result import Ok
 
-from chestnutstair.coordination.forwarder import Forwarder, ForwarderSettings
 from chestnutstair.coordination.leaving import LeavingMessage
 from chestnutstair.coordination.platform import ListedVm
 from chestnutstair.coordination.request import Answer, Ran, Request
@@ -19,8 +18,7 @@
 from chestnutstair.state.fleet import Vm
 from chestnutstair.tests.requests_support import (
     FakeTargetClient,
-    LoneMembership,
-    RecordingMessenger,
+    build_forwarder,
     build_request,
     build_runner_log,
 )
@@ -38,14 +36,8 @@
         )
         self.says_leaving: set[str] = set()
         self.client = FakeTargetClient(self.answer)
-        self.messenger = RecordingMessenger()
-        self.forwarder = Forwarder(
-            self.log,
-            self.client,
-            self.clock,
-            LoneMembership(others=2),
-            self.messenger,
-            ForwarderSettings(),
+        self.forwarder, self.messenger = build_forwarder(
+            self.log, self.client, self.clock, others=2
         )
 
     def answer(self, vm: Vm, request: Request) -> Ok[TargetAnswer]:
