Wire admission, claims and the graceful stop into the daemon

Cause: the request path gained admission, retries, ejection and claims, which the composition root did not build. Ruled out: a notice of its own in the node, since the forwarder now owns when a stop begins to refuse.

--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.claims import ClaimLedger
 from chestnutstair.coordination.directory import DirectoryReader
 from chestnutstair.coordination.drain_conductor import DrainConductor
 from chestnutstair.coordination.drain_conductor import (
@@ -19,6 +20,7 @@
 from chestnutstair.coordination.membership import MemberList
 from chestnutstair.coordination.messenger import Member
 from chestnutstair.coordination.outage import OutageWatcher
+from chestnutstair.coordination.pressure import PressureMessage
 from chestnutstair.coordination.snapshot import COMPACTION_DUTY, Compactor
 from chestnutstair.coordination.spread import (
     PullMessage,
@@ -64,6 +66,7 @@
     FactsMessage,
     HeartbeatMessage,
     LeavingMessage,
+    PressureMessage,
     PullMessage,
     RecordsMessage,
     ViewMessage,
@@ -143,6 +146,7 @@
             clock,
             self._members,
             self._network,
+            ClaimLedger(self._table, clock, self._members, settings.claims),
             settings.forwarding,
         )
 
@@ -256,6 +260,7 @@
         self._wait_for_view()
         if self._stopping.is_set():
             return
+        self._forwarder.start()
         self._callers.start()
         self._members.mark_ready()
         self._serving.set()
@@ -272,13 +277,15 @@
     def begin_stop(self) -> None:
         """Say that this daemon is not ready any more."""
         self._stopping.set()
+        self._forwarder.begin_stop()
 
     def stop(self) -> None:
         """Let requests in flight end, hand duties back, and end."""
         self.begin_stop()
-        self._clock.sleep(self._settings.stop.notice_seconds)
-        self._forwarder.begin_stop()
+        finish = self._settings.stop.finish_seconds
+        self._forwarder.wait_idle(Deadline.after(self._clock, finish))
         self._callers.stop()
+        self._forwarder.stop()
         for loop in self._loops:
             loop.stop()
         self._compactor.stop()
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -7,6 +7,7 @@
 from pydantic import Field
 from result import Err, Result
 
+from chestnutstair.coordination.claims import ClaimSettings
 from chestnutstair.coordination.drain import DrainSettings
 from chestnutstair.coordination.duties import DutySettings
 from chestnutstair.coordination.forwarder import ForwarderSettings
@@ -70,14 +71,11 @@
 class StopSettings:
     """How a daemon stops.
 
-    For `notice_seconds` it is not ready but still takes requests, so that
-    the balancer can turn away; then it waits `finish_seconds` at most for
-    the requests in flight.
+    It waits `finish_seconds` at most for the requests in flight.
     """
 
     __pydantic_config__ = STRICT
 
-    notice_seconds: float = 5.0
     finish_seconds: float = 60.0
 
 
@@ -103,6 +101,7 @@
     log: LogSettings = field(default_factory=LogSettings)
     calls: CallSettings = field(default_factory=CallSettings)
     forwarding: ForwarderSettings = field(default_factory=ForwarderSettings)
+    claims: ClaimSettings = field(default_factory=ClaimSettings)
     targets: TargetSettings = field(default_factory=TargetSettings)
     platform: PlatformClientSettings = field(
         default_factory=PlatformClientSettings
--- a/chestnutstair/tests/test_cluster_faults.py
+++ b/chestnutstair/tests/test_cluster_faults.py
@@ -14,7 +14,7 @@
 ZONES = ("zone-a", "zone-b")
 DAEMONS = ("entry-0", "entry-1", "entry-2", "entry-3")
 SETTINGS = {
-    "stop": {"notice_seconds": 0.2},
+    "forwarding": {"stop_notice_seconds": 0.2},
     "membership": {"lease_seconds": 3.0, "renew_seconds": 1.0},
 }
 
--- a/chestnutstair/tests/test_whole_path.py
+++ b/chestnutstair/tests/test_whole_path.py
@@ -14,7 +14,10 @@
 
 ZONES = ("zone-a", "zone-b")
 DAEMONS = ("entry-0", "entry-1", "entry-2")
-SETTINGS = {"stop": {"notice_seconds": 0.2}, "log": {"level": "info"}}
+SETTINGS = {
+    "forwarding": {"stop_notice_seconds": 0.2},
+    "log": {"level": "info"},
+}
 
 
 class WholePathTest(unittest.TestCase):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -25,7 +25,7 @@
 PERIOD_SECONDS = 20.0  # short, so that a VM is cleaned while we watch
 SETTINGS: dict[str, Any] = {
     "drains": {"healthy_checks": 1},
-    "stop": {"notice_seconds": 0.5},
+    "forwarding": {"stop_notice_seconds": 0.5},
     "log": {"level": "warning"},
 }
 
