--- a/chestnutstair/coordination/pool_fleet.py
+++ b/chestnutstair/coordination/pool_fleet.py
@@ -3,10 +3,11 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
+from operator import attrgetter
 
 from chestnutstair.coordination.placement import Worker
 from chestnutstair.state.fleet import Job, Pool, PoolKind, Team, Vm
-from chestnutstair.state.resource import Resources
+from chestnutstair.state.resource import NO_RESOURCES, Resources
 from chestnutstair.state.task import TaskName
 from chestnutstair.state.view import FleetView, VmPhase
 
@@ -15,7 +16,10 @@
 
 @dataclass(frozen=True)
 class PoolFleet:
-    """A pool's workers, their phases, its jobs by urgency, all teams."""
+    """A pool's workers, their phases, its jobs by urgency, all teams.
+
+    `largest` is the size of the worker with the most cores.
+    """
 
     pool: Pool
     members: Mapping[str, Vm]
@@ -24,6 +28,7 @@
     teams: Mapping[str, Team]
     serving: tuple[Worker, ...]
     sizes: frozenset[Resources]
+    largest: Resources
 
     def get_rank(self, job: Job) -> int:
         """Return the rank of the job's urgency; lower is more urgent."""
@@ -56,6 +61,7 @@
         for vm in members.values()
         if phases[vm.name] is VmPhase.SERVING
     )
+    sizes = frozenset(vm.resources for vm in members.values())
     jobs.sort(key=lambda job: _find_rank(pool, job))
     return PoolFleet(
         pool=pool,
@@ -64,7 +70,8 @@
         jobs={job.name: job for job in jobs},
         teams=view.teams,
         serving=serving,
-        sizes=frozenset(vm.resources for vm in members.values()),
+        sizes=sizes,
+        largest=max(sizes, key=attrgetter("cores"), default=NO_RESOURCES),
     )
 
 
--- /dev/null
+++ b/chestnutstair/coordination/quarantine.py
@@ -0,0 +1,272 @@
+"""Tells workers that fail everything from jobs that fail everywhere."""
+
+import logging
+from collections import Counter, defaultdict
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from prometheus_client import Gauge
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.duty import Duty
+from chestnutstair.coordination.platform import Key, Table, Write
+from chestnutstair.coordination.tasks import CommitFailure
+from chestnutstair.state.codec import STRICT, decode_value, encode_value
+from chestnutstair.state.deadline import Clock, Deadline
+
+__all__ = [
+    "QUARANTINE_TABLE",
+    "FailureEvidence",
+    "Quarantine",
+    "QuarantineSettings",
+    "QuarantineSpell",
+]
+
+logger = logging.getLogger(__name__)
+
+QUARANTINE_TABLE = "quarantine"
+SCAN_LIMIT = 10_000  # rows
+QUARANTINED = Gauge(
+    "chestnutstair_quarantined_workers",
+    "Workers that get no tasks because they failed all they had.",
+    ["pool"],
+)
+
+
+@dataclass(frozen=True)
+class QuarantineSettings:
+    """When workers and jobs are held back.
+
+    A worker is suspect after `failure_count` failures of jobs that ended
+    well elsewhere, or failures of `job_count` distinct jobs that fail
+    nowhere else, without an end in between. At most `share` (0 to 1) of a
+    pool, and at least one worker, is quarantined at once, for
+    `first_seconds`, and twice as long each time again, up to
+    `longest_seconds`. A job that failed on `worker_count` distinct
+    workers without an end tries one task every `retry_seconds`.
+    """
+
+    __pydantic_config__ = STRICT
+
+    failure_count: int = 3
+    job_count: int = 3
+    worker_count: int = 3
+    share: float = 0.25
+    first_seconds: float = 600.0
+    longest_seconds: float = 86400.0
+    retry_seconds: float = 60.0
+
+
+class FailureEvidence:
+    """Failures since the last success, by worker and by job."""
+
+    def __init__(self, settings: QuarantineSettings) -> None:
+        self._settings = settings
+        self._on_worker: dict[str, Counter[str]] = defaultdict(Counter)
+        self._of_job: dict[str, set[str]] = defaultdict(set)
+        self._proven: dict[str, str] = {}  # job to the last worker it ended on
+
+    def note_success(self, worker: str, job: str) -> None:
+        """Note that a task of the job ended well on the worker."""
+        self._on_worker.pop(worker, None)
+        self._of_job.pop(job, None)
+        self._proven[job] = worker
+
+    def note_failure(self, worker: str, job: str) -> None:
+        """Note that a task of the job failed on the worker."""
+        self._on_worker[worker][job] += 1
+        self._of_job[job].add(worker)
+
+    def forget_workers(self, workers: Collection[str]) -> None:
+        """Drop the failures of workers that are being held back."""
+        for worker in workers:
+            self._on_worker.pop(worker, None)
+
+    def forget_jobs(self, jobs: Collection[str]) -> None:
+        """Drop what is known of jobs other than these."""
+        for job in self._of_job.keys() - jobs:
+            del self._of_job[job]
+        for job in self._proven.keys() - jobs:
+            del self._proven[job]
+
+    def list_suspects(self, probation: Collection[str]) -> list[str]:
+        """Return the workers to be held back, the worst one first.
+
+        Workers on probation are suspect from their first failure on.
+        """
+        suspects = [
+            worker
+            for worker, jobs in self._on_worker.items()
+            if self._is_suspect(worker, jobs, worker in probation)
+        ]
+        return sorted(
+            suspects,
+            key=lambda worker: (-self._on_worker[worker].total(), worker),
+        )
+
+    def _is_suspect(
+        self, worker: str, jobs: Counter[str], probation: bool
+    ) -> bool:
+        blaming = {
+            job: count
+            for job, count in jobs.items()
+            if len(self._of_job[job] - {worker}) < 2
+        }
+        proven = sum(
+            count for job, count in blaming.items() if job in self._proven
+        )
+        return (
+            proven >= self._settings.failure_count
+            or len(blaming) >= self._settings.job_count
+            or (probation and bool(blaming))
+        )
+
+    def list_failed_jobs(self) -> list[str]:
+        """Return the jobs that failed since they last ended well."""
+        return sorted(self._of_job)
+
+    def list_workers(self, job: str) -> tuple[str, ...]:
+        """Return where the job failed since it last ended well."""
+        return tuple(sorted(self._of_job.get(job, ())))
+
+    def is_failing(self, job: str, excused: Collection[str]) -> bool:
+        """Tell whether the job fails wherever it is tried.
+
+        Failures on `excused` workers do not count against it.
+        """
+        workers = self._of_job.get(job, set()).difference(excused)
+        return len(workers) >= self._settings.worker_count
+
+
+@dataclass(frozen=True)
+class QuarantineSpell:
+    """The row of one worker: until when (epoch seconds), how long."""
+
+    __pydantic_config__ = STRICT
+
+    until: float
+    seconds: float
+
+
+class Quarantine:
+    """The quarantined workers of one pool, kept in the table.
+
+    A row stays after its deadline: the worker is on probation until a
+    task ends well there.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        pool: str,
+        clock: Clock,
+        settings: QuarantineSettings,
+    ) -> None:
+        self._table = table
+        self._pool = pool
+        self._clock = clock
+        self._settings = settings
+        self._spells: dict[str, QuarantineSpell] = {}
+        self._recovered: set[str] = set()
+        self._loaded = False
+
+    def load(self, deadline: Deadline) -> Result[None, CommitFailure]:
+        """Read the pool's rows, once."""
+        if self._loaded:
+            return Ok(None)
+        start, end = f"{self._pool}/", f"{self._pool}0"
+        match self._table.scan(
+            QUARANTINE_TABLE, start, end, SCAN_LIMIT, deadline
+        ):
+            case Err(failure):
+                return Err(failure)
+            case Ok(rows):
+                self._spells = {
+                    row.key.key.removeprefix(start): decode_value(
+                        QuarantineSpell, row.value
+                    ).unwrap()
+                    for row in rows
+                }
+                self._loaded = True
+        return Ok(None)
+
+    def list_held(self) -> frozenset[str]:
+        """Return the workers that get no tasks now."""
+        now = self._clock.read_wall()
+        return frozenset(
+            worker
+            for worker, spell in self._spells.items()
+            if spell.until > now
+        )
+
+    def note_success(self, worker: str) -> None:
+        """End the worker's probation with the next update."""
+        if worker in self._spells:
+            self._recovered.add(worker)
+
+    def update(
+        self,
+        duty: Duty,
+        evidence: FailureEvidence,
+        size: int,
+        deadline: Deadline,
+    ) -> Result[None, CommitFailure]:
+        """Hold back suspects, as far as the bound allows.
+
+        `size` is the number of workers of the pool.
+        """
+        held = self.list_held()
+        QUARANTINED.labels(self._pool).set(len(held))
+        probation = self._spells.keys() - held
+        suspects = [
+            worker
+            for worker in evidence.list_suspects(probation)
+            if worker not in held
+        ]
+        bound = max(1, int(size * self._settings.share))
+        chosen = suspects[: max(0, bound - len(held))]
+        changes: dict[str, QuarantineSpell | None] = {
+            worker: None for worker in self._recovered.difference(chosen)
+        }
+        changes.update((worker, self._extend(worker)) for worker in chosen)
+        if not changes:
+            return Ok(None)
+        committed = self._commit(duty, changes, deadline)
+        if committed.is_ok():
+            evidence.forget_workers(chosen)
+        return committed
+
+    def _extend(self, worker: str) -> QuarantineSpell:
+        known = self._spells.get(worker)
+        seconds = self._settings.first_seconds
+        if known is not None:
+            seconds = min(2 * known.seconds, self._settings.longest_seconds)
+        logger.warning("worker is quarantined", extra={"vm": worker})
+        return QuarantineSpell(self._clock.read_wall() + seconds, seconds)
+
+    def _commit(
+        self,
+        duty: Duty,
+        changes: dict[str, QuarantineSpell | None],
+        deadline: Deadline,
+    ) -> Result[None, CommitFailure]:
+        writes = [
+            Write(
+                Key(QUARANTINE_TABLE, f"{self._pool}/{worker}"),
+                None if spell is None else encode_value(spell),
+            )
+            for worker, spell in changes.items()
+        ]
+        committed = self._table.commit(
+            [duty.build_condition()], writes, deadline
+        )
+        if committed.is_err():
+            self._loaded = False
+            return committed
+        self._recovered.clear()
+        for worker, spell in changes.items():
+            if spell is None:
+                self._spells.pop(worker, None)
+            else:
+                self._spells[worker] = spell
+        return Ok(None)
--- a/chestnutstair/coordination/quota.py
+++ b/chestnutstair/coordination/quota.py
@@ -21,7 +21,12 @@
 from chestnutstair.coordination.tasks import CommitFailure
 from chestnutstair.state.codec import STRICT, decode_value, encode_value
 from chestnutstair.state.deadline import Clock, Deadline
-from chestnutstair.state.resource import NO_RESOURCES, Resources
+from chestnutstair.state.resource import (
+    NO_RESOURCES,
+    Resources,
+    max_resources,
+    min_resources,
+)
 
 __all__ = ["GRANT_TABLE", "QuotaGrants", "QuotaSettings", "TeamGrants"]
 
@@ -62,15 +67,6 @@
         return total
 
 
-def _clamp(low: Resources, value: Resources, high: Resources) -> Resources:
-    """Return the value, at least `low` and else at most `high`."""
-    return Resources(
-        max(low.cores, min(value.cores, high.cores)),
-        max(low.memory_gb, min(value.memory_gb, high.memory_gb)),
-        max(low.accelerators, min(value.accelerators, high.accelerators)),
-    )
-
-
 def _scale(quota: Resources, share: float) -> Resources:
     return Resources(
         quota.cores * share,
@@ -181,4 +177,4 @@
         highest = amount + slack + slack + ROUNDING
         if amount.fits_into(own + ROUNDING) and own.fits_into(highest):
             return None
-        return _clamp(amount, amount + slack, left)
+        return max_resources(amount, min_resources(amount + slack, left))
--- a/chestnutstair/coordination/visit.py
+++ b/chestnutstair/coordination/visit.py
@@ -8,6 +8,7 @@
 
 from chestnutstair.coordination.platform import (
     PlatformFailure,
+    RefusedFailure,
     TaskReport,
     UnavailableFailure,
     UnknownOutcomeFailure,
@@ -67,6 +68,7 @@
         self._leases = leases
         self._settings = settings
         self._next_visits: dict[str, Deadline] = {}
+        self._fenced: dict[TaskName, int] = {}  # tokens, by task
         self._silent: dict[str, int] = {}  # calls failed in a row
 
     def is_due(self, worker: str) -> bool:
@@ -178,9 +180,31 @@
             self._limit(deadline),
         )
         match outcome:
-            case Err(
-                UnavailableFailure() | UnknownOutcomeFailure() as failure
-            ):
-                self._note_silence(worker, failure)
-            case _:
+            case Ok():
+                self._fenced[order.task] = order.record.token
                 self.expect_change(worker)
+            case Err(RefusedFailure()):
+                self.expect_change(worker)
+            case Err(failure):
+                self._note_silence(worker, failure)
+
+    def is_fenced(self, task: TaskName, token: int) -> bool:
+        """Tell whether a worker took the order to end this start."""
+        return self._fenced.get(task) == token
+
+    def throttle(
+        self,
+        task: TaskName,
+        record: TaskRecord,
+        share: float,
+        deadline: Deadline,
+    ) -> bool:
+        """Limit the task's share of processor time; tell if it was done."""
+        outcome = self._workers.throttle_task(
+            record.worker,
+            str(task),
+            record.token,
+            share,
+            self._limit(deadline),
+        )
+        return outcome.is_ok()
--- a/chestnutstair/standins/workers.py
+++ b/chestnutstair/standins/workers.py
@@ -22,6 +22,8 @@
 
 __all__ = ["MemoryWorkers", "TaskBehaviour", "TaskRun"]
 
+USAGE_LAG_SECONDS = 2.0
+
 
 @dataclass(frozen=True)
 class TaskBehaviour:
@@ -249,6 +251,10 @@
 
     def _report(self, run: TaskRun) -> TaskReport:
         used = self._behave(run.task).used
+        lagging = self._clock.read_monotonic() - USAGE_LAG_SECONDS
+        if run.started_at > lagging or run.phase is not TaskPhase.RUNNING:
+            used = NO_RESOURCES
+        used = replace(used, cores=used.cores * run.share)
         return TaskReport(run.task, run.worker, run.token, run.phase, used)
 
     def find_overlaps(self) -> list[tuple[TaskRun, TaskRun]]:
--- a/chestnutstair/state/resource.py
+++ b/chestnutstair/state/resource.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["NO_RESOURCES", "Resources"]
+__all__ = ["NO_RESOURCES", "Resources", "max_resources", "min_resources"]
 
 
 @dataclass(frozen=True)
@@ -37,3 +37,21 @@
 
 
 NO_RESOURCES = Resources()
+
+
+def max_resources(left: Resources, right: Resources) -> Resources:
+    """Return the larger of each component."""
+    return Resources(
+        max(left.cores, right.cores),
+        max(left.memory_gb, right.memory_gb),
+        max(left.accelerators, right.accelerators),
+    )
+
+
+def min_resources(left: Resources, right: Resources) -> Resources:
+    """Return the smaller of each component."""
+    return Resources(
+        min(left.cores, right.cores),
+        min(left.memory_gb, right.memory_gb),
+        min(left.accelerators, right.accelerators),
+    )
