Measure waves, planning rounds and rules for moves of demand

Cause: a daemon that holds all duties took 89 ms for a quiet round at 9,900 VMs: the budget check counted the whole fleet once for each pool.

Change: it counts the pool; a pool whose view has not changed is planned anew only after 10 s. The fleet in memory moved from the tests to tools, as the bench runs it too.

--- a/chestnutstair/coordination/drain_conductor.py
+++ b/chestnutstair/coordination/drain_conductor.py
@@ -100,6 +100,7 @@
         )
         self._grouped: FleetView | None = None
         self._states: Mapping[str, PoolState] = {}
+        self._planned: dict[str, tuple[PoolState | None, Deadline]] = {}
 
     def run_once(self, deadline: Deadline) -> None:
         """Do one round over the pools whose duty this daemon holds."""
@@ -149,9 +150,21 @@
             self._stepper.advance(
                 vm, state.statuses[vm], listing.get(vm), duty, deadline
             )
-        if not undone and not self._log.view.paused:
+        if not undone and self._may_plan(state):
             self._start_drains(state, duty, deadline)
 
+    def _may_plan(self, state: PoolState) -> bool:
+        """Tell whether planning the pool anew may give another plan."""
+        if self._log.view.paused:
+            return False
+        pool = state.pool.name
+        planned, until = self._planned.get(pool, (None, Deadline(0.0)))
+        if planned is state and not until.has_passed(self._clock):
+            return False
+        seconds = self._planning.plan_seconds
+        self._planned[pool] = (state, Deadline.after(self._clock, seconds))
+        return True
+
     def _choose_undone(self, state: PoolState) -> list[str]:
         """Return the drains to undo: none, the excess, or all if paused.
 
@@ -164,8 +177,8 @@
         view = self._log.view
         if view.paused:
             return draining
-        unavailable = view.count_unavailable(state.pool.name)
-        excess = max(0, unavailable - state.pool.availability_budget)
+        budget = state.pool.availability_budget
+        excess = max(0, state.count_unavailable() - budget)
         misdirected = [
             vm
             for vm in draining[excess:]
--- a/chestnutstair/coordination/maintenance.py
+++ b/chestnutstair/coordination/maintenance.py
@@ -33,7 +33,8 @@
     most `quiet_load`, `busy_share` while a drain would leave the rest of
     the pool more than `busy_load`, else `normal_share`. Among
     `choice_count` VMs past those that are due, it looks for one in a
-    better rack or zone.
+    better rack or zone. A pool whose view has not changed is planned
+    anew after `plan_seconds`.
     """
 
     __pydantic_config__ = STRICT
@@ -44,6 +45,7 @@
     normal_share: float = 0.8
     busy_share: float = 0.9
     choice_count: int = 4
+    plan_seconds: float = 10.0
 
 
 @dataclass(frozen=True)
--- a/chestnutstair/coordination/occupancy.py
+++ b/chestnutstair/coordination/occupancy.py
@@ -34,6 +34,13 @@
             )
         )
 
+    def count_unavailable(self) -> int:
+        """Return how many VMs are unavailable."""
+        return sum(
+            status.phase not in AVAILABLE_PHASES
+            for status in self.statuses.values()
+        )
+
 
 def group_pools(view: FleetView) -> Mapping[str, PoolState]:
     """Return the state of every pool."""
--- a/chestnutstair/tests/maintenance_support.py
+++ b/chestnutstair/tests/maintenance_support.py
@@ -1,22 +1,7 @@
-"""A maintained fleet, and an oracle over its history, for tests."""
+"""An oracle over the history of a maintained fleet, for tests."""
 
 from collections import Counter
-from collections.abc import Callable, Sequence
 
-from result import Result
-
-from chestnutstair.coordination.drain_conductor import DrainConductor
-from chestnutstair.coordination.messenger import Member, Membership
-from chestnutstair.coordination.outage import OutageWatcher
-from chestnutstair.coordination.platform import (
-    Condition,
-    ConflictFailure,
-    Key,
-    PlatformFailure,
-    Write,
-)
-from chestnutstair.standins.memory_vms import MemoryVms
-from chestnutstair.standins.table import MemoryTable
 from chestnutstair.state.change import (
     Change,
     DrainChange,
@@ -28,136 +13,10 @@
     TicketChange,
     UndoChange,
 )
-from chestnutstair.state.deadline import Deadline
-from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import FleetView, VmPhase
-from chestnutstair.tests.support import FixedDutyHolder, ManualClock, build_log
-
-__all__ = [
-    "START_SECONDS",
-    "Fleet",
-    "HookedTable",
-    "check_history",
-    "find_phase",
-]
-
-
-START_SECONDS = 1_700_000_000.0  # wall-clock epoch seconds
-
-
-class HookedTable(MemoryTable):
-    """A table that calls `before` ahead of each commit."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.before: Callable[[], None] = lambda: None
-
-    def commit(
-        self,
-        conditions: Sequence[Condition],
-        writes: Sequence[Write],
-        deadline: Deadline,
-    ) -> Result[None, ConflictFailure | PlatformFailure]:
-        """Commit after the call to `before`."""
-        self.before()
-        return super().commit(conditions, writes, deadline)
-
-
-class _FakeMembership(Membership):
-    """The daemons of a fleet, and stuck ones that confirm nothing."""
-
-    def __init__(self, fleet: "Fleet") -> None:
-        self._fleet = fleet
-
-    def get_self(self) -> Member:
-        """Return the first daemon."""
-        return self.list_live()[0]
-
-    def list_live(self) -> tuple[Member, ...]:
-        """Return the daemons that are live and the stuck ones."""
-        revisions = self._fleet.stuck + [
-            log.view.revision for log in self._fleet.logs
-        ]
-        return tuple(
-            Member(f"entry-{index}", "zone-0", "", "", revision)
-            for index, revision in enumerate(revisions)
-        )
-
-
-class Fleet:
-    """Fake VMs, and daemons that maintain them by turns."""
-
-    def __init__(self, ticket: Ticket, daemons: int = 2) -> None:
-        self.clock = ManualClock(START_SECONDS)
-        self.table = HookedTable()
-        self.vms = MemoryVms(self.clock)
-        for vm in ticket.vms:
-            self.vms.add(vm.name, vm.zone)
-        self.share = 0.1  # the load that is expected of every pool
-        self.stuck: list[int] = []  # revisions of daemons that confirm none
-        self.logs = [
-            build_log(self.table, self.clock, f"entry-{index}")
-            for index in range(daemons)
-        ]
-        self.log = self.logs[0]
-        self.append(TicketChange(ticket))
-        for pool in ticket.pools:
-            self.take_over(pool.name)
-        membership = _FakeMembership(self)
-        holder = FixedDutyHolder(self.table, self.clock)
-        self.conductors = [
-            DrainConductor(
-                log,
-                holder,
-                self.vms,
-                self.vms,
-                membership,
-                self.clock,
-                lambda pool: self.share,
-            )
-            for log in self.logs
-        ]
-        self.watchers = [
-            OutageWatcher(log, holder, self.vms, self.vms, self.clock)
-            for log in self.logs
-        ]
-
-    @property
-    def deadline(self) -> Deadline:
-        """A deadline for one call."""
-        return Deadline.after(self.clock, 10.0)
-
-    def append(self, change: Change) -> None:
-        """Commit an operator's change."""
-        self.log.refresh(self.deadline)
-        self.log.append(change, self.deadline).unwrap()
-
-    def take_over(self, pool: str) -> None:
-        """Give the duty for the pool to another daemon."""
-        write = Write(Key("duty", f"maintenance/{pool}"), {"token": 1})
-        MemoryTable.commit(self.table, [], [write], self.deadline)
-
-    def tick(self, daemon: int = 0) -> None:
-        """Let a second pass, then a daemon do its rounds."""
-        self.clock.sleep(1.0)
-        for log in self.logs:
-            log.refresh(self.deadline)
-        for loop in (self.watchers[daemon], self.conductors[daemon]):
-            self.table.down = False  # duties are read from it
-            loop.run_once(self.deadline)
+from tools.maintained_fleet import Fleet
 
-    def tick_until(
-        self,
-        reached: Callable[[FleetView], bool],
-        limit: int = 300,
-        daemon: int = 0,
-    ) -> None:
-        """Tick until the view has reached something."""
-        for _ in range(limit):
-            self.tick(daemon)
-            if reached(self.logs[daemon].view):
-                return
-        raise AssertionError("not reached", self.log.view.statuses)
+__all__ = ["check_history", "find_phase"]
 
 
 def find_phase(view: FleetView, phase: VmPhase) -> list[str]:
--- a/chestnutstair/tests/test_drain.py
+++ b/chestnutstair/tests/test_drain.py
@@ -18,12 +18,11 @@
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import FleetView, VmPhase
 from chestnutstair.tests.maintenance_support import (
-    START_SECONDS,
-    Fleet,
     check_history,
     find_phase,
 )
 from chestnutstair.tests.support import FixedDutyHolder, build_ticket
+from tools.maintained_fleet import START_SECONDS, Fleet
 
 DAY_SECONDS = 86_400.0
 VM = "quotes-0"
--- a/chestnutstair/tests/test_takeover.py
+++ b/chestnutstair/tests/test_takeover.py
@@ -11,8 +11,9 @@
 from chestnutstair.state.fleet import Vm
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import VmPhase
-from chestnutstair.tests.maintenance_support import Fleet, check_history
+from chestnutstair.tests.maintenance_support import check_history
 from chestnutstair.tests.support import build_ticket
+from tools.maintained_fleet import Fleet
 
 DAY_SECONDS = 86_400.0
 VM = "quotes-0"
--- /dev/null
+++ b/tools/bench_maintenance.py
@@ -0,0 +1,267 @@
+"""Measures waves, planning rounds and the rules for moves of demand.
+
+Prints tables and writes nothing. `python -m tools.bench_maintenance`
+runs all parts; name some of `wave`, `round`, `demand` for these only.
+"""
+
+import math
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import replace
+from functools import partial
+
+from chestnutstair.coordination.maintenance import (
+    MaintenanceSettings,
+    plan_drains,
+)
+from chestnutstair.coordination.occupancy import PoolState, group_pools
+from chestnutstair.state.change import DrainChange, RecoveryChange
+from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.fold import apply_ticket
+from chestnutstair.state.ticket import Ticket
+from chestnutstair.state.view import FleetView, VmPhase, VmStatus
+from tools.demand_model import (
+    Demand,
+    DemandResult,
+    MoveRule,
+    decide_by_threshold,
+    decide_by_value,
+    decide_no_move,
+    run_demand,
+)
+from tools.deployments import PAPAGALAKI, ROSALEDA, build_ticket
+from tools.maintained_fleet import START_SECONDS, Fleet
+
+__all__ = ["main"]
+
+DESIGN_VMS = 9900
+DESIGN_POOLS = 85
+DESIGN_BUDGET = 6  # of about 116 VMs in a pool
+DESIGN_PERIOD_SECONDS = 35 * 86_400.0
+WAVE_POOLS = 10  # of the design size, run in full
+RACK_SIZE = 4
+ZONE_COUNT = 11
+REBOOT_SECONDS = 60.0
+OVERDUE_SECONDS = 60 * 86_400.0
+WAVE_LIMIT_SECONDS = 20_000
+ROUNDS = 20
+FLEET_SIZES = (16, 128, 1024, DESIGN_VMS)
+LATE_LIMIT = 0.001
+PEAKS_SECONDS = (8.0, 60.0, 600.0)
+DEMAND_SECONDS = 1800.0
+SPARE_LIMIT = 40  # VMs
+RULES: dict[str, MoveRule] = {
+    "overflow only": decide_no_move,
+    "threshold": decide_by_threshold,
+    "marginal value": decide_by_value,
+}
+
+
+def _build_design_ticket(vm_count: int, pool_count: int) -> Ticket:
+    """Return a ticket of equal pools at the design size's proportions."""
+    zones = tuple(Zone(f"zone-{i}", "region") for i in range(ZONE_COUNT))
+    pools = tuple(
+        Pool(
+            f"pool-{i}",
+            PoolKind.WORKERS,
+            f"service-{i}",
+            DESIGN_BUDGET,
+            maintenance_period_seconds=DESIGN_PERIOD_SECONDS,
+        )
+        for i in range(pool_count)
+    )
+    vms = tuple(
+        Vm(
+            f"vm-{i}",
+            f"pool-{i % pool_count}",
+            f"zone-{i // pool_count // RACK_SIZE % ZONE_COUNT}",
+            f"rack-{i % pool_count}-{i // pool_count // RACK_SIZE}",
+            f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:80",
+        )
+        for i in range(vm_count)
+    )
+    return Ticket(1, "bench", zones=zones, pools=pools, vms=vms)
+
+
+def _measure_operations(fleet: Fleet) -> float:
+    """Return the mean seconds from the start of a drain to its end."""
+    started: dict[str, float] = {}
+    spans = []
+    records = fleet.log.read_records(0, 1_000_000, fleet.deadline).unwrap()
+    for record in records:
+        match record.change:
+            case DrainChange(vm=vm):
+                started[vm] = record.recorded_at
+            case RecoveryChange(vm=vm):
+                spans.append(record.recorded_at - started[vm])
+    return sum(spans) / len(spans)
+
+
+def _run_wave(name: str, ticket: Ticket) -> None:
+    """Clean a fleet whose VMs are all overdue, and print what it took."""
+    fleet = Fleet(ticket, daemons=1)
+    fleet.vms.reboot_seconds = REBOOT_SECONDS
+    fleet.clock.sleep(OVERDUE_SECONDS)
+    began_at = fleet.clock.now
+    began_writes = fleet.table.write_count
+    began_cpu = time.process_time()
+    fleet.tick_until(
+        lambda view: all(
+            status.cleaned_at > began_at for status in view.statuses.values()
+        ),
+        WAVE_LIMIT_SECONDS,
+    )
+    seconds = fleet.clock.now - began_at
+    cpu = time.process_time() - began_cpu
+    writes = fleet.table.write_count - began_writes
+    operation = _measure_operations(fleet)
+    least = max(
+        math.ceil(len(state.vms) / state.pool.availability_budget)
+        for state in group_pools(fleet.log.view).values()
+    )
+    print(
+        f"{name:28} {len(ticket.vms):5} VMs  wave {seconds:6.0f} s"
+        f"  drain to recovery {operation:5.1f} s"
+        f"  least by budget {least * operation:6.0f} s"
+        f"  ratio {seconds / (least * operation):4.2f}"
+        f"  writes/VM {writes / len(ticket.vms):4.2f}"
+        f"  writes/s {writes / seconds:5.2f}"
+        f"  cpu/round {cpu / seconds * 1000:6.2f} ms"
+    )
+
+
+def run_waves() -> None:
+    """Print waves of both deployments and at the design size."""
+    print("waves: every VM overdue, one daemon, rounds of 1 s")
+    _run_wave("papagalaki", build_ticket(PAPAGALAKI))
+    _run_wave("rosaleda", build_ticket(ROSALEDA))
+    share = DESIGN_VMS * WAVE_POOLS // DESIGN_POOLS
+    ticket = _build_design_ticket(share, WAVE_POOLS)
+    _run_wave(f"{WAVE_POOLS} of {DESIGN_POOLS} design pools", ticket)
+
+
+def _age_evenly(view: FleetView) -> FleetView:
+    """Return the view with ages spread over the period, some in hand."""
+    statuses = {}
+    for index, (name, status) in enumerate(view.statuses.items()):
+        age = index / len(view.statuses) * 0.69 * DESIGN_PERIOD_SECONDS
+        phase = VmPhase.SERVING if index % 100 else VmPhase.DRAINING
+        statuses[name] = VmStatus(
+            status.pool, phase, cleaned_at=START_SECONDS - age
+        )
+    return replace(view, statuses=statuses)
+
+
+def _time(function: Callable[[], object]) -> float:
+    """Return the processor seconds of one call, the least of some."""
+    spans = []
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        function()
+        spans.append(time.process_time() - began)
+    return min(spans)
+
+
+def _plan_all(states: Mapping[str, PoolState]) -> None:
+    settings = MaintenanceSettings()
+    for state in states.values():
+        plan_drains(state, START_SECONDS, 0.1, settings)
+
+
+def _run_quiet_rounds() -> None:
+    """Print what a round costs a daemon that does all, with none due."""
+    ticket = _build_design_ticket(DESIGN_VMS, DESIGN_POOLS)
+    fleet = Fleet(ticket, daemons=1)
+    fleet.tick()
+    listing = _time(lambda: fleet.vms.list_vms(fleet.deadline))
+    watching = _time(lambda: fleet.watchers[0].run_once(fleet.deadline))
+    conducting = _time(lambda: fleet.conductors[0].run_once(fleet.deadline))
+    print(
+        f"{DESIGN_VMS} VMs, nothing due, the fake list's cost taken off:"
+        f"  watcher {(watching - listing) * 1000:.1f} ms"
+        f"  conductor {(conducting - listing) * 1000:.1f} ms"
+    )
+
+
+def run_rounds() -> None:
+    """Print the processor time of planning all pools once."""
+    print("planning rounds: all pools of the fleet in one daemon")
+    costs = []
+    for size in FLEET_SIZES:
+        pools = max(1, round(DESIGN_POOLS * size / DESIGN_VMS))
+        ticket = _build_design_ticket(size, pools)
+        view = _age_evenly(apply_ticket(FleetView(), ticket))
+        grouping = _time(partial(group_pools, view))
+        planning = _time(partial(_plan_all, group_pools(view)))
+        costs.append(planning)
+        print(
+            f"{size:6} VMs {pools:3} pools  group {grouping * 1000:7.3f} ms"
+            f"  plan {planning * 1000:7.3f} ms"
+            f"  per VM {planning / size * 1e6:5.2f} us"
+        )
+    slope = (costs[-1] - costs[0]) / (FLEET_SIZES[-1] - FLEET_SIZES[0])
+    print(f"slope {slope * 1e6:.2f} us per VM and round")
+    _run_quiet_rounds()
+
+
+def _format(result: DemandResult) -> str:
+    return (
+        f"VMs {result.vms:3}  late {result.late:7.4%}"
+        f"  moves/day {result.moves:6.0f}  idle {result.idle:5.1%}"
+    )
+
+
+def _find_spare(
+    usual: int, own: int, peak: float, rule: MoveRule, limit: int
+) -> DemandResult | None:
+    """Return the result with the least spare pool that serves in time."""
+    for spare in range(1, limit):
+        demand = Demand(5, usual, own, spare, peak)
+        result = run_demand(demand, rule, max(DEMAND_SECONDS, 10 * peak))
+        if result.late <= LATE_LIMIT:
+            return result
+    return None
+
+
+def _find_least(usual: int, peak: float, rule: MoveRule) -> DemandResult:
+    """Return the result with the least VMs over all splits tried."""
+    best: DemandResult | None = None
+    for own in (1, 2, 3, 4, usual):
+        limit = best.vms - 4 * own if best else SPARE_LIMIT
+        best = _find_spare(usual, own, peak, rule, limit) or best
+    assert best is not None
+    return best
+
+
+def run_demands() -> None:
+    """Print what each rule for moves gives for both deployments."""
+    for deployment in (PAPAGALAKI, ROSALEDA):
+        usual = deployment.vms_per_pool
+        for peak in PEAKS_SECONDS:
+            print(f"demand: {deployment.name}, peaks of {peak:.0f} s by turns")
+            for name, rule in RULES.items():
+                today = run_demand(
+                    Demand(5, usual, usual, usual, peak),
+                    rule,
+                    max(DEMAND_SECONDS, 10 * peak),
+                )
+                print(f"  {name:15} today's pools   {_format(today)}")
+                own = _find_spare(usual, usual, peak, rule, SPARE_LIMIT)
+                assert own is not None
+                print(f"  {name:15} least spare     {_format(own)}")
+                least = _find_least(usual, peak, rule)
+                print(f"  {name:15} least in total  {_format(least)}")
+
+
+PARTS = {"wave": run_waves, "round": run_rounds, "demand": run_demands}
+
+
+def main(names: list[str] | None = None) -> None:
+    """Run the parts named, or all."""
+    for name in names or PARTS:
+        PARTS[name]()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/tools/demand_model.py
@@ -0,0 +1,226 @@
+"""A seeded model of demand that shifts between pools of runners.
+
+Each pool is a queue of work in slot-seconds. One service after another
+peaks; the rest of the time its queue is nearly empty.
+"""
+
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+__all__ = [
+    "Demand",
+    "DemandResult",
+    "MoveRule",
+    "decide_by_threshold",
+    "decide_by_value",
+    "decide_no_move",
+    "run_demand",
+]
+
+STEP_SECONDS = 0.5
+SLOTS_PER_VM = 8
+MOVE_SECONDS = 6.0  # without service: drain, move, recovery
+MOVES_AT_ONCE = 2  # the availability budget of a pool
+WAIT_LIMIT_SECONDS = 1.0
+PEAK_FACTOR = 5.0  # times the mean
+QUIET_FACTOR = 0.05
+SMOOTHING_SECONDS = 5.0  # of the load that the rules see
+HIGH_LOAD = 0.9
+LOW_LOAD = 0.5
+HORIZON_SECONDS = 30.0  # over which a move has to pay
+HOLD_SECONDS = 10.0  # for which the threshold must be exceeded
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a deployment's callers ask for.
+
+    `peak_load` is the demand at a peak as a share of what a pool of
+    `usual_vms` holds; the pools may have fewer.
+    """
+
+    services: int
+    usual_vms: int
+    vms_per_pool: int
+    spare_vms: int
+    peak_seconds: float
+    peak_load: float = 1.25
+    overflow: bool = True
+    seed: int = 1
+
+
+@dataclass
+class _Pool:
+    vms: int
+    queue: float = 0.0  # slot-seconds
+    load: float = 0.0  # smoothed demand in slots
+    high_since: float = math.inf
+    leaving: int = 0
+
+    @property
+    def slots(self) -> int:
+        return self.vms * SLOTS_PER_VM
+
+
+MoveRule = Callable[[list[_Pool], float], tuple[int, int] | None]
+"""Returns the pools to move a VM from and to, if any."""
+
+
+@dataclass(frozen=True)
+class DemandResult:
+    """What became of the demand.
+
+    `late` is the share of work that waited beyond the limit, `moves` are
+    in one day, and `idle` is the share of slots that were idle.
+    """
+
+    late: float
+    moves: float
+    idle: float
+    vms: int
+
+
+def decide_no_move(pools: list[_Pool], now: float) -> None:
+    """Never move."""
+    return None
+
+
+def _find_donor(pools: list[_Pool]) -> int | None:
+    able = [
+        index
+        for index, pool in enumerate(pools)
+        if pool.vms > 1 and pool.leaving < MOVES_AT_ONCE
+    ]
+    return (
+        min(able, key=lambda index: pools[index].load / pools[index].slots)
+        if able
+        else None
+    )
+
+
+def decide_by_threshold(
+    pools: list[_Pool], now: float
+) -> tuple[int, int] | None:
+    """Move once a pool was over the high mark, from one under the low."""
+    for index, pool in enumerate(pools):
+        if pool.load < HIGH_LOAD * pool.slots:
+            pool.high_since = math.inf
+            continue
+        pool.high_since = min(pool.high_since, now)
+        donor = _find_donor(pools)
+        if donor is None or now - pool.high_since < HOLD_SECONDS:
+            continue
+        if pools[donor].load < LOW_LOAD * pools[donor].slots:
+            return donor, index
+    return None
+
+
+def _measure_excess(load: float, slots: float) -> float:
+    return max(0.0, load - slots)
+
+
+def decide_by_value(pools: list[_Pool], now: float) -> tuple[int, int] | None:
+    """Move where one VM saves more waiting work than its move costs."""
+    donor = _find_donor(pools)
+    if donor is None:
+        return None
+    best: tuple[float, int] = (0.0, donor)
+    giving = pools[donor]
+    loss = _measure_excess(
+        giving.load, giving.slots - SLOTS_PER_VM
+    ) - _measure_excess(giving.load, giving.slots)
+    for index, pool in enumerate(pools):
+        demand = pool.load + pool.queue / HORIZON_SECONDS
+        gain = _measure_excess(demand, pool.slots) - _measure_excess(
+            demand, pool.slots + SLOTS_PER_VM
+        )
+        served = HORIZON_SECONDS - MOVE_SECONDS
+        cost = SLOTS_PER_VM * MOVE_SECONDS + loss * HORIZON_SECONDS
+        best = max(best, (gain * served - cost, index))
+    value, index = best
+    return (donor, index) if value > 0 and index != donor else None
+
+
+@dataclass
+class _Run:
+    demand: Demand
+    pools: list[_Pool]
+    rng: random.Random
+    underway: list[tuple[float, int]] = field(default_factory=list)
+    moves: int = 0
+    asked: float = 0.0
+    late: float = 0.0
+    used: float = 0.0
+    held: float = 0.0
+
+    def draw_work(self, index: int, now: float) -> float:
+        """Return the slot-seconds that arrive in one step."""
+        demand = self.demand
+        turn = int(now / demand.peak_seconds) % demand.services
+        capacity = demand.usual_vms * SLOTS_PER_VM
+        mean = demand.peak_load * capacity / PEAK_FACTOR
+        factor = PEAK_FACTOR if turn == index else QUIET_FACTOR
+        expected = mean * factor * STEP_SECONDS
+        return max(0.0, self.rng.gauss(expected, math.sqrt(expected)))
+
+    def step(self, now: float) -> None:
+        """Let work arrive and be served for one step."""
+        spare = self.pools[-1]
+        blend = STEP_SECONDS / SMOOTHING_SECONDS
+        works = [self.draw_work(i, now) for i in range(len(self.pools))]
+        for pool, work in zip(self.pools, works, strict=True):
+            pool.load += blend * (work / STEP_SECONDS - pool.load)
+            pool.queue += work
+        rooms = [pool.slots * STEP_SECONDS for pool in self.pools]
+        for index, pool in enumerate(self.pools):
+            rooms[index] -= self.serve(pool, rooms[index])
+        if self.demand.overflow:
+            for pool in self.pools[:-1]:
+                rooms[-1] -= self.serve(pool, rooms[-1])
+        for pool, work in zip(self.pools, works, strict=True):
+            speed = float(pool.slots)
+            if self.demand.overflow and pool is not spare:
+                speed += rooms[-1] / STEP_SECONDS
+            waits = pool.queue > WAIT_LIMIT_SECONDS * max(speed, 1)
+            self.asked += work
+            self.late += work if waits else 0.0
+
+    def serve(self, pool: _Pool, room: float) -> float:
+        """Serve the pool's queue with the room; return what was used."""
+        done = min(pool.queue, room)
+        pool.queue -= done
+        self.used += done
+        return done
+
+    def move(self, now: float, rule: MoveRule) -> None:
+        """Finish moves that are due and start one if the rule says so."""
+        for arrival in [item for item in self.underway if item[0] <= now]:
+            self.underway.remove(arrival)
+            self.pools[arrival[1]].vms += 1
+        leaving = len(self.underway)
+        chosen = rule(self.pools, now) if leaving < MOVES_AT_ONCE else None
+        if chosen is not None:
+            self.pools[chosen[0]].vms -= 1
+            self.underway.append((now + MOVE_SECONDS, chosen[1]))
+            self.moves += 1
+
+
+def run_demand(demand: Demand, rule: MoveRule, seconds: float) -> DemandResult:
+    """Run the model for the time and return what became of the demand."""
+    pools = [_Pool(demand.vms_per_pool) for _ in range(demand.services - 1)]
+    pools.append(_Pool(demand.spare_vms))
+    run = _Run(demand, pools, random.Random(demand.seed))
+    vms = sum(pool.vms for pool in pools)
+    for step in range(int(seconds / STEP_SECONDS)):
+        now = step * STEP_SECONDS
+        run.move(now, rule)
+        run.step(now)
+        run.held += vms * SLOTS_PER_VM * STEP_SECONDS
+    return DemandResult(
+        run.late / run.asked,
+        run.moves * 86_400 / seconds,
+        1 - run.used / run.held,
+        vms,
+    )
