--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -84,6 +84,7 @@
         self.platform = ""
         self.daemons: dict[str, DaemonAddresses] = {}
         self.targets: dict[str, str] = {}
+        self._controls: dict[str, str] = {}
 
     def __enter__(self) -> "LocalCluster":
         return self
@@ -133,6 +134,7 @@
         name = settings.name
         addresses = self._spawn_standin(name, module, encode_value(settings))
         self.targets[name] = addresses["address"]
+        self._controls[name] = addresses["control_address"]
         # Calls of the platform must not take connections from callers.
         self.register_vm(name, zone, addresses["control_address"])
         return addresses["address"]
@@ -218,6 +220,21 @@
         url = f"http://{self.platform}{path}"
         return self._request(method, url, value)[1]
 
+    def call_target(
+        self, name: str, method: str, path: str, value: Any = None
+    ) -> Any:
+        """Call a target beside its work and return its decoded answer."""
+        url = f"http://{self._controls[name]}{path}"
+        return self._request(method, url, value)[1]
+
+    def list_runs(self) -> list[dict[str, Any]]:
+        """Return every run in the execution logs of all targets."""
+        return [
+            {**run, "target": name}
+            for name in self.targets
+            for run in self.call_target(name, "GET", "/execution-log")["runs"]
+        ]
+
     def call_admin(
         self, name: str, method: str, path: str, value: Any = None
     ) -> tuple[int, Any]:
--- /dev/null
+++ b/chestnutstair/tests/test_request_faults.py
@@ -0,0 +1,192 @@
+"""Tests of requests through real processes that fail or are drained."""
+
+import signal
+import threading
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+import urllib3
+
+from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
+from chestnutstair.standins.target import TargetSettings
+from chestnutstair.state.codec import encode_value
+from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.ticket import Ticket
+
+ZONES = ("zone-a", "zone-b")
+DAEMONS = ("entry-0", "entry-1", "entry-2")
+RUNNERS = ("runner-0", "runner-1", "runner-2")
+SETTINGS = {
+    "forwarding": {"stop_notice_seconds": 0.2},
+    "drains": {"healthy_checks": 1},
+}
+CLEANING_PERIOD_SECONDS = 6.0
+CALLER_COUNT = 6
+
+
+class RequestFaultsTest(unittest.TestCase):
+    """Requests run at most once and whole while processes fail."""
+
+    def start(self, period_seconds: float) -> None:
+        self.cluster = LocalCluster()
+        self.addCleanup(self.cluster.stop)
+        self.cluster.start_platform({"vms": {"list_lag_seconds": 0.2}})
+        for index, name in enumerate(RUNNERS):
+            settings = TargetSettings(name, reboot_seconds=0.5)
+            self.cluster.start_target(settings, ZONES[index % 2])
+        for index, name in enumerate(DAEMONS):
+            self.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
+        for name in DAEMONS:
+            self.cluster.wait_ready(name)
+        self.file_first(period_seconds)
+
+    def file_first(self, period_seconds: float) -> None:
+        pool = Pool(
+            "quotes",
+            PoolKind.RUNNERS,
+            "quotes",
+            availability_budget=1,
+            maintenance_period_seconds=period_seconds,
+        )
+        targets = self.cluster.targets.items()
+        ticket = Ticket(
+            number=1,
+            author="tester",
+            zones=tuple(Zone(name, "region") for name in ZONES),
+            pools=(pool,),
+            vms=tuple(
+                Vm(name, "quotes", ZONES[index % 2], f"rack-{index}", address)
+                for index, (name, address) in enumerate(targets)
+            ),
+        )
+        value = encode_value(ticket)
+        self.cluster.call_admin("entry-0", "POST", "/tickets", value)
+        wait_until("ticket 1 in force", self.is_in_force)
+
+    def is_in_force(self) -> bool:
+        answer = self.cluster.call_admin("entry-0", "GET", "/tickets/1")[1]
+        return bool(answer["in_force"])
+
+    def send_charge(
+        self, daemon: str, key: str, work_ms: int = 0
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {"Idempotency-Key": key, "X-Work-Ms": str(work_ms)}
+        call = Call("quotes", "/charge", "POST", headers, b"12 euros")
+        return self.cluster.send(daemon, call)
+
+    def count_runs(self, key: str) -> int:
+        runs = self.cluster.list_runs()
+        return sum(run["request_id"] == key for run in runs)
+
+    def test_a_charge_runs_once_though_its_entry_vm_is_killed(self) -> None:
+        self.start(period_seconds=10_000.0)
+        thread = threading.Thread(
+            target=self.try_charge, args=("entry-0", "charge-1", 1500)
+        )
+        thread.start()
+        wait_until("the charge", lambda: self.count_runs("charge-1"))
+        self.cluster.end("entry-0", signal.SIGKILL)
+        thread.join()
+        answer = self.send_charge("entry-1", "charge-1")
+        self.assertIn(answer.headers["X-Ran"], ("yes", "unknown"))
+        self.assertEqual(self.count_runs("charge-1"), 1)
+
+    def try_charge(self, daemon: str, key: str, work_ms: int) -> None:
+        try:
+            self.send_charge(daemon, key, work_ms)
+        except urllib3.exceptions.HTTPError:
+            return  # The entry VM was killed.
+
+    def test_a_charge_sent_through_all_daemons_runs_once(self) -> None:
+        self.start(period_seconds=10_000.0)
+        for index in range(20):
+            key = f"race-{index}"
+            threads = [
+                threading.Thread(target=self.try_charge, args=(name, key, 5))
+                for name in DAEMONS
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            self.assertEqual(self.count_runs(key), 1)
+
+    def test_no_charge_runs_while_the_table_is_down(self) -> None:
+        self.start(period_seconds=10_000.0)
+        self.cluster.call_platform("POST", "/faults", {"outage": "error"})
+        answer = self.send_charge("entry-0", "charge-2")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["X-Ran"], "no")
+        self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(self.count_runs("charge-2"), 0)
+
+    def test_a_killed_target_leaves_no_lie(self) -> None:
+        self.start(period_seconds=10_000.0)
+        answers: list[Any] = []
+
+        def call() -> None:
+            answers.append(self.send_charge("entry-0", "charge-3", 30_000))
+
+        thread = threading.Thread(target=call)
+        thread.start()
+        wait_until("the charge", lambda: self.count_runs("charge-3"))
+        target = next(
+            run["target"]
+            for run in self.cluster.list_runs()
+            if run["request_id"] == "charge-3"
+        )
+        self.cluster.end(target, signal.SIGKILL)
+        del self.cluster.targets[target]
+        thread.join()
+        self.assertEqual(answers[0].headers["X-Ran"], "unknown")
+        self.assertEqual(self.count_runs("charge-3"), 0)
+        answer = self.cluster.send("entry-0", Call("quotes"))
+        self.assertEqual(answer.status, 200)
+
+    def test_cleaning_every_runner_cuts_no_request(self) -> None:
+        self.start(CLEANING_PERIOD_SECONDS)
+        ended = threading.Event()
+        outcomes: set[tuple[int, str]] = set()
+
+        def call(index: int) -> None:
+            while not ended.is_set():
+                daemon = DAEMONS[index % len(DAEMONS)]
+                headers = {"X-Work-Ms": "60"}
+                answer = self.cluster.send(
+                    daemon, Call("quotes", headers=headers)
+                )
+                outcomes.add((answer.status, answer.headers["X-Ran"]))
+
+        self.run_callers(call, ended)
+        self.assertEqual(outcomes, {(200, "yes")})
+        for name in RUNNERS:
+            log = self.cluster.call_target(name, "GET", "/execution-log")
+            self.assertEqual(log["cut"], 0)
+            self.assertEqual(log["overshoots"], 0)
+
+    def run_callers(
+        self, call: Callable[[int], None], ended: threading.Event
+    ) -> None:
+        threads = [
+            threading.Thread(target=call, args=(index,))
+            for index in range(CALLER_COUNT)
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            wait_until("all runners cleaned", self.were_all_cleaned)
+        finally:
+            ended.set()
+            for thread in threads:
+                thread.join()
+
+    def were_all_cleaned(self) -> bool:
+        answer = self.cluster.call_admin("entry-0", "GET", "/audit?limit=500")
+        changes = [record["change"] for record in answer[1]["records"]]
+        cleaned = {
+            change["vm"]
+            for change in changes
+            if change["kind"] == "recovery" and change["cleaned_at"]
+        }
+        return cleaned == set(RUNNERS)
