--- a/chestnutstair/coordination/duties.py
+++ b/chestnutstair/coordination/duties.py
@@ -1,6 +1,5 @@
 """Leases on exclusive duties, spread over the live daemons."""
 
-import hashlib
 import logging
 import threading
 from collections.abc import Callable, Sequence
@@ -9,9 +8,17 @@
 from prometheus_client import Counter, Gauge
 from result import Err, Ok, Result
 
-from chestnutstair.coordination.duty import DUTY_TABLE, Duty, DutyHolder
+from chestnutstair.coordination.duty import (
+    BEAT_TABLE,
+    DUTY_TABLE,
+    Duty,
+    DutyHolder,
+    DutyRow,
+    rank_members,
+)
+from chestnutstair.coordination.lapse import LapseWatch
 from chestnutstair.coordination.loop import Loop
-from chestnutstair.coordination.messenger import Member, Membership
+from chestnutstair.coordination.messenger import Membership
 from chestnutstair.coordination.platform import (
     ABSENT,
     Condition,
@@ -26,11 +33,11 @@
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
 
-__all__ = ["BEAT_TABLE", "DutySettings", "LeasedDuties", "rank_members"]
+__all__ = ["DutySettings", "LeasedDuties"]
 
 logger = logging.getLogger(__name__)
 
-BEAT_TABLE = "duty-beat"
+LOOK_SHARE = 0.7  # of the loop's interval, at least, between two looks
 HELD_COUNT = Gauge("chestnutstair_duties_held", "Duties that are held here.")
 TAKEOVERS = Counter("chestnutstair_duty_takeovers_total", "Duties taken over.")
 
@@ -49,39 +56,13 @@
     lease_seconds: float = 6.0
     margin_seconds: float = 1.0
     renew_seconds: float = 2.0
+    settle_seconds: float = 4.0  # to learn of the others before taking any
     rank_seconds: float = 2.0  # that each less preferred daemon waits more
+    recheck_seconds: float = 30.0  # of a duty whose holder seems to live
     handover_seconds: float = 30.0  # until a preferred daemon gets its duty
     table_seconds: float = 1.5  # deadline of one operation
 
 
-@dataclass(frozen=True)
-class DutyRow:
-    """The row of a duty, written by takeovers and releases only."""
-
-    __pydantic_config__ = STRICT
-
-    token: int
-    holder: str = ""  # a daemon's incarnation, empty when released
-
-
-@dataclass(frozen=True)
-class Sighting:
-    """The versions of a duty's two rows, and since when they stood."""
-
-    duty_version: int
-    beat_version: int
-    since: float
-
-
-def rank_members(duty: str, members: Sequence[Member]) -> list[str]:
-    """Return the names, the preferred holder of the duty first."""
-
-    def score(member: Member) -> str:
-        return hashlib.sha256(f"{duty}/{member.name}".encode()).hexdigest()
-
-    return [member.name for member in sorted(members, key=score)]
-
-
 class LeasedDuties(DutyHolder):
     """Takes, renews and hands over duties through the table.
 
@@ -105,11 +86,13 @@
         self._clock = clock
         self._settings = settings or DutySettings()
         self._me = membership.get_self()
+        self._settled = Deadline.after(clock, self._settings.settle_seconds)
         self._beat = 0
         self._lock = threading.Lock()
         self._held: dict[str, Duty] = {}
-        self._sightings: dict[str, Sighting] = {}
-        self._look_at: dict[str, float] = {}
+        self._watch = LapseWatch(clock)
+        self._looked_at: dict[str, float] = {}
+        self._holders: dict[str, str] = {}
         self._unwanted_since: dict[str, float] = {}
         self._loop = Loop("duties", self._run)
 
@@ -151,6 +134,8 @@
         names = self._list_names()
         self._renew(deadline)
         self._hand_over(names, deadline)
+        if not self._settled.has_passed(self._clock):
+            return
         match self._take(names, deadline):
             case Err(failure):
                 logger.info("duties: %s", describe_failure(failure))
@@ -211,6 +196,7 @@
         with self._lock:
             duties = [self._held.pop(name) for name in names]
         for duty in duties:
+            self._holders.pop(duty.name, None)
             self._unwanted_since.pop(duty.name, None)
             key = Key(DUTY_TABLE, duty.name)
             row = encode_value(DutyRow(duty.token))
@@ -245,19 +231,28 @@
         """Return the ranks of this daemon for duties to look at now."""
         now = self._clock.read_monotonic()
         members = self._membership.list_live()
+        unsuspected = self._membership.list_unsuspected()
         due = {}
         for name in names:
-            if name in self._held or now < self._look_at.get(name, 0.0):
-                continue
             ranked = rank_members(name, members)
-            if self._me.name not in ranked:
+            if name in self._held or self._me.name not in ranked:
                 continue
-            rank = due[name] = ranked.index(self._me.name)
-            pause = self._settings.renew_seconds * (1 + rank)
-            # Looks fall due with the loop's calls, which have jitter.
-            self._look_at[name] = now + pause * 0.7
+            rank = ranked.index(self._me.name)
+            healthy = self._holders.get(name) in unsuspected and rank > 0
+            if now - self._looked_at.get(name, 0.0) >= self._choose_pause(
+                rank, healthy
+            ):
+                due[name] = rank
+                self._looked_at[name] = now
         return due
 
+    def _choose_pause(self, rank: int, healthy: bool) -> float:
+        """Return the seconds between looks at a duty."""
+        if healthy:
+            return self._settings.recheck_seconds
+        # Looks fall due with the loop's calls, which have jitter.
+        return self._settings.renew_seconds * (rank + LOOK_SHARE)
+
     def _read_beats(
         self, found: dict[str, Row | None], deadline: Deadline
     ) -> Result[dict[str, int], PlatformFailure]:
@@ -289,6 +284,7 @@
         else:
             seen = decode_value(DutyRow, row.value).unwrap()
             version = row.version
+        self._holders[name] = seen.holder
         if seen.holder == self._me.incarnation:
             # Taken by a commit whose answer was lost.
             self._adopt(name, seen.token, version)
@@ -300,16 +296,10 @@
     def _has_lapsed(
         self, name: str, rank: int, holder: str, version: int, beat: int
     ) -> bool:
-        now = self._clock.read_monotonic()
-        sighting = self._sightings.get(name)
-        if sighting is None or (
-            (sighting.duty_version, sighting.beat_version) != (version, beat)
-        ):
-            sighting = Sighting(version, beat, now)
-            self._sightings[name] = sighting
+        still = self._watch.measure_still(name, (version, beat))
         lease = self._settings.lease_seconds if holder else 0.0
         wait = lease + rank * self._settings.rank_seconds
-        return now - sighting.since >= wait
+        return still >= wait
 
     def _adopt(self, name: str, token: int, version: int) -> None:
         # The deadline has passed: the next renewal makes it usable.
--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -14,6 +14,8 @@
     FactBook,
     FactsMessage,
     HeartbeatMessage,
+    MemberStatus,
+    abbreviate_incarnation,
     build_member,
     select_links,
 )
@@ -30,8 +32,8 @@
     Table,
 )
 from chestnutstair.coordination.registry import (
+    prune_rows,
     read_facts,
-    remove_facts,
     write_fact,
 )
 from chestnutstair.state.codec import STRICT
@@ -47,7 +49,8 @@
 logger = logging.getLogger(__name__)
 
 BEATS_PERIOD = 2  # heartbeats, of which one lists the others' beats
-MISMATCH_LIMIT = 3  # heartbeats with another digest before facts are sent
+SUSPECT_HEARTBEATS = 2.0  # missed by a peer that sent some before
+MISMATCH_LIMIT = 2  # heartbeats with another digest before facts are sent
 LIVE_COUNT = Gauge("chestnutstair_members_live", "Daemons seen to live.")
 
 
@@ -61,28 +64,17 @@
     __pydantic_config__ = STRICT
 
     seeds: tuple[str, ...] = ()
-    heartbeat_seconds: float = 1.0
-    renew_seconds: float = 2.0
+    heartbeat_seconds: float = 2.0
+    renew_seconds: float = 3.0
+    scan_seconds: float = 5.0  # least time between scans of all rows
     lease_seconds: float = 6.0
     forget_seconds: float = 600.0
     table_seconds: float = 2.0  # deadline of one operation
-    scan_row_seconds: float = 0.1  # between scans, for each daemon
+    scan_row_seconds: float = 0.25  # between scans, for each daemon
     mesh_limit: int = 8  # daemons that all hold streams to each other
     fact_limit: int = 64  # in one heartbeat
 
 
-@dataclass(frozen=True)
-class MemberStatus:
-    """A daemon, whether it lives, and when it was last heard of.
-
-    `heard_at` is wall-clock epoch seconds of this daemon.
-    """
-
-    fact: Fact
-    live: bool
-    heard_at: float
-
-
 class MemberList(Membership):
     """Keeps the list of daemons from the table and from heartbeats.
 
@@ -108,6 +100,7 @@
         self._lock = threading.RLock()
         self._book = FactBook()
         self._heard: dict[str, float] = {}
+        self._heard_directly: dict[str, float] = {}
         self._mismatches: dict[str, int] = {}
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
@@ -137,10 +130,19 @@
             loop.stop()
         self._write_own(self._make_deadline())
 
+    def register(self) -> None:
+        """Write the own row now, before the log is read to start from it.
+
+        Whoever commits a ticket later reads this row and waits for this
+        daemon; whatever was committed before is in the log by then.
+        """
+        self._write_own(self._make_deadline())
+
     def mark_ready(self) -> None:
         """Say from now on that this daemon serves."""
         with self._lock:
             self._own = replace(self._own, ready=True)
+        self.register()
 
     def get_self(self) -> Member:
         """Return this daemon."""
@@ -156,6 +158,24 @@
             if status.live and not status.fact.stopping
         )
 
+    def list_unsuspected(self) -> frozenset[str]:
+        """Return the incarnations of live daemons in good order.
+
+        They missed no heartbeat here and renew their rows in the table.
+        """
+        now = self._clock.read_monotonic()
+        limit = self._settings.heartbeat_seconds * SUSPECT_HEARTBEATS
+        with self._lock:
+            return frozenset(
+                status.fact.incarnation
+                for status in self.list_statuses()
+                if status.live
+                and not status.fact.stopping
+                and status.fact.reaches_table
+                and now - self._heard_directly.get(status.fact.name, now)
+                < limit
+            )
+
     def list_statuses(self) -> tuple[MemberStatus, ...]:
         """Return every daemon that is not forgotten, sorted by name."""
         with self._lock:
@@ -168,6 +188,7 @@
                     fact,
                     self._is_fresh(fact.name),
                     wall - (now - self._heard[fact.name]),
+                    now - self._heard[fact.name],
                 )
                 for fact in self._book.list_facts()
             )
@@ -182,7 +203,7 @@
         # The interval grows with the rows, so that bytes stay bounded.
         rows = len(self._book.list_facts())
         return max(
-            self._settings.renew_seconds,
+            self._settings.scan_seconds,
             rows * self._settings.scan_row_seconds,
         )
 
@@ -248,7 +269,7 @@
     def _build_heartbeat(self, peer: str) -> HeartbeatMessage:
         own = self._own
         return HeartbeatMessage(
-            own.incarnation,
+            abbreviate_incarnation(own.incarnation),
             own.beat,
             own.revision,
             self._book.compute_digest(),
@@ -274,7 +295,10 @@
         with self._lock:
             self._take_news(sender, message.facts)
             fact = self._book.get(sender)
-            if fact is not None and fact.incarnation == message.incarnation:
+            if fact is not None and message.run == abbreviate_incarnation(
+                fact.incarnation
+            ):
+                self._heard_directly[sender] = self._clock.read_monotonic()
                 self._note(
                     replace(fact, beat=message.beat, revision=message.revision)
                 )
@@ -317,17 +341,21 @@
         """Read the others' rows when it is time, and renew the own."""
         deadline = self._make_deadline()
         if self._clock.read_monotonic() >= self._scan_at:
-            self._scan(deadline)
+            self.read_rows(deadline)
         self._write_own(deadline)
 
     def _write_own(self, deadline: Deadline) -> None:
         with self._lock:
             own = self._refresh_own()
-        match write_fact(self._table, own, deadline):
+        written = write_fact(self._table, own, deadline)
+        with self._lock:
+            self._own = replace(self._own, reaches_table=written.is_ok())
+        match written:
             case Err(failure):
                 logger.info("renewal: %s", describe_failure(failure))
 
-    def _scan(self, deadline: Deadline) -> None:
+    def read_rows(self, deadline: Deadline) -> None:
+        """Read the rows of all daemons, if the table answers."""
         now = self._clock.read_monotonic()
         match read_facts(self._table, deadline):
             case Ok(facts):
@@ -345,20 +373,16 @@
             for fact in self._book.list_facts():
                 if fact.name not in listed and not self._is_fresh(fact.name):
                     self._book.forget(fact.name)
+                    self._heard_directly.pop(fact.name, None)
 
     def prune(
         self, fence: Condition, deadline: Deadline
     ) -> Result[None, ConflictFailure | PlatformFailure]:
         """Delete the rows of daemons that stopped, or are gone for long."""
-        gone = [
-            status.fact.name
-            for status in self.list_statuses()
-            if not status.live and self._is_forgettable(status.fact)
-        ]
-        if not gone:
-            return Ok(None)
-        return remove_facts(self._table, gone, fence, deadline)
-
-    def _is_forgettable(self, fact: Fact) -> bool:
-        age = self._clock.read_monotonic() - self._heard[fact.name]
-        return fact.stopping or age > self._settings.forget_seconds
+        return prune_rows(
+            self._table,
+            self.list_statuses(),
+            self._settings.forget_seconds,
+            fence,
+            deadline,
+        )
--- a/chestnutstair/coordination/visit.py
+++ b/chestnutstair/coordination/visit.py
@@ -8,11 +8,13 @@
 
 from chestnutstair.coordination.platform import (
     PlatformFailure,
+    RefusedFailure,
     TaskReport,
     UnavailableFailure,
     UnknownOutcomeFailure,
     WorkerControl,
 )
+from chestnutstair.coordination.stops import StopOrder
 from chestnutstair.coordination.worker_lease import WorkerLeases
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
@@ -66,6 +68,7 @@
         self._leases = leases
         self._settings = settings
         self._next_visits: dict[str, Deadline] = {}
+        self._fenced: dict[TaskName, int] = {}  # tokens, by task
         self._silent: dict[str, int] = {}  # calls failed in a row
 
     def is_due(self, worker: str) -> bool:
@@ -166,23 +169,42 @@
                     "worker refused a call: %s", failure, extra={"vm": worker}
                 )
 
-    def stop(
+    def stop(self, order: StopOrder, deadline: Deadline) -> None:
+        """Tell the worker to end the task; safe to repeat."""
+        worker = order.record.worker
+        outcome = self._workers.stop_task(
+            worker,
+            str(order.task),
+            order.record.token,
+            order.checkpoint,
+            self._limit(deadline),
+        )
+        match outcome:
+            case Ok():
+                self._fenced[order.task] = order.record.token
+                self.expect_change(worker)
+            case Err(RefusedFailure()):
+                self.expect_change(worker)
+            case Err(failure):
+                self._note_silence(worker, failure)
+
+    def is_fenced(self, task: TaskName, token: int) -> bool:
+        """Tell whether a worker took the order to end this start."""
+        return self._fenced.get(task) == token
+
+    def throttle(
         self,
         task: TaskName,
         record: TaskRecord,
-        checkpoint: bool,
+        share: float,
         deadline: Deadline,
-    ) -> None:
-        """Tell the worker to end the task; safe to repeat."""
-        outcome = self._workers.stop_task(
+    ) -> bool:
+        """Limit the task's share of processor time; tell if it was done."""
+        outcome = self._workers.throttle_task(
             record.worker,
             str(task),
             record.token,
-            checkpoint,
+            share,
             self._limit(deadline),
         )
-        match outcome:
-            case Err(UnknownOutcomeFailure() as failure):
-                self._note_silence(record.worker, failure)
-            case _:
-                self.expect_change(record.worker)
+        return outcome.is_ok()
