End kept connections while stopping, and always write ends of claims

Cause: a second begin_stop pushed the refusals back; a kept connection brought new requests to a stopping daemon; a full group of claims left no room for the ends of earlier ones. Ruled out: closing idle connections from outside, which cuts a request that is just arriving. Change: the first begin_stop counts; answers close the connection while stopping; up to half of a group are ends. Without the close test_callers fails. Conclusion: test_callers, test_forwarder, test_admission pass.

--- a/chestnutstair/coordination/admission.py
+++ b/chestnutstair/coordination/admission.py
@@ -142,7 +142,8 @@
             if not queue.has_room(urgency, max(1, limit)) and not self._evict(
                 queue, urgency
             ):
-                return Err(self._refuse_full(queue))
+                full = QueueFullFailure(pool.service)
+                return Err(Refusal(full, self._suggest_retry(queue)))
             queue.held[urgency.name] += 1
             HELD.labels(pool.name).set(queue.held.total())
             return Ok(Entry(request, urgency, queue))
@@ -288,11 +289,11 @@
         waiter.decided.set()
         return True
 
-    def _refuse_full(self, queue: PoolQueue) -> Refusal:
+    def _suggest_retry(self, queue: PoolQueue) -> float:
+        """Return the seconds in which all that wait should have started."""
         now = self._clock.read_monotonic()
-        waiting = queue.count_waiting()
-        wait = queue.estimate_wait(waiting + 1, now)
-        return Refusal(QueueFullFailure(queue.pool.service), max(1.0, wait))
+        wait = queue.estimate_wait(queue.count_waiting() + 1, now)
+        return max(1.0, wait)
 
     def _judge_wait(self, entry: Entry, ahead: int) -> Refusal | None:
         queue = entry.queue
@@ -309,12 +310,9 @@
         if waiter.load is not None:
             return Ok(self._build_grant(queue, waiter.load))
         queue.remove(waiter)
-        if waiter.failure is not None:
-            return Err(Refusal(waiter.failure, 1.0))
-        failure = DeadlineFailure(queue.pool.service)
-        now = self._clock.read_monotonic()
-        wait = queue.estimate_wait(queue.count_waiting() + 1, now)
-        return Err(Refusal(failure, max(1.0, wait)))
+        late = DeadlineFailure(queue.pool.service)
+        failure = waiter.failure or late
+        return Err(Refusal(failure, self._suggest_retry(queue)))
 
     def _build_grant(self, queue: PoolQueue, load: TargetLoad) -> Grant:
         return Grant(
--- a/chestnutstair/coordination/claims.py
+++ b/chestnutstair/coordination/claims.py
@@ -7,9 +7,10 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from typing import Literal
+from typing import Annotated, Literal
 
 from prometheus_client import Counter
+from pydantic import Field
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.messenger import Membership
@@ -59,7 +60,7 @@
     __pydantic_config__ = STRICT
 
     writes_per_second: float = 150.0
-    group_size: int = 100
+    group_size: Annotated[int, Field(ge=2)] = 100
     waiting: int = 1000
     commit_seconds: float = 2.0
     keep_seconds: float = 24 * 3600.0
@@ -195,8 +196,9 @@
                 )
                 if self._stopped and not self._pending and not self._ends:
                     return
-                group = self._take_group()
-                ends = self._take_ends(self._settings.group_size - len(group))
+                size = self._settings.group_size
+                ends = self._take_ends(size // 2)
+                group = self._take_group(size - len(ends))
             begun = self._clock.read_monotonic()
             if not self._commit(group, ends) and self._stopped:
                 return
@@ -209,10 +211,10 @@
         if left > 0:
             self._clock.sleep(left)
 
-    def _take_group(self) -> list[_Pending]:
+    def _take_group(self, size: int) -> list[_Pending]:
         group: dict[Key, _Pending] = {}
         later: deque[_Pending] = deque()
-        while self._pending and len(group) < self._settings.group_size:
+        while self._pending and len(group) < size:
             pending = self._pending.popleft()
             if pending.key in group:
                 later.append(pending)  # meets the row in the next group
@@ -222,7 +224,7 @@
         return list(group.values())
 
     def _take_ends(self, count: int) -> list[Write]:
-        count = min(max(count, 0), len(self._ends))
+        count = min(count, len(self._ends))
         return [self._ends.popleft() for _ in range(count)]
 
     def _commit(self, group: list[_Pending], ends: list[Write]) -> bool:
--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -124,6 +124,8 @@
 
     def begin_stop(self) -> None:
         """Turn not ready, refuse new requests a little later."""
+        if self._refuse_from is not None:
+            return
         notice = self._settings.stop_notice_seconds
         self._refuse_from = Deadline.after(self._clock, notice)
 
--- a/chestnutstair/tests/test_callers.py
+++ b/chestnutstair/tests/test_callers.py
@@ -47,6 +47,7 @@
         log = build_runner_log(clock, [self.target.address])
         client = HttpTargetClient(clock, TargetSettings(), self.reaper)
         forwarder, _ = build_forwarder(log, client, clock)
+        self.forwarder = forwarder
         settings = CallSettings(body_bytes=1000)
         application = build_callers_application(forwarder, settings, clock)
         self.server = build_callers_server(
@@ -95,3 +96,11 @@
                 self.assertEqual(response.headers["X-Ran"], "no")
                 self.assertIn("error", json.loads(body))
         self.assertEqual(self.target.connections, 0)
+
+    def test_a_stop_ends_kept_connections(self) -> None:
+        response, _ = self.call("GET", "/call/quotes/")
+        self.assertNotIn("Connection", response.headers)
+        self.forwarder.begin_stop()
+        response, _ = self.call("GET", "/call/quotes/")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.headers["Connection"], "close")
--- a/chestnutstair/transport/callers.py
+++ b/chestnutstair/transport/callers.py
@@ -62,10 +62,12 @@
                 self._close()
             case Ok(found):
                 answer = self._answer(request, found)
+        if self._forwarder.is_stopping():
+            self._close()  # so that the caller's next request goes elsewhere
         return _give_answer(request, answer)
 
     def _close(self) -> None:
-        """Have the connection closed, as the body has not been read."""
+        """Have the connection closed after this answer."""
         cherrypy.serving.response.headers["Connection"] = "close"
 
     def _answer(self, request: Any, options: CallOptions) -> Answer:
