Serve a class below its floor before more urgent ones

Ruled out: the door; it already kept places for the floors. Change: a freed slot goes first to classes below their floor, then by rank. With the order by rank alone test_admission fails. Conclusion: test_admission passes.

--- a/chestnutstair/coordination/admission.py
+++ b/chestnutstair/coordination/admission.py
@@ -145,6 +145,7 @@
                 full = QueueFullFailure(pool.service)
                 return Err(Refusal(full, self._suggest_retry(queue)))
             queue.held[urgency.name] += 1
+            queue.budget.earn()
             HELD.labels(pool.name).set(queue.held.total())
             return Ok(Entry(request, urgency, queue))
 
@@ -236,11 +237,6 @@
         with self._changed:
             self._leaving.note_directory(listed, self._log.view)
 
-    def earn_retry(self, entry: Entry) -> None:
-        """Count a first attempt towards the pool's retry budget."""
-        with self._changed:
-            entry.queue.budget.earn()
-
     def spend_retry(self, entry: Entry) -> bool:
         """Take one retry from the pool's budget."""
         with self._changed:
@@ -375,15 +371,18 @@
         queue = self._queues.get(pool)
         if queue is None:
             return
-        for urgency in queue.list_classes():
-            waiting = queue.get_queue(urgency)
-            while waiting:
-                load = self._start(queue, urgency)
-                if load is None:
-                    break
-                waiter = waiting.popleft()
+        while self._grant_one(queue):
+            pass
+
+    def _grant_one(self, queue: PoolQueue) -> bool:
+        for urgency in queue.list_waiting(self._measure_share(queue)):
+            load = self._start(queue, urgency)
+            if load is not None:
+                waiter = queue.get_queue(urgency).popleft()
                 waiter.load = load
                 waiter.decided.set()
+                return True
+        return False
 
     def _mark_leaving(self, vm: str, leaving: bool) -> None:
         if leaving:
--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -186,7 +186,6 @@
         raise AssertionError(request)
 
     def _run(self, request: Request, progress: _Progress) -> RequestOutcome:
-        self._admission.earn_retry(progress.entry)
         again = False
         while True:
             match self._admission.acquire(progress.entry, again):
--- a/chestnutstair/coordination/queueing.py
+++ b/chestnutstair/coordination/queueing.py
@@ -76,6 +76,12 @@
         """Return the waiters of one class, the oldest first."""
         return self._queues.setdefault(urgency.name, deque())
 
+    def list_waiting(self, share: float) -> list[UrgencyClass]:
+        """Return the classes that wait, those below their floor first."""
+        waiting = [c for c in self.list_classes() if self.get_queue(c)]
+        waiting.sort(key=lambda item: not self.is_below_floor(item, share))
+        return waiting
+
     def count_ahead(self, urgency: UrgencyClass) -> int:
         """Return how many wait in this class and the more urgent ones."""
         return sum(
--- a/chestnutstair/tests/test_admission.py
+++ b/chestnutstair/tests/test_admission.py
@@ -1,6 +1,9 @@
 """Tests of who gets a slot, and who is refused at once."""
 
+import time
 import unittest
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from unittest.mock import patch
 
 from result import Err, Ok, Result
@@ -68,6 +71,28 @@
         self.assertEqual(len(self.fill()), 6)
         self.assertEqual(len(self.fill("urgent")), 2)
 
+    def test_a_freed_slot_goes_to_a_class_below_its_floor(self) -> None:
+        self.set_up()
+        entry = self.enter("urgent")
+        grant = self.admission.acquire(entry).unwrap()
+        self.fill("urgent")
+        entries = [
+            self.enter(urgency, seconds=2.0)
+            for urgency in ("urgent", "normal")
+        ]
+        found = []
+        with ThreadPoolExecutor(2) as pool:
+            for one in entries:
+                found.append(pool.submit(self.admission.acquire, one))
+            self.wait_until(lambda: entry.queue.count_waiting() == 2)
+            self.admission.release(grant, entry)
+            self.assertTrue(found[1].result().is_ok())
+
+    def wait_until(self, condition: Callable[[], bool]) -> None:
+        deadline = time.monotonic() + 10
+        while not condition() and time.monotonic() < deadline:
+            time.sleep(0.001)
+
     def test_a_taken_floor_is_announced_once(self) -> None:
         self.set_up(others=1)
         self.fill()
