--- a/chestnutstair/coordination/admission.py
+++ b/chestnutstair/coordination/admission.py
@@ -64,7 +64,8 @@
 class AdmissionSettings:
     """The callers' threads, and the settings of the parts.
 
-    One pool may hold `pool_share` of the `threads` that serve callers.
+    One pool may hold `pool_share` of the `threads` that serve callers,
+    and as much more as the floors of its classes.
     """
 
     __pydantic_config__ = STRICT
@@ -138,16 +139,20 @@
                 unknown = UnknownClassFailure(request.urgency, known)
                 return Err(Refusal(unknown))
             limit = int(self._settings.threads * self._settings.pool_share)
-            if queue.held >= max(1, limit) and not self._evict(queue, urgency):
-                return Err(self._refuse_full(queue))
-            queue.held += 1
-            HELD.labels(pool.name).set(queue.held)
+            if not queue.has_room(urgency, max(1, limit)) and not self._evict(
+                queue, urgency
+            ):
+                full = QueueFullFailure(pool.service)
+                return Err(Refusal(full, self._suggest_retry(queue)))
+            queue.held[urgency.name] += 1
+            queue.budget.earn()
+            HELD.labels(pool.name).set(queue.held.total())
             return Ok(Entry(request, urgency, queue))
 
     def leave(self, entry: Entry) -> None:
         """Count a request out of its pool."""
         with self._changed:
-            entry.queue.held -= 1
+            entry.queue.held[entry.urgency.name] -= 1
 
     def acquire(
         self, entry: Entry, again: bool = False
@@ -232,11 +237,6 @@
         with self._changed:
             self._leaving.note_directory(listed, self._log.view)
 
-    def earn_retry(self, entry: Entry) -> None:
-        """Count a first attempt towards the pool's retry budget."""
-        with self._changed:
-            entry.queue.budget.earn()
-
     def spend_retry(self, entry: Entry) -> bool:
         """Take one retry from the pool's budget."""
         with self._changed:
@@ -285,11 +285,11 @@
         waiter.decided.set()
         return True
 
-    def _refuse_full(self, queue: PoolQueue) -> Refusal:
+    def _suggest_retry(self, queue: PoolQueue) -> float:
+        """Return the seconds in which all that wait should have started."""
         now = self._clock.read_monotonic()
-        waiting = queue.count_waiting()
-        wait = queue.estimate_wait(waiting + 1, now)
-        return Refusal(QueueFullFailure(queue.pool.service), max(1.0, wait))
+        wait = queue.estimate_wait(queue.count_waiting() + 1, now)
+        return max(1.0, wait)
 
     def _judge_wait(self, entry: Entry, ahead: int) -> Refusal | None:
         queue = entry.queue
@@ -306,12 +306,9 @@
         if waiter.load is not None:
             return Ok(self._build_grant(queue, waiter.load))
         queue.remove(waiter)
-        if waiter.failure is not None:
-            return Err(Refusal(waiter.failure, 1.0))
-        failure = DeadlineFailure(queue.pool.service)
-        now = self._clock.read_monotonic()
-        wait = queue.estimate_wait(queue.count_waiting() + 1, now)
-        return Err(Refusal(failure, max(1.0, wait)))
+        late = DeadlineFailure(queue.pool.service)
+        failure = waiter.failure or late
+        return Err(Refusal(failure, self._suggest_retry(queue)))
 
     def _build_grant(self, queue: PoolQueue, load: TargetLoad) -> Grant:
         return Grant(
@@ -374,15 +371,18 @@
         queue = self._queues.get(pool)
         if queue is None:
             return
-        for urgency in queue.list_classes():
-            waiting = queue.get_queue(urgency)
-            while waiting:
-                load = self._start(queue, urgency)
-                if load is None:
-                    break
-                waiter = waiting.popleft()
+        while self._grant_one(queue):
+            pass
+
+    def _grant_one(self, queue: PoolQueue) -> bool:
+        for urgency in queue.list_waiting(self._measure_share(queue)):
+            load = self._start(queue, urgency)
+            if load is not None:
+                waiter = queue.get_queue(urgency).popleft()
                 waiter.load = load
                 waiter.decided.set()
+                return True
+        return False
 
     def _mark_leaving(self, vm: str, leaving: bool) -> None:
         if leaving:
