Specify the core protocol and check it with z3

Cause: the promises on tickets, leases, drains and claims rest on an interplay that tests of single runs do not exhaust. Each of the 35 guards named in MutantTest was seen to break its property once removed. Found: a daemon that starts from a peer, or whose registration failed, is in no row, so a ticket is reported in force without it; the model with such a start yields a run (test_a_start_from_a_peer_escapes_the_report).

--- /dev/null
+++ b/chestnutstair/specification/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the core protocol, checked by z3."""
--- /dev/null
+++ b/chestnutstair/specification/checker.py
@@ -0,0 +1,196 @@
+"""Checks transition systems with z3: induction and bounded search."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import z3
+
+from chestnutstair.specification.machine import Machine, Step, Update
+
+__all__ = [
+    "Gap",
+    "Moment",
+    "Trace",
+    "Unrolling",
+    "find_counterexample",
+    "find_gaps",
+    "find_run",
+    "follow",
+]
+
+
+@dataclass(frozen=True)
+class Gap:
+    """A state that the invariants allow, with a step that leaves them."""
+
+    step: str  # "initial" for an initial state, "implied" for no step
+    broken: str
+    state: Mapping[str, str]
+
+
+@dataclass(frozen=True)
+class Moment:
+    """One step of a run and the state after it."""
+
+    step: str
+    state: Mapping[str, str]
+
+
+Trace = tuple[Moment, ...]
+
+
+class Unrolling:
+    """A machine's run as one formula, extended step by step."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine = machine
+        self.length = 0
+        self.solver = z3.Solver()
+        self._known = [*machine.variables, *machine.inputs]
+        self._names = [item.decl().name() for item in self._known]
+        self._places: dict[int, list[Update]] = {}
+        for condition in machine.initial:
+            self.solver.add(self.place(condition, 0))
+
+    def place(self, term: z3.ExprRef, time: int) -> z3.ExprRef:
+        """Return the term over the state after that many steps."""
+        if time not in self._places:
+            self._places[time] = [
+                (item, z3.Const(f"{name}@{time}", item.sort()))
+                for item, name in zip(self._known, self._names, strict=True)
+            ]
+        return z3.substitute(term, *self._places[time])
+
+    def extend(self, steps: Sequence[int] | None = None) -> None:
+        """Add one step, any one of those with the given indices."""
+        time = self.length
+        choice = self.get_choice(time)
+        machine = self.machine
+        allowed = range(len(machine.steps)) if steps is None else steps
+        self.solver.add(z3.Or([choice == index for index in allowed]))
+        for index in allowed:
+            step = machine.steps[index]
+            guard = z3.And(*step.guards.values())
+            self.solver.add(
+                z3.Implies(choice == index, self.place(guard, time))
+            )
+        for variable in machine.variables:
+            self.solver.add(self._follow(variable, time, allowed))
+        self.length += 1
+
+    def get_choice(self, time: int) -> z3.ArithRef:
+        """Return the index of the step taken then."""
+        return z3.Int(f"step@{time}")
+
+    def _follow(
+        self, variable: z3.ExprRef, time: int, allowed: Sequence[int]
+    ) -> z3.BoolRef:
+        value = variable
+        for index in allowed:
+            for target, following in self.machine.steps[index].updates:
+                if target.eq(variable):
+                    taken = self.get_choice(time) == index
+                    value = z3.If(taken, following, value)
+        return self.place(variable, time + 1) == self.place(value, time)
+
+    def read_trace(self) -> Trace:
+        """Return the run of the model that the solver has found."""
+        model = self.solver.model()
+        moments = []
+        for time in range(self.length):
+            index = model.eval(self.get_choice(time), True).as_long()
+            state = {
+                str(item): str(model.eval(self.place(item, time + 1), True))
+                for item in self.machine.variables
+            }
+            moments.append(Moment(self.machine.steps[index].name, state))
+        return tuple(moments)
+
+
+def find_run(machine: Machine, goal: z3.BoolRef, bound: int) -> Trace | None:
+    """Return a shortest run to a state with the goal, None within bound."""
+    run = Unrolling(machine)
+    while True:
+        run.solver.push()
+        run.solver.add(run.place(goal, run.length))
+        found = run.solver.check()
+        if found == z3.sat:
+            return run.read_trace()
+        if found != z3.unsat:
+            raise ArithmeticError(run.solver.reason_unknown())
+        run.solver.pop()
+        if run.length == bound:
+            return None
+        run.extend()
+
+
+def follow(
+    machine: Machine, names: Sequence[str], goal: z3.BoolRef
+) -> Trace | None:
+    """Return a run of just these steps to the goal, None without one."""
+    indices = {step.name: at for at, step in enumerate(machine.steps)}
+    run = Unrolling(machine)
+    for name in names:
+        run.extend([indices[name]])
+    run.solver.add(run.place(goal, run.length))
+    return run.read_trace() if run.solver.check() == z3.sat else None
+
+
+def find_counterexample(
+    machine: Machine, name: str, bound: int
+) -> Trace | None:
+    """Return a shortest run that breaks the property, None within bound."""
+    return find_run(machine, z3.Not(machine.properties[name]), bound)
+
+
+def find_gaps(machine: Machine) -> list[Gap]:
+    """Return where properties and invariants fail to be inductive.
+
+    None means that the properties hold in every reachable state, after
+    any number of steps.
+    """
+    claims = {**machine.invariants, **machine.properties}
+    gaps = _search(machine, "initial", list(machine.initial), claims)
+    for step in machine.steps:
+        assumed = [*claims.values(), *step.guards.values()]
+        following = _advance(step, claims)
+        gaps += _search(machine, step.name, assumed, following)
+    return gaps
+
+
+def _advance(
+    step: Step, claims: Mapping[str, z3.BoolRef]
+) -> dict[str, z3.BoolRef]:
+    """Return the claims over the state after the step."""
+    if not step.updates:
+        return {}
+    return {
+        name: z3.substitute(claim, *step.updates)
+        for name, claim in claims.items()
+    }
+
+
+def _search(
+    machine: Machine,
+    step: str,
+    assumed: Sequence[z3.BoolRef],
+    claims: Mapping[str, z3.BoolRef],
+) -> list[Gap]:
+    solver = z3.Solver()
+    solver.add(*assumed)
+    gaps = []
+    for name, claim in claims.items():
+        solver.push()
+        solver.add(z3.Not(claim))
+        found = solver.check()
+        if found == z3.sat:
+            model = solver.model()
+            state = {
+                str(item): str(model.eval(item, True))
+                for item in (*machine.variables, *machine.inputs)
+            }
+            gaps.append(Gap(step, name, state))
+        elif found != z3.unsat:
+            raise ArithmeticError(solver.reason_unknown())
+        solver.pop()
+    return gaps
--- /dev/null
+++ b/chestnutstair/specification/drain_state.py
@@ -0,0 +1,119 @@
+"""The variables of the specification of drains."""
+
+from dataclasses import dataclass
+
+import z3
+
+__all__ = [
+    "ANNOUNCE",
+    "BUDGET",
+    "CANCEL",
+    "CHOSEN",
+    "COMMANDS",
+    "CUT",
+    "DOWN",
+    "DRAINING",
+    "EARLY",
+    "HEAD",
+    "NO_COMMAND",
+    "OVER",
+    "PHASES",
+    "REBOOT",
+    "REBOOTING",
+    "RETURNING",
+    "SERVING",
+    "Daemon",
+    "Vm",
+    "build_daemon",
+    "build_vm",
+]
+
+PHASES = ("serving", "draining", "rebooting", "returning", "down")
+SERVING, DRAINING, REBOOTING, RETURNING, DOWN = range(5)
+NO_COMMAND, ANNOUNCE, REBOOT, CANCEL = range(4)
+COMMANDS = {
+    DRAINING: ANNOUNCE,
+    REBOOTING: REBOOT,
+    RETURNING: CANCEL,
+    DOWN: CANCEL,
+}
+
+HEAD = z3.Int("head")
+BUDGET = z3.Int("budget")
+OVER = z3.Bool("over")  # a planned stop began beyond the budget
+CUT = z3.Bool("cut")  # a planned reboot cut a request
+EARLY = z3.Bool("early")  # a VM was told before all live daemons knew
+CHOSEN = z3.Int("chosen")  # any budget
+
+
+@dataclass(frozen=True)
+class Vm:
+    """The state of one VM in the log, and on the platform."""
+
+    phase: z3.ArithRef
+    revision: z3.ArithRef  # at which the phase began
+    reboot_revision: z3.ArithRef  # at which its newest reboot began
+    operation: z3.BoolRef  # one is under way, or was cut off
+    idle: z3.BoolRef  # it was seen idle in this phase
+    leaving: z3.BoolRef
+    running: z3.ArithRef
+    token: z3.ArithRef
+    rebooted: z3.ArithRef  # the token of its last reboot
+    command: z3.ArithRef  # in flight
+    command_token: z3.ArithRef
+
+    @property
+    def variables(self) -> list[z3.ExprRef]:
+        """All variables of the VM."""
+        return list(vars(self).values())
+
+
+@dataclass(frozen=True)
+class Daemon:
+    """What one daemon has learned, and told the others."""
+
+    live: z3.BoolRef
+    view: z3.ArithRef
+    reported: z3.ArithRef
+    budget: z3.ArithRef
+    phases: tuple[z3.ArithRef, ...]
+    revisions: tuple[z3.ArithRef, ...]
+
+    @property
+    def variables(self) -> list[z3.ExprRef]:
+        """All variables of the daemon."""
+        own = [self.live, self.view, self.reported, self.budget]
+        return [*own, *self.phases, *self.revisions]
+
+
+def build_vm(index: int) -> Vm:
+    """Return the variables of the VM with that number."""
+
+    def integer(name: str) -> z3.ArithRef:
+        return z3.Int(f"{name}{index}")
+
+    return Vm(
+        integer("phase"),
+        integer("revision"),
+        integer("reboot_revision"),
+        z3.Bool(f"operation{index}"),
+        z3.Bool(f"idle{index}"),
+        z3.Bool(f"leaving{index}"),
+        integer("running"),
+        integer("token"),
+        integer("rebooted"),
+        integer("command"),
+        integer("command_token"),
+    )
+
+
+def build_daemon(index: int, vms: int) -> Daemon:
+    """Return the variables of the daemon with that number."""
+    return Daemon(
+        z3.Bool(f"live{index}"),
+        z3.Int(f"view{index}"),
+        z3.Int(f"reported{index}"),
+        z3.Int(f"known_budget{index}"),
+        tuple(z3.Int(f"known_phase{index}_{vm}") for vm in range(vms)),
+        tuple(z3.Int(f"known_revision{index}_{vm}") for vm in range(vms)),
+    )
--- /dev/null
+++ b/chestnutstair/specification/drains.py
@@ -0,0 +1,313 @@
+"""Drains of one pool's VMs under its availability budget.
+
+Daemons plan on what they have learned and commit on the condition of the
+next revision. Commands reach a VM late, twice or never; each carries the
+revision at which its phase began.
+"""
+
+import z3
+
+from chestnutstair.specification.drain_invariants import (
+    describe_daemon,
+    describe_vm,
+)
+from chestnutstair.specification.drain_state import (
+    ANNOUNCE,
+    BUDGET,
+    CHOSEN,
+    COMMANDS,
+    CUT,
+    DOWN,
+    DRAINING,
+    EARLY,
+    HEAD,
+    NO_COMMAND,
+    OVER,
+    PHASES,
+    REBOOT,
+    REBOOTING,
+    RETURNING,
+    SERVING,
+    Daemon,
+    build_daemon,
+    build_vm,
+)
+from chestnutstair.specification.machine import (
+    Machine,
+    Step,
+    Update,
+    add_up,
+)
+
+__all__ = ["build_machine"]
+
+
+def _count_unavailable(phases: list[z3.ArithRef]) -> z3.ArithRef:
+    return add_up([phase != SERVING for phase in phases])
+
+
+class _Fleet:
+    """Builds the steps over all VMs and daemons."""
+
+    def __init__(self, vms: int, daemons: int) -> None:
+        self.vms = [build_vm(index) for index in range(vms)]
+        self.daemons = [build_daemon(index, vms) for index in range(daemons)]
+        self.unavailable = _count_unavailable([vm.phase for vm in self.vms])
+
+    def _record(
+        self, daemon: Daemon, index: int, phase: int, *more: Update
+    ) -> list[Update]:
+        """Return the updates of a record, which its author folds."""
+        vm = self.vms[index]
+        kept = z3.Or(vm.operation, z3.BoolVal(phase != DOWN))
+        operation = z3.And(z3.BoolVal(phase != SERVING), kept)
+        return [
+            (vm.operation, operation),
+            (HEAD, HEAD + 1),
+            (vm.phase, z3.IntVal(phase)),
+            (vm.revision, HEAD + 1),
+            (vm.idle, z3.BoolVal(False)),
+            (daemon.view, HEAD + 1),
+            (daemon.phases[index], z3.IntVal(phase)),
+            (daemon.revisions[index], HEAD + 1),
+            *more,
+        ]
+
+    def list_planned_steps(self, number: int, index: int) -> list[Step]:
+        """Return the records that a daemon plans for a VM."""
+        daemon, vm = self.daemons[number], self.vms[index]
+        name = f"{number} {index}"
+        known = daemon.phases[index]
+        following = {"next revision": daemon.view == HEAD}
+        taken = _count_unavailable(list(daemon.phases))
+        start = z3.Or(OVER, self.unavailable + 1 > BUDGET)
+        reboot = z3.Or(OVER, self.unavailable > BUDGET)
+        return [
+            Step(
+                f"start drain {name}",
+                {
+                    **following,
+                    "known to serve": known == SERVING,
+                    "within the budget": taken + 1 <= daemon.budget,
+                },
+                self._record(daemon, index, DRAINING, (OVER, start)),
+            ),
+            Step(
+                f"record reboot {name}",
+                {
+                    **following,
+                    "known to drain": known == DRAINING,
+                    "seen idle": vm.idle,
+                    "still within the budget": taken <= daemon.budget,
+                },
+                self._record(
+                    daemon,
+                    index,
+                    REBOOTING,
+                    (OVER, reboot),
+                    (vm.reboot_revision, HEAD + 1),
+                ),
+            ),
+            Step(
+                f"undo {name}",
+                {**following, "known to drain": known == DRAINING},
+                self._record(daemon, index, RETURNING),
+            ),
+        ]
+
+    def list_outcome_steps(self, number: int, index: int) -> list[Step]:
+        """Return the records of what was seen of a VM."""
+        daemon, vm = self.daemons[number], self.vms[index]
+        name = f"{number} {index}"
+        known = daemon.phases[index]
+        following = {"next revision": daemon.view == HEAD}
+        return [
+            Step(
+                f"record reboot's end {name}",
+                {
+                    **following,
+                    "known to reboot": known == REBOOTING,
+                    "rebooted": vm.rebooted == daemon.revisions[index],
+                },
+                self._record(daemon, index, SERVING),
+            ),
+            Step(
+                f"record recovery {name}",
+                {
+                    **following,
+                    "known to return": z3.Or(
+                        known == RETURNING, known == DOWN
+                    ),
+                    "told to stay": z3.Or(
+                        vm.token == daemon.revisions[index],
+                        z3.Not(vm.operation),
+                    ),
+                },
+                self._record(daemon, index, SERVING),
+            ),
+            Step(
+                f"record outage {name}",
+                {**following, "known to be up": known != DOWN},
+                self._record(daemon, index, DOWN),
+            ),
+        ]
+
+    def list_command_steps(self, number: int, index: int) -> list[Step]:
+        """Return the commands that a daemon sends to a VM."""
+        daemon, vm = self.daemons[number], self.vms[index]
+        revision = daemon.revisions[index]
+        confirmed = [
+            z3.Implies(item.live, item.reported >= revision)
+            for item in self.daemons
+        ]
+        behind = [
+            z3.And(item.live, item.view < revision) for item in self.daemons
+        ]
+        steps = []
+        for phase, command in COMMANDS.items():
+            guards = {
+                "in the phase": daemon.phases[index] == phase,
+                "one command": vm.command == NO_COMMAND,
+            }
+            updates: list[Update] = [
+                (vm.command, z3.IntVal(command)),
+                (vm.command_token, revision),
+            ]
+            if command == ANNOUNCE:
+                guards["confirmed by all live"] = z3.And(confirmed)
+                updates.append((EARLY, z3.Or(EARLY, *behind)))
+            name = f"command {PHASES[phase]} {number} {index}"
+            steps.append(Step(name, guards, updates))
+        return steps
+
+    def list_daemon_steps(self, number: int) -> list[Step]:
+        """Return how a daemon learns, reports, and is cut off."""
+        daemon = self.daemons[number]
+        learned: list[Update] = [(daemon.view, HEAD), (daemon.budget, BUDGET)]
+        for index, vm in enumerate(self.vms):
+            learned.append((daemon.phases[index], vm.phase))
+            learned.append((daemon.revisions[index], vm.revision))
+        return [
+            Step(f"learn {number}", {}, learned),
+            Step(f"report {number}", {}, [(daemon.reported, daemon.view)]),
+            Step(f"cut off {number}", {}, [(daemon.live, z3.BoolVal(False))]),
+            Step(f"heal {number}", {}, [(daemon.live, z3.BoolVal(True))]),
+        ]
+
+    def list_vm_steps(self, index: int) -> list[Step]:
+        """Return what happens on a VM."""
+        vm = self.vms[index]
+        reboots = vm.command == REBOOT
+        leaving = vm.command == ANNOUNCE
+        routed = [item.phases[index] == SERVING for item in self.daemons]
+        return [
+            Step(
+                f"deliver {index}",
+                {
+                    "sent": vm.command != NO_COMMAND,
+                    "token not lower": vm.command_token >= vm.token,
+                    "once per operation": z3.Implies(
+                        reboots, vm.command_token != vm.rebooted
+                    ),
+                },
+                [
+                    (vm.token, vm.command_token),
+                    (vm.leaving, leaving),
+                    (vm.running, z3.If(reboots, 0, vm.running)),
+                    (
+                        vm.rebooted,
+                        z3.If(reboots, vm.command_token, vm.rebooted),
+                    ),
+                    (CUT, z3.Or(CUT, z3.And(reboots, vm.running > 0))),
+                ],
+            ),
+            Step(f"drop {index}", {}, [(vm.command, z3.IntVal(NO_COMMAND))]),
+            Step(
+                f"request {index}",
+                {
+                    "routed": z3.Or(routed),
+                    "VM takes work": z3.Not(vm.leaving),
+                },
+                [(vm.running, vm.running + 1)],
+            ),
+            Step(
+                f"finish {index}",
+                {"running": vm.running > 0},
+                [(vm.running, vm.running - 1)],
+            ),
+            Step(f"fail {index}", {}, [(vm.running, z3.IntVal(0))]),
+            Step(
+                f"see idle {index}",
+                {
+                    "nothing runs": vm.running == 0,
+                    "announced": vm.token == vm.revision,
+                    "drains": vm.phase == DRAINING,
+                },
+                [(vm.idle, z3.BoolVal(True))],
+            ),
+        ]
+
+    def list_steps(self) -> list[Step]:
+        """Return all steps."""
+        budget = Step(
+            "ticket",
+            {"a count": CHOSEN >= 0},
+            [(HEAD, HEAD + 1), (BUDGET, CHOSEN)],
+        )
+        steps = [budget]
+        for index in range(len(self.vms)):
+            steps += self.list_vm_steps(index)
+        for number in range(len(self.daemons)):
+            steps += self.list_daemon_steps(number)
+            for index in range(len(self.vms)):
+                steps += self.list_planned_steps(number, index)
+                steps += self.list_outcome_steps(number, index)
+                steps += self.list_command_steps(number, index)
+        return steps
+
+
+def build_machine(vms: int, daemons: int = 2) -> Machine:
+    """Return the machine with that many VMs and daemons."""
+    fleet = _Fleet(vms, daemons)
+    variables = [HEAD, BUDGET, OVER, CUT, EARLY]
+    initial = [HEAD == 0, BUDGET >= 0]
+    initial += [z3.Not(flag) for flag in (OVER, CUT, EARLY)]
+    for vm in fleet.vms:
+        variables += vm.variables
+        initial += [
+            z3.Not(item) for item in (vm.operation, vm.idle, vm.leaving)
+        ]
+        initial += [item == 0 for item in vm.variables if z3.is_int(item)]
+    for daemon in fleet.daemons:
+        variables += daemon.variables
+        initial += [daemon.live, daemon.budget == BUDGET]
+        numbers = (*daemon.phases, *daemon.revisions)
+        initial += [item == 0 for item in numbers]
+        initial += [daemon.view == 0, daemon.reported == 0]
+    return Machine(
+        variables,
+        initial,
+        fleet.list_steps(),
+        {
+            "planned stops keep the budget": z3.Not(OVER),
+            "planned stops cut nothing": z3.Not(CUT),
+            "told after all live daemons know": z3.Not(EARLY),
+            "a serving VM takes work": z3.And(
+                [
+                    z3.Implies(vm.phase == SERVING, z3.Not(vm.leaving))
+                    for vm in fleet.vms
+                ]
+            ),
+        },
+        {
+            **{
+                f"VM {index}": describe_vm(fleet.vms, fleet.daemons, index)
+                for index in range(vms)
+            },
+            **{
+                f"daemon {number}": describe_daemon(fleet.vms, daemon)
+                for number, daemon in enumerate(fleet.daemons)
+            },
+        },
+        [CHOSEN],
+    )
--- /dev/null
+++ b/chestnutstair/specification/duty_invariants.py
@@ -0,0 +1,100 @@
+"""The inductive invariant of the specification of leases."""
+
+from collections.abc import Sequence
+
+import z3
+
+from chestnutstair.specification.duty_state import (
+    DRIFT,
+    HOLDER,
+    IDLE,
+    LEASE,
+    MARGIN,
+    NOW,
+    TAKEN,
+    VERSION,
+    Daemon,
+    get_beat,
+)
+from chestnutstair.specification.machine import implies_all
+
+__all__ = ["describe_reachable"]
+
+
+def _bound_clock(
+    daemon: Daemon, local: z3.ArithRef, real: z3.ArithRef
+) -> z3.BoolRef:
+    """Return that the clock went on within its drift since a moment."""
+    elapsed = daemon.clock - local
+    return z3.And(
+        real <= NOW,
+        elapsed >= (1 - DRIFT) * (NOW - real),
+        elapsed <= (1 + DRIFT) * (NOW - real),
+    )
+
+
+def describe_reachable(
+    index: int, daemon: Daemon, daemons: Sequence[Daemon]
+) -> z3.BoolRef:
+    """Return the part of the inductive invariant about one daemon."""
+    lease_start = daemon.deadline - (LEASE - MARGIN)
+    adopted = daemon.deadline <= daemon.clock
+    lost = daemon.held_version != VERSION
+    renewing = daemon.renewal != IDLE
+    return z3.And(
+        daemon.held_version <= VERSION,
+        daemon.renewal_version <= VERSION,
+        daemon.seen_version <= VERSION,
+        daemon.seen_beat <= get_beat(daemons, daemon.seen_holder),
+        _bound_clock(daemon, daemon.seen_at, daemon.seen_now),
+        z3.Implies(
+            renewing,
+            _bound_clock(daemon, daemon.renewal_start, daemon.renewal_now),
+        ),
+        z3.Implies(
+            daemon.held,
+            z3.Or(
+                adopted,
+                _bound_clock(daemon, lease_start, daemon.deadline_now),
+            ),
+        ),
+        implies_all(daemon.held, z3.Or(lost, index == HOLDER)),
+        implies_all(
+            z3.And(renewing, daemon.renewal_version == VERSION),
+            index == HOLDER,
+        ),
+        implies_all(z3.And(daemon.held, lost), adopted),
+        z3.Implies(
+            z3.And(daemon.renewal == TAKEN, daemon.renewal_version != VERSION),
+            daemon.renewal_start + LEASE - MARGIN <= daemon.clock,
+        ),
+        z3.Implies(
+            daemon.seen_version == VERSION, daemon.seen_holder == HOLDER
+        ),
+        *(
+            _describe_sighting(daemon, number, holder)
+            for number, holder in enumerate(daemons)
+        ),
+    )
+
+
+def _describe_sighting(
+    observer: Daemon, number: int, holder: Daemon
+) -> z3.BoolRef:
+    """Return that a lease began before the beat that an observer saw."""
+    current = z3.And(
+        observer.seen_version == VERSION,
+        observer.seen_holder == number,
+        observer.seen_beat == holder.beat,
+        number == HOLDER,
+    )
+    usable = z3.And(holder.held, holder.held_version == VERSION, holder.usable)
+    taken = z3.And(holder.renewal == TAKEN, holder.renewal_version == VERSION)
+    return z3.And(
+        z3.Implies(
+            z3.And(current, usable), holder.deadline_now <= observer.seen_now
+        ),
+        z3.Implies(
+            z3.And(current, taken), holder.renewal_now <= observer.seen_now
+        ),
+    )
--- /dev/null
+++ b/chestnutstair/tests/test_specification.py
@@ -0,0 +1,207 @@
+"""Proofs of the specification, and mutants that show what they rest on."""
+
+import unittest
+
+import z3
+
+from chestnutstair.specification import (
+    claims,
+    configuration,
+    drains,
+    duties,
+)
+from chestnutstair.specification.checker import (
+    find_counterexample,
+    find_gaps,
+    find_run,
+    follow,
+)
+from chestnutstair.specification.machine import Machine
+
+BUDGET = "planned stops keep the budget"
+CUT = "planned stops cut nothing"
+EARLY = "told after all live daemons know"
+LEFT = "a serving VM takes work"
+
+TELL = ("start drain 0 0", "report 0", "command draining 0 0", "deliver 0")
+EMPTY = ("drop 0", "see idle 0")
+RECORD = ("record reboot 0 0", "command rebooting 0 0")
+
+
+class InductionTest(unittest.TestCase):
+    """The properties hold after any number of steps."""
+
+    def check(self, machine: Machine) -> None:
+        self.assertEqual(find_gaps(machine), [])
+
+    def test_configuration(self) -> None:
+        self.check(configuration.build_machine(7))
+
+    def test_duties(self) -> None:
+        self.check(duties.build_machine(7))
+
+    def test_drains(self) -> None:
+        self.check(drains.build_machine(3, 3))
+
+    def test_claims(self) -> None:
+        self.check(claims.build_machine(7))
+
+
+class StepsTest(unittest.TestCase):
+    """Each step can happen, so that no proof holds for want of runs."""
+
+    def check(self, machine: Machine, bound: int) -> None:
+        for step in machine.steps:
+            if step.name.endswith(" 1"):
+                continue
+            goal = z3.And(*step.guards.values())
+            self.assertIsNotNone(find_run(machine, goal, bound), step.name)
+
+    def test_configuration(self) -> None:
+        self.check(configuration.build_machine(2), 5)
+
+    def test_duties(self) -> None:
+        self.check(duties.build_machine(2), 5)
+
+    def test_claims(self) -> None:
+        self.check(claims.build_machine(2), 5)
+
+    def test_drains(self) -> None:
+        machine = drains.build_machine(1, 1)
+        stopped = (*TELL, *EMPTY, *RECORD, "deliver 0")
+        undone = (*TELL, "drop 0", "undo 0 0", "command returning 0 0")
+        for names in (
+            (*stopped, "record reboot's end 0 0", "start drain 0 0"),
+            (*undone, "deliver 0", "record recovery 0 0", "request 0"),
+            ("request 0", "finish 0", "record outage 0 0", "fail 0"),
+        ):
+            found = follow(machine, names, z3.BoolVal(True))
+            self.assertIsNotNone(found, names)
+
+
+class MutantTest(unittest.TestCase):
+    """Without any one of the guards a property fails."""
+
+    def check(
+        self, machine: Machine, guard: str, broken: str, bound: int
+    ) -> None:
+        self.assertIn(guard, machine.list_guards())
+        mutant = machine.drop_guard(guard)
+        self.assertIsNotNone(find_counterexample(mutant, broken, bound), guard)
+
+    def test_configuration(self) -> None:
+        machine = configuration.build_machine(2)
+        rewritten = "a revision is written once"
+        in_force = "in force is served everywhere"
+        for guard, broken, bound in (
+            ("revision is free", rewritten, 4),
+            ("floor unmoved", rewritten, 4),
+            ("floor within the view", rewritten, 5),
+            ("newer", "versions never fall", 1),
+            ("own record", "accepted is in the log", 3),
+            ("another's record", "refused is never accepted", 3),
+            ("registered first", in_force, 4),
+            ("serving daemons confirmed", in_force, 2),
+            ("starting daemons confirmed", in_force, 5),
+            ("gone", in_force, 2),
+        ):
+            self.check(machine, guard, broken, bound)
+
+    def test_duties(self) -> None:
+        machine = duties.build_machine(2)
+        holders = "one holder at a time"
+        for guard, broken, bound in (
+            ("stood still for the lease", holders, 2),
+            ("takeover on the duty's row", holders, 2),
+            ("takeover on the beat", holders, 6),
+            ("renewal on the duty's row", holders, 6),
+            ("release on the duty's row", holders, 6),
+            ("answer", holders, 5),
+            ("own row", holders, 4),
+            ("bounded drift", holders, 3),
+            ("write on the duty's row", "no stale write takes effect", 3),
+        ):
+            self.check(machine, guard, broken, bound)
+
+    def test_a_holder_without_margin(self) -> None:
+        machine = duties.build_machine(2, margin=0)
+        broken = "one holder at a time"
+        self.assertIsNotNone(find_counterexample(machine, broken, 3))
+
+    def test_claims(self) -> None:
+        machine = claims.build_machine(2)
+        once = "runs at most once"
+        for guard, broken, bound in (
+            ("claim on absent", once, 10),
+            ("own claim", once, 10),
+            ("owns the claim", once, 4),
+            ("owner sent nothing", "said not run has not run", 6),
+        ):
+            self.check(machine, guard, broken, bound)
+
+    def test_drains(self) -> None:
+        late = ("undo 0 0", "command returning 0 0", "deliver 0", "drop 0")
+        told = (*TELL, *EMPTY)
+        stopped = (*told, *RECORD, "deliver 0")
+        between = (RECORD[0], "request 0", RECORD[1], "deliver 0")
+        again = ("request 0", "deliver 0")
+        known = ("start drain 0 0", "report 0", "learn 1", "report 1")
+        stale = ("command draining 1 0", "record recovery 0 0", "deliver 0")
+        busy = ("request 0", *TELL, *EMPTY, *RECORD, "deliver 0")
+        lowered = ("ticket", "learn 0", "ticket", "start drain 0 0")
+        shrunk = (*told, "ticket", "learn 0", "record reboot 0 0")
+        for guard, broken, daemons, names in (
+            ("within the budget", BUDGET, 1, ("start drain 0 0",)),
+            ("next revision", BUDGET, 1, lowered),
+            ("still within the budget", BUDGET, 1, shrunk),
+            (
+                "confirmed by all live",
+                EARLY,
+                2,
+                ("start drain 0 0", "command draining 0 0"),
+            ),
+            (
+                "seen idle",
+                CUT,
+                1,
+                ("request 0", known[0], *RECORD, "deliver 0"),
+            ),
+            ("nothing runs", CUT, 1, busy),
+            (
+                "announced",
+                CUT,
+                2,
+                (known[0], "see idle 0", *between),
+            ),
+            (
+                "VM takes work",
+                CUT,
+                2,
+                (*TELL[:2], "cut off 1", *TELL[2:], *EMPTY, *between),
+            ),
+            (
+                "once per operation",
+                CUT,
+                1,
+                (*stopped, "record reboot's end 0 0", *again),
+            ),
+            ("told to stay", LEFT, 1, (*TELL, late[0], "record recovery 0 0")),
+            ("rebooted", LEFT, 1, (*stopped[:-1], "record reboot's end 0 0")),
+            ("token not lower", LEFT, 2, (*known, *late, *stale)),
+        ):
+            with self.subTest(guard):
+                machine = drains.build_machine(1, daemons)
+                goal = z3.Not(machine.properties[broken])
+                mutant = machine.drop_guard(guard)
+                self.assertIn(guard, machine.list_guards())
+                self.assertIsNotNone(follow(mutant, names, goal))
+                self.assertIsNone(follow(machine, names, goal))
+
+    def test_a_start_from_a_peer_escapes_the_report(self) -> None:
+        machine = configuration.build_machine(3, peer_start=True)
+        broken = "in force is served everywhere"
+        self.assertIsNotNone(find_counterexample(machine, broken, 4))
+
+
+if __name__ == "__main__":
+    unittest.main()
