Undo no more drains than the excess over the budget

Cause: a VM whose drain was undone counts as unavailable until it serves again, so the next round undid another drain. Seen: of three drains, two failed VMs at a budget of four undid all three; now one. test_undoes_no_more_than_the_excess failed before ('3 != 1').

--- a/chestnutstair/coordination/drain_conductor.py
+++ b/chestnutstair/coordination/drain_conductor.py
@@ -177,8 +177,10 @@
         view = self._log.view
         if view.paused:
             return draining
-        budget = state.pool.availability_budget
-        excess = max(0, state.count_unavailable() - budget)
+        # Those whose drain is undone already are about to serve again.
+        returning = len(state.list_phase(VmPhase.RETURNING))
+        taken = state.count_unavailable() - returning
+        excess = max(0, taken - state.pool.availability_budget)
         misdirected = [
             vm
             for vm in draining[excess:]
--- a/chestnutstair/tests/test_drain.py
+++ b/chestnutstair/tests/test_drain.py
@@ -233,6 +233,17 @@
         check_history(fleet)
         self.assertEqual(fleet.vms.cut, [])
 
+    def test_undoes_no_more_than_the_excess(self) -> None:
+        fleet = Fleet(build_ticket(runners=8, workers=0, budget=4))
+        fleet.clock.sleep(20 * DAY_SECONDS)
+        fleet.tick()
+        for vm in find_phase(fleet.log.view, VmPhase.DRAINING):
+            fleet.vms.start_request(vm)
+        fleet.vms.set_live(["quotes-4", "quotes-5"], False)
+        for _ in range(30):
+            fleet.tick()
+        self.assertEqual(check_history(fleet)["undo"], 1)
+
     def test_overlooks_what_does_not_last(self) -> None:
         self.vms.hidden = {VM}
         self.tick(4)
