--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,26 @@
+"""Runs the measurements named on the command line, or all of them."""
+
+import subprocess
+import sys
+
+__all__ = ["main"]
+
+MEASUREMENTS = ("requests", "configuration", "maintenance", "placement")
+
+
+def main() -> int:
+    """Run each measurement in a process of its own."""
+    names = sys.argv[1:] or MEASUREMENTS
+    unknown = set(names) - set(MEASUREMENTS)
+    if unknown:
+        sys.exit(f"unknown: {sorted(unknown)}; known: {MEASUREMENTS}")
+    failed = 0
+    for name in names:
+        print(f"== {name}", flush=True)
+        command = [sys.executable, "-m", f"tools.bench_{name}"]
+        failed += bool(subprocess.run(command, check=False).returncode)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
