Report why jobs wait on every daemon

Cause: only the holder of a pool's duty knew what blocked its jobs, so operators saw no reason on other entry VMs.

The holder writes the reasons to one row per pool when they change, at most every 5 s and for at most 500 jobs; all daemons read it.

Seen to fail with its guard removed: the row changes with the reasons.

--- /dev/null
+++ b/chestnutstair/coordination/blocks.py
@@ -0,0 +1,83 @@
+"""The reasons why jobs wait, in the table for all daemons to report."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from result import Ok, Result
+
+from chestnutstair.coordination.duty import Duty
+from chestnutstair.coordination.placement import JobBlock
+from chestnutstair.coordination.platform import (
+    Key,
+    PlatformFailure,
+    Table,
+    Write,
+)
+from chestnutstair.coordination.tasks import CommitFailure
+from chestnutstair.state.codec import STRICT, decode_value, encode_value
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+
+__all__ = ["BLOCK_TABLE", "BlockBoard", "PoolBlocks", "read_blocks"]
+
+BLOCK_TABLE = "blocks"
+BLOCK_LIMIT = 500  # jobs in one row
+WRITE_SECONDS = 5.0  # least time between two writes of a pool
+
+
+@dataclass(frozen=True)
+class PoolBlocks:
+    """The row of one pool: what blocks each job."""
+
+    __pydantic_config__ = STRICT
+
+    jobs: Mapping[str, str] = field(default_factory=dict)
+
+
+def read_blocks(
+    table: Table, pools: list[str], deadline: Deadline
+) -> Result[dict[str, str], PlatformFailure]:
+    """Return what blocks the jobs of the pools, by job."""
+    keys = [Key(BLOCK_TABLE, pool) for pool in pools]
+    return table.read(keys, deadline).map(
+        lambda rows: {
+            job: reason
+            for row in rows
+            if row is not None
+            for job, reason in decode_value(PoolBlocks, row.value)
+            .unwrap()
+            .jobs.items()
+        }
+    )
+
+
+class BlockBoard:
+    """Writes a pool's row when the reasons have changed."""
+
+    def __init__(self, table: Table, pool: str, clock: Clock) -> None:
+        self._table = table
+        self._key = Key(BLOCK_TABLE, pool)
+        self._clock = clock
+        self._written: PoolBlocks | None = None
+        self._next_write = Deadline(0.0)
+
+    def publish(
+        self, duty: Duty, blocks: Mapping[str, JobBlock], deadline: Deadline
+    ) -> Result[None, CommitFailure]:
+        """Write the reasons, unless they are known or were just written."""
+        if not self._next_write.has_passed(self._clock):
+            return Ok(None)
+        chosen = sorted(blocks.items())[:BLOCK_LIMIT]
+        row = PoolBlocks(
+            {job: describe_failure(block) for job, block in chosen}
+        )
+        if row == self._written:
+            return Ok(None)
+        self._next_write = Deadline.after(self._clock, WRITE_SECONDS)
+        committed = self._table.commit(
+            [duty.build_condition()],
+            [Write(self._key, encode_value(row))],
+            deadline,
+        )
+        self._written = row if committed.is_ok() else None
+        return committed
--- a/chestnutstair/coordination/pool_round.py
+++ b/chestnutstair/coordination/pool_round.py
@@ -5,9 +5,9 @@
 
 from result import Err, Ok, Result
 
+from chestnutstair.coordination.blocks import BlockBoard
 from chestnutstair.coordination.duty import Duty
 from chestnutstair.coordination.placement import (
-    JobBlock,
     Placement,
 )
 from chestnutstair.coordination.plan import (
@@ -128,7 +128,7 @@
         self._seen_fleet: PoolFleet | None = None
         self._next_plan = Deadline(0.0)
         self._last_token = duty.token << TENURE_BITS
-        self.blocks: dict[str, JobBlock] = {}
+        self._blocks = BlockBoard(table, pool, clock)
 
     @property
     def token(self) -> int:
@@ -234,7 +234,7 @@
             return refreshed
         snapshot = survey.build_snapshot(fleet, waiting, live)
         plan = plan_round(snapshot, self._settings.plan)
-        self.blocks = {**plan.blocks, **survey.find_failing(fleet)}
+        blocks = {**plan.blocks, **survey.find_failing(fleet)}
         survey.note_probes(plan.placements)
         for victim in plan.victims:
             record = self._ledger.get(victim.task)
@@ -244,7 +244,10 @@
         claimed = self._claim(fleet, live, plan.placements, deadline)
         if claimed.is_err():
             return claimed
-        return self._start(plan.placements, deadline)
+        started = self._start(plan.placements, deadline)
+        if started.is_err():
+            return started
+        return self._blocks.publish(self._duty, blocks, deadline)
 
     def _claim(
         self,
--- a/chestnutstair/coordination/task_conductor.py
+++ b/chestnutstair/coordination/task_conductor.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from chestnutstair.coordination.blocks import read_blocks
 from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.duty import Duty, DutyHolder
 from chestnutstair.coordination.platform import (
@@ -18,7 +19,6 @@
 from chestnutstair.coordination.pool_round import PlacementSettings, PoolRound
 from chestnutstair.coordination.tasks import decode_task, scan_tasks
 from chestnutstair.state.deadline import Clock, Deadline
-from chestnutstair.state.failure import describe_failure
 from chestnutstair.state.fleet import Job, PoolKind
 from chestnutstair.state.task import TaskStage
 from chestnutstair.state.view import FleetView
@@ -129,10 +129,13 @@
     def report_jobs(
         self, deadline: Deadline
     ) -> Result[tuple[JobStatus, ...], PlatformFailure]:
-        """Return where the tasks of every job stand, from the table.
-
-        What blocks a job is known only where its pool's duty is held.
-        """
+        """Return where the tasks of every job stand, from the table."""
+        pools = list(self._split())
+        match read_blocks(self._table, pools, deadline):
+            case Err(failure):
+                return Err(failure)
+            case Ok(blocks):
+                pass
         statuses: list[JobStatus] = []
         for name, fleet in self._split().items():
             match scan_tasks(self._table, name, deadline):
@@ -144,21 +147,20 @@
                         stage = decode_task(row).stage
                         counts.setdefault(task.job, Counter())[stage] += 1
             statuses += [
-                self._describe(name, job, counts.get(job.name, Counter()))
+                _describe_job(
+                    job,
+                    counts.get(job.name, Counter()),
+                    blocks.get(job.name, ""),
+                )
                 for job in fleet.jobs.values()
             ]
         return Ok(tuple(statuses))
 
-    def _describe(
-        self, pool: str, job: Job, counts: Counter[str]
-    ) -> JobStatus:
-        waiting = TaskStage.CANCELLED if job.cancelled else TaskStage.PENDING
-        tasks = {str(stage): count for stage, count in counts.items()}
-        unseen = job.task_count - sum(counts.values())
-        if unseen > 0:
-            tasks[waiting] = tasks.get(waiting, 0) + unseen
-        pool_round = self._rounds.get(pool)
-        block = pool_round.blocks.get(job.name) if pool_round else None
-        return JobStatus(
-            job, tasks, "" if block is None else describe_failure(block)
-        )
+
+def _describe_job(job: Job, counts: Counter[str], blocked: str) -> JobStatus:
+    waiting = TaskStage.CANCELLED if job.cancelled else TaskStage.PENDING
+    tasks = {str(stage): count for stage, count in counts.items()}
+    unseen = job.task_count - sum(counts.values())
+    if unseen > 0:
+        tasks[waiting] = tasks.get(waiting, 0) + unseen
+    return JobStatus(job, tasks, blocked)
--- a/chestnutstair/tests/test_task_conductor.py
+++ b/chestnutstair/tests/test_task_conductor.py
@@ -123,6 +123,13 @@
         self.assertEqual(self.count(), {"cancelled": 16})
         self.assertEqual(self.count("other"), {"running": 16})
 
+    def test_says_no_more_why_a_job_waited(self) -> None:
+        self.file(self.build_job(count=17))
+        self.run_rounds(3)
+        self.assertIn("NoRoomBlock", self.get_status("build").blocked)
+        self.run_rounds(80)
+        self.assertEqual(self.get_status("build").blocked, "")
+
     def test_forgets_a_removed_job(self) -> None:
         self.file(self.build_job())
         self.run_rounds(3)
@@ -166,6 +173,7 @@
         huge = replace(self.build_job("huge"), resources=Resources(65, 1))
         self.file(huge, self.build_job())
         self.run_rounds(3)
+        self.conductor = self.open()  # any daemon can tell
         self.assertIn("OversizeBlock", self.get_status("huge").blocked)
         self.assertEqual(self.count(), {"running": 4})
 
