--- a/chestnutstair/coordination/pool_round.py
+++ b/chestnutstair/coordination/pool_round.py
@@ -3,6 +3,7 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
 
+from prometheus_client import Counter, Histogram
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.blocks import BlockBoard
@@ -48,6 +49,17 @@
 
 __all__ = ["PlacementSettings", "PoolRound"]
 
+ROUND_SECONDS = Histogram(
+    "chestnutstair_placement_round_seconds",
+    "Time that one round of placing a pool's tasks took.",
+    ["pool"],
+)
+PREEMPTIONS = Counter(
+    "chestnutstair_task_preemptions_total",
+    "Tasks stopped for more urgent ones.",
+    ["pool"],
+)
+
 
 @dataclass(frozen=True)
 class PlacementSettings:
@@ -95,6 +107,7 @@
         )
         self._stops = StopOrders(clock, settings.checkpoint_seconds)
         pool = duty.name.removeprefix("placement/")
+        self._pool = pool
         self._ledger = TaskLedger(table, pool)
         self._grants = QuotaGrants(table, pool, clock, settings.quotas)
         self._evidence = FailureEvidence(settings.quarantine)
@@ -139,6 +152,12 @@
         self, fleet: PoolFleet, duty: Duty, deadline: Deadline
     ) -> Result[None, CommitFailure]:
         """Stop what must not run, note what ended, and start what waits."""
+        with ROUND_SECONDS.labels(self._pool).time():
+            return self._run(fleet, duty, deadline)
+
+    def _run(
+        self, fleet: PoolFleet, duty: Duty, deadline: Deadline
+    ) -> Result[None, CommitFailure]:
         self._duty = duty
         if fleet is not self._seen_fleet:
             self._meet(fleet)
@@ -236,6 +255,7 @@
         plan = plan_round(snapshot, self._settings.plan)
         blocks = {**plan.blocks, **survey.find_failing(fleet)}
         survey.note_probes(plan.placements)
+        PREEMPTIONS.labels(self._pool).inc(len(plan.victims))
         for victim in plan.victims:
             record = self._ledger.get(victim.task)
             order = self._stops.preempt(victim.task, record)
--- a/chestnutstair/coordination/tasks.py
+++ b/chestnutstair/coordination/tasks.py
@@ -1,9 +1,11 @@
 """The rows of a pool's tasks, cached by the daemon that places them."""
 
-from collections import Counter, defaultdict
+import collections
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from itertools import chain
 
+from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.duty import Duty
@@ -39,6 +41,9 @@
 TASK_TABLE = "tasks"
 SCAN_LIMIT = 500  # rows
 COMMIT_LIMIT = 100  # rows
+TASK_WRITES = Counter(
+    "chestnutstair_task_writes_total", "Rows of tasks written.", ["pool"]
+)
 
 CommitFailure = ConflictFailure | PlatformFailure
 
@@ -93,11 +98,9 @@
         self._versions: dict[TaskName, int] = {}
         self._loaded = False
         self._records: dict[TaskName, TaskRecord] = {}
-        self._row_counts: Counter[str] = Counter()
+        self._row_counts: collections.Counter[str] = collections.Counter()
         self._pending: dict[str, set[int]] = defaultdict(set)
         self._live: dict[str, set[TaskName]] = defaultdict(set)
-        self.commit_count = 0
-        self.row_count = 0
 
     @property
     def records(self) -> Mapping[TaskName, TaskRecord]:
@@ -207,8 +210,7 @@
         committed = self._table.commit(conditions, writes, deadline)
         if committed.is_err():
             return committed
-        self.commit_count += 1
-        self.row_count += len(batch)
+        TASK_WRITES.labels(self._pool).inc(len(batch))
         return self._read_back([task for task, _ in batch], deadline)
 
     def _read_back(
