--- a/chestnutstair/tests/test_request_faults.py
+++ b/chestnutstair/tests/test_request_faults.py
@@ -152,7 +152,7 @@
         def call(index: int) -> None:
             while not ended.is_set():
                 daemon = DAEMONS[index % len(DAEMONS)]
-                headers = {"X-Work-Ms": "60"}
+                headers = {"X-Work-Ms": "60" if index % 2 else "6000"}
                 answer = self.cluster.send(
                     daemon, Call("quotes", headers=headers)
                 )
