--- a/chestnutstair/coordination/pool_round.py
+++ b/chestnutstair/coordination/pool_round.py
@@ -3,11 +3,12 @@
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
 
+from prometheus_client import Counter, Histogram
 from result import Err, Ok, Result
 
+from chestnutstair.coordination.blocks import BlockBoard
 from chestnutstair.coordination.duty import Duty
 from chestnutstair.coordination.placement import (
-    JobBlock,
     Placement,
 )
 from chestnutstair.coordination.plan import (
@@ -48,6 +49,17 @@
 
 __all__ = ["PlacementSettings", "PoolRound"]
 
+ROUND_SECONDS = Histogram(
+    "chestnutstair_placement_round_seconds",
+    "Time that one round of placing a pool's tasks took.",
+    ["pool"],
+)
+PREEMPTIONS = Counter(
+    "chestnutstair_task_preemptions_total",
+    "Tasks stopped for more urgent ones.",
+    ["pool"],
+)
+
 
 @dataclass(frozen=True)
 class PlacementSettings:
@@ -95,6 +107,7 @@
         )
         self._stops = StopOrders(clock, settings.checkpoint_seconds)
         pool = duty.name.removeprefix("placement/")
+        self._pool = pool
         self._ledger = TaskLedger(table, pool)
         self._grants = QuotaGrants(table, pool, clock, settings.quotas)
         self._evidence = FailureEvidence(settings.quarantine)
@@ -128,7 +141,7 @@
         self._seen_fleet: PoolFleet | None = None
         self._next_plan = Deadline(0.0)
         self._last_token = duty.token << TENURE_BITS
-        self.blocks: dict[str, JobBlock] = {}
+        self._blocks = BlockBoard(table, pool, clock)
 
     @property
     def token(self) -> int:
@@ -139,6 +152,12 @@
         self, fleet: PoolFleet, duty: Duty, deadline: Deadline
     ) -> Result[None, CommitFailure]:
         """Stop what must not run, note what ended, and start what waits."""
+        with ROUND_SECONDS.labels(self._pool).time():
+            return self._run(fleet, duty, deadline)
+
+    def _run(
+        self, fleet: PoolFleet, duty: Duty, deadline: Deadline
+    ) -> Result[None, CommitFailure]:
         self._duty = duty
         if fleet is not self._seen_fleet:
             self._meet(fleet)
@@ -234,8 +253,9 @@
             return refreshed
         snapshot = survey.build_snapshot(fleet, waiting, live)
         plan = plan_round(snapshot, self._settings.plan)
-        self.blocks = {**plan.blocks, **survey.find_failing(fleet)}
+        blocks = {**plan.blocks, **survey.find_failing(fleet)}
         survey.note_probes(plan.placements)
+        PREEMPTIONS.labels(self._pool).inc(len(plan.victims))
         for victim in plan.victims:
             record = self._ledger.get(victim.task)
             order = self._stops.preempt(victim.task, record)
@@ -244,7 +264,10 @@
         claimed = self._claim(fleet, live, plan.placements, deadline)
         if claimed.is_err():
             return claimed
-        return self._start(plan.placements, deadline)
+        started = self._start(plan.placements, deadline)
+        if started.is_err():
+            return started
+        return self._blocks.publish(self._duty, blocks, deadline)
 
     def _claim(
         self,
