Check recorded traces of daemons against the specification

Cause: a proof about the specification says nothing of code that departs from it. Change: a runner that takes steps on concrete values, and recorders that turn commits, folds, heartbeats and leases of the daemons in the test cluster into steps. Daemons now confirm any revision that they have, for an older fact may be the one that arrives.

--- a/chestnutstair/specification/configuration.py
+++ b/chestnutstair/specification/configuration.py
@@ -189,9 +189,9 @@
         ),
         Step(
             f"confirm {name}",
-            {**serving, "listed": daemon.row},
+            {**serving, "has it": daemon.view >= CHOSEN},
             [
-                (daemon.row_revision, daemon.view),
+                (daemon.row_revision, CHOSEN),
                 (daemon.row_ready, z3.BoolVal(True)),
             ],
         ),
--- /dev/null
+++ b/chestnutstair/specification/conformance.py
@@ -0,0 +1,153 @@
+"""Tells whether the specification accepts a trace of the real code."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import z3
+from result import Err, Ok, Result
+
+from chestnutstair.specification.machine import Machine, Step
+from chestnutstair.state.failure import Failure
+
+__all__ = ["Event", "RefusedEventFailure", "State", "TraceRunner", "replay"]
+
+Value = int | float | bool
+State = Mapping[str, Value]
+
+
+@dataclass(frozen=True)
+class Event:
+    """A step that the real code took.
+
+    `inputs` are what the step chose, `observed` the values of variables
+    that were seen after it.
+    """
+
+    step: str
+    inputs: State = field(default_factory=dict)
+    observed: State = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class RefusedEventFailure(Failure):
+    """The specification has no such step in the state before the event.
+
+    `reason` names the guard that does not hold, the variable that was
+    observed with another value, or the property that breaks.
+    """
+
+    position: int
+    event: Event
+    reason: str
+
+
+class TraceRunner:
+    """Takes the steps of a trace one by one, on concrete values.
+
+    Variables that `start` leaves out are 0 or false.
+    """
+
+    def __init__(self, machine: Machine, start: State | None = None) -> None:
+        self._machine = machine
+        self._steps = {step.name: step for step in machine.steps}
+        self._constants = {
+            item.decl().name(): item
+            for item in (*machine.variables, *machine.inputs)
+        }
+        self._values = {
+            name: _encode_value(0, item.sort())
+            for name, item in self._constants.items()
+        }
+        self._uses: dict[int, tuple[str, ...]] = {}  # by the term's id
+        self._set(start or {})
+        self.events: list[Event] = []
+        assert all(self._holds(item) for item in machine.initial)
+
+    def read(self, name: str) -> Value:
+        """Return the value of a variable now."""
+        return _decode(self._values[name])
+
+    def take(self, event: Event) -> Result[None, RefusedEventFailure]:
+        """Take the step if it is possible and agrees with the event."""
+        self._set(event.inputs)
+        step = self._steps[event.step]
+        for guard, condition in step.guards.items():
+            if not self._holds(condition):
+                return self._refuse(event, guard)
+        self._advance(step)
+        self.events.append(event)
+        for name, value in event.observed.items():
+            if self.read(name) != value:
+                return self._refuse(event, name)
+        for name, claim in self._machine.properties.items():
+            if not self._holds(claim):
+                return self._refuse(event, name)
+        return Ok(None)
+
+    def _refuse(self, event: Event, reason: str) -> Err[RefusedEventFailure]:
+        return Err(RefusedEventFailure(len(self.events), event, reason))
+
+    def _advance(self, step: Step) -> None:
+        following = {
+            variable.decl().name(): self._evaluate(term)
+            for variable, term in step.updates
+        }
+        self._values.update(following)
+
+    def _set(self, values: State) -> None:
+        for name, value in values.items():
+            sort = self._constants[name].sort()
+            self._values[name] = _encode_value(value, sort)
+
+    def _holds(self, condition: z3.BoolRef) -> bool:
+        return z3.is_true(self._evaluate(condition))
+
+    def _evaluate(self, term: z3.ExprRef) -> z3.ExprRef:
+        used = self._uses.get(term.get_id())
+        if used is None:
+            used = tuple(sorted(_list_constants(term)))
+            self._uses[term.get_id()] = used
+        places = [(self._constants[name], self._values[name]) for name in used]
+        return z3.simplify(z3.substitute(term, *places))
+
+
+def _list_constants(term: z3.ExprRef) -> set[str]:
+    """Return the names of the constants that the term mentions."""
+    found: set[str] = set()
+    seen: set[int] = set()
+    pending = [term]
+    while pending:
+        part = pending.pop()
+        if part.get_id() in seen:
+            continue
+        seen.add(part.get_id())
+        pending += part.children()
+        if z3.is_const(part) and part.decl().kind() == z3.Z3_OP_UNINTERPRETED:
+            found.add(part.decl().name())
+    return found
+
+
+def _encode_value(value: Value, sort: z3.SortRef) -> z3.ExprRef:
+    if sort == z3.BoolSort():
+        return z3.BoolVal(bool(value))
+    return z3.IntVal(value) if sort == z3.IntSort() else z3.RealVal(value)
+
+
+def _decode(value: z3.ExprRef) -> Value:
+    if z3.is_bool(value):
+        return z3.is_true(value)
+    if z3.is_int_value(value):
+        return value.as_long()
+    return float(value.as_fraction())
+
+
+def replay(
+    machine: Machine, events: Iterable[Event], start: State | None = None
+) -> Result[None, RefusedEventFailure]:
+    """Return Ok if the specification accepts the whole trace."""
+    runner = TraceRunner(machine, start)
+    for event in events:
+        taken = runner.take(event)
+        if taken.is_err():
+            return taken
+    return Ok(None)
--- /dev/null
+++ b/chestnutstair/tests/conformance_support.py
@@ -0,0 +1,382 @@
+"""Recorders that turn what real daemons do into steps of the machines."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.changelog import RaceFailure
+from chestnutstair.coordination.duties import BEAT_TABLE
+from chestnutstair.coordination.duty import DUTY_TABLE, Duty
+from chestnutstair.coordination.gossip import FactsMessage, HeartbeatMessage
+from chestnutstair.coordination.platform import (
+    Condition,
+    Key,
+    UnknownOutcomeFailure,
+    Write,
+)
+from chestnutstair.coordination.records import FLOOR_KEY, LOG_TABLE
+from chestnutstair.coordination.registry import MEMBER_TABLE
+from chestnutstair.specification import configuration, duties
+from chestnutstair.specification.conformance import Event, TraceRunner
+from chestnutstair.tests.cluster import Cluster, FakeDaemon
+
+__all__ = ["DutyRecorder", "LogRecorder", "wrap"]
+
+OFF, REGISTERED, SERVING = range(3)
+
+
+def wrap(owner: Any, name: str, after: Callable) -> None:
+    """Call `after` with the outcome and the arguments of each call."""
+    real = getattr(owner, name)
+
+    def call(*args: Any, **options: Any) -> Any:
+        outcome = real(*args, **options)
+        after(outcome, *args)
+        return outcome
+
+    setattr(owner, name, call)
+
+
+def has_taken(outcome: Result) -> bool:
+    """Tell whether a commit took effect, also if its answer was lost."""
+    match outcome:
+        case Ok() | Err(UnknownOutcomeFailure()):
+            return True
+    return False
+
+
+class Recorder:
+    """Takes each step as it is recorded; a refused one fails the test."""
+
+    def __init__(self, runner: TraceRunner) -> None:
+        self.runner = runner
+
+    def emit(self, step: str, chosen: int | None = None, **seen: Any) -> None:
+        """Record a step and what was seen after it."""
+        inputs = {} if chosen is None else {"chosen": chosen}
+        self.runner.take(Event(step, inputs, seen)).unwrap()
+
+
+class LogRecorder(Recorder):
+    """Records tickets, their spread and compaction in a cluster."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._names = list(cluster.daemons)
+        machine = configuration.build_machine(len(self._names))
+        super().__init__(TraceRunner(machine))
+        self._floors = {0: 0}
+        wrap(cluster.hub, "post", self._note_post)
+        for daemon in cluster.daemons.values():
+            self._attach(daemon)
+
+    def replace(self, name: str) -> None:
+        """Replace a daemon."""
+        self.emit(f"crash {self._names.index(name)}")
+        self._attach(self._cluster.replace(name))
+
+    def _attach(self, daemon: FakeDaemon) -> None:
+        index = self._names.index(daemon.name)
+        wrap(
+            daemon.table,
+            "commit",
+            lambda *args: self._note_commit(daemon, index, *args),
+        )
+        wrap(
+            daemon.log,
+            "append",
+            lambda outcome, *args: self._note_append(daemon, index, outcome),
+        )
+        wrap(
+            daemon.desk,
+            "report",
+            lambda outcome, *args: self._note_report(daemon, index, outcome),
+        )
+        daemon.log.add_listener(
+            lambda record, view: self._learn(index, view.revision)
+        )
+        daemon.log.add_install_listener(
+            lambda view: self._learn(index, view.revision)
+        )
+
+    def _get(self, name: str, index: int) -> Any:
+        return self.runner.read(f"{name}{index}")
+
+    def _learn(self, index: int, revision: int) -> None:
+        if self._get("phase", index) == SERVING:
+            seen = {f"view{index}": revision}
+            self.emit(f"learn {index}", revision, **seen)
+
+    def _settle(self, daemon: FakeDaemon, index: int) -> None:
+        """Record that the daemon has loaded the log."""
+        starting = self._get("phase", index) == REGISTERED
+        if starting and daemon.spreader.is_ready():
+            seen = {f"view{index}": daemon.log.view.revision}
+            self.emit(f"load {index}", **seen)
+
+    def _say(self, daemon: FakeDaemon, index: int, revision: int) -> None:
+        self._settle(daemon, index)
+        newer = revision > self._get("row_revision", index)
+        if self._get("phase", index) == SERVING and (
+            newer or not self._get("row_ready", index)
+        ):
+            self.emit(f"confirm {index}", revision)
+
+    def _note_post(
+        self, outcome: None, sender: str, receiver: str, message: Any
+    ) -> None:
+        index = self._names.index(sender)
+        daemon = self._cluster.daemons[sender]
+        match message:
+            case HeartbeatMessage(revision=revision):
+                self._say(daemon, index, revision)
+            case FactsMessage(facts):
+                for fact in facts:
+                    if fact.name == sender:
+                        self._say(daemon, index, fact.revision)
+
+    def _note_commit(
+        self,
+        daemon: FakeDaemon,
+        index: int,
+        outcome: Result,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Any,
+    ) -> None:
+        taken = has_taken(outcome)
+        self._settle(daemon, index)
+        removed = 0
+        for write in writes:
+            match write:
+                case Write(Key(table, key), None) if table == LOG_TABLE:
+                    removed = max(removed, int(key))
+                case Write(Key(table, key)) if table == LOG_TABLE:
+                    self._note_record(index, int(key), conditions, taken)
+                case Write(key, value) if key == FLOOR_KEY and taken:
+                    self.emit(f"raise floor {index}", value["revision"])
+                    self._note_floor()
+                case Write(Key(table), value) if taken and (
+                    table == MEMBER_TABLE
+                ):
+                    self._note_member(daemon, index, value["revision"])
+        if taken and removed > self.runner.read("removed"):
+            self.emit("remove rows", removed)
+
+    def _note_floor(self) -> None:
+        deadline = self._cluster.make_deadline()
+        row = self._cluster.table.read([FLOOR_KEY], deadline).unwrap()[0]
+        assert row is not None
+        self._floors[row.version] = row.value["revision"]
+
+    def _note_member(
+        self, daemon: FakeDaemon, index: int, revision: int
+    ) -> None:
+        if self._get("phase", index) == OFF:
+            self.emit(f"register {index}")
+        else:
+            self._say(daemon, index, revision)
+
+    def _note_record(
+        self,
+        index: int,
+        revision: int,
+        conditions: Sequence[Condition],
+        taken: bool,
+    ) -> None:
+        version = next(
+            item.version for item in conditions if item.key == FLOOR_KEY
+        )
+        floor = self._floors[version]
+        if self._get("append", index):
+            self.emit(f"give up {index}")
+        if self._get("known_floor", index) != floor:
+            self.emit(f"read floor {index}")
+        seen = {f"sent{index}": revision, f"sent_floor{index}": floor}
+        self.emit(f"send {index}", **seen)
+        self.emit(f"commit {index}" if taken else f"refuse {index}")
+
+    def _note_append(
+        self, daemon: FakeDaemon, index: int, outcome: Result
+    ) -> None:
+        if not self._get("append", index):
+            return  # The view refused the change.
+        match outcome:
+            case Ok():
+                seen = {f"view{index}": daemon.log.view.revision}
+                self.emit(f"accepted {index}", **seen)
+                return
+            case Err(RaceFailure()):
+                if self._get("sent", index) <= self.runner.read("head"):
+                    self.emit(f"lost race {index}")
+        self.emit(f"give up {index}")
+
+    def _note_report(
+        self, daemon: FakeDaemon, index: int, outcome: Result
+    ) -> None:
+        match outcome:
+            case Ok(status) if status.in_force:
+                # A daemon knows of itself without any message.
+                self._say(daemon, index, daemon.log.view.revision)
+                self.emit("report in force", status.entry.revision)
+
+
+class DutyRecorder(Recorder):
+    """Records what daemons do about one duty.
+
+    Each run of a daemon counts as a daemon of its own; `limit` is how
+    many the machine has.
+    """
+
+    def __init__(self, cluster: Cluster, name: str, limit: int) -> None:
+        self._cluster = cluster
+        self._name = name
+        self._key = Key(DUTY_TABLE, name)
+        self._limit = limit
+        self._runs: list[str] = []  # incarnations
+        self._versions = {0: 1}  # of the real row, to the machine's
+        self._now = cluster.clock.now
+        machine = duties.build_machine(limit)
+        self.start = {"version": 1, "holder": -1, "held_version0": 1}
+        self.start |= {f"seen_holder{index}": -1 for index in range(limit)}
+        self.start |= {f"deadline{index}": 5 for index in range(limit)}
+        super().__init__(TraceRunner(machine, self.start))
+        for daemon in cluster.daemons.values():
+            self._attach(daemon)
+
+    def emit(self, step: str, chosen: int | None = None, **seen: Any) -> None:
+        """Record the time that has passed, then the step."""
+        self.let_time_pass()
+        super().emit(step, chosen, **seen)
+
+    def let_time_pass(self) -> None:
+        """Record the time that has passed."""
+        passed = self._cluster.clock.now - self._now
+        self._now = self._cluster.clock.now
+        if passed:
+            inputs = {
+                f"advance{index}": passed for index in range(self._limit)
+            }
+            event = Event("time passes", {"passed": passed, **inputs})
+            self.runner.take(event).unwrap()
+
+    def replace(self, name: str) -> None:
+        """Replace a daemon."""
+        self.forget(self.find_index(self._cluster.daemons[name]))
+        self._attach(self._cluster.replace(name))
+
+    def forget(self, index: int) -> None:
+        """Record that a daemon lost the duty, if it held it."""
+        if self.runner.read(f"held{index}"):
+            self.emit(f"forget {index}")
+
+    def find_index(self, daemon: FakeDaemon) -> int:
+        """Return the number of the daemon's run."""
+        return self._runs.index(daemon.members.get_self().incarnation)
+
+    def check_holder(self, daemon: FakeDaemon) -> bool:
+        """Tell whether the machine agrees on whether the duty is held."""
+        index = self.find_index(daemon)
+        clock = self.runner.read(f"clock{index}")
+        held = self.runner.read(f"held{index}") and (
+            clock < self.runner.read(f"deadline{index}")
+        )
+        return held == (daemon.duties.find_duty(self._name) is not None)
+
+    def _attach(self, daemon: FakeDaemon) -> None:
+        self._runs.append(daemon.members.get_self().incarnation)
+        index = len(self._runs) - 1
+        held = daemon.duties
+
+        def note_sighting(outcome: bool, name: str, *args: Any) -> None:
+            now = self._cluster.clock.now
+            if name == self._name and held._sightings[name].since == now:
+                self._look(index)
+
+        def note_takeover(outcome: None, name: str, *args: Any) -> None:
+            if name == self._name and name not in held._held:
+                self.forget(index)  # The row could not be read back.
+
+        def note_loss(outcome: None, names: set[str]) -> None:
+            if self._name in names:
+                self.forget(index)
+
+        def note_adoption(outcome: None, name: str, *args: Any) -> None:
+            if name == self._name:
+                self.emit(f"adopt {index}")
+
+        wrap(held, "_has_lapsed", note_sighting)
+        wrap(held, "_take_over", note_takeover)
+        wrap(held, "_lose", note_loss)
+        wrap(held, "_adopt", note_adoption)
+        wrap(
+            daemon.table,
+            "commit",
+            lambda *args: self._note_commit(index, *args),
+        )
+
+    def _look(self, index: int) -> None:
+        row = self._read_row()
+        holder = row.value["holder"] if row else ""
+        number = self._runs.index(holder) if holder else -1
+        seen = {f"seen_holder{index}": number}
+        self.emit(f"look {index}", **seen)
+
+    def _read_row(self) -> Any:
+        deadline = self._cluster.make_deadline()
+        return self._cluster.table.read([self._key], deadline).unwrap()[0]
+
+    def _note_commit(
+        self,
+        index: int,
+        outcome: Result,
+        conditions: Sequence[Condition],
+        writes: Sequence[Write],
+        deadline: Any,
+    ) -> None:
+        taken = has_taken(outcome)
+        fence = next(
+            (item for item in conditions if item.key == self._key), None
+        )
+        rows = {write.key: write.value for write in writes}
+        value = rows.get(self._key)
+        if value is not None and taken:
+            step = "take over" if value["holder"] else "release"
+            self.emit(f"{step} {index}")
+            version = int(self.runner.read("version"))
+            self._versions[self._read_row().version] = version
+        elif value is not None:
+            if not value["holder"]:
+                self.forget(index)
+        elif any(key.table == BEAT_TABLE for key in rows):
+            self._note_renewal(index, outcome, fence, taken)
+        elif taken and fence is not None:
+            self.emit(f"commit write {index}")
+
+    def _note_renewal(
+        self,
+        index: int,
+        outcome: Result,
+        fence: Condition | None,
+        taken: bool,
+    ) -> None:
+        if fence is None:
+            if taken:
+                self.emit(f"beat {index}")
+            return
+        seen = {f"renewal_version{index}": self._versions[fence.version]}
+        self.emit(f"send renewal {index}", **seen)
+        if taken:
+            self.emit(f"commit renewal {index}")
+        ended = "renewed" if outcome.is_ok() else "renewal ends"
+        self.emit(f"{ended} {index}")
+
+    def begin_write(self, daemon: FakeDaemon) -> Duty:
+        """Record that the holder sends a fenced commit; return its duty."""
+        duty = daemon.duties.find_duty(self._name)
+        assert duty is not None
+        index = self.find_index(daemon)
+        seen = {f"write_version{index}": self._versions[duty.version]}
+        self.emit(f"send write {index}", **seen)
+        return duty
--- /dev/null
+++ b/chestnutstair/tests/test_conformance.py
@@ -0,0 +1,210 @@
+"""Traces of the real code against the specification."""
+
+import random
+import unittest
+from unittest.mock import patch
+
+from chestnutstair.coordination import records, snapshot
+from chestnutstair.coordination.duties import DutySettings
+from chestnutstair.coordination.platform import ConflictFailure
+from chestnutstair.coordination.snapshot import (
+    COMPACTION_DUTY,
+    Compactor,
+    SnapshotSettings,
+)
+from chestnutstair.specification import configuration, duties
+from chestnutstair.specification.conformance import Event, replay
+from chestnutstair.specification.duty_state import LEASE, MARGIN
+from chestnutstair.state.change import PauseChange
+from chestnutstair.tests.cluster import Cluster, FakeDaemon
+from chestnutstair.tests.conformance_support import (
+    DutyRecorder,
+    LogRecorder,
+)
+from chestnutstair.tests.test_configuration import build_next
+
+SEGMENT = 5  # records
+
+
+class LogTest(unittest.TestCase):
+    """Tickets, their spread and compaction follow the specification."""
+
+    def setUp(self) -> None:
+        for module in (records, snapshot):
+            patcher = patch.object(module, "SEGMENT_SIZE", SEGMENT)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+
+    def record(self, seed: int, rounds: int) -> LogRecorder:
+        """Run daemons through random faults; each step is checked."""
+        cluster = Cluster(4, loss=0.1, seed=seed)
+        recorder = LogRecorder(cluster)
+        cluster.run(8)
+        chance = random.Random(seed)
+        number = 1
+        for _ in range(rounds):
+            daemon = chance.choice(list(cluster.daemons.values()))
+            number += self.act(chance, cluster, recorder, daemon, number)
+            cluster.run(1)
+            cluster.table.lose_answers = 0
+        cluster.heal()
+        for daemon in cluster.daemons.values():
+            daemon.paused = False
+        cluster.run(12)
+        daemon = cluster.daemons["entry-0"]
+        deadline = cluster.make_deadline()
+        status = daemon.desk.report(number - 1, deadline).unwrap()
+        self.assertTrue(status.in_force)
+        return recorder
+
+    def act(
+        self,
+        chance: random.Random,
+        cluster: Cluster,
+        recorder: LogRecorder,
+        daemon: FakeDaemon,
+        number: int,
+    ) -> bool:
+        """Do one thing; tell whether a ticket was accepted."""
+        deadline = cluster.make_deadline()
+        match chance.randrange(9):
+            case 0:
+                daemon.paused = not daemon.paused
+            case 1:
+                daemon.table.cut = not daemon.table.cut
+            case 2:
+                other = chance.choice(list(cluster.daemons))
+                cluster.hub.cuts ^= {(daemon.name, other)}
+            case 3 if not daemon.table.cut:
+                recorder.replace(daemon.name)
+            case 4:
+                self.compact(cluster)
+            case 5 if number > 1:
+                daemon.desk.report(number - 1, deadline)
+            case 6:
+                cluster.table.lose_answers = chance.randrange(3)
+                for racing in (daemon, cluster.daemons["entry-0"]):
+                    racing.log.append(PauseChange(True), deadline)
+            case _:
+                cluster.table.lose_answers = chance.randrange(2)
+                return daemon.desk.file(build_next(number), deadline).is_ok()
+        return False
+
+    def compact(self, cluster: Cluster) -> None:
+        settings = SnapshotSettings(tail_records=2)
+        for daemon in cluster.daemons.values():
+            duty = daemon.duties.find_duty(COMPACTION_DUTY)
+            if duty is not None:
+                Compactor(
+                    daemon.log,
+                    daemon.duties,
+                    daemon.members,
+                    cluster.clock,
+                    settings,
+                ).compact(duty)
+
+    def test_accepts_recorded_traces(self) -> None:
+        steps: set[str] = set()
+        for seed in range(3):
+            recorder = self.record(seed, 60)
+            steps |= {item.step[:-2] for item in recorder.runner.events}
+        missing = {
+            "lost race",
+            "raise floor",
+            "read floor",
+            "report in for",
+            "crash",
+        } - steps
+        self.assertEqual(missing, set())
+
+    def test_refuses_traces_tampered_with(self) -> None:
+        events = self.record(1, 30).runner.events
+        machine = configuration.build_machine(4)
+        replay(machine, events).unwrap()
+        commits = [
+            at
+            for at, event in enumerate(events)
+            if event.step.startswith("commit")
+        ]
+        for at in commits[:6]:
+            skipped = [*events[:at], *events[at + 1 :]]
+            self.assertTrue(replay(machine, skipped).is_err())
+            again = [*events[: at + 1], *events[at:]]
+            self.assertTrue(replay(machine, again).is_err())
+
+
+class DutyTest(unittest.TestCase):
+    """Leases and fenced commits follow the specification."""
+
+    def test_times_are_those_of_the_code(self) -> None:
+        settings = DutySettings()
+        self.assertEqual(settings.lease_seconds, LEASE)
+        self.assertEqual(settings.margin_seconds, MARGIN)
+
+    def check(self, cluster: Cluster, recorder: DutyRecorder) -> None:
+        recorder.let_time_pass()
+        for daemon in cluster.daemons.values():
+            self.assertTrue(recorder.check_holder(daemon), daemon.name)
+
+    def test_accepts_recorded_traces(self) -> None:
+        for seed in range(3):
+            cluster = Cluster(3)
+            recorder = DutyRecorder(cluster, "pool-a", 8)
+            chance = random.Random(seed)
+            for _ in range(80):
+                cluster.run(1)
+                self.check(cluster, recorder)
+                cluster.table.lose_answers = 0
+                daemon = chance.choice(list(cluster.daemons.values()))
+                match chance.randrange(8):
+                    case 0:
+                        daemon.paused = not daemon.paused
+                    case 1:
+                        daemon.table.cut = not daemon.table.cut
+                    case 2:
+                        cluster.table.lose_answers = 2
+                    case 3 if len(recorder._runs) < 8:
+                        recorder.replace(daemon.name)
+            steps = {item.step[:-2] for item in recorder.runner.events}
+            self.assertLessEqual({"take over", "renewed", "forget"}, steps)
+
+    def test_refuses_a_stale_write(self) -> None:
+        cluster = Cluster(3)
+        recorder = DutyRecorder(cluster, "pool-a", 3)
+        cluster.run(12)
+        holder = next(
+            daemon
+            for daemon in cluster.daemons.values()
+            if daemon.duties.find_duty("pool-a")
+        )
+        duty = recorder.begin_write(holder)
+        holder.paused = True
+        cluster.run(20)
+        self.check(cluster, recorder)
+        deadline = cluster.make_deadline()
+        holder.log.refresh(deadline).unwrap()
+        fence = [duty.build_condition()]
+        late = holder.log.append(PauseChange(True), deadline, conditions=fence)
+        self.assertIsInstance(late.unwrap_err(), ConflictFailure)
+        stale = Event(f"commit write {recorder.find_index(holder)}")
+        failure = recorder.runner.take(stale).unwrap_err()
+        self.assertEqual(failure.reason, "write on the duty's row")
+
+    def test_refuses_a_takeover_too_early(self) -> None:
+        cluster = Cluster(3)
+        recorder = DutyRecorder(cluster, "pool-a", 3)
+        cluster.run(12)
+        events = recorder.runner.events
+        taken = next(
+            at for at, item in enumerate(events) if "take over" in item.step
+        )
+        other = (int(events[taken].step[-1]) + 1) % 3
+        early = [Event(f"look {other}"), Event(f"take over {other}")]
+        machine = duties.build_machine(3)
+        whole = [*events[: taken + 1], *early]
+        refused = replay(machine, whole, recorder.start).unwrap_err()
+        self.assertEqual(refused.reason, "stood still for the lease")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/chestnutstair/tests/test_specification.py
+++ b/chestnutstair/tests/test_specification.py
@@ -101,6 +101,7 @@
             ("own record", "accepted is in the log", 3),
             ("another's record", "refused is never accepted", 3),
             ("registered first", in_force, 4),
+            ("has it", in_force, 2),
             ("serving daemons confirmed", in_force, 2),
             ("starting daemons confirmed", in_force, 5),
             ("gone", in_force, 2),
