--- /dev/null
+++ b/tools/bench_placement.py
@@ -0,0 +1,413 @@
+"""Compares placers and measures rounds of placement on a model fleet."""
+
+import logging
+import math
+import random
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+
+from chestnutstair.coordination.placement import Worker
+from chestnutstair.coordination.placer import (
+    BestFitPlacer,
+    Placer,
+    ScoreSettings,
+    measure_score,
+)
+from chestnutstair.coordination.plan import (
+    LiveTask,
+    PlanSettings,
+    PoolSnapshot,
+    RoundPlan,
+    WaitingJob,
+    plan_round,
+)
+from chestnutstair.coordination.pool_round import PlacementSettings
+from chestnutstair.coordination.room import FleetRoom
+from chestnutstair.coordination.usage import UsageSettings
+from chestnutstair.coordination.visit import VisitSettings
+from chestnutstair.coordination.worker_lease import LeaseSettings
+from chestnutstair.standins.workers import TaskBehaviour
+from chestnutstair.state.fleet import Job
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.task import TaskName
+from tools.placement_model import (
+    ROUND_SECONDS,
+    FleetSize,
+    PlacementModel,
+    RoundCost,
+)
+
+SEED = 6
+FLEET_SIZES = (16, 116, 1000, 9900)
+ZONE_COUNT = 11
+RACK_SIZE = 4
+WORKER_SIZE = Resources(64, 256)
+ACCELERATOR_WORKER_SIZE = Resources(64, 256, 8)
+ACCELERATOR_EVERY = 5  # every fifth rack; 16,000 accelerators on 9,900
+DEMAND = 1.1  # of the cores of the fleet
+UNLIMITED = PlanSettings(start_limit=10**9)
+URGENT_SECONDS = 3.8
+PAPAGALAKI = FleetSize("papagalaki", 8, 4, WORKER_SIZE)
+ROSALEDA = FleetSize("rosaleda", 6, 3, Resources(16, 64))
+DESIGN_POOL = FleetSize("design", 116, 11, WORKER_SIZE)  # 1 of 85 pools
+QUOTA = Resources(10**9, 10**9, 10**9)
+
+
+class SamplingPlacer(Placer):
+    """Scores a few random workers per task, and all only if none fits."""
+
+    def __init__(self, settings: ScoreSettings, sample: int) -> None:
+        self._settings = settings
+        self._sample = sample
+        self._random = random.Random(SEED)
+
+    def choose(
+        self,
+        room: FleetRoom,
+        job: Job,
+        size: Resources,
+        avoided: frozenset[str] = frozenset(),
+    ) -> Iterator[str]:
+        """Yield the best of each sample of workers with room."""
+        names = [name for name in room.workers if name not in avoided]
+        while names:
+            sample = self._random.sample(names, min(self._sample, len(names)))
+            fitting = [name for name in sample if room.fits(name, size)]
+            if not fitting:
+                fitting = [name for name in names if room.fits(name, size)]
+            if not fitting:
+                return
+            yield min(
+                fitting, key=lambda name: self._score(room, name, job, size)
+            )
+
+    def _score(
+        self, room: FleetRoom, name: str, job: Job, size: Resources
+    ) -> float:
+        worker = room.workers[name]
+        return measure_score(room, self._settings, worker, job, size)
+
+
+def build_workers(count: int) -> tuple[Worker, ...]:
+    """Return workers of the design's kind, four to a rack."""
+    workers = []
+    for index in range(count):
+        rack = index // RACK_SIZE
+        special = rack % ACCELERATOR_EVERY == 0
+        size = ACCELERATOR_WORKER_SIZE if special else WORKER_SIZE
+        zone = f"zone-{rack % ZONE_COUNT}"
+        workers.append(Worker(f"w{index:05d}", zone, f"rack-{rack}", size))
+    return tuple(workers)
+
+
+def build_jobs(cores: float, seed: int) -> list[Job]:
+    """Return jobs whose tasks ask for the cores in all."""
+    source = random.Random(seed)
+    jobs: list[Job] = []
+    while cores > 0:
+        accelerators = source.choice((1, 2, 4, 8))
+        special = source.random() < 0.1
+        size = Resources(
+            source.choice((1, 2, 4, 4, 8, 8, 16, 32)),
+            source.choice((2, 8, 16, 32, 64, 128)),
+            accelerators if special else 0,
+        )
+        count = source.choice((1, 2, 4, 8, 20))
+        cores -= size.cores * count
+        name = f"job-{len(jobs)}"
+        jobs.append(Job(name, "team", "pool", "normal", size, 60.0, count))
+    return jobs
+
+
+def wait_for(job: Job, rank: int = 1) -> WaitingJob:
+    """Return the job with all its tasks waiting."""
+    names = [TaskName(job.name, index) for index in range(job.task_count)]
+    return WaitingJob(
+        job,
+        rank,
+        job.resources,
+        lambda count: names[:count],
+        lambda _: frozenset(),
+    )
+
+
+def build_snapshot(
+    workers: tuple[Worker, ...],
+    jobs: list[WaitingJob],
+    live: tuple[LiveTask, ...] = (),
+) -> PoolSnapshot:
+    """Return what a round has to decide on, without quotas in the way."""
+    return PoolSnapshot(
+        workers=workers,
+        sizes=frozenset(worker.size for worker in workers),
+        live=live,
+        jobs=tuple(jobs),
+        rooms={"team": QUOTA},
+        quotas={"team": QUOTA},
+        now=1000.0,
+    )
+
+
+@dataclass(frozen=True)
+class Quality:
+    """How good a placement is, and what it cost.
+
+    `rack_share` is the mean over jobs, of at least 4 tasks that were all
+    placed, of the largest share that one rack holds.
+    """
+
+    cores_used: float
+    accelerators_used: float
+    unplaced: int
+    rack_share: float
+    zone_share: float
+    seconds: float
+    placed: int
+
+
+def _measure_share(
+    plan: RoundPlan, place_of: dict[str, str], jobs: list[Job]
+) -> float:
+    counts: dict[str, Counter[str]] = {job.name: Counter() for job in jobs}
+    for placement in plan.placements:
+        counts[placement.job.name][place_of[placement.worker]] += 1
+    shares = [
+        max(counts[job.name].values()) / job.task_count
+        for job in jobs
+        if job.task_count >= 4 and counts[job.name].total() == job.task_count
+    ]
+    return sum(shares) / len(shares) if shares else 0.0
+
+
+def measure_quality(
+    workers: tuple[Worker, ...], jobs: list[Job], placer: Placer
+) -> Quality:
+    """Place all jobs on the empty fleet."""
+    snapshot = build_snapshot(workers, [wait_for(job) for job in jobs])
+    began = time.process_time()
+    plan = plan_round(snapshot, UNLIMITED, placer)
+    seconds = time.process_time() - began
+    used = Resources()
+    for placement in plan.placements:
+        used += placement.size
+    whole = Resources()
+    for worker in workers:
+        whole += worker.size
+    racks = {worker.name: worker.rack for worker in workers}
+    zones = {worker.name: worker.zone for worker in workers}
+    return Quality(
+        cores_used=used.cores / whole.cores,
+        accelerators_used=used.accelerators / whole.accelerators,
+        unplaced=sum(job.task_count for job in jobs) - len(plan.placements),
+        rack_share=_measure_share(plan, racks, jobs),
+        zone_share=_measure_share(plan, zones, jobs),
+        seconds=seconds,
+        placed=len(plan.placements),
+    )
+
+
+def print_placers() -> None:
+    """Print the quality and cost of each placer by fleet size."""
+    score = ScoreSettings()
+    print("workers placer       cores  accel unplaced rack  zone  us/task")
+    for count in FLEET_SIZES:
+        workers = build_workers(count)
+        jobs = build_jobs(DEMAND * count * WORKER_SIZE.cores, SEED)
+        placers = {
+            "best of all": BestFitPlacer(score, count),
+            "best of 128": BestFitPlacer(score, 128),
+            "sampling 8": SamplingPlacer(score, 8),
+            "sampling 32": SamplingPlacer(score, 32),
+        }
+        for name, placer in placers.items():
+            found = measure_quality(workers, jobs, placer)
+            print(
+                f"{count:7d} {name:12s} {found.cores_used:.3f} "
+                f"{found.accelerators_used:6.3f} {found.unplaced:8d} "
+                f"{found.rack_share:.3f} {found.zone_share:.3f} "
+                f"{1e6 * found.seconds / max(1, found.placed):7.0f}",
+                flush=True,
+            )
+
+
+def find_percentile(values: list[float], share: float) -> float:
+    """Return the nearest-rank percentile of sorted values."""
+    return values[math.ceil(share * len(values)) - 1] if values else math.nan
+
+
+def fill(model: PlacementModel) -> None:
+    """Flood the pool with patient work, three times what it holds."""
+    cores = model.size.workers * model.size.worker.cores
+    jobs = model.build_jobs("slow", "patient", 3 * cores, 600.0)
+    behaviour = TaskBehaviour(
+        600.0, checkpoint_seconds=0.8, used=Resources(0.9, 0.9)
+    )
+    model.file(jobs, behaviour)
+    most = 40 * model.size.workers  # tasks, well above what fits
+    model.run(most / PlanSettings().start_limit * ROUND_SECONDS + 20)
+
+
+def _print_cost(name: str, costs: list[RoundCost]) -> None:
+    count = len(costs)
+    seconds = sorted(cost.seconds for cost in costs)
+    span = count * ROUND_SECONDS
+    print(
+        f"  {name:8s} round mean {1e3 * sum(seconds) / count:7.2f} ms, "
+        f"p99 {1e3 * find_percentile(seconds, 0.99):7.2f} ms; a second: "
+        f"processor {1e3 * sum(seconds) / span:7.2f} ms, "
+        f"calls {sum(c.worker_calls for c in costs) / span:6.1f}, "
+        f"commits {sum(c.table_writes for c in costs) / span:5.2f}, "
+        f"rows {sum(c.table_rows for c in costs) / span:6.1f}, "
+        f"reads {sum(c.table_reads for c in costs) / span:5.2f}",
+        flush=True,
+    )
+
+
+def print_flood(size: FleetSize) -> None:
+    """Print the start of urgent work in a flood, and what rounds cost."""
+    model = PlacementModel(size, SEED)
+    fill(model)
+    print(
+        f"{size.name}: {size.workers} workers, "
+        f"{model.measure_use():.2f} of the cores held"
+    )
+    _print_cost("flooded", model.run(30))
+    cores = size.workers * size.worker.cores
+    jobs = model.build_jobs("now", "urgent", 0.1 * cores, 30.0)
+    model.file(jobs, TaskBehaviour(30.0, used=Resources(0.9, 0.9)))
+    before = model.measure_use()
+    _print_cost("urgent", model.run(15))
+    delays = model.list_delays("now")
+    asked = sum(job.task_count for job in jobs)
+    late = sum(delay > URGENT_SECONDS for delay in delays)
+    print(
+        f"  urgent tasks {asked}, started {len(delays)}, late {late}; "
+        f"p50 {find_percentile(delays, 0.5):.1f} s, "
+        f"p99 {find_percentile(delays, 0.99):.1f} s, "
+        f"max {max(delays, default=math.nan):.1f} s; "
+        f"in rounds p50 {find_percentile(delays, 0.5) / ROUND_SECONDS:.0f}, "
+        f"p99 {find_percentile(delays, 0.99) / ROUND_SECONDS:.0f}"
+    )
+    stopped = model.list_stopped()
+    cut = [run for run in stopped if run.ended_at != run.checkpoint_end]
+    lost = sum(run.ended_at - run.started_at for run in cut)
+    saving = sum(0.8 for run in stopped if run not in cut)
+    print(
+        f"  stopped {len(stopped)}, cut {len(cut)}, lost {lost:.0f} "
+        f"task-seconds, saving state {saving:.0f} task-seconds; "
+        f"held before {before:.2f}, after {model.measure_use():.2f}",
+        flush=True,
+    )
+
+
+def print_floods() -> None:
+    """Print the flood for both deployments and a pool of the design."""
+    for size in (PAPAGALAKI, ROSALEDA, DESIGN_POOL):
+        print_flood(size)
+
+
+def print_slope() -> None:
+    """Print the cost of rounds on one flooded pool by its size."""
+    for count in FLEET_SIZES:
+        size = FleetSize(f"one pool of {count}", count, 11, WORKER_SIZE)
+        plan = PlanSettings(start_limit=20 * count)
+        model = PlacementModel(size, SEED, PlacementSettings(plan=plan))
+        cores = count * WORKER_SIZE.cores
+        jobs = model.build_jobs("slow", "patient", 1.5 * cores, 600.0)
+        model.file(jobs, TaskBehaviour(600.0, used=Resources(0.9, 0.9)))
+        model.run(6)
+        print(
+            f"{size.name}: {model.count_running()} tasks, "
+            f"{model.measure_use():.2f} of the cores held"
+        )
+        _print_cost("flooded", model.run(8))
+
+
+def print_churn() -> None:
+    """Print the cost of a full pool whose tasks end after 5 minutes."""
+    for size in (PAPAGALAKI, ROSALEDA, DESIGN_POOL):
+        model = PlacementModel(size, SEED)
+        cores = size.workers * size.worker.cores
+        jobs = model.build_jobs("job", "normal", 4 * cores, 300.0)
+        model.file(jobs, TaskBehaviour(300.0, used=Resources(0.9, 0.9)))
+        model.run(240)
+        before = len(model.workers.runs)
+        costs = model.run(120)
+        starts = (len(model.workers.runs) - before) / 120
+        print(
+            f"{size.name}: {model.measure_use():.2f} of the cores held, "
+            f"{starts:.2f} starts a second"
+        )
+        _print_cost("churn", costs)
+
+
+def print_visits() -> None:
+    """Print what a longer lease saves on a pool of the design."""
+    settings = PlacementSettings(
+        leases=LeaseSettings(lease_seconds=60.0),
+        visits=VisitSettings(visit_seconds=16.0),
+    )
+    for name, chosen in (("15 s", None), ("60 s", settings)):
+        model = PlacementModel(DESIGN_POOL, SEED, chosen)
+        fill(model)
+        print(f"lease {name}:")
+        _print_cost("flooded", model.run(32))
+
+
+def print_learning() -> None:
+    """Print what learned sizes gain when declarations are far off."""
+    size = FleetSize("papagalaki", 8, 4, WORKER_SIZE)
+    off = PlacementSettings(usage=UsageSettings(task_count=1_000_000))
+    for name, settings in (("declared", off), ("learned", None)):
+        model = PlacementModel(size, SEED, settings)
+        jobs = model.build_jobs("job", "normal", 6 * 8 * 64, 300.0)
+        model.file(jobs, TaskBehaviour(300.0, used=Resources(0.4, 0.4)))
+        model.run(120)
+        held = model.measure_use()
+        print(
+            f"{name:8s} sizes, tasks use 0.4 of what they declare: "
+            f"declared by running tasks {held:.2f} of the cores, "
+            f"used {0.4 * held:.2f}"
+        )
+
+
+def print_cancellations() -> None:
+    """Print how long a wave of cancellations takes."""
+    for size in (PAPAGALAKI, ROSALEDA, DESIGN_POOL):
+        model = PlacementModel(size, SEED)
+        cores = size.workers * size.worker.cores
+        jobs = model.build_jobs("old", "normal", cores, 900.0)
+        model.file(jobs, TaskBehaviour(900.0))
+        model.run(20 + size.workers / 5)
+        running = model.count_running()
+        gone = [replace(job, cancelled=True) for job in jobs]
+        model.file(gone, TaskBehaviour(900.0))
+        rounds = 0
+        while model.count_running() and rounds < 100:
+            model.run(ROUND_SECONDS)
+            rounds += 1
+        print(f"{size.name}: {running} tasks cancelled in {rounds} rounds")
+
+
+def main() -> None:
+    """Print the measurements named as arguments, or all."""
+    logging.disable(logging.WARNING)
+    parts = {
+        "placers": print_placers,
+        "flood": print_floods,
+        "slope": print_slope,
+        "churn": print_churn,
+        "visits": print_visits,
+        "learning": print_learning,
+        "cancellations": print_cancellations,
+    }
+    for name in sys.argv[1:] or parts:
+        print(f"== {name}")
+        parts[name]()
+
+
+if __name__ == "__main__":
+    main()
