Check drains against the specification, and list three faults of reports

Cause: the specification reports a ticket in force only if every daemon that serves is in a row and has confirmed; the code departs from it. Change: a recorder turns the log's records, the commands to VMs and the requests of a maintained fleet into steps of the specification of drains.

--- a/chestnutstair/tests/conformance_support.py
+++ b/chestnutstair/tests/conformance_support.py
@@ -289,9 +289,8 @@
         index = len(self._runs) - 1
         held = daemon.duties
 
-        def note_sighting(outcome: bool, name: str, *args: Any) -> None:
-            now = self._cluster.clock.now
-            if name == self._name and held._sightings[name].since == now:
+        def note_sighting(still: float, name: str, *args: Any) -> None:
+            if name == self._name and not still:
                 self._look(index)
 
         def note_takeover(outcome: None, name: str, *args: Any) -> None:
@@ -306,7 +305,7 @@
             if name == self._name:
                 self.emit(f"adopt {index}")
 
-        wrap(held, "_has_lapsed", note_sighting)
+        wrap(held._watch, "measure_still", note_sighting)
         wrap(held, "_take_over", note_takeover)
         wrap(held, "_lose", note_loss)
         wrap(held, "_adopt", note_adoption)
--- /dev/null
+++ b/chestnutstair/tests/drain_recorder.py
@@ -0,0 +1,128 @@
+"""Turns the operations of a maintained fleet into steps of the machine."""
+
+from typing import Any
+
+from result import Ok, Result
+
+from chestnutstair.specification import drains
+from chestnutstair.specification.conformance import TraceRunner
+from chestnutstair.specification.drain_state import (
+    DRAINING,
+    PHASES,
+    REBOOTING,
+    SERVING,
+)
+from chestnutstair.state.change import (
+    ChangeRecord,
+    DrainChange,
+    OutageChange,
+    RebootChange,
+    RecoveryChange,
+    UndoChange,
+)
+from chestnutstair.state.view import FleetView
+from chestnutstair.tests.conformance_support import Recorder, has_taken, wrap
+from tools.maintained_fleet import Fleet
+
+__all__ = ["DrainRecorder"]
+
+
+class DrainRecorder(Recorder):
+    """Records the drains of one pool, commands and requests included.
+
+    A rebooted VM that has to prove itself still counts as rebooting.
+    """
+
+    def __init__(self, fleet: Fleet, pool: str) -> None:
+        self._pool = pool
+        self.vms = [vm.name for vm in fleet.log.view.find_members(pool)]
+        self.sender = 0
+        self.machine = drains.build_machine(len(self.vms), len(fleet.logs))
+        self.start = {f"live{index}": True for index in range(len(fleet.logs))}
+        super().__init__(TraceRunner(self.machine, self.start))
+        self.emit("ticket", self._find_budget(fleet.log.view))
+        for index, log in enumerate(fleet.logs):
+            log.add_listener(
+                lambda record, view, index=index: self._note_record(  # type: ignore[misc]
+                    index, record, view
+                )
+            )
+        self._learn(0)
+        wrap(fleet.vms, "announce_drain", self._note_command)
+        wrap(fleet.vms, "cancel_drain", self._note_command)
+        wrap(fleet.vms, "reboot", self._note_command)
+        wrap(fleet.vms, "count_running", self._note_count)
+
+    def get(self, name: str, vm: str) -> Any:
+        """Return the machine's value for the VM."""
+        return self.runner.read(f"{name}{self.vms.index(vm)}")
+
+    def note(self, step: str, vm: str) -> None:
+        """Record something that happens on the VM."""
+        self.emit(f"{step} {self.vms.index(vm)}")
+
+    def list_serving(self) -> list[str]:
+        """Return the VMs that serve by the log."""
+        return [vm for vm in self.vms if self.get("phase", vm) == SERVING]
+
+    def _find_budget(self, view: FleetView) -> int:
+        return view.pools[self._pool].availability_budget
+
+    def _learn(self, index: int) -> None:
+        self.emit(f"learn {index}")
+        self.emit(f"report {index}")
+
+    def _note_record(
+        self, index: int, record: ChangeRecord, view: FleetView
+    ) -> None:
+        head = self.runner.read("head")
+        if record.revision > head:
+            author = int(record.author.removeprefix("entry-"))
+            self._learn(author)
+            self._take_record(author, record, view)
+        if view.revision == self.runner.read("head"):
+            self._learn(index)
+
+    def _take_record(
+        self, author: int, record: ChangeRecord, view: FleetView
+    ) -> None:
+        change = record.change
+        match change:
+            case DrainChange():
+                step = "start drain"
+            case RebootChange():
+                step = "record reboot"
+            case UndoChange():
+                step = "undo"
+            case OutageChange():
+                step = "record outage"
+            case RecoveryChange():
+                rebooting = self.get("phase", change.vm) == REBOOTING
+                end = "reboot's end" if rebooting else "recovery"
+                step = f"record {end}"
+            case _:
+                self.emit("ticket", self._find_budget(view))
+                return
+        vm = self.vms.index(change.vm)
+        self.emit(f"{step} {author} {vm}", head=record.revision)
+
+    def _note_command(
+        self, outcome: Result, vm: str, operation: str, token: int, *_: Any
+    ) -> None:
+        number = self.vms.index(vm)
+        phase = int(self.runner.read(f"known_phase{self.sender}_{number}"))
+        taken = has_taken(outcome)
+        if not taken:
+            return  # A command that is never delivered has no effect.
+        seen = {f"command_token{number}": token}
+        step = f"command {PHASES[phase]} {self.sender} {number}"
+        self.emit(step, **seen)
+        if phase != REBOOTING or self.get("rebooted", vm) != token:
+            self.note("deliver", vm)
+        self.note("drop", vm)
+
+    def _note_count(self, outcome: Result, vm: str, *_: Any) -> None:
+        announced = self.get("token", vm) == self.get("revision", vm)
+        drains_now = self.get("phase", vm) == DRAINING
+        if outcome == Ok(0) and announced and drains_now:
+            self.note("see idle", vm)
--- a/chestnutstair/tests/test_conformance.py
+++ b/chestnutstair/tests/test_conformance.py
@@ -4,16 +4,22 @@
 import unittest
 from unittest.mock import patch
 
+from result import Err
+
 from chestnutstair.coordination import records, snapshot
 from chestnutstair.coordination.duties import DutySettings
-from chestnutstair.coordination.platform import ConflictFailure
+from chestnutstair.coordination.platform import (
+    ConflictFailure,
+    UnavailableFailure,
+)
 from chestnutstair.coordination.snapshot import (
     COMPACTION_DUTY,
     Compactor,
     SnapshotSettings,
 )
 from chestnutstair.specification import configuration, duties
-from chestnutstair.specification.conformance import Event, replay
+from chestnutstair.specification.conformance import Event, TraceRunner, replay
+from chestnutstair.specification.drain_state import DOWN, DRAINING, SERVING
 from chestnutstair.specification.duty_state import LEASE, MARGIN
 from chestnutstair.state.change import PauseChange
 from chestnutstair.tests.cluster import Cluster, FakeDaemon
@@ -21,9 +27,13 @@
     DutyRecorder,
     LogRecorder,
 )
+from chestnutstair.tests.drain_recorder import DrainRecorder
+from chestnutstair.tests.support import build_ticket
 from chestnutstair.tests.test_configuration import build_next
+from tools.maintained_fleet import Fleet
 
 SEGMENT = 5  # records
+DAY_SECONDS = 86_400.0
 
 
 class LogTest(unittest.TestCase):
@@ -190,6 +200,16 @@
         failure = recorder.runner.take(stale).unwrap_err()
         self.assertEqual(failure.reason, "write on the duty's row")
 
+    def test_refuses_a_second_writer_under_one_token(self) -> None:
+        cluster = Cluster(3)
+        recorder = DutyRecorder(cluster, "pool-a", 3)
+        cluster.run(12)
+        for daemon in cluster.daemons.values():
+            if daemon.duties.find_duty("pool-a") is None:
+                write = Event(f"send write {recorder.find_index(daemon)}")
+                failure = recorder.runner.take(write).unwrap_err()
+                self.assertEqual(failure.reason, "usable")
+
     def test_refuses_a_takeover_too_early(self) -> None:
         cluster = Cluster(3)
         recorder = DutyRecorder(cluster, "pool-a", 3)
@@ -206,5 +226,147 @@
         self.assertEqual(refused.reason, "stood still for the lease")
 
 
+class DrainTest(unittest.TestCase):
+    """Waves of drains with failures follow the specification."""
+
+    def record(self, seed: int, ticks: int) -> DrainRecorder:
+        """Run two daemons by turns through random faults."""
+        ticket = build_ticket(runners=4, workers=0, zones=2)
+        fleet = Fleet(ticket)
+        fleet.share = 0.0
+        fleet.clock.sleep(20 * DAY_SECONDS)
+        recorder = DrainRecorder(fleet, "quotes")
+        chance = random.Random(seed)
+        for _ in range(ticks):
+            self.act(chance, fleet, recorder)
+            recorder.sender = chance.randrange(2)
+            fleet.tick(recorder.sender)
+            fleet.vms.lose_answers = 0
+        self.assertEqual(fleet.vms.cut, [])
+        return recorder
+
+    def act(
+        self, chance: random.Random, fleet: Fleet, recorder: DrainRecorder
+    ) -> None:
+        vm = chance.choice(recorder.vms)
+        serving = vm in recorder.list_serving()
+        match chance.randrange(12):
+            case 0 | 1 | 2 if serving and fleet.vms.start_request(vm):
+                recorder.note("request", vm)
+            case 3 | 4 | 5 | 6 | 7 if recorder.get("running", vm):
+                fleet.vms.end_requests(vm, 1)
+                recorder.note("finish", vm)
+            case 8:
+                fleet.vms.lose_answers = 2
+            case 9:
+                fleet.take_over("quotes")
+            case 10 if chance.random() < 0.3:
+                paused = not fleet.log.view.paused
+                fleet.append(PauseChange(paused))
+            case 11 if recorder.get("phase", vm) in (SERVING, DRAINING, DOWN):
+                fails = recorder.get("phase", vm) != DOWN
+                fleet.vms.set_live([vm], not fails)
+                if fails:
+                    recorder.note("fail", vm)
+
+    def test_accepts_recorded_traces(self) -> None:
+        steps: set[str] = set()
+        for seed in range(3):
+            events = self.record(seed, 150).runner.events
+            steps |= {item.step.rstrip(" 0123") for item in events}
+        wanted = {"record reboot's end", "undo", "record outage", "see idle"}
+        self.assertLessEqual(wanted, steps)
+
+    def test_refuses_a_drain_beyond_the_budget(self) -> None:
+        recorder = self.record(0, 100)
+        events = recorder.runner.events
+        at, first = next(
+            (at, event)
+            for at, event in enumerate(events)
+            if event.step.startswith("start drain")
+        )
+        runner = TraceRunner(recorder.machine, recorder.start)
+        for event in events[: at + 1]:
+            runner.take(event).unwrap()
+        author = first.step.split()[2]
+        outcomes = [
+            runner.take(Event(f"start drain {author} {vm}"))
+            for vm in range(len(recorder.vms))
+            if runner.read(f"phase{vm}") == SERVING
+        ]
+        refused = [item.unwrap_err() for item in outcomes if item.is_err()]
+        self.assertTrue(refused)
+        reasons = {item.reason for item in refused}
+        self.assertEqual(reasons, {"within the budget"})
+        skipped = [*events[:at], *events[at + 1 :]]
+        found = replay(recorder.machine, skipped, recorder.start)
+        self.assertTrue(found.is_err())
+
+
+class InForceTest(unittest.TestCase):
+    """A ticket in force is served by every daemon that serves."""
+
+    def setUp(self) -> None:
+        self.cluster = Cluster(4)
+        self.cluster.run(6)
+        self.file(1)
+        self.cluster.run(4)
+
+    def file(self, number: int) -> int:
+        desk = self.cluster.daemons["entry-0"].desk
+        deadline = self.cluster.make_deadline()
+        return desk.file(build_next(number), deadline).unwrap().revision
+
+    def cut_links(self, name: str) -> None:
+        for other in self.cluster.daemons:
+            self.cluster.hub.cuts |= {(name, other), (other, name)}
+
+    def start_alone(self) -> FakeDaemon:
+        """Return a daemon of a new name that reaches only the table."""
+        daemon = FakeDaemon(self.cluster, "entry-9", "zone-0")
+        self.cut_links(daemon.name)
+        return daemon
+
+    def check(self, cut: FakeDaemon, revision: int) -> None:
+        self.assertTrue(cut.spreader.is_ready())
+        self.assertLess(cut.log.view.revision, revision)
+        desk = self.cluster.daemons["entry-0"].desk
+        status = desk.report(2, self.cluster.make_deadline())
+        self.assertFalse(status.is_ok() and status.unwrap().in_force)
+
+    def test_counts_a_daemon_whose_registration_failed(self) -> None:
+        new = self.start_alone()
+        unavailable = Err(UnavailableFailure("slow"))
+        with patch.object(new.table, "commit", return_value=unavailable):
+            new.tick()
+        new.table.cut = True
+        revision = self.file(2)
+        self.cluster.run(3)
+        self.check(new, revision)
+
+    def test_counts_unread_rows_while_the_table_is_down(self) -> None:
+        new = self.start_alone()
+        new.tick()
+        new.table.cut = True
+        revision = self.file(2)
+        self.cluster.hub.deliver()
+        self.cluster.table.down = True
+        self.cluster.run(1)
+        self.check(new, revision)
+
+    def test_counts_a_daemon_that_is_cut_off_for_long(self) -> None:
+        cut = self.cluster.daemons["entry-3"]
+        cut.table.cut = True
+        self.cut_links(cut.name)
+        revision = self.file(2)
+        self.cluster.run(640)
+        for daemon in self.cluster.daemons.values():
+            duty = daemon.duties.find_duty(COMPACTION_DUTY)
+            if duty is not None:
+                daemon.compactor.compact(duty).unwrap()
+        self.cluster.run(5)
+        self.check(cut, revision)
+
+
 if __name__ == "__main__":
     unittest.main()
