Report a ticket in force only past three faults that the model found

Cause: (1) a daemon whose row could not be written still loaded the log and served, unseen by a report; (2) a report went on when the members' rows could not be read; (3) the row of a daemon silent for 600 s was deleted, though a daemon that is cut off may serve on. Ruled out for (3): a longer time, since a cut has no bound. Change: what is read before the own row is written makes no daemon ready; a report without rows is refused as unavailable; a silent daemon's row goes only once the platform's list of VMs says that its VM is gone. Not proved: a daemon that starts from peers while it can not reach the platform is known to the reporting daemon only by gossip.

--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from prometheus_client import Gauge
@@ -28,10 +28,12 @@
 from chestnutstair.coordination.platform import (
     Condition,
     ConflictFailure,
+    ListedVm,
     PlatformFailure,
     Table,
 )
 from chestnutstair.coordination.registry import (
+    find_gone,
     prune_rows,
     read_facts,
     write_fact,
@@ -105,6 +107,7 @@
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
         self._ticks = 0
+        self._registered = False
         self._own = Fact(
             member.name, member.zone, member.address, member.incarnation, 1
         )
@@ -138,6 +141,10 @@
         """
         self._write_own(self._make_deadline())
 
+    def is_registered(self) -> bool:
+        """Tell whether the own row has been written."""
+        return self._registered
+
     def mark_ready(self) -> None:
         """Say from now on that this daemon serves."""
         with self._lock:
@@ -350,20 +357,24 @@
         written = write_fact(self._table, own, deadline)
         with self._lock:
             self._own = replace(self._own, reaches_table=written.is_ok())
+            self._registered = self._registered or written.is_ok()
         match written:
             case Err(failure):
                 logger.info("renewal: %s", describe_failure(failure))
 
-    def read_rows(self, deadline: Deadline) -> None:
-        """Read the rows of all daemons, if the table answers."""
+    def read_rows(self, deadline: Deadline) -> Result[None, PlatformFailure]:
+        """Read the rows of all daemons."""
         now = self._clock.read_monotonic()
         match read_facts(self._table, deadline):
             case Ok(facts):
                 self._take_rows(facts)
                 self._table_read_at = now
                 self._scan_at = now + self._scan_interval()
+                return Ok(None)
             case Err(failure):
                 logger.info("members: %s", describe_failure(failure))
+                return Err(failure)
+        raise AssertionError
 
     def _take_rows(self, facts: tuple[Fact, ...]) -> None:
         with self._lock:
@@ -376,13 +387,17 @@
                     self._heard_directly.pop(fact.name, None)
 
     def prune(
-        self, fence: Condition, deadline: Deadline
+        self, listed: Sequence[ListedVm], fence: Condition, deadline: Deadline
     ) -> Result[None, ConflictFailure | PlatformFailure]:
-        """Delete the rows of daemons that stopped, or are gone for long."""
-        return prune_rows(
-            self._table,
-            self.list_statuses(),
-            self._settings.forget_seconds,
-            fence,
-            deadline,
-        )
+        """Delete the rows of daemons that stopped or whose VM is gone.
+
+        Silence alone does not tell: a daemon that is cut off may serve.
+        """
+        statuses = self.list_statuses()
+        silent = [
+            status.fact.name
+            for status in statuses
+            if status.silent_seconds > self._settings.forget_seconds
+        ]
+        gone = find_gone(silent, listed, self._own.name)
+        return prune_rows(self._table, statuses, gone, fence, deadline)
--- a/chestnutstair/coordination/registry.py
+++ b/chestnutstair/coordination/registry.py
@@ -1,6 +1,6 @@
 """The rows in which daemons register and renew their beats."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from result import Err, Ok, Result
 
@@ -10,6 +10,7 @@
     Condition,
     ConflictFailure,
     Key,
+    ListedVm,
     PlatformFailure,
     Table,
     Write,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "MEMBER_TABLE",
+    "find_gone",
     "prune_rows",
     "read_facts",
     "write_fact",
@@ -51,28 +53,44 @@
 def prune_rows(
     table: Table,
     statuses: Sequence[MemberStatus],
-    forget_seconds: float,
+    gone: Collection[str],
     fence: Condition,
     deadline: Deadline,
 ) -> Result[None, ConflictFailure | PlatformFailure]:
-    """Delete the rows of daemons that stopped, or are gone for long.
+    """Delete the rows of daemons that stopped or whose VM is gone.
 
-    The fence is the condition of the duty that allows it.
+    `gone` names the VMs that the platform says are gone. The fence is the
+    condition of the duty that allows it.
     """
     kept = {status.fact.incarnation for status in statuses}
     removed = _remove_beats(table, kept, fence, deadline)
-    gone = [
+    ended = [
         status.fact.name
         for status in statuses
         if not status.live
-        and (status.fact.stopping or status.silent_seconds > forget_seconds)
+        and (status.fact.stopping or status.fact.name in gone)
     ]
-    if removed.is_err() or not gone:
+    if removed.is_err() or not ended:
         return removed
-    writes = [Write(Key(MEMBER_TABLE, name), None) for name in gone]
+    writes = [Write(Key(MEMBER_TABLE, name), None) for name in ended]
     return table.commit([fence], writes, deadline)
 
 
+def find_gone(
+    names: Iterable[str], listed: Sequence[ListedVm], own_name: str
+) -> frozenset[str]:
+    """Return those of the names whose VM the platform says is gone.
+
+    A VM that is not listed is gone only if the list has entry VMs at all,
+    such as the own one.
+    """
+    live = {vm.name: vm.live for vm in listed}
+    unlisted_is_live = own_name not in live
+    return frozenset(
+        name for name in names if not live.get(name, unlisted_is_live)
+    )
+
+
 def _remove_beats(
     table: Table, kept: Collection[str], fence: Condition, deadline: Deadline
 ) -> Result[None, ConflictFailure | PlatformFailure]:
--- a/chestnutstair/coordination/snapshot.py
+++ b/chestnutstair/coordination/snapshot.py
@@ -13,6 +13,7 @@
 from chestnutstair.coordination.platform import (
     ConflictFailure,
     PlatformFailure,
+    VmDirectory,
 )
 from chestnutstair.coordination.records import SEGMENT_SIZE, Floor
 from chestnutstair.state.codec import STRICT
@@ -63,6 +64,7 @@
         log: ChangeLog,
         duties: DutyHolder,
         members: MemberList,
+        directory: VmDirectory,
         clock: Clock,
         settings: SnapshotSettings | None = None,
     ) -> None:
@@ -70,6 +72,7 @@
         self._store = log.store
         self._duties = duties
         self._members = members
+        self._directory = directory
         self._clock = clock
         self._settings = settings or SnapshotSettings()
         self._loop = Loop("compaction", self._run)
@@ -94,7 +97,7 @@
         """Archive whole segments below the tail; return the new floor."""
         seconds = self._settings.table_seconds
         deadline = Deadline.after(self._clock, seconds)
-        self._members.prune(duty.build_condition(), deadline)
+        self._prune(duty, deadline)
         match self._store.read_floor(deadline):
             case Err(failure):
                 return Err(failure)
@@ -108,6 +111,10 @@
             floor = raised.ok_value
         return self._remove_rows(floor, deadline)
 
+    def _prune(self, duty: Duty, deadline: Deadline) -> None:
+        listed = self._directory.list_vms(deadline).unwrap_or(())
+        self._members.prune(listed, duty.build_condition(), deadline)
+
     def _choose_target(self) -> int:
         tail = max(1, self._settings.tail_records)
         oldest = self._log.view.revision - tail
--- a/chestnutstair/coordination/spread.py
+++ b/chestnutstair/coordination/spread.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from prometheus_client import Counter, Gauge
@@ -102,11 +102,13 @@
         log: ChangeLog,
         links: PeerLinks,
         clock: Clock,
+        is_registered: Callable[[], bool],
         settings: SpreadSettings | None = None,
     ) -> None:
         self._settings = settings or SpreadSettings()
         self._log = log
         self._links = links
+        self._is_registered = is_registered
         self._clock = clock
         self._lock = threading.Lock()
         self._heard: dict[str, tuple[int, float]] = {}
@@ -144,11 +146,14 @@
         """Read new records from the table; before that, load a snapshot."""
         deadline = Deadline.after(self._clock, self._settings.table_seconds)
         before = self._log.view.revision
+        # Only from a registered daemon is a ticket's confirmation awaited,
+        # so what is read before does not make it ready.
+        registered = self._is_registered()
         load = self._log.refresh if self._ready else self._log.load
         match load(deadline):
             case Ok(revision):
                 LEARNED.labels("table").inc(revision - before)
-                self._ready = True
+                self._ready = self._ready or registered
                 self._table_answers = True
             case Err(failure):
                 self._table_answers = False
--- a/chestnutstair/coordination/tickets.py
+++ b/chestnutstair/coordination/tickets.py
@@ -276,8 +276,8 @@
                 return Err(UnknownTicketFailure(number, expected))
             case Ok(entry) if entry is not None:
                 # Daemons that registered before the ticket are in the rows.
-                self._members.read_rows(deadline)
-                return Ok(self._report(entry))
+                rows = self._members.read_rows(deadline)
+                return rows.map(lambda _: self._report(entry))
         raise AssertionError(number)
 
     def _report(self, entry: TicketEntry) -> TicketStatus:
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -128,7 +128,11 @@
             settings.membership,
         )
         self._spreader = Spreader(
-            self._log, self._network, clock, settings.spread
+            self._log,
+            self._network,
+            clock,
+            self._members.is_registered,
+            settings.spread,
         )
         self._duties = LeasedDuties(
             self._table,
@@ -138,7 +142,12 @@
             settings.duties,
         )
         self._compactor = Compactor(
-            self._log, self._duties, self._members, clock, settings.snapshots
+            self._log,
+            self._duties,
+            self._members,
+            self._directory,
+            clock,
+            settings.snapshots,
         )
         self._forwarder = Forwarder(
             self._log,
--- a/tools/configuration_node.py
+++ b/tools/configuration_node.py
@@ -207,7 +207,9 @@
             SpreadMode.ZONE: ZoneSpreader,
         }
         kind = kinds.get(settings.mode, Spreader)
-        self.spreader = kind(self.log, self.network, clock)
+        self.spreader = kind(
+            self.log, self.network, clock, self.members.is_registered
+        )
         if isinstance(self.spreader, ZoneSpreader):
             self.spreader.members = self.members
         self.log.add_listener(self._note_fold)
