Measure retries and split the slot model

Change: the policies stand in tools/slot_policy.py; the bench counts attempts while all targets of a pool fail. Ruled out: nothing.

--- a/tools/bench_requests.py
+++ b/tools/bench_requests.py
@@ -1,6 +1,7 @@
 """Measures the decisions of the request path; prints tables only."""
 
 import itertools
+import statistics
 import sys
 import threading
 import time
@@ -8,6 +9,8 @@
 from dataclasses import replace
 from typing import Any
 
+from result import Err
+
 from chestnutstair.coordination.admission import Admission, AdmissionSettings
 from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.claims import (
@@ -15,17 +18,24 @@
     ClaimSettings,
     build_claim_key,
 )
+from chestnutstair.coordination.forwarder import ForwarderSettings
 from chestnutstair.coordination.grant import Entry
 from chestnutstair.coordination.pressure import PressureSettings
 from chestnutstair.coordination.request import Request
+from chestnutstair.coordination.retry import RetrySettings
+from chestnutstair.coordination.target import LostAnswerFailure
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.state.deadline import Deadline, SystemClock
+from chestnutstair.state.fleet import Vm
 from chestnutstair.tests.requests_support import (
+    FakeTargetClient,
     LoneMembership,
     RecordingMessenger,
+    build_forwarder,
     build_request,
     build_runner_log,
 )
+from chestnutstair.tests.support import ManualClock
 from tools.flood_load import (
     CLASSES,
     SERVICES,
@@ -41,15 +51,13 @@
     serve_targets,
     start_process,
 )
-from tools.slot_model import (
+from tools.slot_model import SlotModel, SlotPolicy, SlotScene
+from tools.slot_policy import (
     BackoffSlotPolicy,
     HybridSlotPolicy,
     LeastLoadedSlotPolicy,
     RandomPairSlotPolicy,
     ShareSlotPolicy,
-    SlotModel,
-    SlotPolicy,
-    SlotScene,
 )
 
 __all__ = ["main"]
@@ -71,10 +79,12 @@
 }
 MICROSECONDS = 1_000_000
 DECISIONS = 5000
+ATTEMPT_SECONDS = 0.1
 COMMIT_SECONDS = 0.005
 CLAIM_SECONDS = 3.0
 WARM_SECONDS = 0.5
-CALL_SECONDS = 4.0
+CALL_SECONDS = 2.0
+ROUNDS = 5
 FLEETS = {"papagalaki": (8, 4), "rosaleda": (6, 3)}  # targets, zones
 
 
@@ -101,19 +111,27 @@
 
 def measure_throughput() -> None:
     """Compare the whole path with a daemon that only forwards."""
-    print("callers | naive and whole path: a second, ms p50/p99 | ratio")
+    print("callers | median a second: naive, whole path | ratio of the")
+    print("medians | ratio of each of the rounds, which take turns")
     with start_process(serve_targets, 8) as addresses:
         for callers in (1, 8, 64):
-            reports = []
-            for serve in (serve_naive, serve_daemon):
-                with start_process(serve, addresses) as port:
-                    reports.append(_call_daemon(port, callers))
-            naive, whole = reports
-            print(
-                f"{callers:3d} {_format(naive)} {_format(whole)}"
-                f"  {whole.rate / naive.rate:5.2f}",
-                flush=True,
-            )
+            rounds = [_call_both(addresses, callers) for _ in range(ROUNDS)]
+            naive = statistics.median(pair[0].rate for pair in rounds)
+            whole = statistics.median(pair[1].rate for pair in rounds)
+            ratios = sorted(pair[1].rate / pair[0].rate for pair in rounds)
+            print(f"{callers:3d} {naive:6.0f} {whole:6.0f}", end="")
+            print(f" {whole / naive:5.2f} |", end="")
+            print(*(f" {ratio:4.2f}" for ratio in ratios), flush=True)
+
+
+def _call_both(
+    addresses: list[str], callers: int
+) -> tuple[CallReport, CallReport]:
+    reports = []
+    for serve in (serve_naive, serve_daemon):
+        with start_process(serve, addresses) as port:
+            reports.append(_call_daemon(port, callers))
+    return reports[0], reports[1]
 
 
 def _call_daemon(port: int, callers: int) -> CallReport:
@@ -123,11 +141,6 @@
         return report
 
 
-def _format(report: CallReport) -> str:
-    times = f"{report.median_ms:7.2f} {report.p99_ms:8.2f}"
-    return f"{report.rate:7.0f} {times}"
-
-
 def measure_routing() -> None:
     """Time one admitted and released request by the size of the pool."""
     print("targets | microseconds a decision | microseconds a new view")
@@ -266,7 +279,31 @@
     return sum(found.completed[key] for key in keys) / max(1, before)
 
 
+def measure_retries() -> None:
+    """Count the attempts that a pool gets while all its targets fail."""
+    print("retries | attempts for each of 500 idempotent requests")
+    settings = ForwarderSettings()
+    free = RetrySettings(share=1.0, burst=1e9)
+    unbounded = replace(
+        settings, admission=replace(settings.admission, retry=free)
+    )
+    for name, chosen in (("budget", settings), ("none", unbounded)):
+        clock = ManualClock()
+
+        def fail(vm: Vm, request: Request, clock: Any = clock) -> Any:
+            clock.now += ATTEMPT_SECONDS
+            return Err(LostAnswerFailure(vm.name, "reset"))
+
+        client = FakeTargetClient(fail)
+        log = build_runner_log(clock, ["127.0.0.1:1", "127.0.0.1:2"])
+        forwarder, _ = build_forwarder(log, client, clock, settings=chosen)
+        for _ in range(500):
+            forwarder.forward(build_request(clock, 1.0, idempotent=True))
+        print(f"{name:8} {len(client.sent) / 500:6.2f}", flush=True)
+
+
 MEASUREMENTS = {
+    "retries": measure_retries,
     "floods": measure_floods,
     "slots": measure_slots,
     "routing": measure_routing,
--- a/tools/slot_model.py
+++ b/tools/slot_model.py
@@ -6,26 +6,16 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 __all__ = [
-    "BackoffSlotPolicy",
-    "HybridSlotPolicy",
-    "LeastLoadedSlotPolicy",
-    "RandomPairSlotPolicy",
-    "ShareSlotPolicy",
     "SlotModel",
-    "SlotPolicy",
     "SlotReport",
     "SlotScene",
 ]
 
 SLOTS = 8
 DELAY = 0.0005  # seconds one way, between daemons and to targets
-FIRST_BACKOFF = 0.01  # seconds
-LAST_BACKOFF = 0.08  # seconds
-LONG_BACKOFF = 0.32  # seconds
-LOAN_RETRY = 0.01  # seconds
-LEASE = 3.0  # seconds after which a dead holder's shares return
 WARM_UP = 2.0  # seconds left out of the figures
 
 
@@ -81,226 +71,26 @@
     alive: bool = True
 
 
-class SlotPolicy:
+class SlotPolicy(Protocol):
     """Chooses where a daemon sends the head of its queue."""
 
-    enforced = True  # the target refuses what exceeds its slots
+    enforced: bool
 
     def attach(self, model: "SlotModel") -> None:
         """Set up the state of the policy for the model."""
-        self.model = model
-        scene = model.scene
-        shape = range(scene.daemons)
-        self.closed_until = [[0.0] * scene.targets for _ in shape]
-        self.backoff = [[FIRST_BACKOFF] * scene.targets for _ in shape]
 
     def choose(self, daemon: int) -> int | None:
         """Return the target to send to, or None to wait."""
-        raise NotImplementedError
 
     def note_refusal(self, daemon: int, target: int) -> None:
-        """Close the target to the daemon for a while that doubles."""
-        wait = self.backoff[daemon][target]
-        self.backoff[daemon][target] = min(2 * wait, LAST_BACKOFF)
-        until = self.model.now + wait * self.model.random.uniform(0.5, 1.0)
-        self.closed_until[daemon][target] = until
-        self.model.add(until, lambda: self.model.pump(daemon))
+        """Learn that the target was full."""
 
     def note_end(self, daemon: int, target: int) -> None:
-        """Reopen a target on which a slot has just become free."""
-        self.closed_until[daemon][target] = 0.0
-        self.backoff[daemon][target] = FIRST_BACKOFF
+        """Learn that a request of the daemon ended on the target."""
 
     def note_death(self, daemon: int) -> None:
         """Learn that a daemon died."""
 
-    def list_open(self, daemon: int) -> list[int]:
-        """Return the reachable targets not closed to the daemon."""
-        own = self.model.daemons[daemon]
-        return [
-            index
-            for index, until in enumerate(self.closed_until[daemon])
-            if until <= self.model.now
-            and own.in_flight[index] < SLOTS
-            and self.model.reaches(own.zone, self.model.targets[index].zone)
-        ]
-
-
-class RandomPairSlotPolicy(SlotPolicy):
-    """Sends on the less loaded of two random targets."""
-
-    def choose(self, daemon: int) -> int | None:
-        """Compare two random targets by own requests in flight."""
-        options = self.list_open(daemon)
-        if not options:
-            return None
-        load = self.model.daemons[daemon].in_flight
-        pair = [self.model.random.choice(options) for _ in range(2)]
-        return min(pair, key=lambda index: load[index])
-
-
-class LeastLoadedSlotPolicy(SlotPolicy):
-    """Sends to a random one of the targets with the least in flight."""
-
-    def choose(self, daemon: int) -> int | None:
-        """Compare all targets by own requests in flight."""
-        return self.pick(daemon, self.list_open(daemon))
-
-    def pick(self, daemon: int, options: list[int]) -> int | None:
-        """Return the least loaded of the options, at random among ties."""
-        if not options:
-            return None
-        load = self.model.daemons[daemon].in_flight
-        least = min(load[index] for index in options)
-        ties = [index for index in options if load[index] == least]
-        return self.model.random.choice(ties)
-
-
-class HybridSlotPolicy(LeastLoadedSlotPolicy):
-    """As above, but own zone first and others only when it is full."""
-
-    def choose(self, daemon: int) -> int | None:
-        """Prefer the targets of the daemon's zone."""
-        return self.pick_near(daemon, self.list_open(daemon))
-
-    def pick_near(self, daemon: int, options: list[int]) -> int | None:
-        """Pick among the options of the own zone, or else among all."""
-        zone = self.model.daemons[daemon].zone
-        near = [i for i in options if self.model.targets[i].zone == zone]
-        return self.pick(daemon, near or options)
-
-
-class BackoffSlotPolicy(HybridSlotPolicy):
-    """As above, but one request at a time to a target that refused.
-
-    Each refusal doubles the pause, up to `LONG_BACKOFF`, and each end of
-    a request of the daemon on the target halves it and ends the pause.
-    """
-
-    def choose(self, daemon: int) -> int | None:
-        """Close a target with a pause again for whatever it is sent."""
-        target = super().choose(daemon)
-        if target is not None:
-            wait = self.backoff[daemon][target]
-            if wait > FIRST_BACKOFF:
-                self.close(daemon, target, wait)
-        return target
-
-    def close(self, daemon: int, target: int, wait: float) -> None:
-        """Close the target to the daemon for up to the wait."""
-        until = self.model.now + wait * self.model.random.uniform(0.5, 1.0)
-        self.closed_until[daemon][target] = until
-        self.model.add(until, lambda: self.model.pump(daemon))
-
-    def note_refusal(self, daemon: int, target: int) -> None:
-        """Double the pause and start it."""
-        wait = self.backoff[daemon][target]
-        self.backoff[daemon][target] = min(2 * wait, LONG_BACKOFF)
-        self.close(daemon, target, wait)
-
-    def note_end(self, daemon: int, target: int) -> None:
-        """End the pause and halve the next one."""
-        self.closed_until[daemon][target] = 0.0
-        shorter = self.backoff[daemon][target] / 2
-        self.backoff[daemon][target] = max(FIRST_BACKOFF, shorter)
-
-
-class ShareSlotPolicy(LeastLoadedSlotPolicy):
-    """Sends only within its shares; idle shares are lent on request.
-
-    The giver debits first. A dead daemon's shares return to the others
-    when its lease has run out; a loan ends with the slot's next idle use.
-    """
-
-    enforced = False
-
-    def attach(self, model: "SlotModel") -> None:
-        """Deal the slots of every target out to the daemons in turn."""
-        super().attach(model)
-        scene = model.scene
-        self.shares = [[0] * scene.targets for _ in range(scene.daemons)]
-        for index in range(scene.targets * SLOTS):
-            self.shares[index % scene.daemons][index // SLOTS] += 1
-        self.asking = [False] * scene.daemons
-
-    def choose(self, daemon: int) -> int | None:
-        """Use an idle share, or ask a random peer for some."""
-        own = self.model.daemons[daemon]
-        options = [
-            index
-            for index in range(len(self.model.targets))
-            if own.in_flight[index] < self.shares[daemon][index]
-            and self.model.reaches(own.zone, self.model.targets[index].zone)
-        ]
-        if not options and not self.asking[daemon]:
-            self.ask(daemon)
-        return self.pick(daemon, options)
-
-    def ask(self, daemon: int) -> None:
-        """Ask one reachable live peer for idle shares."""
-        model = self.model
-        zone = model.daemons[daemon].zone
-        peers = [
-            index
-            for index, peer in enumerate(model.daemons)
-            if index != daemon
-            and peer.alive
-            and model.reaches(zone, peer.zone)
-        ]
-        if not peers:
-            return
-        self.asking[daemon] = True
-        peer = model.random.choice(peers)
-        model.messages += 1
-        model.add(model.now + DELAY, lambda: self.give(peer, daemon))
-
-    def give(self, giver: int, taker: int) -> None:
-        """Debit half of the idle shares and send them."""
-        model = self.model
-        own = model.daemons[giver]
-        zone = model.daemons[taker].zone
-        idle = [
-            index
-            for index, share in enumerate(self.shares[giver])
-            for _ in range(share - own.in_flight[index])
-            if model.reaches(zone, model.targets[index].zone)
-        ]
-        busy = bool(own.queue) or not own.alive
-        given = [] if busy else idle[: (len(idle) + 1) // 2]
-        for index in given:
-            self.shares[giver][index] -= 1
-        model.messages += 1
-        model.add(model.now + DELAY, lambda: self.take(taker, given))
-
-    def take(self, daemon: int, given: list[int]) -> None:
-        """Credit what a peer gave, or ask again a little later."""
-        for index in given:
-            self.shares[daemon][index] += 1
-        model = self.model
-        wait = 0.0 if given else LOAN_RETRY
-
-        def go_on() -> None:
-            self.asking[daemon] = False
-            model.pump(daemon)
-
-        model.add(model.now + wait, go_on)
-
-    def note_death(self, daemon: int) -> None:
-        """Deal the dead daemon's shares out once its lease has passed."""
-        model = self.model
-
-        def deal() -> None:
-            alive = [i for i, d in enumerate(model.daemons) if d.alive]
-            turn = itertools.cycle(alive)
-            for index, share in enumerate(self.shares[daemon]):
-                for _ in range(share):
-                    self.shares[next(turn)][index] += 1
-            self.shares[daemon] = [0] * len(model.targets)
-            for index in alive:
-                model.pump(index)
-
-        model.add(model.now + LEASE, deal)
-
 
 class SlotModel:
     """Runs one scene under one policy."""
