Pass a target's length of HEAD, date and server on once

Cause: HEAD answers said length 0, and Date and Server came twice. Ruled out: nothing. Change: the target's values replace cherrypy's. Before the change the new test failed on the length. Conclusion: test_callers passes.

--- a/chestnutstair/tests/test_callers.py
+++ b/chestnutstair/tests/test_callers.py
@@ -31,8 +31,11 @@
                 size = int(header.split(b":")[1])
         body = line.strip() + b"|" + reader.read(size)
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
+        head += "Server: target\r\n"
         cookies = "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n\r\n"
-        sock.sendall(head.encode() + cookies.encode() + body)
+        is_head = line.startswith(b"HEAD")
+        answer = head.encode() + cookies.encode()
+        sock.sendall(answer + (b"" if is_head else body))
 
 
 class CallersTest(unittest.TestCase):
@@ -74,6 +77,12 @@
         cookies = response.headers.get_all("Set-Cookie")
         self.assertEqual(cookies, ["a=1", "b=2"])
 
+    def test_passes_single_headers_on_once(self) -> None:
+        response, body = self.call("HEAD", "/call/quotes/abc")
+        self.assertEqual(body, b"")
+        self.assertEqual(response.headers["Content-Length"], "19")
+        self.assertEqual(response.headers.get_all("Server"), ["target"])
+
     def test_keeps_the_callers_request_id(self) -> None:
         headers = {"Idempotency-Key": "order-7"}
         response, _ = self.call("GET", "/call/quotes/", **headers)
--- a/chestnutstair/transport/callers.py
+++ b/chestnutstair/transport/callers.py
@@ -33,7 +33,7 @@
 PREFIX = "/call/"
 DONE_KEY = "chestnutstair.read_done"  # called when the body has been read
 CHUNK_BYTES = 65536
-SINGLE_HEADERS = ("Content-Length", "Content-Type")
+SINGLE_HEADERS = ("Content-Length", "Content-Type", "Date", "Server")
 
 
 class _CallHandler:
@@ -156,7 +156,8 @@
         for key, value in answer.headers:
             if key.lower() == name.lower():
                 response.headers[name] = value
-    response.headers["Content-Length"] = str(len(answer.body))
+    if request.method != "HEAD" or answer.body:
+        response.headers["Content-Length"] = str(len(answer.body))
     others = [
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in answer.headers
--- a/chestnutstair/transport/targets.py
+++ b/chestnutstair/transport/targets.py
@@ -266,11 +266,11 @@
         if problem:
             response.close()
             return Err(LostAnswerFailure(vm.name, problem))
-        answer = Answer(
-            response.status,
-            _keep_headers(response.headers.items()),
-            body,
-        )
+        headers = _keep_headers(response.headers.items())
+        length = response.headers.get("Content-Length")
+        if request.method == "HEAD" and length is not None:
+            headers = (*headers, ("Content-Length", length))
+        answer = Answer(response.status, headers, body)
         leaving = response.headers.get("X-Leaving", "").lower() == "true"
         return Ok(TargetAnswer(answer, _read_ran(response), leaving))
 
