--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -28,6 +28,7 @@
     Spreader,
     ViewMessage,
 )
+from chestnutstair.coordination.sweeper import SWEEP_DUTY, ClaimSweeper
 from chestnutstair.coordination.task_conductor import (
     TaskConductor,
     list_duty_names,
@@ -149,13 +150,16 @@
             clock,
             settings.snapshots,
         )
+        self._claims = ClaimLedger(
+            self._table, clock, self._members, settings.claims
+        )
         self._forwarder = Forwarder(
             self._log,
             HttpTargetClient(clock, settings.targets, SocketReaper(clock)),
             clock,
             self._members,
             self._network,
-            ClaimLedger(self._table, clock, self._members, settings.claims),
+            self._claims,
             settings.forwarding,
         )
 
@@ -163,6 +167,7 @@
         view = self._log.view
         return [
             COMPACTION_DUTY,
+            SWEEP_DUTY,
             *map(build_maintenance_name, view.pools),
             *list_duty_names(view),
         ]
@@ -199,7 +204,9 @@
         reader = DirectoryReader(
             self._directory, self._forwarder.note_directory
         )
+        sweeper = ClaimSweeper(self._claims, self._duties, settings.sweep)
         self._loops = (
+            self._build_loop("sweep", sweeper.run_once, loops.sweep_seconds),
             self._build_loop(
                 "directory", reader.run_once, loops.directory_seconds
             ),
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -17,6 +17,7 @@
 from chestnutstair.coordination.pool_round import PlacementSettings
 from chestnutstair.coordination.snapshot import SnapshotSettings
 from chestnutstair.coordination.spread import SpreadSettings
+from chestnutstair.coordination.sweeper import SweepSettings
 from chestnutstair.protocol.callers import CallSettings
 from chestnutstair.protocol.service import OperatorSettings
 from chestnutstair.state.codec import (
@@ -64,6 +65,7 @@
     drain_seconds: float = 1.0
     outage_seconds: float = 1.0
     placement_seconds: float = 0.5
+    sweep_seconds: float = 10.0
     round_seconds: float = 5.0  # deadline of one round
 
 
@@ -102,6 +104,7 @@
     calls: CallSettings = field(default_factory=CallSettings)
     forwarding: ForwarderSettings = field(default_factory=ForwarderSettings)
     claims: ClaimSettings = field(default_factory=ClaimSettings)
+    sweep: SweepSettings = field(default_factory=SweepSettings)
     targets: TargetSettings = field(default_factory=TargetSettings)
     platform: PlatformClientSettings = field(
         default_factory=PlatformClientSettings
--- a/chestnutstair/tests/test_settings.py
+++ b/chestnutstair/tests/test_settings.py
@@ -11,6 +11,7 @@
 from chestnutstair.state.fold import apply_change
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import FleetView
+from tools.settings_page import build_page
 
 SAMPLES = Path(__file__).resolve().parents[2] / "samples"
 
@@ -47,3 +48,7 @@
     def test_names_a_file_that_can_not_be_read(self) -> None:
         failure = read_settings(Path("no-such-file.json")).unwrap_err()
         self.assertEqual(failure.mistakes[0].path, "no-such-file.json")
+
+    def test_the_settings_page_is_up_to_date(self) -> None:
+        page = SAMPLES.parent / "docs" / "settings.md"
+        self.assertEqual(page.read_text(), build_page())
