Run all tasks of a job filed again, repeat none of unknown end

Cause, two faults found on review, each with a test that failed first: a job removed and filed again, while a worker out of reach kept one of its rows, never ran the tasks whose rows had been deleted; and a task of a job that is not restartable started again when it was told to stop after it had ended unseen (test_runs_all_of_a_job_filed_again, test_never_repeats_a_stopped_task_of_unknown_end).

The ledger now looks for gaps below the highest index; an order to stop settles only starts that were never delivered.

--- a/chestnutstair/coordination/tasks.py
+++ b/chestnutstair/coordination/tasks.py
@@ -2,8 +2,8 @@
 
 import collections
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
-from itertools import chain
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import chain, islice
 
 from prometheus_client import Counter
 from result import Err, Ok, Result
@@ -99,6 +99,7 @@
         self._loaded = False
         self._records: dict[TaskName, TaskRecord] = {}
         self._row_counts: collections.Counter[str] = collections.Counter()
+        self._ends: collections.Counter[str] = collections.Counter()
         self._pending: dict[str, set[int]] = defaultdict(set)
         self._live: dict[str, set[TaskName]] = defaultdict(set)
 
@@ -126,15 +127,20 @@
     def find_pending(self, job: Job, count: int) -> list[TaskName]:
         """Return up to `count` tasks of the job that wait for a worker.
 
-        Rows are made in the order of their index, so that all tasks from
-        the number of rows up have none yet.
+        Rows are made in the order of their index, and gaps appear only
+        where rows of a job that was removed and filed again were deleted.
         """
         known = sorted(self._pending.get(job.name, ()))
-        first = self._row_counts[job.name]
-        new = range(first, min(job.task_count, first + count))
-        waiting = (index for index in known if index < job.task_count)
-        chosen = list(chain(waiting, new))[:count]
-        return [TaskName(job.name, index) for index in chosen]
+        first = self._ends[job.name]
+        gaps: Iterable[int] = ()
+        if self._row_counts[job.name] < first:
+            gaps = self._find_gaps(job.name, first)
+        new = range(first, first + count)
+        waiting = (i for i in chain(known, gaps, new) if i < job.task_count)
+        return [TaskName(job.name, i) for i in islice(waiting, count)]
+
+    def _find_gaps(self, job: str, end: int) -> list[int]:
+        return [i for i in range(end) if TaskName(job, i) not in self._records]
 
     def load(self, deadline: Deadline) -> Result[None, PlatformFailure]:
         """Read all rows, unless the cache is whole."""
@@ -161,6 +167,8 @@
             return
         self._versions.pop(task)
         self._row_counts[task.job] -= 1
+        if not self._row_counts[task.job]:
+            self._ends[task.job] = 0
         self._pending[task.job].discard(task.index)
         self._live[record.worker].discard(task)
 
@@ -172,6 +180,7 @@
         self._versions[task] = row.version
         self._records[task] = record
         self._row_counts[task.job] += 1
+        self._ends[task.job] = max(self._ends[task.job], task.index + 1)
         if record.stage is TaskStage.PENDING:
             self._pending[task.job].add(task.index)
         if record.is_live():
--- a/chestnutstair/coordination/watch.py
+++ b/chestnutstair/coordination/watch.py
@@ -171,7 +171,8 @@
         fleet: PoolFleet,
     ) -> TaskRecord:
         job = fleet.jobs.get(task.job)
-        if report is None and self._visitor.is_fenced(task, record.token):
+        undelivered = report is None and record.stage is TaskStage.STARTING
+        if undelivered and self._visitor.is_fenced(task, record.token):
             return record.release(TaskStage.PENDING)
         if report is not None and report.token == record.token:
             self._note_end(task, report)
--- a/chestnutstair/standins/workers.py
+++ b/chestnutstair/standins/workers.py
@@ -257,6 +257,13 @@
         used = replace(used, cores=used.cores * run.share)
         return TaskReport(run.task, run.worker, run.token, run.phase, used)
 
+    def forget_ends(self) -> None:
+        """Drop the ends of tasks from all reports."""
+        self.settle()
+        for key, run in list(self._newest.items()):
+            if run.phase is not TaskPhase.RUNNING:
+                del self._newest[key]
+
     def find_overlaps(self) -> list[tuple[TaskRun, TaskRun]]:
         """Return pairs of runs of one task that were live at once."""
         self.settle()
--- a/chestnutstair/tests/test_task_conductor.py
+++ b/chestnutstair/tests/test_task_conductor.py
@@ -138,6 +138,21 @@
         rows = self.table.scan("tasks", "", "~", 10, self.deadline())
         self.assertEqual(rows.unwrap(), ())
 
+    def test_runs_all_of_a_job_filed_again(self) -> None:
+        self.file(self.build_job(count=6))
+        self.run_rounds(3)
+        worker = self.find_worker("build/5")
+        self.workers.reach[worker] = Reach.REFUSED
+        self.file(removed=("build",))
+        self.run_rounds(3)
+        self.file(self.build_job(count=6))
+        self.run_rounds(150)
+        self.assertEqual(self.count(), {"finished": 6})
+
+    def find_worker(self, task: str) -> str:
+        runs = self.workers.runs.values()
+        return next(run.worker for run in runs if run.task == task)
+
     def test_moves_tasks_off_a_draining_worker(self) -> None:
         self.file(self.build_job(count=1))
         self.run_rounds(31)
--- a/chestnutstair/tests/test_task_takeover.py
+++ b/chestnutstair/tests/test_task_takeover.py
@@ -23,7 +23,7 @@
 from chestnutstair.coordination.worker_lease import LeaseSettings
 from chestnutstair.standins.table import MemoryTable
 from chestnutstair.standins.workers import MemoryWorkers, Reach, TaskBehaviour
-from chestnutstair.state.change import TicketChange
+from chestnutstair.state.change import DrainChange, TicketChange
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.state.fleet import Job
 from chestnutstair.state.resource import Resources
@@ -316,6 +316,20 @@
                 scene = Scene(restartable=False)
                 self.run_paused(scene, number, False, 45.0, True)
 
+    def test_never_repeats_a_stopped_task_of_unknown_end(self) -> None:
+        scene = Scene(restartable=False)
+        first = scene.open(no_steps())
+        scene.run(first, 15)
+        (run, *_) = self.list_runs(scene)
+        drain = DrainChange(run.worker, "wave", 0.0)
+        deadline = Deadline.after(scene.clock, 5)
+        scene.log.append(drain, deadline).unwrap()
+        scene.clock.now += 10.0  # all tasks end before the stop arrives
+        scene.workers.forget_ends()
+        scene.run(first, 60)
+        finishes = scene.workers.count_finishes()
+        self.assertEqual(set(finishes.values()), {1})
+
     def test_tasks_outlive_an_outage_of_the_table(self) -> None:
         scene = Scene(run_seconds=50.0)
         steps = no_steps()
