--- a/chestnutstair/coordination/tasks.py
+++ b/chestnutstair/coordination/tasks.py
@@ -1,9 +1,11 @@
 """The rows of a pool's tasks, cached by the daemon that places them."""
 
-from collections import Counter, defaultdict
+import collections
+from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from itertools import chain
 
+from prometheus_client import Counter
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.duty import Duty
@@ -39,6 +41,9 @@
 TASK_TABLE = "tasks"
 SCAN_LIMIT = 500  # rows
 COMMIT_LIMIT = 100  # rows
+TASK_WRITES = Counter(
+    "chestnutstair_task_writes_total", "Rows of tasks written.", ["pool"]
+)
 
 CommitFailure = ConflictFailure | PlatformFailure
 
@@ -53,6 +58,10 @@
     return TaskName.parse(task)
 
 
+def _get_index(task: TaskName) -> tuple[str, int]:
+    return task.job, task.index
+
+
 def decode_task(row: Row) -> TaskRecord:
     """Return the record in a task's row."""
     return decode_value(TaskRecord, row.value).unwrap()
@@ -89,11 +98,9 @@
         self._versions: dict[TaskName, int] = {}
         self._loaded = False
         self._records: dict[TaskName, TaskRecord] = {}
-        self._row_counts: Counter[str] = Counter()
+        self._row_counts: collections.Counter[str] = collections.Counter()
         self._pending: dict[str, set[int]] = defaultdict(set)
         self._live: dict[str, set[TaskName]] = defaultdict(set)
-        self.commit_count = 0
-        self.row_count = 0
 
     @property
     def records(self) -> Mapping[TaskName, TaskRecord]:
@@ -106,12 +113,16 @@
 
     def list_live(self, worker: str) -> list[TaskName]:
         """Return the tasks that the worker may be running."""
-        return sorted(self._live.get(worker, ()))
+        return sorted(self._live.get(worker, ()), key=_get_index)
 
     def list_busy_workers(self) -> list[str]:
         """Return the workers that may be running a task."""
         return sorted(name for name, tasks in self._live.items() if tasks)
 
+    def list_jobs(self) -> list[str]:
+        """Return the jobs that have rows."""
+        return [job for job, count in self._row_counts.items() if count]
+
     def find_pending(self, job: Job, count: int) -> list[TaskName]:
         """Return up to `count` tasks of the job that wait for a worker.
 
@@ -199,8 +210,7 @@
         committed = self._table.commit(conditions, writes, deadline)
         if committed.is_err():
             return committed
-        self.commit_count += 1
-        self.row_count += len(batch)
+        TASK_WRITES.labels(self._pool).inc(len(batch))
         return self._read_back([task for task, _ in batch], deadline)
 
     def _read_back(
--- a/chestnutstair/tests/test_drain.py
+++ b/chestnutstair/tests/test_drain.py
@@ -18,12 +18,11 @@
 from chestnutstair.state.ticket import Ticket
 from chestnutstair.state.view import FleetView, VmPhase
 from chestnutstair.tests.maintenance_support import (
-    START_SECONDS,
-    Fleet,
     check_history,
     find_phase,
 )
 from chestnutstair.tests.support import FixedDutyHolder, build_ticket
+from tools.maintained_fleet import START_SECONDS, Fleet
 
 DAY_SECONDS = 86_400.0
 VM = "quotes-0"
@@ -234,6 +233,17 @@
         check_history(fleet)
         self.assertEqual(fleet.vms.cut, [])
 
+    def test_undoes_no_more_than_the_excess(self) -> None:
+        fleet = Fleet(build_ticket(runners=8, workers=0, budget=4))
+        fleet.clock.sleep(20 * DAY_SECONDS)
+        fleet.tick()
+        for vm in find_phase(fleet.log.view, VmPhase.DRAINING):
+            fleet.vms.start_request(vm)
+        fleet.vms.set_live(["quotes-4", "quotes-5"], False)
+        for _ in range(30):
+            fleet.tick()
+        self.assertEqual(check_history(fleet)["undo"], 1)
+
     def test_overlooks_what_does_not_last(self) -> None:
         self.vms.hidden = {VM}
         self.tick(4)
