Measure what control costs whole idle daemons

Cause: the cost of control had been measured without the loops of drains, outages and placement. Change: counters of calls and bytes to the platform, and tools.bench_idle.

--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -1,7 +1,9 @@
 """Daemons, targets and a platform as processes on loopback."""
 
+import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -26,6 +28,7 @@
 POLL_SECONDS = 0.05
 WAIT_SECONDS = 60.0  # generous, so that a slow machine changes nothing
 CALL_SECONDS = 30.0
+PORT_RANGE = (12000, 30000)  # below the ports of outgoing connections
 
 
 def wait_until(
@@ -67,9 +70,12 @@
 
 
 def _pick_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that no outgoing connection is given meanwhile."""
+    while True:
+        port = random.SystemRandom().randrange(*PORT_RANGE)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 class LocalCluster:
@@ -169,7 +175,14 @@
 
     def wait_ready(self, name: str) -> None:
         """Block until the daemon says that it is ready."""
-        wait_until(f"{name} ready", lambda: self.is_ready(name))
+        wait_until(f"{name} ready", lambda: self._check_ready(name))
+
+    def _check_ready(self, name: str) -> bool:
+        status = self._processes[name].poll()
+        if status is not None:
+            log = self.read_log(name)
+            raise RuntimeError(f"{name} ended with {status}: {log}")
+        return self.is_ready(name)
 
     def is_ready(self, name: str) -> bool:
         """Ask the daemon whether callers should be sent to it."""
@@ -179,6 +192,10 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def get_pid(self, name: str) -> int:
+        """Return the process id of a process."""
+        return self._processes[name].pid
+
     def send_signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a process, such as SIGSTOP or SIGKILL."""
         self._processes[name].send_signal(number)
--- a/chestnutstair/transport/platform_client.py
+++ b/chestnutstair/transport/platform_client.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 import urllib3
+from prometheus_client import Counter
 from result import Err, Ok, Result
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -37,6 +38,15 @@
 
 T = TypeVar("T")
 
+SERVICE_CALLS = Counter(
+    "chestnutstair_platform_calls", "Calls to the platform.", ["service"]
+)
+SERVICE_BYTES = Counter(
+    "chestnutstair_platform_bytes",
+    "Bytes of bodies exchanged with the platform.",
+    ["direction"],
+)
+
 CallFailure = ConflictFailure | PlatformFailure
 
 
@@ -100,15 +110,15 @@
         left = deadline.measure_left(self._clock)
         if left <= 0:
             return Err(UnavailableFailure("the deadline has passed"))
+        SERVICE_CALLS.labels(path.split("/")[1]).inc()
+        SERVICE_BYTES.labels("sent").inc(len(body or b""))
         try:
-            return Ok(
-                self._pool.urlopen(
-                    method,
-                    path,
-                    body=body,
-                    timeout=urllib3.Timeout(total=left),
-                    pool_timeout=left,  # type: ignore[arg-type]
-                )
+            answer = self._pool.urlopen(
+                method,
+                path,
+                body=body,
+                timeout=urllib3.Timeout(total=left),
+                pool_timeout=left,  # type: ignore[arg-type]
             )
         except (
             NewConnectionError,
@@ -118,6 +128,8 @@
             return Err(UnavailableFailure(str(error)))
         except HTTPError as error:
             return Err(UnknownOutcomeFailure(str(error)))
+        SERVICE_BYTES.labels("received").inc(len(answer.data))
+        return Ok(answer)
 
 
 def check_status(
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -5,7 +5,13 @@
 
 __all__ = ["main"]
 
-MEASUREMENTS = ("requests", "configuration", "maintenance", "placement")
+MEASUREMENTS = (
+    "requests",
+    "configuration",
+    "idle",
+    "maintenance",
+    "placement",
+)
 
 
 def main() -> int:
