Read the VM list once for all loops of a daemon

Cause: drains, outages and leaving hints each read the whole list every second, which was most of what an idle daemon exchanged. Change: a list is shared until it is 1.5 s old; a failure is never covered by an older list.

--- a/chestnutstair/coordination/directory.py
+++ b/chestnutstair/coordination/directory.py
@@ -1,19 +1,56 @@
-"""Reads the platform's list of VMs for those who act on it."""
+"""Reads the platform's list of VMs once for all who act on it."""
 
 import logging
+import threading
 from collections.abc import Callable, Sequence
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
-from chestnutstair.coordination.platform import ListedVm, VmDirectory
-from chestnutstair.state.deadline import Deadline
+from chestnutstair.coordination.platform import (
+    ListedVm,
+    PlatformFailure,
+    VmDirectory,
+)
+from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
 
-__all__ = ["DirectoryReader"]
+__all__ = ["CachedDirectory", "DirectoryReader"]
 
 logger = logging.getLogger(__name__)
 
 
+class CachedDirectory(VmDirectory):
+    """Answers from the last list while it is young.
+
+    The list lags anyway; to its readers this is a little more lag. A
+    failure is passed on and never covered by an older list.
+    """
+
+    def __init__(
+        self, directory: VmDirectory, clock: Clock, age_seconds: float
+    ) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._age_seconds = age_seconds
+        self._lock = threading.Lock()
+        self._listed: tuple[ListedVm, ...] = ()
+        self._fresh_until = Deadline(0.0)
+
+    def list_vms(
+        self, deadline: Deadline
+    ) -> Result[tuple[ListedVm, ...], PlatformFailure]:
+        """Return every VM that the platform knows."""
+        with self._lock:
+            if not self._fresh_until.has_passed(self._clock):
+                return Ok(self._listed)
+            fresh_until = Deadline.after(self._clock, self._age_seconds)
+            answer = self._directory.list_vms(deadline)
+            if isinstance(answer, Ok):
+                self._listed = answer.ok_value
+                self._fresh_until = fresh_until
+            return answer
+
+
 class DirectoryReader:
     """Passes each list on; while there is none, the last one stands."""
 
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -7,7 +7,10 @@
 
 from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.claims import ClaimLedger
-from chestnutstair.coordination.directory import DirectoryReader
+from chestnutstair.coordination.directory import (
+    CachedDirectory,
+    DirectoryReader,
+)
 from chestnutstair.coordination.drain_conductor import DrainConductor
 from chestnutstair.coordination.drain_conductor import (
     build_duty_name as build_maintenance_name,
@@ -99,7 +102,11 @@
         )
         self._table = HttpTable(*arguments)
         self._objects = HttpObjectStore(*arguments)
-        self._directory = HttpVmDirectory(*arguments)
+        self._directory = CachedDirectory(
+            HttpVmDirectory(*arguments),
+            self._clock,
+            settings.loops.list_age_seconds,
+        )
         self._control = HttpVmControl(*arguments)
         self._workers = HttpWorkerControl(*arguments)
 
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -57,10 +57,16 @@
 
 @dataclass(frozen=True)
 class LoopSettings:
-    """Seconds between the rounds of the control loops."""
+    """Seconds between the rounds of the control loops.
+
+    The VM list is read again once it is older than `list_age_seconds`.
+    Together with `directory_seconds` this bounds how late a daemon sees in
+    the list that a target is leaving.
+    """
 
     __pydantic_config__ = STRICT
 
+    list_age_seconds: float = 1.5
     directory_seconds: float = 1.0
     drain_seconds: float = 1.0
     outage_seconds: float = 1.0
--- /dev/null
+++ b/chestnutstair/tests/test_directory.py
@@ -0,0 +1,42 @@
+"""Tests of the VM list that several readers share."""
+
+import unittest
+from unittest.mock import create_autospec
+
+from result import Err, Ok
+
+from chestnutstair.coordination.directory import CachedDirectory
+from chestnutstair.coordination.platform import (
+    ListedVm,
+    UnavailableFailure,
+    VmDirectory,
+)
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.support import ManualClock
+
+
+class CachedDirectoryTest(unittest.TestCase):
+    """A list is read once while it is young."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.source = create_autospec(VmDirectory, instance=True)
+        self.source.list_vms.return_value = Ok(())
+        self.directory = CachedDirectory(self.source, self.clock, 1.5)
+        self.deadline = Deadline.after(self.clock, 100)
+
+    def test_reads_again_once_the_list_is_old(self) -> None:
+        listed = (ListedVm("a", "z", True, False, 1),)
+        self.directory.list_vms(self.deadline)
+        self.clock.now += 1.4
+        self.source.list_vms.return_value = Ok(listed)
+        self.assertEqual(self.directory.list_vms(self.deadline), Ok(()))
+        self.clock.now += 0.1
+        self.assertEqual(self.directory.list_vms(self.deadline), Ok(listed))
+
+    def test_covers_no_failure(self) -> None:
+        self.directory.list_vms(self.deadline)
+        self.clock.now += 2
+        failure = Err(UnavailableFailure("down"))
+        self.source.list_vms.return_value = failure
+        self.assertEqual(self.directory.list_vms(self.deadline), failure)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -24,6 +24,7 @@
 WORKER_COUNT = 2
 PERIOD_SECONDS = 20.0  # short, so that a VM is cleaned while we watch
 SETTINGS: dict[str, Any] = {
+    "loops": {"list_age_seconds": 0.5},
     "drains": {"healthy_checks": 1},
     "forwarding": {"stop_notice_seconds": 0.5},
     "log": {"level": "warning"},
