--- a/chestnutstair/tests/maintenance_support.py
+++ b/chestnutstair/tests/maintenance_support.py
@@ -1,9 +1,11 @@
 """An oracle over the history of a maintained fleet, for tests."""
 
 from collections import Counter
+from collections.abc import Iterable
 
 from chestnutstair.state.change import (
     Change,
+    ChangeRecord,
     DrainChange,
     MoveChange,
     OutageChange,
@@ -16,7 +18,7 @@
 from chestnutstair.state.view import FleetView, VmPhase
 from tools.maintained_fleet import Fleet
 
-__all__ = ["check_history", "find_phase"]
+__all__ = ["check_history", "find_phase", "replay"]
 
 
 def find_phase(view: FleetView, phase: VmPhase) -> list[str]:
@@ -71,18 +73,27 @@
                 self.unavailable.pop(name, None)
 
 
-def check_history(fleet: Fleet) -> Counter[str]:
-    """Replay the log against the budgets; return its kinds of changes.
+def replay(records: Iterable[ChangeRecord]) -> dict[str, str]:
+    """Check each planned stop in the log; return the pool of each VM.
 
     No planned stop began, or passed the point of no return, beyond the
-    budget, and each VM was in one pool, as every daemon's view says.
+    budget or while paused.
     """
-    records = fleet.log.read_records(0, 1_000_000, fleet.deadline).unwrap()
     history = _History()
     for record in records:
         history.apply(record.change)
+    return history.pools
+
+
+def check_history(fleet: Fleet) -> Counter[str]:
+    """Replay the fleet's log, and return how often each change came.
+
+    Each VM is in the one pool that the log gives it, in all views.
+    """
+    records = fleet.log.read_records(0, 1_000_000, fleet.deadline).unwrap()
+    pools = replay(records)
     for log in fleet.logs:
         log.refresh(fleet.deadline)
         statuses = log.view.statuses
-        assert history.pools == {vm: statuses[vm].pool for vm in statuses}
+        assert pools == {vm: statuses[vm].pool for vm in statuses}
     return Counter(record.change.kind for record in records)
