--- /dev/null
+++ b/tools/bench_placement_live.py
@@ -0,0 +1,168 @@
+"""Measures the start of urgent work over HTTP, in real time."""
+
+import logging
+import math
+import time
+
+from chestnutstair.coordination.changelog import ChangeLog
+from chestnutstair.coordination.duty import DUTY_TABLE, Duty, DutyHolder
+from chestnutstair.coordination.platform import Key, Table, Write
+from chestnutstair.coordination.pool_round import PlacementSettings
+from chestnutstair.coordination.task_conductor import TaskConductor
+from chestnutstair.standins.platform import Platform, PlatformSettings
+from chestnutstair.standins.vm import VmRegistration
+from chestnutstair.state.change import TicketChange
+from chestnutstair.state.deadline import Deadline, SystemClock
+from chestnutstair.state.fleet import Job, Pool, PoolKind, Team, Vm, Zone
+from chestnutstair.state.resource import Resources
+from chestnutstair.state.ticket import Ticket
+from chestnutstair.state.view import FleetView
+from chestnutstair.transport.platform import HttpTable, HttpWorkerControl
+
+CLOCK = SystemClock()
+WORKER = Resources(64, 256)
+WORKER_COUNT = 8
+TASK = Resources(6, 20)  # 10 of them fill a worker
+ROUND_SECONDS = 0.5
+CALL_COUNT = 300
+
+
+class _OnlyHolder(DutyHolder):
+    def __init__(self, table: Table) -> None:
+        self._key = Key(DUTY_TABLE, "placement/pool")
+        deadline = Deadline.after(CLOCK, 5)
+        table.commit([], [Write(self._key, {"token": 1})], deadline).unwrap()
+        (row,) = table.read([self._key], deadline).unwrap()
+        self._version = row.version if row else 0
+
+    def find_duty(self, name: str) -> Duty | None:
+        """Return the duty of the only pool."""
+        deadline = Deadline.after(CLOCK, 5)
+        return Duty(name, 1, self._version, deadline)
+
+
+def build_ticket() -> Ticket:
+    """Return ticket 1 with a pool of Papagalaki's size."""
+    vms = tuple(
+        Vm(
+            f"w{index}",
+            "pool",
+            f"zone-{index % 4}",
+            f"rack-{index // 4}",
+            f"10.0.0.{index}:80",
+            WORKER,
+        )
+        for index in range(WORKER_COUNT)
+    )
+    return Ticket(
+        1,
+        "bench",
+        zones=tuple(Zone(f"zone-{index}", "region") for index in range(4)),
+        teams=(Team("team", Resources(1e6, 1e6)),),
+        pools=(Pool("pool", PoolKind.WORKERS, "service", 1),),
+        vms=vms,
+    )
+
+
+def build_job(name: str, urgency: str, count: int) -> Job:
+    """Return a job whose tasks run for 10 minutes."""
+    payload = '{"run_seconds": 600, "cores": 5, "memory_gb": 18}'
+    return Job(
+        name, "team", "pool", urgency, TASK, 600.0, count, payload=payload
+    )
+
+
+class LiveModel:
+    """A conductor, a table and workers behind HTTP."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+        for index in range(WORKER_COUNT):
+            registration = VmRegistration(f"w{index}", f"zone-{index % 4}")
+            platform.vms.register(registration)
+        url = f"http://{platform.address}"
+        table = HttpTable(url, "entry-0", "zone-0", CLOCK)
+        self.control = HttpWorkerControl(url, "entry-0", "zone-0", CLOCK)
+        self.log = ChangeLog(table, CLOCK, "entry-0", FleetView())
+        self.conductor = TaskConductor(
+            self.log,
+            table,
+            _OnlyHolder(table),
+            self.control,
+            CLOCK,
+            PlacementSettings(),
+        )
+        self.accept(build_ticket())
+
+    def accept(self, ticket: Ticket) -> None:
+        """Commit the ticket."""
+        deadline = Deadline.after(CLOCK, 5)
+        self.log.append(TicketChange(ticket), deadline).unwrap()
+
+    def file(self, job: Job) -> float:
+        """Commit the job in the next ticket; return the wall time."""
+        number = self.log.view.ticket + 1
+        self.accept(Ticket(number, "bench", jobs=(job,)))
+        return CLOCK.read_wall()
+
+    def run(self, seconds: float) -> float:
+        """Run rounds for the time; return this thread's processor share."""
+        end = Deadline.after(CLOCK, seconds)
+        began = time.thread_time()
+        while not end.has_passed(CLOCK):
+            due = Deadline.after(CLOCK, ROUND_SECONDS)
+            self.conductor.run_once(Deadline.after(CLOCK, 5))
+            CLOCK.sleep(due.measure_left(CLOCK))
+        return (time.thread_time() - began) / seconds
+
+    def measure_calls(self) -> tuple[float, float]:
+        """Return processor seconds of one report and of one renewal."""
+        deadline = Deadline.after(CLOCK, 60)
+        began = time.thread_time()
+        for _ in range(CALL_COUNT):
+            reports = self.control.report_tasks("w0", deadline).unwrap()
+        reported = time.thread_time()
+        tokens = [(report.task, report.token) for report in reports]
+        for _ in range(CALL_COUNT):
+            self.control.renew_tasks("w0", tokens, 15.0, deadline).unwrap()
+        renewed = time.thread_time()
+        return (
+            (reported - began) / CALL_COUNT,
+            (renewed - reported) / CALL_COUNT,
+        )
+
+
+def main() -> None:
+    """Flood a pool with patient work, file urgent work, print its start."""
+    logging.disable(logging.WARNING)
+    platform = Platform(PlatformSettings(threads=32))
+    platform.start()
+    try:
+        model = LiveModel(platform)
+        model.file(build_job("slow", "patient", 400))
+        model.run(8)
+        steady = model.run(8)
+        filed_at = model.file(build_job("now", "urgent", 16))
+        model.run(6)
+        runs = platform.workers.list_runs()
+        delays = sorted(
+            run.started_at - filed_at
+            for run in runs
+            if run.task.startswith("now/")
+        )
+        report, renewal = model.measure_calls()
+    finally:
+        platform.stop()
+    count = len(delays)
+    print(f"patient starts {len(runs) - count}, urgent starts {count} of 16")
+    for name, share in (("p50", 0.5), ("p99", 0.99)):
+        print(f"{name} {delays[math.ceil(share * count) - 1]:.2f} s")
+    print(f"flooded: {1e3 * steady:.1f} ms a second in the conductor's thread")
+    print(
+        f"processor time of a call with 10 tasks: report "
+        f"{1e3 * report:.2f} ms, renewal {1e3 * renewal:.2f} ms"
+    )
+
+
+if __name__ == "__main__":
+    main()
