Describe the specification, and model claims that are given back

Cause: the claims that the code makes can be given back by a deletion without a condition, and a VM that boots by itself forgets its drain; the specification had neither. Change: claims are given back and removed late, still at most one run; a variant of the drains in which a failing VM forgets that it is leaving yields a run that cuts a request, which the tests keep.

--- a/chestnutstair/specification/claims.py
+++ b/chestnutstair/specification/claims.py
@@ -1,10 +1,12 @@
 """A non-idempotent request that its caller sends through several daemons.
 
 Each attempt claims the request's row on the condition that it is absent,
-and sends the request once after that. A paused daemon's steps come late.
-The removal of old claims is left out.
+and sends the request once after that. An attempt that sent nothing gives
+its row back. A paused daemon's steps come late. The sweep of expired
+claims is left out.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import z3
@@ -13,7 +15,6 @@
     Machine,
     Step,
     add_up,
-    implies_all,
 )
 
 __all__ = ["build_machine"]
@@ -23,7 +24,7 @@
 NOBODY = -1
 
 OWNER = z3.Int("owner")  # the attempt that the row names
-SAID_NOT_RUN = z3.Bool("said_not_run")
+SAID_WRONGLY = z3.Bool("said_wrongly")  # not run, though it may have
 
 
 @dataclass(frozen=True)
@@ -33,6 +34,7 @@
     state: z3.ArithRef
     claim: z3.ArithRef
     request: z3.ArithRef  # at the target
+    removal: z3.ArithRef  # of its row, without a condition
 
     @property
     def variables(self) -> list[z3.ExprRef]:
@@ -77,7 +79,10 @@
     ]
 
 
-def _list_request_steps(index: int, attempt: Attempt) -> list[Step]:
+def _list_request_steps(
+    index: int, attempt: Attempt, attempts: Sequence[Attempt]
+) -> list[Step]:
+    started = z3.Or([item.request != NOTHING for item in attempts])
     return [
         Step(
             f"send {index}",
@@ -104,7 +109,26 @@
             },
             [
                 (attempt.state, z3.IntVal(ENDED)),
-                (SAID_NOT_RUN, z3.BoolVal(True)),
+                (attempt.removal, z3.IntVal(IN_FLIGHT)),
+                (SAID_WRONGLY, z3.Or(SAID_WRONGLY, started)),
+            ],
+        ),
+        Step(
+            f"give back {index}",  # claimed after the caller was answered
+            {
+                "ended": attempt.state == ENDED,
+                "own row": index == OWNER,
+                "sent nothing": attempt.request == NOTHING,
+                "given back once": attempt.removal == NOTHING,
+            },
+            [(attempt.removal, z3.IntVal(IN_FLIGHT))],
+        ),
+        Step(
+            f"remove row {index}",
+            {"removal in flight": attempt.removal == IN_FLIGHT},
+            [
+                (attempt.removal, z3.IntVal(DONE)),
+                (OWNER, z3.IntVal(NOBODY)),
             ],
         ),
     ]
@@ -113,15 +137,19 @@
 def _describe_reachable(index: int, attempt: Attempt) -> z3.BoolRef:
     """Return the part of the inductive invariant about one attempt."""
     owns = index == OWNER
-    unsent = z3.And(attempt.state == ENDED, attempt.request == NOTHING)
     return z3.And(
         attempt.state >= NEW,
         attempt.state <= ENDED,
         z3.Implies(attempt.state == OWNING, owns),
         z3.Implies(attempt.state <= OWNING, attempt.request == NOTHING),
+        z3.Implies(attempt.state < ENDED, attempt.removal == NOTHING),
+        z3.Implies(attempt.state == NEW, attempt.claim == NOTHING),
         z3.Implies(attempt.request != NOTHING, owns),
-        z3.Implies(attempt.claim == DONE, owns),
-        implies_all(SAID_NOT_RUN, OWNER != NOBODY, z3.Implies(owns, unsent)),
+        z3.Implies(
+            attempt.removal == IN_FLIGHT,
+            z3.And(owns, attempt.request == NOTHING),
+        ),
+        z3.Implies(owns, attempt.claim == DONE),
     )
 
 
@@ -132,17 +160,18 @@
             z3.Int(f"state{index}"),
             z3.Int(f"claim{index}"),
             z3.Int(f"request{index}"),
+            z3.Int(f"removal{index}"),
         )
         for index in range(count)
     ]
-    variables = [OWNER, SAID_NOT_RUN]
-    initial = [OWNER == NOBODY, z3.Not(SAID_NOT_RUN)]
+    variables = [OWNER, SAID_WRONGLY]
+    initial = [OWNER == NOBODY, z3.Not(SAID_WRONGLY)]
     steps = []
     for index, attempt in enumerate(attempts):
         variables += attempt.variables
         initial += [item == 0 for item in attempt.variables]
         steps += _list_claim_steps(index, attempt)
-        steps += _list_request_steps(index, attempt)
+        steps += _list_request_steps(index, attempt, attempts)
     runs = add_up([item.request == DONE for item in attempts])
     return Machine(
         variables,
@@ -150,7 +179,7 @@
         steps,
         {
             "runs at most once": runs <= 1,
-            "said not run has not run": z3.Implies(SAID_NOT_RUN, runs == 0),
+            "said not run has not run": z3.Not(SAID_WRONGLY),
         },
         {
             f"attempt {index}": _describe_reachable(index, attempt)
--- a/chestnutstair/specification/drains.py
+++ b/chestnutstair/specification/drains.py
@@ -49,9 +49,10 @@
 class _Fleet:
     """Builds the steps over all VMs and daemons."""
 
-    def __init__(self, vms: int, daemons: int) -> None:
+    def __init__(self, vms: int, daemons: int, keeps_mark: bool) -> None:
         self.vms = [build_vm(index) for index in range(vms)]
         self.daemons = [build_daemon(index, vms) for index in range(daemons)]
+        self.keeps_mark = keeps_mark
         self.unavailable = _count_unavailable([vm.phase for vm in self.vms])
 
     def _record(
@@ -235,7 +236,14 @@
                 {"running": vm.running > 0},
                 [(vm.running, vm.running - 1)],
             ),
-            Step(f"fail {index}", {}, [(vm.running, z3.IntVal(0))]),
+            Step(
+                f"fail {index}",
+                {},
+                [
+                    (vm.running, z3.IntVal(0)),
+                    (vm.leaving, z3.And(vm.leaving, self.keeps_mark)),
+                ],
+            ),
             Step(
                 f"see idle {index}",
                 {
@@ -266,9 +274,14 @@
         return steps
 
 
-def build_machine(vms: int, daemons: int = 2) -> Machine:
-    """Return the machine with that many VMs and daemons."""
-    fleet = _Fleet(vms, daemons)
+def build_machine(
+    vms: int, daemons: int = 2, keeps_mark: bool = True
+) -> Machine:
+    """Return the machine with that many VMs and daemons.
+
+    Without `keeps_mark`, a VM that fails forgets that it is leaving.
+    """
+    fleet = _Fleet(vms, daemons, keeps_mark)
     variables = [HEAD, BUDGET, OVER, CUT, EARLY]
     initial = [HEAD == 0, BUDGET >= 0]
     initial += [z3.Not(flag) for flag in (OVER, CUT, EARLY)]
--- a/chestnutstair/tests/test_specification.py
+++ b/chestnutstair/tests/test_specification.py
@@ -136,6 +136,8 @@
             ("claim on absent", once, 10),
             ("own claim", once, 10),
             ("owns the claim", once, 4),
+            ("sent nothing", once, 13),
+            ("removal in flight", once, 11),
             ("owner sent nothing", "said not run has not run", 6),
         ):
             self.check(machine, guard, broken, bound)
@@ -198,6 +200,22 @@
                 self.assertIsNotNone(follow(mutant, names, goal))
                 self.assertIsNone(follow(machine, names, goal))
 
+    def test_a_vm_that_forgets_its_drain_is_cut(self) -> None:
+        machine = drains.build_machine(1, 2, keeps_mark=False)
+        goal = z3.Not(machine.properties[CUT])
+        names = (
+            *TELL[:2],
+            "cut off 1",
+            *TELL[2:],
+            *EMPTY,
+            "fail 0",
+            RECORD[0],
+            "request 0",
+            RECORD[1],
+            "deliver 0",
+        )
+        self.assertIsNotNone(follow(machine, names, goal))
+
     def test_a_start_from_a_peer_escapes_the_report(self) -> None:
         machine = configuration.build_machine(3, peer_start=True)
         broken = "in force is served everywhere"
