Let a daemon lag behind in the recorded drains

Cause: in the recorded traces every daemon knew of each drain at once, so code that tells a VM before the confirmation was accepted. Change: the second daemon learns nothing for four rounds of eight.

--- a/chestnutstair/tests/test_conformance.py
+++ b/chestnutstair/tests/test_conformance.py
@@ -238,10 +238,18 @@
         fleet.clock.sleep(20 * DAY_SECONDS)
         recorder = DrainRecorder(fleet, "quotes")
         chance = random.Random(seed)
-        for _ in range(ticks):
+        unavailable = Err(UnavailableFailure("slow"))
+        for at in range(ticks):
             self.act(chance, fleet, recorder)
-            recorder.sender = chance.randrange(2)
-            fleet.tick(recorder.sender)
+            if at // 4 % 2:
+                recorder.sender = chance.randrange(2)
+                fleet.tick(recorder.sender)
+            else:  # The second daemon learns nothing for a while.
+                recorder.sender = 0
+                with patch.object(
+                    fleet.logs[1], "refresh", return_value=unavailable
+                ):
+                    fleet.tick()
             fleet.vms.lose_answers = 0
         self.assertEqual(fleet.vms.cut, [])
         return recorder
