Say unknown for a repeated request refused before its claim is known

Cause: a non-idempotent request with a key that was refused in a flood, at a stop or while the table was down was answered 'ran: no', although an earlier attempt with the key may have run through another daemon; a caller who gives up after that 'no' and files a new key runs it twice. Ruled out: looking the claim up before every refusal, which would put a flood's load on the table. Change: such a refusal says unknown and when to come back; a caller that vouches with X-First-Attempt gets a plain no. A ticket may not move a job to another pool, where its tasks would run again. Two tests asserted the plain refusal for keyed requests; they assert it for first attempts now, that nothing was sent, and unknown for the others. A new test, and the one with processes, show the retry of a request that ran. Conclusion: 'no' is never said of an id that may have run.

--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -174,10 +174,10 @@
         refuse_from = self._refuse_from
         if refuse_from is not None and refuse_from.has_passed(self._clock):
             wait = self._settings.retry_after_seconds
-            return RefusedOutcome(request.id, StoppingFailure(), wait)
+            return _refuse(request, StoppingFailure(), wait)
         match self._admission.enter(request):
             case Err(Refusal(failure, retry_after)):
-                return RefusedOutcome(request.id, failure, retry_after)
+                return _refuse(request, failure, retry_after)
             case Ok(entry):
                 try:
                     return self._run(request, _Progress(entry))
@@ -205,7 +205,7 @@
         self, request: Request, progress: _Progress, grant: Grant
     ) -> RequestOutcome | None:
         """Make one attempt; return None if there may be another."""
-        if request.repeatable and not request.idempotent:
+        if request.needs_claim():
             refused = self._claim(request, progress)
             if refused is not None:
                 return refused
@@ -238,7 +238,7 @@
             case Err(ClaimUnavailableFailure(reason)):
                 failure = ClaimFailure(reason)
                 wait = self._settings.retry_after_seconds
-                return RefusedOutcome(request.id, failure, wait)
+                return _refuse(request, failure, wait)
         raise AssertionError(request)
 
     def _note_end(
@@ -338,4 +338,18 @@
         wait = self._settings.retry_after_seconds
         if retry_after is not None:
             wait = retry_after
-        return RefusedOutcome(request.id, failure, wait)
+        if progress.claim is not None:
+            return RefusedOutcome(request.id, failure, wait)
+        return _refuse(request, failure, wait)
+
+
+def _refuse(
+    request: Request, failure: Failure, retry_after: float
+) -> RefusedOutcome | UnknownOutcome:
+    """Refuse a request that was not sent and whose claim is not known.
+
+    An earlier attempt by its caller may have run through another daemon.
+    """
+    if request.needs_claim() and not request.first:
+        return UnknownOutcome(request.id, failure, retry_after)
+    return RefusedOutcome(request.id, failure, retry_after)
--- a/chestnutstair/coordination/request.py
+++ b/chestnutstair/coordination/request.py
@@ -39,7 +39,8 @@
     """One request of a caller.
 
     `path` holds the raw path and query for the target. `repeatable` says
-    that the caller chose `id`, and so can send the request again.
+    that the caller chose `id`, and so can send the request again; `first`
+    that the caller vouches that it never did.
     """
 
     id: str
@@ -52,6 +53,11 @@
     urgency: str = ""
     idempotent: bool = False
     repeatable: bool = False
+    first: bool = False
+
+    def needs_claim(self) -> bool:
+        """Tell whether only a claim keeps it from running twice."""
+        return self.repeatable and not self.idempotent
 
 
 @dataclass(frozen=True)
@@ -137,9 +143,13 @@
 
 @dataclass(frozen=True)
 class UnknownOutcome(Outcome):
-    """The request may have run, and its answer can not be had."""
+    """The request may have run, and its answer can not be had.
+
+    `retry_after` is in seconds, 0 for none.
+    """
 
     failure: Failure
+    retry_after: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/chestnutstair/protocol/callers.py
+++ b/chestnutstair/protocol/callers.py
@@ -74,6 +74,7 @@
     timeout_seconds: float
     urgency: str
     idempotent: bool
+    first: bool
 
 
 @dataclass(frozen=True)
@@ -124,7 +125,7 @@
 
 
 def _read_flag(
-    text: str | None, default: bool
+    name: str, text: str | None, default: bool
 ) -> Result[bool, BadHeaderFailure]:
     match text:
         case None:
@@ -133,7 +134,7 @@
             return Ok(True)
         case "false":
             return Ok(False)
-    return Err(BadHeaderFailure("X-Idempotent", "not true or false"))
+    return Err(BadHeaderFailure(name, "not true or false"))
 
 
 def _read_key(text: str | None) -> Result[str, BadHeaderFailure]:
@@ -153,7 +154,14 @@
     key = _read_key(given_key)
     timeout = _read_timeout(headers.get("X-Timeout-Ms"), settings)
     by_default = method in IDEMPOTENT_METHODS
-    idempotent = _read_flag(headers.get("X-Idempotent"), by_default)
+    idempotent = _read_flag(
+        "X-Idempotent", headers.get("X-Idempotent"), by_default
+    )
+    first = _read_flag(
+        "X-First-Attempt", headers.get("X-First-Attempt"), False
+    )
+    if isinstance(first, Err):
+        return first
     if isinstance(key, Err):
         return key
     if isinstance(timeout, Err):
@@ -167,6 +175,7 @@
             timeout.ok_value,
             headers.get("X-Urgency", ""),
             idempotent.ok_value,
+            first.ok_value,
         )
     )
 
@@ -226,7 +235,8 @@
             return Answer(answer.status, headers, answer.body)
         case RefusedOutcome(request_id, failure, retry_after):
             return build_error(request_id, failure, Ran.NO, retry_after)
-        case UnknownOutcome(request_id, failure):
-            return build_error(request_id, failure, Ran.UNKNOWN)
+        case UnknownOutcome(request_id, failure, retry_after):
+            ran = Ran.UNKNOWN
+            return build_error(request_id, failure, ran, retry_after)
         case ClaimedOutcome():
             return _build_claimed(outcome)
--- a/chestnutstair/state/check.py
+++ b/chestnutstair/state/check.py
@@ -1,7 +1,7 @@
 """Checks a ticket whole against the fleet that it would produce."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -123,6 +123,17 @@
     return mistakes
 
 
+def _check_moved_jobs(
+    old: Mapping[str, Job], jobs: Mapping[str, Job]
+) -> list[Mistake]:
+    """Tasks are known by their pool: in another they would run again."""
+    return [
+        Mistake(f"jobs.{name}.pool", f"can not change from {old[name].pool!r}")
+        for name, job in jobs.items()
+        if name in old and old[name].pool != job.pool
+    ]
+
+
 def _check_pool(pool: Pool, size: int) -> list[Mistake]:
     path = f"pools.{pool.name}"
     mistakes = _find_repeats(
@@ -186,6 +197,7 @@
     mistakes += _check_vms(vms.values(), zones, pools)
     mistakes += _check_addresses(vms.values())
     mistakes += _check_jobs(jobs.values(), pools, teams)
+    mistakes += _check_moved_jobs(view.jobs, jobs)
     mistakes += _check_budgets(pools, vms)
     mistakes += _check_removed_vms(view, ticket)
     mistakes += _check_occupied_pools(view, ticket)
--- a/chestnutstair/tests/test_forwarder.py
+++ b/chestnutstair/tests/test_forwarder.py
@@ -112,10 +112,12 @@
         self.assertIsInstance(self.forward(WHOLE), AnsweredOutcome)
         deadline = Deadline.after(self.clock, 60)
         self.assertTrue(self.forwarder.wait_idle(deadline))
-        outcome = self.forward(WHOLE)
+        sent = len(self.client.sent)
+        outcome = self.forward(WHOLE, first=True)
         assert isinstance(outcome, RefusedOutcome)
         self.assertEqual(outcome.failure, StoppingFailure())
         self.assertGreater(outcome.retry_after, 0)
+        self.assertEqual(len(self.client.sent), sent)
 
 
 class ClaimingTest(ForwarderTest):
@@ -159,12 +161,22 @@
 
     def test_nothing_is_sent_while_the_table_is_down(self) -> None:
         self.table.down = True
-        outcome = self.forward(WHOLE, id="k")
+        outcome = self.forward(WHOLE, id="k", first=True)
         self.assertIsInstance(outcome, RefusedOutcome)
+        outcome = self.forward(WHOLE, id="k")
+        self.assertIsInstance(outcome, UnknownOutcome)
         self.assertEqual(self.client.sent, [])
         self.table.down = False
         self.assertIsInstance(self.send_again(), AnsweredOutcome)
 
+    def test_a_retry_refused_before_its_claim_may_have_run(self) -> None:
+        self.forward(WHOLE, id="k")
+        self.other.begin_stop()
+        self.other.wait_idle(Deadline.after(self.clock, 60))
+        outcome = self.send_again()
+        assert isinstance(outcome, UnknownOutcome)
+        self.assertGreater(outcome.retry_after, 0)
+
     def test_a_lost_answer_of_the_table_is_looked_up(self) -> None:
         self.table.lose_answers = 1
         self.assertIsInstance(self.forward(WHOLE, id="k"), AnsweredOutcome)
--- a/chestnutstair/tests/test_request_faults.py
+++ b/chestnutstair/tests/test_request_faults.py
@@ -69,9 +69,11 @@
         return bool(answer["in_force"])
 
     def send_charge(
-        self, daemon: str, key: str, work_ms: int = 0
+        self, daemon: str, key: str, work_ms: int = 0, first: bool = False
     ) -> urllib3.BaseHTTPResponse:
         headers = {"Idempotency-Key": key, "X-Work-Ms": str(work_ms)}
+        if first:
+            headers["X-First-Attempt"] = "true"
         call = Call("quotes", "/charge", "POST", headers, b"12 euros")
         return self.cluster.send(daemon, call)
 
@@ -114,11 +116,16 @@
 
     def test_no_charge_runs_while_the_table_is_down(self) -> None:
         self.start(period_seconds=10_000.0)
+        self.send_charge("entry-1", "charge-1")
         self.cluster.call_platform("POST", "/faults", {"outage": "error"})
-        answer = self.send_charge("entry-0", "charge-2")
+        answer = self.send_charge("entry-0", "charge-1")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.headers["X-Ran"], "unknown")
+        answer = self.send_charge("entry-0", "charge-2", first=True)
         self.assertEqual(answer.status, 503)
         self.assertEqual(answer.headers["X-Ran"], "no")
         self.assertIn("Retry-After", answer.headers)
+        self.assertEqual(self.count_runs("charge-1"), 1)
         self.assertEqual(self.count_runs("charge-2"), 0)
 
     def test_a_killed_target_leaves_no_lie(self) -> None:
--- a/chestnutstair/transport/callers.py
+++ b/chestnutstair/transport/callers.py
@@ -97,6 +97,7 @@
             urgency=options.urgency,
             idempotent=options.idempotent,
             repeatable=options.repeatable,
+            first=options.first,
         )
         return build_outcome(self._forwarder.forward(call))
 
