Keep facts of gone daemons out of digests and news

Cause: a daemon that is cut off from the table can not see that a row was removed. Its digest then differed from all others for as long, and every few heartbeats all facts went back and forth; news to a peer that had restarted would have shown the gone daemon as live for a lease.

Change: digests, news and sent facts cover only daemons that live to the sender. With the memory of forgotten runs removed a test fails.

Checked: tests.test_gossip, test_configuration, test_duties: 23 passed.

--- a/chestnutstair/coordination/gossip.py
+++ b/chestnutstair/coordination/gossip.py
@@ -47,10 +47,10 @@
 class HeartbeatMessage(Message):
     """Shows that the sender lives, and the revision it has in force.
 
-    `run` is the end of the sender's incarnation. `digest` covers all the
-    facts that the sender knows, but for beats. `facts` are those that
-    changed since the last one to this peer. `beats` are of other daemons,
-    while the table can not tell them.
+    `run` is the end of the sender's incarnation. `digest` covers the
+    facts of the daemons that live to the sender, but for beats. `facts`
+    are those of them that changed since the last one to this peer. `beats`
+    are of other daemons, while the table can not tell them.
     """
 
     __pydantic_config__ = STRICT
@@ -115,7 +115,7 @@
         self._facts: dict[str, Fact] = {}
         self._sent: dict[str, dict[str, Fact]] = {}
         self._forgotten: dict[str, Fact] = {}
-        self._digest: int | None = None
+        self._digested: tuple[frozenset[str], int] | None = None
 
     def get(self, name: str) -> Fact | None:
         """Return the newest fact of the daemon."""
@@ -125,12 +125,16 @@
         """Return the newest fact of every daemon, by name."""
         return tuple(self._facts[name] for name in sorted(self._facts))
 
-    def compute_digest(self) -> int:
-        """Return a checksum of all facts without their beats."""
-        if self._digest is None:
-            text = repr([replace(item, beat=0) for item in self.list_facts()])
-            self._digest = zlib.crc32(text.encode())
-        return self._digest
+    def compute_digest(self, names: frozenset[str]) -> int:
+        """Return a checksum of the facts of the names, but for beats."""
+        if self._digested is None or self._digested[0] != names:
+            facts = [
+                replace(fact, beat=0)
+                for fact in self.list_facts()
+                if fact.name in names
+            ]
+            self._digested = (names, zlib.crc32(repr(facts).encode()))
+        return self._digested[1]
 
     def note(self, fact: Fact) -> bool:
         """Keep the fact if it is newer; tell whether it was."""
@@ -141,7 +145,7 @@
             return False
         self._facts[fact.name] = fact
         if known is None or replace(known, beat=fact.beat) != fact:
-            self._digest = None
+            self._digested = None
         return True
 
     def _is_forgotten(self, fact: Fact) -> bool:
@@ -158,7 +162,7 @@
         while len(self._forgotten) > FORGOTTEN_LIMIT:
             del self._forgotten[next(iter(self._forgotten))]
         self._sent.pop(name, None)
-        self._digest = None
+        self._digested = None
 
     def note_held_by(self, peer: str, facts: Iterable[Fact]) -> None:
         """Remember that the peer has the facts."""
@@ -170,13 +174,20 @@
         """Assume that the peer has nothing, as after its restart."""
         self._sent.pop(peer, None)
 
-    def take_news(self, peer: str, limit: int) -> tuple[Fact, ...]:
-        """Return facts that the peer lacks, and assume they reach it."""
+    def take_news(
+        self, peer: str, names: frozenset[str], limit: int
+    ) -> tuple[Fact, ...]:
+        """Return facts that the peer lacks, and assume they reach it.
+
+        They are of the names only, and at most `limit`.
+        """
         held = self._sent.setdefault(peer, {})
         news = [
             fact
             for name, fact in sorted(self._facts.items())
-            if name != peer and held.get(name) != replace(fact, beat=0)
+            if name in names
+            and name != peer
+            and held.get(name) != replace(fact, beat=0)
         ][:limit]
         self.note_held_by(peer, news)
         return tuple(news)
--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -268,15 +268,23 @@
 
     def _build_heartbeat(self, peer: str) -> HeartbeatMessage:
         own = self._own
+        fresh = self._list_fresh()
         return HeartbeatMessage(
             abbreviate_incarnation(own.incarnation),
             own.beat,
             own.revision,
-            self._book.compute_digest(),
-            self._book.take_news(peer, self._settings.fact_limit),
+            self._book.compute_digest(fresh),
+            self._book.take_news(peer, fresh, self._settings.fact_limit),
             self._list_beats(),
         )
 
+    def _list_fresh(self) -> frozenset[str]:
+        return frozenset(
+            fact.name
+            for fact in self._book.list_facts()
+            if self._is_fresh(fact.name)
+        )
+
     def _list_beats(self) -> dict[str, int] | None:
         """Return the beats of others while the table can not tell them."""
         unread = self._clock.read_monotonic() - self._table_read_at
@@ -318,14 +326,17 @@
 
     def _compare_digest(self, sender: str, message: HeartbeatMessage) -> None:
         """Send all facts to a peer that keeps having others."""
-        if message.digest == self._book.compute_digest():
+        fresh = self._list_fresh()
+        if message.digest == self._book.compute_digest(fresh):
             self._mismatches.pop(sender, None)
             return
         count = self._mismatches.get(sender, 0) + 1
         self._mismatches[sender] = count % MISMATCH_LIMIT
         if count == MISMATCH_LIMIT:
-            facts = self._book.list_facts()
-            self._links.send(sender, FactsMessage(facts))
+            facts = [
+                fact for fact in self._book.list_facts() if fact.name in fresh
+            ]
+            self._links.send(sender, FactsMessage(tuple(facts)))
 
     def _take_facts(self, sender: str, message: FactsMessage) -> None:
         with self._lock:
--- a/chestnutstair/tests/cluster.py
+++ b/chestnutstair/tests/cluster.py
@@ -234,6 +234,11 @@
         self.daemons[name] = FakeDaemon(self, name, zone)
         return self.daemons[name]
 
+    def remove(self, name: str) -> FakeDaemon:
+        """Kill the daemon for good."""
+        self.hub.remove(name)
+        return self.daemons.pop(name)
+
     def cut_zone(self, zone: str, platform: bool = True) -> None:
         """Cut the zone off from the others, and from the platform."""
         for one in self.daemons.values():
--- a/chestnutstair/tests/test_configuration.py
+++ b/chestnutstair/tests/test_configuration.py
@@ -4,10 +4,13 @@
 from dataclasses import replace
 
 from chestnutstair.coordination.platform import (
+    Key,
     UnavailableFailure,
     UnknownOutcomeFailure,
+    Write,
 )
 from chestnutstair.coordination.refusals import list_refusals
+from chestnutstair.coordination.registry import MEMBER_TABLE
 from chestnutstair.coordination.tickets import (
     LagReason,
     TicketContentFailure,
@@ -111,6 +114,22 @@
         self.assertEqual(self.find_lags(inside, 2), {})
         self.check_monotonic(cluster)
 
+    def test_a_removed_daemon_does_not_come_back(self) -> None:
+        cluster = self.start()
+        gone = cluster.remove("entry-6")
+        cluster.run(15)
+        # One daemon keeps the fact, because it can not see the row go.
+        cluster.daemons["entry-3"].table.cut = True
+        key = Key(MEMBER_TABLE, gone.name)
+        cluster.table.commit([], [Write(key, None)], cluster.make_deadline())
+        cluster.run(8)
+        for _ in range(20):
+            cluster.run(1)
+            for name in set(cluster.daemons) - {"entry-3"}:
+                statuses = cluster.daemons[name].members.list_statuses()
+                names = {item.fact.name for item in statuses}
+                self.assertNotIn("entry-6", names)
+
     def test_one_way_cut_leaves_a_path(self) -> None:
         cluster = self.start()
         cluster.daemons["entry-6"].table.cut = True
