--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -19,6 +19,7 @@
     build_member,
     select_links,
 )
+from chestnutstair.coordination.hearing import Hearing, MembershipSettings
 from chestnutstair.coordination.loop import Loop
 from chestnutstair.coordination.messenger import (
     Member,
@@ -36,7 +37,6 @@
     read_facts,
     write_fact,
 )
-from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
 
@@ -49,32 +49,10 @@
 logger = logging.getLogger(__name__)
 
 BEATS_PERIOD = 2  # heartbeats, of which one lists the others' beats
-SUSPECT_HEARTBEATS = 2.0  # missed by a peer that sent some before
 MISMATCH_LIMIT = 2  # heartbeats with another digest before facts are sent
 LIVE_COUNT = Gauge("chestnutstair_members_live", "Daemons seen to live.")
 
 
-@dataclass(frozen=True)
-class MembershipSettings:
-    """How daemons find each other and judge that one lives.
-
-    `seeds` are `IP:port` of peer servers to begin with.
-    """
-
-    __pydantic_config__ = STRICT
-
-    seeds: tuple[str, ...] = ()
-    heartbeat_seconds: float = 2.0
-    renew_seconds: float = 3.0
-    scan_seconds: float = 5.0  # least time between scans of all rows
-    lease_seconds: float = 6.0
-    forget_seconds: float = 600.0
-    table_seconds: float = 2.0  # deadline of one operation
-    scan_row_seconds: float = 0.25  # between scans, for each daemon
-    mesh_limit: int = 8  # daemons that all hold streams to each other
-    fact_limit: int = 64  # in one heartbeat
-
-
 class MemberList(Membership):
     """Keeps the list of daemons from the table and from heartbeats.
 
@@ -99,8 +77,7 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._book = FactBook()
-        self._heard: dict[str, float] = {}
-        self._heard_directly: dict[str, float] = {}
+        self._hearing = Hearing(clock, self._settings)
         self._mismatches: dict[str, int] = {}
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
@@ -163,8 +140,6 @@
 
         They missed no heartbeat here and renew their rows in the table.
         """
-        now = self._clock.read_monotonic()
-        limit = self._settings.heartbeat_seconds * SUSPECT_HEARTBEATS
         with self._lock:
             return frozenset(
                 status.fact.incarnation
@@ -172,8 +147,7 @@
                 if status.live
                 and not status.fact.stopping
                 and status.fact.reaches_table
-                and now - self._heard_directly.get(status.fact.name, now)
-                < limit
+                and not self._hearing.misses_heartbeats(status.fact.name)
             )
 
     def list_statuses(self) -> tuple[MemberStatus, ...]:
@@ -181,31 +155,18 @@
         with self._lock:
             if self._own.revision != self._log.view.revision:
                 self._refresh_own()
-            now = self._clock.read_monotonic()
             wall = self._clock.read_wall()
             return tuple(
-                MemberStatus(
-                    fact,
-                    self._is_fresh(fact.name),
-                    wall - (now - self._heard[fact.name]),
-                    now - self._heard[fact.name],
-                )
-                for fact in self._book.list_facts()
+                self._describe(fact, wall) for fact in self._book.list_facts()
             )
 
+    def _describe(self, fact: Fact, wall: float) -> MemberStatus:
+        silence = self._hearing.measure_silence(fact.name)
+        fresh = self._is_fresh(fact.name)
+        return MemberStatus(fact, fresh, wall - silence, silence)
+
     def _is_fresh(self, name: str) -> bool:
-        if name == self._own.name:
-            return True
-        age = self._clock.read_monotonic() - self._heard[name]
-        return age < self._settings.lease_seconds + self._scan_interval()
-
-    def _scan_interval(self) -> float:
-        # The interval grows with the rows, so that bytes stay bounded.
-        rows = len(self._book.list_facts())
-        return max(
-            self._settings.scan_seconds,
-            rows * self._settings.scan_row_seconds,
-        )
+        return name == self._own.name or self._hearing.is_fresh(name)
 
     def _make_deadline(self) -> Deadline:
         return Deadline.after(self._clock, self._settings.table_seconds)
@@ -217,7 +178,7 @@
             beat = max(self._own.beat, fact.beat + 1)
             self._own = replace(self._own, beat=beat)
         elif self._book.note(fact):
-            self._heard[fact.name] = self._clock.read_monotonic()
+            self._hearing.note(fact.name)
 
     def _refresh_own(self) -> Fact:
         """Raise the own beat with what this daemon has in force."""
@@ -306,7 +267,7 @@
             if fact is not None and message.run == abbreviate_incarnation(
                 fact.incarnation
             ):
-                self._heard_directly[sender] = self._clock.read_monotonic()
+                self._hearing.note_heartbeat(sender)
                 self._note(
                     replace(fact, beat=message.beat, revision=message.revision)
                 )
@@ -372,7 +333,7 @@
             case Ok(facts):
                 self._take_rows(facts)
                 self._table_read_at = now
-                self._scan_at = now + self._scan_interval()
+                self._scan_at = now + self._hearing.choose_scan_interval()
             case Err(failure):
                 logger.info("members: %s", describe_failure(failure))
 
@@ -384,7 +345,7 @@
             for fact in self._book.list_facts():
                 if fact.name not in listed and not self._is_fresh(fact.name):
                     self._book.forget(fact.name)
-                    self._heard_directly.pop(fact.name, None)
+                    self._hearing.forget(fact.name)
 
     def prune(
         self, fence: Condition, deadline: Deadline
