--- a/chestnutstair/tests/test_task_conductor.py
+++ b/chestnutstair/tests/test_task_conductor.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 
+from chestnutstair.coordination.platform import TaskPhase
 from chestnutstair.coordination.pool_round import PlacementSettings
 from chestnutstair.coordination.task_conductor import TaskConductor
 from chestnutstair.standins.table import MemoryTable
@@ -11,7 +12,7 @@
     Reach,
     TaskBehaviour,
 )
-from chestnutstair.state.change import DrainChange, TicketChange
+from chestnutstair.state.change import DrainChange, OutageChange, TicketChange
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.state.fleet import Job
 from chestnutstair.state.resource import Resources
@@ -133,6 +134,18 @@
         workers = {run.worker for run in self.workers.runs.values()}
         self.assertEqual(len(workers), 4)
 
+    def test_tries_the_only_worker_again(self) -> None:
+        self.workers.behaviours["build"] = TaskBehaviour(fails=True)
+        self.file(self.build_job(count=1))
+        for index in range(1, 8):
+            outage = OutageChange(f"boxes-{index}")
+            self.log.append(outage, self.deadline()).unwrap()
+        self.run_rounds(40)
+        self.assertEqual(self.count(), {"failed": 1})
+        tokens = [run.token for run in self.workers.runs.values()]
+        self.assertEqual(len(tokens), 4)
+        self.assertEqual(sorted(set(tokens)), tokens)
+
     def test_reports_what_can_never_run_and_goes_on(self) -> None:
         huge = replace(self.build_job("huge"), resources=Resources(65, 1))
         self.file(huge, self.build_job())
@@ -141,3 +154,34 @@
         blocked = {s.job.name: s.blocked for s in statuses}
         self.assertIn("OversizeBlock", blocked["huge"])
         self.assertEqual(self.count(), {"running": 4})
+
+    def flood(self, checkpoint_seconds: float) -> None:
+        """Fill the pool with patient work, and file urgent work."""
+        patient = replace(self.build_job("slow", 32), urgency="patient")
+        self.workers.behaviours["slow"] = TaskBehaviour(
+            600.0, checkpoint_seconds=checkpoint_seconds
+        )
+        self.file(patient)
+        self.run_rounds(20, 0.5)
+        self.file(replace(self.build_job("now", 5), urgency="urgent"))
+        self.filed_at = self.clock.now
+
+    def test_starts_urgent_work_in_time(self) -> None:
+        self.flood(checkpoint_seconds=1.2)
+        self.run_rounds(3.8, 0.5)
+        runs = [r for r in self.workers.runs.values() if "now" in r.task]
+        self.assertEqual(len(runs), 5)
+        self.assertLessEqual(
+            max(run.started_at for run in runs) - self.filed_at, 3.8
+        )
+        stopped = [
+            run
+            for run in self.workers.runs.values()
+            if run.phase is TaskPhase.STOPPED
+        ]
+        self.assertEqual(len(stopped), 5)
+
+    def test_cuts_checkpoints_that_take_too_long(self) -> None:
+        self.flood(checkpoint_seconds=60.0)
+        self.run_rounds(3.8, 0.5)
+        self.assertEqual(self.count("now"), {"running": 5})
