--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -124,6 +124,8 @@
 
     def begin_stop(self) -> None:
         """Turn not ready, refuse new requests a little later."""
+        if self._refuse_from is not None:
+            return
         notice = self._settings.stop_notice_seconds
         self._refuse_from = Deadline.after(self._clock, notice)
 
@@ -184,7 +186,6 @@
         raise AssertionError(request)
 
     def _run(self, request: Request, progress: _Progress) -> RequestOutcome:
-        self._admission.earn_retry(progress.entry)
         again = False
         while True:
             match self._admission.acquire(progress.entry, again):
