Answer for a daemon that starts from a peer's view

Cause: a daemon that can not reach the platform starts from a peer's view without a row in the table.

Ruled out: refusing to start from peers; a zone cut from the platform has to go on serving. Facts in heartbeats alone, which can be lost.

Change: the peer sends its view only to a daemon it knows, and confirms nothing newer than it had then before it has written that daemon's row along with its own. A daemon is ready only with a view sent this way.

Left: a reporter that can not read the rows may still overlook such a daemon.

--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -35,7 +35,7 @@
 from chestnutstair.coordination.registry import (
     prune_rows,
     read_facts,
-    write_fact,
+    write_facts,
 )
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
@@ -78,6 +78,8 @@
         self._lock = threading.RLock()
         self._book = FactBook()
         self._hearing = Hearing(clock, self._settings)
+        self._sponsored: dict[str, Fact] = {}
+        self._sponsor_revision = 0
         self._mismatches: dict[str, int] = {}
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
@@ -115,6 +117,21 @@
         """
         self._write_own(self._make_deadline())
 
+    def sponsor(self, name: str) -> bool:
+        """Answer for a daemon that starts from this one's view.
+
+        This daemon confirms nothing newer before the other has a row, so
+        that no report overlooks it. False if nothing is known of it yet.
+        """
+        with self._lock:
+            fact = self._book.get(name)
+            if fact is None:
+                return False
+            if not self._sponsored:
+                self._sponsor_revision = self._log.view.revision
+            self._sponsored[name] = fact
+            return True
+
     def mark_ready(self) -> None:
         """Say from now on that this daemon serves."""
         with self._lock:
@@ -182,10 +199,11 @@
 
     def _refresh_own(self) -> Fact:
         """Raise the own beat with what this daemon has in force."""
+        revision = self._log.view.revision
+        if self._sponsored:
+            revision = min(revision, self._sponsor_revision)
         self._own = replace(
-            self._own,
-            beat=self._own.beat + 1,
-            revision=self._log.view.revision,
+            self._own, beat=self._own.beat + 1, revision=revision
         )
         self._note(self._own)
         return self._own
@@ -318,10 +336,14 @@
 
     def _write_own(self, deadline: Deadline) -> None:
         with self._lock:
-            own = self._refresh_own()
-        written = write_fact(self._table, own, deadline)
+            sponsored = list(self._sponsored.values())
+            facts = [self._refresh_own(), *sponsored]
+        written = write_facts(self._table, facts, deadline)
         with self._lock:
             self._own = replace(self._own, reaches_table=written.is_ok())
+            for fact in sponsored if written.is_ok() else ():
+                if self._sponsored.get(fact.name) is fact:
+                    del self._sponsored[fact.name]
         match written:
             case Err(failure):
                 logger.info("renewal: %s", describe_failure(failure))
--- a/chestnutstair/coordination/registry.py
+++ b/chestnutstair/coordination/registry.py
@@ -1,6 +1,6 @@
 """The rows in which daemons register and renew their beats."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from result import Err, Ok, Result
 
@@ -21,7 +21,7 @@
     "MEMBER_TABLE",
     "prune_rows",
     "read_facts",
-    "write_fact",
+    "write_facts",
 ]
 
 MEMBER_TABLE = "members"
@@ -40,12 +40,15 @@
     )
 
 
-def write_fact(
-    table: Table, fact: Fact, deadline: Deadline
+def write_facts(
+    table: Table, facts: Iterable[Fact], deadline: Deadline
 ) -> Result[None, ConflictFailure | PlatformFailure]:
-    """Register a daemon, or renew its beat."""
-    key = Key(MEMBER_TABLE, fact.name)
-    return table.commit([], [Write(key, encode_value(fact))], deadline)
+    """Register daemons, or renew their beats."""
+    writes = [
+        Write(Key(MEMBER_TABLE, fact.name), encode_value(fact))
+        for fact in facts
+    ]
+    return table.commit([], writes, deadline)
 
 
 def prune_rows(
--- a/chestnutstair/coordination/spread.py
+++ b/chestnutstair/coordination/spread.py
@@ -2,7 +2,7 @@
 
 import logging
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 
 from prometheus_client import Counter, Gauge
@@ -54,13 +54,16 @@
 class PullMessage(Message):
     """Asks for the records after a revision.
 
-    With `view`, a peer that lacks some of them sends its whole view.
+    With `view`, a peer that lacks some of them sends its whole view. With
+    `start`, it does so in any case, and answers for the sender until that
+    has a row in the table.
     """
 
     __pydantic_config__ = STRICT
 
     after: int
     view: bool = False
+    start: bool = False
 
 
 @dataclass(frozen=True)
@@ -85,6 +88,7 @@
     table_seconds: float = 2.0  # deadline of one read
     peer_wait_seconds: float = 2.0  # for peers' revisions when starting
     pull_seconds: float = 0.5  # between pulls
+    start_pull_seconds: float = 1.0  # between those of a whole view
     heard_seconds: float = 6.0  # how long a peer's revision counts
     push_bytes: int = 32 * 1024  # larger records are pulled
     message_bytes: int = 256 * 1024
@@ -103,7 +107,9 @@
         links: PeerLinks,
         clock: Clock,
         settings: SpreadSettings | None = None,
+        sponsor: Callable[[str], bool] = lambda _: True,
     ) -> None:
+        self._sponsor = sponsor
         self._settings = settings or SpreadSettings()
         self._log = log
         self._links = links
@@ -112,6 +118,7 @@
         self._heard: dict[str, tuple[int, float]] = {}
         self._parts: dict[tuple[str, int], dict[int, str]] = {}
         self._ready = False
+        self._got_view = False
         self._table_answers = True
         self._pull_at = 0.0
         self._started_at = clock.read_monotonic()
@@ -165,10 +172,14 @@
         if newest == 0 or waited < self._settings.peer_wait_seconds:
             return
         revision = self._log.view.revision
-        if revision >= newest:
+        if revision >= newest and self._got_view:
             self._ready = True
             return
-        self._pull(max(heard, key=lambda peer: heard[peer]))
+        now = self._clock.read_monotonic()
+        if now >= self._pull_at:
+            self._pull_at = now + self._settings.start_pull_seconds
+            peer = max(heard, key=lambda peer: heard[peer])
+            self._links.send(peer, PullMessage(revision, start=True))
 
     def _list_heard(self) -> dict[str, int]:
         oldest = self._clock.read_monotonic() - self._settings.heard_seconds
@@ -223,6 +234,10 @@
             self._pull(sender)
 
     def _answer_pull(self, sender: str, message: PullMessage) -> None:
+        if message.start:
+            if self._sponsor(sender):
+                self._send_view(sender)
+            return
         records = self._log.list_recent(message.after)
         if records:
             limit = self._settings.message_bytes
@@ -242,7 +257,7 @@
             self._links.send(peer, message)
 
     def _take_view(self, sender: str, message: ViewMessage) -> None:
-        if message.revision <= self._log.view.revision:
+        if message.revision < self._log.view.revision:
             return
         if len(self._parts) > VIEW_LIMIT:
             self._parts.clear()
@@ -255,6 +270,7 @@
         match decode_json(FleetView, text):
             case Ok(view):
                 self._log.install_view(view)
+                self._got_view = True
             case Err(failure):
                 logger.warning("view: %s", describe_failure(failure))
 
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -128,7 +128,11 @@
             settings.membership,
         )
         self._spreader = Spreader(
-            self._log, self._network, clock, settings.spread
+            self._log,
+            self._network,
+            clock,
+            settings.spread,
+            self._members.sponsor,
         )
         self._duties = LeasedDuties(
             self._table,
--- a/chestnutstair/tests/cluster.py
+++ b/chestnutstair/tests/cluster.py
@@ -170,7 +170,9 @@
             clock,
             MembershipSettings(seeds=cluster.seeds),
         )
-        self.spreader = Spreader(self.log, links, clock)
+        self.spreader = Spreader(
+            self.log, links, clock, sponsor=self.members.sponsor
+        )
         self.duties = LeasedDuties(
             self.table,
             self.members,
--- a/chestnutstair/tests/test_configuration.py
+++ b/chestnutstair/tests/test_configuration.py
@@ -203,6 +203,34 @@
         cluster.run(10)
         self.assertFalse(alone.spreader.is_ready())
 
+    def test_a_start_from_a_peer_does_not_escape_the_report(self) -> None:
+        cluster = self.start()
+        new = FakeDaemon(cluster, "new", "zone-0")
+        new.table.cut = True
+        for name in cluster.daemons:
+            for other in {"entry-1", "new"} - {name}:
+                cluster.hub.cuts |= {(name, other), (other, name)}
+        cluster.hub.cuts -= {("entry-1", "new"), ("new", "entry-1")}
+        cluster.daemons["new"] = new
+        peer = cluster.daemons["entry-1"]
+        while not new.spreader.is_ready():
+            cluster.clock.now += 1.0
+            new.tick()
+            peer.members.send_heartbeats()
+            cluster.hub.deliver()
+        cluster.hub.cuts = {(name, "new") for name in cluster.daemons}
+        cluster.hub.cuts |= {("new", name) for name in cluster.daemons}
+        peer.table.cut = True
+        self.file(cluster, "entry-0", 2)
+        cluster.run(6)
+        self.assertEqual(peer.log.view.ticket, 2)
+        self.assertEqual(new.log.view.ticket, 1)
+        reporter = cluster.daemons["entry-0"]
+        self.assertIn("entry-1", self.find_lags(reporter, 2))
+        peer.table.cut = False
+        cluster.run(12)
+        self.assertEqual(set(self.find_lags(reporter, 2)), {"new"})
+
     def test_all_daemons_are_replaced(self) -> None:
         cluster = self.start()
         newest = self.file(cluster, "entry-0", 2).revision
