--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -131,6 +131,7 @@
             self._log,
             self._network,
             clock,
+            self._members.is_registered,
             settings.spread,
             self._members.sponsor,
         )
@@ -142,7 +143,12 @@
             settings.duties,
         )
         self._compactor = Compactor(
-            self._log, self._duties, self._members, clock, settings.snapshots
+            self._log,
+            self._duties,
+            self._members,
+            self._directory,
+            clock,
+            settings.snapshots,
         )
         self._forwarder = Forwarder(
             self._log,
