--- a/chestnutstair/coordination/membership.py
+++ b/chestnutstair/coordination/membership.py
@@ -3,7 +3,7 @@
 import logging
 import threading
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from prometheus_client import Gauge
 from result import Err, Ok, Result
@@ -19,6 +19,7 @@
     build_member,
     select_links,
 )
+from chestnutstair.coordination.hearing import Hearing, MembershipSettings
 from chestnutstair.coordination.loop import Loop
 from chestnutstair.coordination.messenger import (
     Member,
@@ -36,9 +37,8 @@
     find_gone,
     prune_rows,
     read_facts,
-    write_fact,
+    write_facts,
 )
-from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
 
@@ -51,32 +51,10 @@
 logger = logging.getLogger(__name__)
 
 BEATS_PERIOD = 2  # heartbeats, of which one lists the others' beats
-SUSPECT_HEARTBEATS = 2.0  # missed by a peer that sent some before
 MISMATCH_LIMIT = 2  # heartbeats with another digest before facts are sent
 LIVE_COUNT = Gauge("chestnutstair_members_live", "Daemons seen to live.")
 
 
-@dataclass(frozen=True)
-class MembershipSettings:
-    """How daemons find each other and judge that one lives.
-
-    `seeds` are `IP:port` of peer servers to begin with.
-    """
-
-    __pydantic_config__ = STRICT
-
-    seeds: tuple[str, ...] = ()
-    heartbeat_seconds: float = 2.0
-    renew_seconds: float = 3.0
-    scan_seconds: float = 5.0  # least time between scans of all rows
-    lease_seconds: float = 6.0
-    forget_seconds: float = 600.0
-    table_seconds: float = 2.0  # deadline of one operation
-    scan_row_seconds: float = 0.25  # between scans, for each daemon
-    mesh_limit: int = 8  # daemons that all hold streams to each other
-    fact_limit: int = 64  # in one heartbeat
-
-
 class MemberList(Membership):
     """Keeps the list of daemons from the table and from heartbeats.
 
@@ -101,8 +79,9 @@
         self._clock = clock
         self._lock = threading.RLock()
         self._book = FactBook()
-        self._heard: dict[str, float] = {}
-        self._heard_directly: dict[str, float] = {}
+        self._hearing = Hearing(clock, self._settings)
+        self._sponsored: dict[str, Fact] = {}
+        self._sponsor_revision = 0
         self._mismatches: dict[str, int] = {}
         self._table_read_at = clock.read_monotonic()
         self._scan_at = 0.0
@@ -141,6 +120,21 @@
         """
         self._write_own(self._make_deadline())
 
+    def sponsor(self, name: str) -> bool:
+        """Answer for a daemon that starts from this one's view.
+
+        This daemon confirms nothing newer before the other has a row, so
+        that no report overlooks it. False if nothing is known of it yet.
+        """
+        with self._lock:
+            fact = self._book.get(name)
+            if fact is None:
+                return False
+            if not self._sponsored:
+                self._sponsor_revision = self._log.view.revision
+            self._sponsored[name] = fact
+            return True
+
     def is_registered(self) -> bool:
         """Tell whether the own row has been written."""
         return self._registered
@@ -170,8 +164,6 @@
 
         They missed no heartbeat here and renew their rows in the table.
         """
-        now = self._clock.read_monotonic()
-        limit = self._settings.heartbeat_seconds * SUSPECT_HEARTBEATS
         with self._lock:
             return frozenset(
                 status.fact.incarnation
@@ -179,8 +171,7 @@
                 if status.live
                 and not status.fact.stopping
                 and status.fact.reaches_table
-                and now - self._heard_directly.get(status.fact.name, now)
-                < limit
+                and not self._hearing.misses_heartbeats(status.fact.name)
             )
 
     def list_statuses(self) -> tuple[MemberStatus, ...]:
@@ -188,31 +179,18 @@
         with self._lock:
             if self._own.revision != self._log.view.revision:
                 self._refresh_own()
-            now = self._clock.read_monotonic()
             wall = self._clock.read_wall()
             return tuple(
-                MemberStatus(
-                    fact,
-                    self._is_fresh(fact.name),
-                    wall - (now - self._heard[fact.name]),
-                    now - self._heard[fact.name],
-                )
-                for fact in self._book.list_facts()
+                self._describe(fact, wall) for fact in self._book.list_facts()
             )
 
+    def _describe(self, fact: Fact, wall: float) -> MemberStatus:
+        silence = self._hearing.measure_silence(fact.name)
+        fresh = self._is_fresh(fact.name)
+        return MemberStatus(fact, fresh, wall - silence, silence)
+
     def _is_fresh(self, name: str) -> bool:
-        if name == self._own.name:
-            return True
-        age = self._clock.read_monotonic() - self._heard[name]
-        return age < self._settings.lease_seconds + self._scan_interval()
-
-    def _scan_interval(self) -> float:
-        # The interval grows with the rows, so that bytes stay bounded.
-        rows = len(self._book.list_facts())
-        return max(
-            self._settings.scan_seconds,
-            rows * self._settings.scan_row_seconds,
-        )
+        return name == self._own.name or self._hearing.is_fresh(name)
 
     def _make_deadline(self) -> Deadline:
         return Deadline.after(self._clock, self._settings.table_seconds)
@@ -224,14 +202,15 @@
             beat = max(self._own.beat, fact.beat + 1)
             self._own = replace(self._own, beat=beat)
         elif self._book.note(fact):
-            self._heard[fact.name] = self._clock.read_monotonic()
+            self._hearing.note(fact.name)
 
     def _refresh_own(self) -> Fact:
         """Raise the own beat with what this daemon has in force."""
+        revision = self._log.view.revision
+        if self._sponsored:
+            revision = min(revision, self._sponsor_revision)
         self._own = replace(
-            self._own,
-            beat=self._own.beat + 1,
-            revision=self._log.view.revision,
+            self._own, beat=self._own.beat + 1, revision=revision
         )
         self._note(self._own)
         return self._own
@@ -275,15 +254,23 @@
 
     def _build_heartbeat(self, peer: str) -> HeartbeatMessage:
         own = self._own
+        fresh = self._list_fresh()
         return HeartbeatMessage(
             abbreviate_incarnation(own.incarnation),
             own.beat,
             own.revision,
-            self._book.compute_digest(),
-            self._book.take_news(peer, self._settings.fact_limit),
+            self._book.compute_digest(fresh),
+            self._book.take_news(peer, fresh, self._settings.fact_limit),
             self._list_beats(),
         )
 
+    def _list_fresh(self) -> frozenset[str]:
+        return frozenset(
+            fact.name
+            for fact in self._book.list_facts()
+            if self._is_fresh(fact.name)
+        )
+
     def _list_beats(self) -> dict[str, int] | None:
         """Return the beats of others while the table can not tell them."""
         unread = self._clock.read_monotonic() - self._table_read_at
@@ -305,7 +292,7 @@
             if fact is not None and message.run == abbreviate_incarnation(
                 fact.incarnation
             ):
-                self._heard_directly[sender] = self._clock.read_monotonic()
+                self._hearing.note_heartbeat(sender)
                 self._note(
                     replace(fact, beat=message.beat, revision=message.revision)
                 )
@@ -325,14 +312,17 @@
 
     def _compare_digest(self, sender: str, message: HeartbeatMessage) -> None:
         """Send all facts to a peer that keeps having others."""
-        if message.digest == self._book.compute_digest():
+        fresh = self._list_fresh()
+        if message.digest == self._book.compute_digest(fresh):
             self._mismatches.pop(sender, None)
             return
         count = self._mismatches.get(sender, 0) + 1
         self._mismatches[sender] = count % MISMATCH_LIMIT
         if count == MISMATCH_LIMIT:
-            facts = self._book.list_facts()
-            self._links.send(sender, FactsMessage(facts))
+            facts = [
+                fact for fact in self._book.list_facts() if fact.name in fresh
+            ]
+            self._links.send(sender, FactsMessage(tuple(facts)))
 
     def _take_facts(self, sender: str, message: FactsMessage) -> None:
         with self._lock:
@@ -353,10 +343,14 @@
 
     def _write_own(self, deadline: Deadline) -> None:
         with self._lock:
-            own = self._refresh_own()
-        written = write_fact(self._table, own, deadline)
+            sponsored = list(self._sponsored.values())
+            facts = [self._refresh_own(), *sponsored]
+        written = write_facts(self._table, facts, deadline)
         with self._lock:
             self._own = replace(self._own, reaches_table=written.is_ok())
+            for fact in sponsored if written.is_ok() else ():
+                if self._sponsored.get(fact.name) is fact:
+                    del self._sponsored[fact.name]
             self._registered = self._registered or written.is_ok()
         match written:
             case Err(failure):
@@ -369,7 +363,7 @@
             case Ok(facts):
                 self._take_rows(facts)
                 self._table_read_at = now
-                self._scan_at = now + self._scan_interval()
+                self._scan_at = now + self._hearing.choose_scan_interval()
                 return Ok(None)
             case Err(failure):
                 logger.info("members: %s", describe_failure(failure))
@@ -384,7 +378,7 @@
             for fact in self._book.list_facts():
                 if fact.name not in listed and not self._is_fresh(fact.name):
                     self._book.forget(fact.name)
-                    self._heard_directly.pop(fact.name, None)
+                    self._hearing.forget(fact.name)
 
     def prune(
         self, listed: Sequence[ListedVm], fence: Condition, deadline: Deadline
--- a/chestnutstair/coordination/registry.py
+++ b/chestnutstair/coordination/registry.py
@@ -23,7 +23,7 @@
     "find_gone",
     "prune_rows",
     "read_facts",
-    "write_fact",
+    "write_facts",
 ]
 
 MEMBER_TABLE = "members"
@@ -42,12 +42,15 @@
     )
 
 
-def write_fact(
-    table: Table, fact: Fact, deadline: Deadline
+def write_facts(
+    table: Table, facts: Iterable[Fact], deadline: Deadline
 ) -> Result[None, ConflictFailure | PlatformFailure]:
-    """Register a daemon, or renew its beat."""
-    key = Key(MEMBER_TABLE, fact.name)
-    return table.commit([], [Write(key, encode_value(fact))], deadline)
+    """Register daemons, or renew their beats."""
+    writes = [
+        Write(Key(MEMBER_TABLE, fact.name), encode_value(fact))
+        for fact in facts
+    ]
+    return table.commit([], writes, deadline)
 
 
 def prune_rows(
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -141,6 +141,7 @@
             clock,
             self._members.is_registered,
             settings.spread,
+            self._members.sponsor,
         )
         self._duties = LeasedDuties(
             self._table,
--- a/chestnutstair/tests/test_configuration.py
+++ b/chestnutstair/tests/test_configuration.py
@@ -4,10 +4,13 @@
 from dataclasses import replace
 
 from chestnutstair.coordination.platform import (
+    Key,
     UnavailableFailure,
     UnknownOutcomeFailure,
+    Write,
 )
 from chestnutstair.coordination.refusals import list_refusals
+from chestnutstair.coordination.registry import MEMBER_TABLE
 from chestnutstair.coordination.tickets import (
     LagReason,
     TicketContentFailure,
@@ -111,6 +114,22 @@
         self.assertEqual(self.find_lags(inside, 2), {})
         self.check_monotonic(cluster)
 
+    def test_a_removed_daemon_does_not_come_back(self) -> None:
+        cluster = self.start()
+        gone = cluster.remove("entry-6")
+        cluster.run(15)
+        # One daemon keeps the fact, because it can not see the row go.
+        cluster.daemons["entry-3"].table.cut = True
+        key = Key(MEMBER_TABLE, gone.name)
+        cluster.table.commit([], [Write(key, None)], cluster.make_deadline())
+        cluster.run(8)
+        for _ in range(20):
+            cluster.run(1)
+            for name in set(cluster.daemons) - {"entry-3"}:
+                statuses = cluster.daemons[name].members.list_statuses()
+                names = {item.fact.name for item in statuses}
+                self.assertNotIn("entry-6", names)
+
     def test_one_way_cut_leaves_a_path(self) -> None:
         cluster = self.start()
         cluster.daemons["entry-6"].table.cut = True
@@ -184,6 +203,34 @@
         cluster.run(10)
         self.assertFalse(alone.spreader.is_ready())
 
+    def test_a_start_from_a_peer_does_not_escape_the_report(self) -> None:
+        cluster = self.start()
+        new = FakeDaemon(cluster, "new", "zone-0")
+        new.table.cut = True
+        for name in cluster.daemons:
+            for other in {"entry-1", "new"} - {name}:
+                cluster.hub.cuts |= {(name, other), (other, name)}
+        cluster.hub.cuts -= {("entry-1", "new"), ("new", "entry-1")}
+        cluster.daemons["new"] = new
+        peer = cluster.daemons["entry-1"]
+        while not new.spreader.is_ready():
+            cluster.clock.now += 1.0
+            new.tick()
+            peer.members.send_heartbeats()
+            cluster.hub.deliver()
+        cluster.hub.cuts = {(name, "new") for name in cluster.daemons}
+        cluster.hub.cuts |= {("new", name) for name in cluster.daemons}
+        peer.table.cut = True
+        self.file(cluster, "entry-0", 2)
+        cluster.run(6)
+        self.assertEqual(peer.log.view.ticket, 2)
+        self.assertEqual(new.log.view.ticket, 1)
+        reporter = cluster.daemons["entry-0"]
+        self.assertIn("entry-1", self.find_lags(reporter, 2))
+        peer.table.cut = False
+        cluster.run(12)
+        self.assertEqual(set(self.find_lags(reporter, 2)), {"new"})
+
     def test_all_daemons_are_replaced(self) -> None:
         cluster = self.start()
         newest = self.file(cluster, "entry-0", 2).revision
