Let requests outlast the drain in the test of real daemons

Cause: with requests of 0.3 and 4 s the test passed although the wait for running requests was removed; with 8 s and eight callers it failed ('cut').

--- a/chestnutstair/tests/test_maintenance_faults.py
+++ b/chestnutstair/tests/test_maintenance_faults.py
@@ -56,7 +56,7 @@
             "entry-0", "POST", "/tickets", encode_value(ticket)
         )
         self.ending = threading.Event()
-        for _ in range(4):
+        for _ in range(8):
             thread = threading.Thread(target=self.send_requests)
             thread.start()
             self.addCleanup(thread.join)
@@ -65,7 +65,7 @@
     def send_requests(self) -> None:
         while not self.ending.is_set():
             for name in DAEMONS:
-                call = Call("quotes", headers={"X-Work-Ms": "300"})
+                call = Call("quotes", headers={"X-Work-Ms": "8000"})
                 try:
                     self.cluster.send(name, call)
                 except HTTPError:
--- a/tools/bench_maintenance.py
+++ b/tools/bench_maintenance.py
@@ -1,7 +1,8 @@
 """Measures waves, planning rounds and the rules for moves of demand.
 
 Prints tables and writes nothing. `python -m tools.bench_maintenance`
-runs all parts; name some of `wave`, `round`, `demand` for these only.
+runs `wave`, `round` and `demand`; name parts to run these only. The part
+`design`, a wave of the whole design size, takes more than ten minutes.
 """
 
 import math
@@ -254,12 +255,23 @@
                 print(f"  {name:15} least in total  {_format(least)}")
 
 
-PARTS = {"wave": run_waves, "round": run_rounds, "demand": run_demands}
+def run_design_wave() -> None:
+    """Print a wave of the whole design size."""
+    _run_wave("design", _build_design_ticket(DESIGN_VMS, DESIGN_POOLS))
+
+
+PARTS = {
+    "wave": run_waves,
+    "round": run_rounds,
+    "demand": run_demands,
+    "design": run_design_wave,
+}
+USUAL_PARTS = ("wave", "round", "demand")
 
 
 def main(names: list[str] | None = None) -> None:
-    """Run the parts named, or all."""
-    for name in names or PARTS:
+    """Run the parts named, or the usual ones."""
+    for name in names or USUAL_PARTS:
         PARTS[name]()
 
 
