Plan cleaning by the load that the daemon has seen

Cause: the planner's forecast was built but never fed, so it saw a load of 0 and took every hour for a quiet one. Ruled out: asking the platform for load, which it reports for workers only. Change: admission measures how much of the daemon's part of each pool is in use; an observer feeds the forecaster every 5 s; the conductor asks it. Figures: one of eight slots in use reads 0.125 in the new test. Conclusion: wired; what a daemon has seen is still lost with it.

--- a/chestnutstair/coordination/admission.py
+++ b/chestnutstair/coordination/admission.py
@@ -237,6 +237,15 @@
         with self._changed:
             self._leaving.note_directory(listed, self._log.view)
 
+    def measure_loads(self) -> dict[str, float]:
+        """Return how much of this daemon's part of each pool is in use."""
+        with self._changed:
+            return {
+                name: min(1.0, queue.count_running() / part)
+                for name, queue in self._queues.items()
+                if (part := self._measure_share(queue))
+            }
+
     def spend_retry(self, entry: Entry) -> bool:
         """Take one retry from the pool's budget."""
         with self._changed:
--- a/chestnutstair/coordination/forecast.py
+++ b/chestnutstair/coordination/forecast.py
@@ -1,11 +1,12 @@
 """Learns the load of each pool by the hour of the day."""
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from chestnutstair.state.codec import STRICT
-from chestnutstair.state.deadline import Clock
+from chestnutstair.state.deadline import Clock, Deadline
 
-__all__ = ["ForecastSettings", "LoadForecaster"]
+__all__ = ["ForecastSettings", "LoadForecaster", "LoadObserver"]
 
 HOUR_SECONDS = 3600
 HOURS_PER_DAY = 24
@@ -25,6 +26,23 @@
     day_weight: float = 0.3
 
 
+class LoadObserver:
+    """Feeds a forecaster with the loads that this daemon measures."""
+
+    def __init__(
+        self,
+        measure: Callable[[], Mapping[str, float]],
+        forecaster: "LoadForecaster",
+    ) -> None:
+        self._measure = measure
+        self._forecaster = forecaster
+
+    def run_once(self, deadline: Deadline) -> None:
+        """Observe the load of each pool once."""
+        for pool, share in self._measure().items():
+            self._forecaster.observe(pool, share)
+
+
 @dataclass
 class _PoolLoad:
     recent: float
--- a/chestnutstair/coordination/forwarder.py
+++ b/chestnutstair/coordination/forwarder.py
@@ -149,6 +149,10 @@
         """Take the platform's list of VMs into account."""
         self._admission.note_directory(listed)
 
+    def measure_loads(self) -> dict[str, float]:
+        """Return the share (0 to 1) of each pool in use, as seen here."""
+        return self._admission.measure_loads()
+
     def run_due(self) -> None:
         """End the pauses and ejections of targets that are due."""
         self._admission.run_due()
--- a/chestnutstair/coordination/queueing.py
+++ b/chestnutstair/coordination/queueing.py
@@ -48,6 +48,10 @@
         self._ends = 0.0
         self._ends_at = 0.0
 
+    def count_running(self) -> int:
+        """Return how many requests run in the pool's slots."""
+        return self.running.total() + self.foreign
+
     def list_classes(self) -> list[UrgencyClass]:
         """Return the classes of the pool, the most urgent first."""
         return sorted(self.pool.classes, key=lambda item: item.rank)
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -16,6 +16,10 @@
     build_duty_name as build_maintenance_name,
 )
 from chestnutstair.coordination.duties import LeasedDuties
+from chestnutstair.coordination.forecast import (
+    LoadForecaster,
+    LoadObserver,
+)
 from chestnutstair.coordination.forwarder import Forwarder
 from chestnutstair.coordination.gossip import FactsMessage, HeartbeatMessage
 from chestnutstair.coordination.leaving import LeavingMessage
@@ -183,6 +187,8 @@
     def _build_loops(self) -> None:
         settings = self._settings
         loops = settings.loops
+        forecaster = LoadForecaster(self._clock, settings.forecast)
+        observer = LoadObserver(self._forwarder.measure_loads, forecaster)
         drains = DrainConductor(
             self._log,
             self._duties,
@@ -190,6 +196,7 @@
             self._control,
             self._members,
             self._clock,
+            forecast=forecaster.expect,
             planning=settings.maintenance,
             drains=settings.drains,
         )
@@ -214,6 +221,7 @@
         )
         sweeper = ClaimSweeper(self._claims, self._duties, settings.sweep)
         self._loops = (
+            self._build_loop("load", observer.run_once, loops.load_seconds),
             self._build_loop("sweep", sweeper.run_once, loops.sweep_seconds),
             self._build_loop(
                 "directory", reader.run_once, loops.directory_seconds
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -10,6 +10,7 @@
 from chestnutstair.coordination.claims import ClaimSettings
 from chestnutstair.coordination.drain import DrainSettings
 from chestnutstair.coordination.duties import DutySettings
+from chestnutstair.coordination.forecast import ForecastSettings
 from chestnutstair.coordination.forwarder import ForwarderSettings
 from chestnutstair.coordination.maintenance import MaintenanceSettings
 from chestnutstair.coordination.membership import MembershipSettings
@@ -70,6 +71,7 @@
     directory_seconds: float = 1.0
     drain_seconds: float = 1.0
     outage_seconds: float = 1.0
+    load_seconds: float = 5.0
     placement_seconds: float = 0.5
     sweep_seconds: float = 10.0
     round_seconds: float = 5.0  # deadline of one round
@@ -123,6 +125,7 @@
     maintenance: MaintenanceSettings = field(
         default_factory=MaintenanceSettings
     )
+    forecast: ForecastSettings = field(default_factory=ForecastSettings)
     drains: DrainSettings = field(default_factory=DrainSettings)
     outages: OutageSettings = field(default_factory=OutageSettings)
     placement: PlacementSettings = field(default_factory=PlacementSettings)
--- a/chestnutstair/tests/test_admission.py
+++ b/chestnutstair/tests/test_admission.py
@@ -62,6 +62,11 @@
                 case Err():
                     return grants
 
+    def test_measures_the_load_of_its_part_of_a_pool(self) -> None:
+        self.set_up(targets=2, others=1)
+        pool = self.acquire().unwrap().load.pool
+        self.assertEqual(self.admission.measure_loads()[pool], 1 / 8)
+
     def test_floors_are_kept_free_under_pressure(self) -> None:
         self.set_up()
         self.enter()
