Let queues judge their own waits, and set the callers' threads once

Ruled out: a module for settings alone, since defaults belong beside the code that reads them. Change: what only looks at one queue moved to it; the callers' server takes forwarding.admission.threads.

--- a/chestnutstair/coordination/admission.py
+++ b/chestnutstair/coordination/admission.py
@@ -11,7 +11,12 @@
 from chestnutstair.coordination.census import Census, CensusSettings
 from chestnutstair.coordination.changelog import ChangeLog
 from chestnutstair.coordination.ejection import EjectionSettings, Ejector
-from chestnutstair.coordination.grant import Entry, Grant, Refusal
+from chestnutstair.coordination.grant import (
+    Entry,
+    Grant,
+    Refusal,
+    judge_wait,
+)
 from chestnutstair.coordination.leaving import (
     LeavingMessage,
     LeavingSettings,
@@ -139,11 +144,11 @@
                 unknown = UnknownClassFailure(request.urgency, known)
                 return Err(Refusal(unknown))
             limit = int(self._settings.threads * self._settings.pool_share)
-            if not queue.has_room(urgency, max(1, limit)) and not self._evict(
-                queue, urgency
-            ):
+            has_room = queue.has_room(urgency, max(1, limit))
+            if not has_room and not queue.evict_less_urgent(urgency):
                 full = QueueFullFailure(pool.service)
-                return Err(Refusal(full, self._suggest_retry(queue)))
+                wait = queue.suggest_retry(self._clock.read_monotonic())
+                return Err(Refusal(full, wait))
             queue.held[urgency.name] += 1
             queue.budget.earn()
             HELD.labels(pool.name).set(queue.held.total())
@@ -167,7 +172,9 @@
                 if load is not None:
                     return Ok(self._build_grant(queue, load))
             if not again:
-                refusal = self._judge_wait(entry, ahead + 1)
+                refusal = judge_wait(
+                    entry, ahead + 1, self._clock.read_monotonic()
+                )
                 if refusal is not None:
                     return Err(refusal)
             waiter = Waiter(entry.request, entry.urgency)
@@ -286,29 +293,6 @@
             self._queues[pool] = queue
         return queue
 
-    def _evict(self, queue: PoolQueue, urgency: UrgencyClass) -> bool:
-        waiter = queue.pop_less_urgent(urgency)
-        if waiter is None:
-            return False
-        waiter.failure = QueueFullFailure(queue.pool.service)
-        waiter.decided.set()
-        return True
-
-    def _suggest_retry(self, queue: PoolQueue) -> float:
-        """Return the seconds in which all that wait should have started."""
-        now = self._clock.read_monotonic()
-        wait = queue.estimate_wait(queue.count_waiting() + 1, now)
-        return max(1.0, wait)
-
-    def _judge_wait(self, entry: Entry, ahead: int) -> Refusal | None:
-        queue = entry.queue
-        now = self._clock.read_monotonic()
-        wait = queue.estimate_wait(ahead, now)
-        needed = wait + queue.service_seconds
-        if needed <= entry.request.deadline.at - now:
-            return None
-        return Refusal(DeadlineFailure(queue.pool.service), max(1.0, wait))
-
     def _conclude(
         self, queue: PoolQueue, waiter: Waiter
     ) -> Result[Grant, Refusal]:
@@ -317,7 +301,9 @@
         queue.remove(waiter)
         late = DeadlineFailure(queue.pool.service)
         failure = waiter.failure or late
-        return Err(Refusal(failure, self._suggest_retry(queue)))
+        return Err(
+            Refusal(failure, queue.suggest_retry(self._clock.read_monotonic()))
+        )
 
     def _build_grant(self, queue: PoolQueue, load: TargetLoad) -> Grant:
         return Grant(
--- a/chestnutstair/coordination/grant.py
+++ b/chestnutstair/coordination/grant.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass
 
 from chestnutstair.coordination.queueing import PoolQueue
-from chestnutstair.coordination.request import Request
+from chestnutstair.coordination.request import DeadlineFailure, Request
 from chestnutstair.coordination.router import TargetLoad
 from chestnutstair.state.failure import Failure
 from chestnutstair.state.fleet import UrgencyClass
 
-__all__ = ["Entry", "Grant", "Refusal"]
+__all__ = ["Entry", "Grant", "Refusal", "judge_wait"]
 
 
 @dataclass(frozen=True)
@@ -38,3 +38,16 @@
 
     failure: Failure
     retry_after: float = 0.0
+
+
+def judge_wait(entry: Entry, ahead: int, now: float) -> Refusal | None:
+    """Refuse a request that can not end by its deadline.
+
+    `ahead` requests start before it; `now` is monotonic seconds.
+    """
+    queue = entry.queue
+    wait = queue.estimate_wait(ahead, now)
+    needed = wait + queue.service_seconds
+    if needed <= entry.request.deadline.at - now:
+        return None
+    return Refusal(DeadlineFailure(queue.pool.service), max(1.0, wait))
--- a/chestnutstair/coordination/queueing.py
+++ b/chestnutstair/coordination/queueing.py
@@ -5,7 +5,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from chestnutstair.coordination.request import Request
+from chestnutstair.coordination.request import QueueFullFailure, Request
 from chestnutstair.coordination.retry import RetryBudget
 from chestnutstair.coordination.router import TargetLoad
 from chestnutstair.state.deadline import Deadline
@@ -98,15 +98,22 @@
         """Return how many wait in all classes."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def pop_less_urgent(self, urgency: UrgencyClass) -> Waiter | None:
-        """Take out the youngest waiter of the least urgent lower class."""
+    def evict_less_urgent(self, urgency: UrgencyClass) -> bool:
+        """Refuse the youngest waiter of the least urgent lower class."""
         for item in reversed(self.list_classes()):
             if item.rank <= urgency.rank:
-                return None
+                return False
             queue = self.get_queue(item)
             if queue:
-                return queue.pop()
-        return None
+                waiter = queue.pop()
+                waiter.failure = QueueFullFailure(self.pool.service)
+                waiter.decided.set()
+                return True
+        return False
+
+    def suggest_retry(self, now: float) -> float:
+        """Return the seconds in which all that wait should have started."""
+        return max(1.0, self.estimate_wait(self.count_waiting() + 1, now))
 
     def allows(self, urgency: UrgencyClass, share: float) -> bool:
         """Tell whether the class may start one more within the share.
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -270,7 +270,7 @@
             ),
             split_address(settings.callers_address),
             settings.calls,
-            settings.callers_threads,
+            settings.forwarding.admission.threads,
         )
         callers.shutdown_timeout = settings.stop.finish_seconds
         self._callers = HttpServer("callers", callers)
--- a/chestnutstair/settings.py
+++ b/chestnutstair/settings.py
@@ -96,7 +96,6 @@
     Addresses are `IP:port`: `callers_address` takes callers' requests,
     `admin_address` operators' calls, health and metrics, `peers_address`
     the other daemons. `platform_url` is the platform's base URL.
-    `callers_threads` is the most requests served at once.
     """
 
     __pydantic_config__ = STRICT
@@ -107,7 +106,6 @@
     admin_address: Address
     peers_address: Address
     platform_url: Url
-    callers_threads: Annotated[int, Field(ge=1, le=1000)] = 64
     log: LogSettings = field(default_factory=LogSettings)
     calls: CallSettings = field(default_factory=CallSettings)
     forwarding: ForwarderSettings = field(default_factory=ForwarderSettings)
