Share the set-up of process tests and test leaving targets with processes

Cause: four test modules built the same cluster and ticket; and no test with processes showed that a leaving target gets no new work. Ruled out: a timed bound of 3 s, since the tests depend on no speed. Change: the local cluster starts targets and daemons, builds and files the ticket; a target that refuses nothing by itself says that it leaves, and from then on requests through all daemons run elsewhere. That test was not run with the hints taken out.

--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -19,6 +19,8 @@
 
 from chestnutstair.standins.target import TargetSettings
 from chestnutstair.state.codec import decode_json, encode_json, encode_value
+from chestnutstair.state.fleet import Pool, Vm, Zone
+from chestnutstair.state.ticket import Ticket
 
 __all__ = ["Call", "DaemonAddresses", "LocalCluster", "wait_until"]
 
@@ -192,6 +194,55 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def start_targets(
+        self, targets: Sequence[TargetSettings], zones: Sequence[str]
+    ) -> None:
+        """Start targets, over the zones in turn."""
+        for index, settings in enumerate(targets):
+            self.start_target(settings, zones[index % len(zones)])
+
+    def start_daemons(
+        self,
+        names: Sequence[str],
+        zones: Sequence[str],
+        settings: Mapping[str, Any],
+    ) -> None:
+        """Start daemons, over the zones in turn, and wait for all."""
+        for index, name in enumerate(names):
+            self.start_daemon(name, zones[index % len(zones)], settings)
+        for name in names:
+            self.wait_ready(name)
+
+    def build_ticket(self, zones: Sequence[str], pool: Pool) -> Ticket:
+        """Return ticket 1: all targets in the pool, each a rack."""
+        return Ticket(
+            number=1,
+            author="tester",
+            zones=tuple(Zone(name, "region") for name in zones),
+            pools=(pool,),
+            vms=tuple(
+                Vm(name, pool.name, zones[index % len(zones)], name, address)
+                for index, (name, address) in enumerate(self.targets.items())
+            ),
+        )
+
+    def file_ticket(self, daemon: str, ticket: Ticket) -> tuple[int, Any]:
+        """File the ticket; return status and answer."""
+        value = encode_value(ticket)
+        return self.call_admin(daemon, "POST", "/tickets", value)
+
+    def read_report(self, daemon: str, number: int) -> dict[str, Any]:
+        """Return a daemon's report of the ticket, or its refusal."""
+        path = f"/tickets/{number}"
+        return dict(self.call_admin(daemon, "GET", path)[1])
+
+    def wait_in_force(self, daemon: str, number: int) -> None:
+        """Block until the daemon reports the ticket in force."""
+        wait_until(
+            f"ticket {number} in force",
+            lambda: self.read_report(daemon, number).get("in_force"),
+        )
+
     def get_pid(self, name: str) -> int:
         """Return the process id of a process."""
         return self._processes[name].pid
--- a/chestnutstair/tests/test_cluster_faults.py
+++ b/chestnutstair/tests/test_cluster_faults.py
@@ -7,8 +7,7 @@
 
 from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
 from chestnutstair.standins.target import TargetSettings
-from chestnutstair.state.codec import encode_value
-from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.fleet import Pool, PoolKind
 from chestnutstair.state.ticket import Ticket
 
 ZONES = ("zone-a", "zone-b")
@@ -26,53 +25,24 @@
         self.cluster = LocalCluster()
         self.addCleanup(self.cluster.stop)
         self.cluster.start_platform({"vms": {"list_lag_seconds": 0.2}})
-        for index, zone in enumerate(ZONES):
-            self.cluster.start_target(TargetSettings(f"runner-{index}"), zone)
-        for index, name in enumerate(DAEMONS):
-            self.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
-        for name in DAEMONS:
-            self.cluster.wait_ready(name)
-        self.ticket = self.build_first()
-        self.file("entry-0", self.ticket)
-        self.wait_in_force("entry-0", 1)
-
-    def build_first(self) -> Ticket:
-        targets = self.cluster.targets.items()
-        return Ticket(
-            number=1,
-            author="tester",
-            zones=tuple(Zone(name, "region") for name in ZONES),
-            pools=(Pool("quotes", PoolKind.RUNNERS, "quotes", 1),),
-            vms=tuple(
-                Vm(name, "quotes", ZONES[index], f"rack-{index}", address)
-                for index, (name, address) in enumerate(targets)
-            ),
-        )
+        targets = [TargetSettings(f"runner-{index}") for index in range(2)]
+        self.cluster.start_targets(targets, ZONES)
+        self.cluster.start_daemons(DAEMONS, ZONES, SETTINGS)
+        pool = Pool("quotes", PoolKind.RUNNERS, "quotes", 1)
+        self.file("entry-0", self.cluster.build_ticket(ZONES, pool))
+        self.cluster.wait_in_force("entry-0", 1)
 
     def build_next(self, number: int, author: str = "tester") -> Ticket:
         pool = Pool(f"pool-{number}", PoolKind.RUNNERS, "extra", 0)
         return Ticket(number=number, author=author, pools=(pool,))
 
     def file(self, daemon: str, ticket: Ticket) -> tuple[int, Any]:
-        return self.cluster.call_admin(
-            daemon, "POST", "/tickets", encode_value(ticket)
-        )
+        return self.cluster.file_ticket(daemon, ticket)
 
     def read_ticket(self, daemon: str) -> int:
         status = self.cluster.call_admin(daemon, "GET", "/status")[1]
         return int(status["ticket"])
 
-    def read_report(self, daemon: str, number: int) -> dict[str, Any]:
-        path = f"/tickets/{number}"
-        report = self.cluster.call_admin(daemon, "GET", path)[1]
-        return dict(report)
-
-    def wait_in_force(self, daemon: str, number: int) -> None:
-        wait_until(
-            f"ticket {number} in force",
-            lambda: self.read_report(daemon, number).get("in_force"),
-        )
-
     def set_faults(self, **faults: Any) -> None:
         self.cluster.call_platform("POST", "/faults", faults)
 
@@ -123,12 +93,12 @@
             "the ticket accepted",
             lambda: self.file("entry-0", self.build_next(2))[0] in (200, 201),
         )
-        self.wait_in_force("entry-3", 2)
+        self.cluster.wait_in_force("entry-3", 2)
 
     def test_a_zone_cut_from_the_platform_learns_from_its_peers(self) -> None:
         self.set_faults(cut_zones=["zone-b"])
         self.file("entry-0", self.build_next(2))
-        self.wait_in_force("entry-0", 2)
+        self.cluster.wait_in_force("entry-0", 2)
         for name in DAEMONS:
             self.assertEqual(self.read_ticket(name), 2)
             self.assert_serves(name)
@@ -150,23 +120,23 @@
         self.file("entry-0", self.build_next(2))
         wait_until(
             "the others' confirmation",
-            lambda: len(self.read_report("entry-0", 2)["confirmed"]) == 3,
+            lambda: (
+                len(self.cluster.read_report("entry-0", 2)["confirmed"]) == 3
+            ),
         )
-        report = self.read_report("entry-0", 2)
+        report = self.cluster.read_report("entry-0", 2)
         self.assertFalse(report["in_force"])
         self.assertEqual([i["vm"] for i in report["lagging"]], ["entry-2"])
         self.cluster.send_signal("entry-2", signal.SIGCONT)
-        self.wait_in_force("entry-0", 2)
+        self.cluster.wait_in_force("entry-0", 2)
         self.assertEqual(self.read_ticket("entry-2"), 2)
 
     def test_all_daemons_replaced_at_once_keep_the_state(self) -> None:
         self.file("entry-0", self.build_next(2))
         for name in DAEMONS:
             self.cluster.end(name, signal.SIGKILL)
-        for index, name in enumerate(DAEMONS):
-            self.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
+        self.cluster.start_daemons(DAEMONS, ZONES, SETTINGS)
         for name in DAEMONS:
-            self.cluster.wait_ready(name)
             self.assertEqual(self.read_ticket(name), 2)
             self.assert_serves(name)
 
--- a/chestnutstair/tests/test_maintenance_faults.py
+++ b/chestnutstair/tests/test_maintenance_faults.py
@@ -10,11 +10,10 @@
 from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
 from chestnutstair.standins.target import TargetSettings
 from chestnutstair.state.change import ChangeRecord
-from chestnutstair.state.codec import encode_value
-from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
-from chestnutstair.state.ticket import Ticket
+from chestnutstair.state.fleet import Pool, PoolKind
 from chestnutstair.tests.maintenance_support import replay
 
+ZONES = ("zone-a",)
 DAEMONS = ("entry-0", "entry-1", "entry-2")
 RUNNERS = tuple(f"runner-{index}" for index in range(4))
 ROUND_SECONDS = 90.0
@@ -32,12 +31,9 @@
         self.cluster = LocalCluster()
         self.addCleanup(self.cluster.stop)
         self.cluster.start_platform({"vms": {"list_lag_seconds": 0.5}})
-        for name in RUNNERS:
-            self.cluster.start_target(TargetSettings(name), "zone-a")
-        for name in DAEMONS:
-            self.cluster.start_daemon(name, "zone-a", SETTINGS)
-        for name in DAEMONS:
-            self.cluster.wait_ready(name)
+        targets = [TargetSettings(name) for name in RUNNERS]
+        self.cluster.start_targets(targets, ZONES)
+        self.cluster.start_daemons(DAEMONS, ZONES, SETTINGS)
         pool = Pool(
             "quotes",
             PoolKind.RUNNERS,
@@ -45,16 +41,8 @@
             availability_budget=1,
             maintenance_period_seconds=20.0,
         )
-        vms = tuple(
-            Vm(name, "quotes", "zone-a", name, self.cluster.targets[name])
-            for name in RUNNERS
-        )
-        ticket = Ticket(
-            1, "tester", zones=(Zone("zone-a", "r"),), pools=(pool,), vms=vms
-        )
-        self.cluster.call_admin(
-            "entry-0", "POST", "/tickets", encode_value(ticket)
-        )
+        ticket = self.cluster.build_ticket(ZONES, pool)
+        self.cluster.file_ticket("entry-0", ticket)
         self.ending = threading.Event()
         for _ in range(8):
             thread = threading.Thread(target=self.send_requests)
--- a/chestnutstair/tests/test_request_faults.py
+++ b/chestnutstair/tests/test_request_faults.py
@@ -10,9 +10,7 @@
 
 from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
 from chestnutstair.standins.target import TargetSettings
-from chestnutstair.state.codec import encode_value
-from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
-from chestnutstair.state.ticket import Ticket
+from chestnutstair.state.fleet import Pool, PoolKind
 
 ZONES = ("zone-a", "zone-b")
 DAEMONS = ("entry-0", "entry-1", "entry-2")
@@ -32,16 +30,15 @@
         self.cluster = LocalCluster()
         self.addCleanup(self.cluster.stop)
         self.cluster.start_platform({"vms": {"list_lag_seconds": 0.2}})
-        for index, name in enumerate(RUNNERS):
-            settings = TargetSettings(name, reboot_seconds=0.5)
-            self.cluster.start_target(settings, ZONES[index % 2])
-        for index, name in enumerate(DAEMONS):
-            self.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
-        for name in DAEMONS:
-            self.cluster.wait_ready(name)
-        self.file_first(period_seconds)
-
-    def file_first(self, period_seconds: float) -> None:
+        # With that grace a leaving target refuses nothing by itself.
+        targets = [
+            TargetSettings(
+                name, reboot_seconds=0.5, leaving_grace_seconds=10_000.0
+            )
+            for name in RUNNERS
+        ]
+        self.cluster.start_targets(targets, ZONES)
+        self.cluster.start_daemons(DAEMONS, ZONES, SETTINGS)
         pool = Pool(
             "quotes",
             PoolKind.RUNNERS,
@@ -49,24 +46,9 @@
             availability_budget=1,
             maintenance_period_seconds=period_seconds,
         )
-        targets = self.cluster.targets.items()
-        ticket = Ticket(
-            number=1,
-            author="tester",
-            zones=tuple(Zone(name, "region") for name in ZONES),
-            pools=(pool,),
-            vms=tuple(
-                Vm(name, "quotes", ZONES[index % 2], f"rack-{index}", address)
-                for index, (name, address) in enumerate(targets)
-            ),
-        )
-        value = encode_value(ticket)
-        self.cluster.call_admin("entry-0", "POST", "/tickets", value)
-        wait_until("ticket 1 in force", self.is_in_force)
-
-    def is_in_force(self) -> bool:
-        answer = self.cluster.call_admin("entry-0", "GET", "/tickets/1")[1]
-        return bool(answer["in_force"])
+        ticket = self.cluster.build_ticket(ZONES, pool)
+        self.cluster.file_ticket("entry-0", ticket)
+        self.cluster.wait_in_force("entry-0", 1)
 
     def send_charge(
         self, daemon: str, key: str, work_ms: int = 0, first: bool = False
@@ -151,6 +133,29 @@
         answer = self.cluster.send("entry-0", Call("quotes"))
         self.assertEqual(answer.status, 200)
 
+    def test_a_leaving_target_gets_no_new_work(self) -> None:
+        self.start(period_seconds=10_000.0)
+        self.cluster.call_target("runner-0", "POST", "/drain")
+        wait_until("the hint", self.is_avoided)
+        before = self.count_target_runs("runner-0")
+        for _ in range(30):
+            for daemon in DAEMONS:
+                answer = self.cluster.send(daemon, Call("quotes"))
+                self.assertEqual(answer.status, 200)
+        self.assertEqual(self.count_target_runs("runner-0"), before)
+
+    def is_avoided(self) -> bool:
+        """Tell whether none of some requests through each daemon ran there."""
+        before = self.count_target_runs("runner-0")
+        for _ in range(10):
+            for daemon in DAEMONS:
+                self.cluster.send(daemon, Call("quotes"))
+        return self.count_target_runs("runner-0") == before
+
+    def count_target_runs(self, target: str) -> int:
+        runs = self.cluster.list_runs()
+        return sum(run["target"] == target for run in runs)
+
     def test_cleaning_every_runner_cuts_no_request(self) -> None:
         self.start(CLEANING_PERIOD_SECONDS)
         ended = threading.Event()
--- a/chestnutstair/tests/test_whole_path.py
+++ b/chestnutstair/tests/test_whole_path.py
@@ -6,10 +6,9 @@
 
 import urllib3
 
-from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
+from chestnutstair.standins.cluster import Call, LocalCluster
 from chestnutstair.standins.target import TargetSettings
-from chestnutstair.state.codec import encode_value
-from chestnutstair.state.fleet import Pool, PoolKind, Vm, Zone
+from chestnutstair.state.fleet import Pool, PoolKind
 from chestnutstair.state.ticket import Ticket
 
 ZONES = ("zone-a", "zone-b")
@@ -31,54 +30,30 @@
         cls.cluster = LocalCluster()
         cls.addClassCleanup(cls.cluster.stop)
         cls.cluster.start_platform({"vms": {"list_lag_seconds": 0.5}})
-        for index, zone in enumerate(ZONES):
-            cls.cluster.start_target(TargetSettings(f"runner-{index}"), zone)
-        for index, name in enumerate(DAEMONS):
-            cls.cluster.start_daemon(name, ZONES[index % 2], SETTINGS)
-        for name in DAEMONS:
-            cls.cluster.wait_ready(name)
+        targets = [TargetSettings(f"runner-{index}") for index in range(2)]
+        cls.cluster.start_targets(targets, ZONES)
+        cls.cluster.start_daemons(DAEMONS, ZONES, SETTINGS)
         cls.next_number = 1
 
     def build_ticket(self, **parts: Any) -> Ticket:
         return Ticket(number=self.next_number, author="tester", **parts)
 
-    def build_first(self) -> Ticket:
-        targets = self.cluster.targets.items()
-        return self.build_ticket(
-            zones=tuple(Zone(name, "region") for name in ZONES),
-            pools=(Pool("quotes", PoolKind.RUNNERS, "quotes", 1),),
-            vms=tuple(
-                Vm(name, "quotes", ZONES[index], f"rack-{index}", address)
-                for index, (name, address) in enumerate(targets)
-            ),
-        )
-
     def file(self, daemon: str, ticket: Ticket) -> None:
-        status, _ = self.cluster.call_admin(
-            daemon, "POST", "/tickets", encode_value(ticket)
-        )
+        status, _ = self.cluster.file_ticket(daemon, ticket)
         self.assertEqual(status, 201)
         type(self).next_number += 1
 
-    def wait_in_force(self, daemon: str, number: int) -> None:
-        def is_in_force() -> bool:
-            answer = self.cluster.call_admin(
-                daemon, "GET", f"/tickets/{number}"
-            )[1]
-            return bool(answer["in_force"])
-
-        wait_until("in force", is_in_force)
-
     def setUp(self) -> None:
         if self.next_number == 1:
-            self.file("entry-0", self.build_first())
-            self.wait_in_force("entry-0", 1)
+            pool = Pool("quotes", PoolKind.RUNNERS, "quotes", 1)
+            self.file("entry-0", self.cluster.build_ticket(ZONES, pool))
+            self.cluster.wait_in_force("entry-0", 1)
 
     def test_every_daemon_serves_once_a_ticket_is_in_force(self) -> None:
         pool = Pool("spare", PoolKind.RUNNERS, "extra", 0, spare=True)
         ticket = self.build_ticket(pools=(pool,))
         self.file("entry-1", ticket)
-        self.wait_in_force("entry-1", ticket.number)
+        self.cluster.wait_in_force("entry-1", ticket.number)
         for name in DAEMONS:
             pools = self.cluster.call_admin(name, "GET", "/pools")[1]
             names = [item["pool"]["name"] for item in pools]
