Take no lock in the daemon's signal handler

Cause: the handler set events; an event's lock is not reentrant, so a signal that came while the main thread held it, such as a second SIGTERM, could have stopped the stop. Found by reading, not seen in a run. Ruled out: masking the second signal, which leaves the first one's window. Change: the handler sets plain flags that the main thread polls. Conclusion: a stop can not wait for itself.

--- a/chestnutstair/daemon.py
+++ b/chestnutstair/daemon.py
@@ -2,7 +2,6 @@
 
 import signal
 import sys
-import threading
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -18,6 +17,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_STARTED = 3
+STOP_POLL_SECONDS = 0.2
 
 app = typer.Typer(
     help="The daemon that runs on every entry VM.", no_args_is_help=True
@@ -48,12 +48,11 @@
     """Serve until SIGTERM or SIGINT; exit 3 if an address is taken."""
     settings = _read_or_exit(path)
     configure_logging(settings.log.level, settings.name, settings.zone)
-    node = Node(settings, SystemClock())
-    stopped = threading.Event()
+    clock = SystemClock()
+    node = Node(settings, clock)
 
     def stop(*_: Any) -> None:
         node.begin_stop()
-        stopped.set()
 
     signal.signal(signal.SIGTERM, stop)
     signal.signal(signal.SIGINT, stop)
@@ -62,7 +61,8 @@
     except OSError as error:
         print(f"can not listen: {error}", file=sys.stderr)
         sys.exit(EXIT_NOT_STARTED)
-    stopped.wait()
+    while not node.is_stopping():
+        clock.sleep(STOP_POLL_SECONDS)
     node.stop()
 
 
--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -1,7 +1,6 @@
 """The composition root: builds, starts and stops the parts of a daemon."""
 
 import logging
-import threading
 import uuid
 from collections.abc import Callable
 
@@ -88,8 +87,8 @@
     def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
-        self._serving = threading.Event()
-        self._stopping = threading.Event()
+        self._serving = False
+        self._stopping = False
         self._build_platform()
         self._build_coordination()
         self._build_loops()
@@ -277,7 +276,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
-        return self._serving.is_set() and not self._stopping.is_set()
+        return self._serving and not self._stopping
 
     def start(self) -> None:
         """Start every part; serve callers once the view is known.
@@ -290,12 +289,12 @@
         self._members.start()
         self._spreader.start()
         self._wait_for_view()
-        if self._stopping.is_set():
+        if self._stopping:
             return
         self._forwarder.start()
         self._callers.start()
         self._members.mark_ready()
-        self._serving.set()
+        self._serving = True
         self._duties.start()
         self._compactor.start()
         for loop in self._loops:
@@ -303,13 +302,19 @@
         logger.info("serving from revision %d", self._log.view.revision)
 
     def _wait_for_view(self) -> None:
-        while not self._spreader.is_ready() and not self._stopping.is_set():
+        while not self._spreader.is_ready() and not self._stopping:
             self._clock.sleep(READY_POLL_SECONDS)
 
     def begin_stop(self) -> None:
         """Say that this daemon is not ready any more."""
-        self._stopping.set()
-        self._forwarder.begin_stop()
+        # A signal handler calls this, so it must take no lock.
+        if not self._stopping:
+            self._stopping = True
+            self._forwarder.begin_stop()
+
+    def is_stopping(self) -> bool:
+        """Tell whether the stop has begun."""
+        return self._stopping
 
     def stop(self) -> None:
         """Let requests in flight end, hand duties back, and end."""
