Bound slow operators' clients as callers' are, by one server

Cause: only the callers' server ended a connection whose request arrives byte by byte; on the admin server each byte began the timeout anew, so eight such clients would hold all its threads. The two servers were also built twice. Ruled out: a shorter idle timeout, which dribbling evades. Change: the bounded server moved to transport/server.py and serves both; admin_server.read_seconds (20 s) bounds the arrival of a request. Conclusion: one server class, one bound.

--- a/chestnutstair/node.py
+++ b/chestnutstair/node.py
@@ -258,9 +258,10 @@
         self._admin = HttpServer(
             "admin",
             build_server(
-                settings.admin_address,
+                split_address(settings.admin_address),
                 build_operator_application(service),
                 settings.admin_server,
+                self._clock,
             ),
         )
         callers = build_callers_server(
--- a/chestnutstair/tests/test_whole_path.py
+++ b/chestnutstair/tests/test_whole_path.py
@@ -1,12 +1,13 @@
 """Tests of daemons, targets and the platform as separate processes."""
 
 import signal
+import socket
 import unittest
 from typing import Any
 
 import urllib3
 
-from chestnutstair.standins.cluster import Call, LocalCluster
+from chestnutstair.standins.cluster import Call, LocalCluster, wait_until
 from chestnutstair.standins.target import TargetSettings
 from chestnutstair.state.fleet import Pool, PoolKind
 from chestnutstair.state.ticket import Ticket
@@ -15,7 +16,7 @@
 DAEMONS = ("entry-0", "entry-1", "entry-2")
 SETTINGS = {
     "forwarding": {"stop_notice_seconds": 0.2},
-    "log": {"level": "info"},
+    "admin_server": {"read_seconds": 5.0},
 }
 
 
@@ -117,6 +118,24 @@
         )
         self.assertEqual(answer.status, 413)
 
+    def test_ends_a_connection_whose_body_dribbles(self) -> None:
+        host, port = self.cluster.daemons["entry-0"].admin.split(":")
+        head = b"POST /api/v1/tickets HTTP/1.1\r\nHost: a\r\n"
+        with socket.create_connection((host, int(port))) as client:
+            client.settimeout(0.2)
+            client.sendall(head + b"Content-Length: 100000\r\n\r\n")
+            wait_until("the end", lambda: self.is_ended(client))
+
+    def is_ended(self, client: socket.socket) -> bool:
+        """Send one more byte, and tell whether the daemon hung up."""
+        try:
+            client.sendall(b" ")
+            return client.recv(1000) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
     def test_tells_what_does_not_exist(self) -> None:
         status, answer = self.cluster.call_admin(
             "entry-0", "GET", "/tickets/999"
--- a/chestnutstair/transport/callers.py
+++ b/chestnutstair/transport/callers.py
@@ -2,10 +2,8 @@
 
 import re
 import uuid
-from functools import partial
 from typing import Any, ClassVar
 
-import cheroot.server
 import cheroot.wsgi
 import cherrypy
 from result import Err, Ok, Result
@@ -26,12 +24,15 @@
 )
 from chestnutstair.state.deadline import Clock, Deadline, SystemClock
 from chestnutstair.state.failure import Failure
-from chestnutstair.transport.reaper import SocketReaper
+from chestnutstair.transport.server import (
+    DONE_KEY,
+    ServerSettings,
+    build_server,
+)
 
 __all__ = ["build_callers_application", "build_callers_server"]
 
 PREFIX = "/call/"
-DONE_KEY = "chestnutstair.read_done"  # called when the body has been read
 CHUNK_BYTES = 65536
 SINGLE_HEADERS = ("Content-Length", "Content-Type", "Date", "Server")
 
@@ -210,58 +211,6 @@
     return application
 
 
-class _Gateway(cheroot.wsgi.Gateway_10):
-    """Closes the connection when the application says so."""
-
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        """Add the function that the application calls after the body."""
-        environ = super().get_environ()
-        connection = self.req.conn
-        reaper = connection.server.reaper
-        environ[DONE_KEY] = partial(reaper.discard, connection.socket)
-        return environ
-
-    def start_response(self, status, headers, exc_info=None):  # type: ignore[no-untyped-def]
-        """Begin the answer; heed a header `Connection: close`."""
-        if ("Connection", "close") in headers:
-            self.req.close_connection = True
-        return super().start_response(status, headers, exc_info)
-
-
-class _Connection(cheroot.server.HTTPConnection):
-    """A connection whose request must have been read by a deadline."""
-
-    def communicate(self) -> bool:
-        """Serve one request; tell whether the connection stays open."""
-        server = self.server
-        deadline = Deadline.after(server.clock, server.read_seconds)
-        server.reaper.add(self.socket, deadline)
-        try:
-            return bool(super().communicate())
-        finally:
-            server.reaper.discard(self.socket)
-
-
-class _Server(cheroot.wsgi.Server):
-    """A server that bounds the reading of each request as a whole."""
-
-    ConnectionClass = _Connection
-
-    def __init__(  # type: ignore[no-untyped-def]
-        self, *args, clock: Clock, read_seconds: float, **kwargs
-    ) -> None:
-        super().__init__(*args, **kwargs)
-        self.gateway = _Gateway
-        self.clock = clock
-        self.read_seconds = read_seconds
-        self.reaper = SocketReaper(clock)
-
-    def stop(self) -> None:
-        """Stop serving, and then the reaper."""
-        super().stop()
-        self.reaper.stop()
-
-
 def build_callers_server(
     application: Any,
     address: tuple[str, int],
@@ -271,17 +220,12 @@
     clock: Clock | None = None,
 ) -> cheroot.wsgi.Server:
     """Return the server; `queue` is the backlog of new connections."""
-    server = _Server(
-        address,
-        application,
-        numthreads=threads,
-        max=threads,
-        request_queue_size=queue,
-        timeout=settings.idle_seconds,
-        clock=clock or SystemClock(),
+    bounds = ServerSettings(
+        threads=threads,
+        backlog=queue,
+        header_bytes=settings.header_bytes,
+        body_bytes=0,  # the application bounds bodies
+        idle_seconds=settings.idle_seconds,
         read_seconds=settings.read_seconds,
     )
-    server.max_request_header_size = settings.header_bytes
-    server.max_request_body_size = 0  # the application bounds bodies
-    server.keep_alive_conn_limit = queue
-    return server
+    return build_server(address, application, bounds, clock or SystemClock())
--- a/chestnutstair/transport/operators.py
+++ b/chestnutstair/transport/operators.py
@@ -23,6 +23,7 @@
 )
 from chestnutstair.state.failure import Failure, describe_failure
 from chestnutstair.state.ticket import Ticket
+from chestnutstair.transport.server import DONE_KEY
 
 __all__ = ["build_operator_application"]
 
@@ -52,6 +53,12 @@
     raise AssertionError(outcome)
 
 
+def _read_body() -> bytes:
+    body = cherrypy.request.body.read()
+    cherrypy.request.wsgi_environ.get(DONE_KEY, bool)()
+    return bytes(body)
+
+
 def _require_method(*methods: str) -> None:
     if cherrypy.request.method not in methods:
         cherrypy.response.headers["Allow"] = ", ".join(methods)
@@ -88,7 +95,7 @@
         return _render(self._service.show_ticket(int(number)))
 
     def _file(self, dry_run: bool) -> bytes:
-        match decode_json(Ticket, cherrypy.request.body.read()):
+        match decode_json(Ticket, _read_body()):
             case Err(failure):
                 return _refuse(failure)
             case Ok(ticket):
@@ -170,7 +177,7 @@
 
     def _pause(self, paused: bool) -> bytes:
         _require_method("POST")
-        match decode_json(PauseRequest, cherrypy.request.body.read()):
+        match decode_json(PauseRequest, _read_body()):
             case Err(failure):
                 return _refuse(failure)
             case Ok(request):
--- a/chestnutstair/transport/server.py
+++ b/chestnutstair/transport/server.py
@@ -3,25 +3,39 @@
 import logging
 import threading
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
-from cheroot import wsgi
+import cheroot.server
+import cheroot.wsgi
 
 from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.transport.reaper import SocketReaper
 
-__all__ = ["HttpServer", "ServerSettings", "build_server", "split_address"]
+__all__ = [
+    "DONE_KEY",
+    "HttpServer",
+    "ServerSettings",
+    "build_server",
+    "split_address",
+]
 
 logger = logging.getLogger(__name__)
 
+DONE_KEY = "chestnutstair.read_done"  # called when the body has been read
+
 
 @dataclass(frozen=True)
 class ServerSettings:
     """Bounds of one HTTP server.
 
     `threads` serve one request each; `backlog` connections wait to be
-    accepted and `queued` accepted ones for a thread; `header_bytes` and
-    `body_bytes` are the largest taken; `idle_seconds` is how long a
-    connection may be silent; `stop_seconds` is how long a stop waits for
+    accepted, and as many are kept alive; `header_bytes` and `body_bytes`
+    are the largest taken, 0 for no bound here; `idle_seconds` is how long a
+    connection may be silent, and `read_seconds` how long a request may
+    take to arrive, or to be served if the application does not say when
+    it has read the body; `stop_seconds` is how long a stop waits for
     requests in flight.
     """
 
@@ -29,13 +43,65 @@
 
     threads: int = 8
     backlog: int = 128
-    queued: int = 128
     header_bytes: int = 32 * 1024
     body_bytes: int = 16 * 1024 * 1024
     idle_seconds: int = 10
+    read_seconds: float = 20.0
     stop_seconds: int = 10
 
 
+class _Gateway(cheroot.wsgi.Gateway_10):
+    """Closes the connection when the application says so."""
+
+    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
+        """Add the function that the application calls after the body."""
+        environ = super().get_environ()
+        connection = self.req.conn
+        reaper = connection.server.reaper
+        environ[DONE_KEY] = partial(reaper.discard, connection.socket)
+        return environ
+
+    def start_response(self, status, headers, exc_info=None):  # type: ignore[no-untyped-def]
+        """Begin the answer; heed a header `Connection: close`."""
+        if ("Connection", "close") in headers:
+            self.req.close_connection = True
+        return super().start_response(status, headers, exc_info)
+
+
+class _Connection(cheroot.server.HTTPConnection):
+    """A connection whose request must have been read by a deadline."""
+
+    def communicate(self) -> bool:
+        """Serve one request; tell whether the connection stays open."""
+        server = self.server
+        deadline = Deadline.after(server.clock, server.read_seconds)
+        server.reaper.add(self.socket, deadline)
+        try:
+            return bool(super().communicate())
+        finally:
+            server.reaper.discard(self.socket)
+
+
+class _BoundedServer(cheroot.wsgi.Server):
+    """A server that bounds the reading of each request as a whole."""
+
+    ConnectionClass = _Connection
+
+    def __init__(  # type: ignore[no-untyped-def]
+        self, *args, clock: Clock, read_seconds: float, **kwargs
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self.gateway = _Gateway
+        self.clock = clock
+        self.read_seconds = read_seconds
+        self.reaper = SocketReaper(clock)
+
+    def stop(self) -> None:
+        """Stop serving, and then the reaper."""
+        super().stop()
+        self.reaper.stop()
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of `IP:port`."""
     host, _, port = address.rpartition(":")
@@ -43,28 +109,33 @@
 
 
 def build_server(
-    address: str, application: Any, settings: ServerSettings
-) -> wsgi.Server:
+    address: tuple[str, int],
+    application: Any,
+    settings: ServerSettings,
+    clock: Clock,
+) -> cheroot.wsgi.Server:
     """Return a server for the WSGI application, not yet listening."""
-    server = wsgi.Server(
-        split_address(address),
+    server = _BoundedServer(
+        address,
         application,
         numthreads=settings.threads,
         max=settings.threads,
         request_queue_size=settings.backlog,
         timeout=settings.idle_seconds,
         shutdown_timeout=settings.stop_seconds,
-        accepted_queue_size=settings.queued,
+        clock=clock,
+        read_seconds=settings.read_seconds,
     )
     server.max_request_header_size = settings.header_bytes
     server.max_request_body_size = settings.body_bytes
+    server.keep_alive_conn_limit = settings.backlog
     return server
 
 
 class HttpServer:
     """Runs a server on its own thread."""
 
-    def __init__(self, name: str, server: wsgi.Server) -> None:
+    def __init__(self, name: str, server: cheroot.wsgi.Server) -> None:
         self._server = server
         self._thread = threading.Thread(
             target=server.serve, name=name, daemon=True
