Show refused tickets to operators

Cause: refused tickets left rows in the table that no command read, so the audit trail that operators see had no refusals. Ruled out: refusals in the change log, which would give every mistake a revision that all daemons fold. Change: GET /api/v1/refusals and 'audit refusals'. Conclusion: who, when, what and the outcome can be read back.

--- a/chestnutstair/commands/audit.py
+++ b/chestnutstair/commands/audit.py
@@ -5,7 +5,7 @@
 import typer
 
 from chestnutstair.commands.output import format_time, get_cli
-from chestnutstair.protocol.operators import JournalPage
+from chestnutstair.protocol.operators import JournalPage, RefusalReport
 from chestnutstair.state.change import ChangeRecord, TicketChange
 from chestnutstair.state.codec import encode_value
 
@@ -41,6 +41,26 @@
         typer.echo(hint, err=True)
 
 
+@app.command("refusals")
+def list_refusals(context: typer.Context) -> None:
+    """List the newest refused tickets, oldest first."""
+    cli = get_cli(context)
+    kind = tuple[RefusalReport, ...]
+    refusals = cli.unwrap(cli.client.get(kind, "/refusals"))
+    columns = ("ticket", "refused", "author", "failure", "detail")
+    rows = [
+        (
+            item.ticket,
+            format_time(item.refused_at),
+            item.author,
+            item.failure,
+            item.detail,
+        )
+        for item in refusals
+    ]
+    cli.print_rows(refusals, columns, rows)
+
+
 def _describe_change(record: ChangeRecord) -> str:
     """Return the subject of a change on one line."""
     match record.change:
--- a/chestnutstair/coordination/tickets.py
+++ b/chestnutstair/coordination/tickets.py
@@ -22,7 +22,11 @@
     Table,
 )
 from chestnutstair.coordination.records import TicketEntry, digest_ticket
-from chestnutstair.coordination.refusals import record_refusal
+from chestnutstair.coordination.refusals import (
+    Refusal,
+    list_refusals,
+    record_refusal,
+)
 from chestnutstair.state.change import TicketChange
 from chestnutstair.state.check import (
     InvalidTicketFailure,
@@ -256,6 +260,12 @@
             deadline,
         )
 
+    def list_refusals(
+        self, deadline: Deadline
+    ) -> Result[tuple[Refusal, ...], PlatformFailure]:
+        """Return the newest refused tickets, oldest first."""
+        return list_refusals(self._table, deadline)
+
     def preview(
         self, ticket: Ticket
     ) -> Result[tuple[TicketDifference, ...], AppendFailure]:
--- a/chestnutstair/protocol/operators.py
+++ b/chestnutstair/protocol/operators.py
@@ -21,6 +21,7 @@
     "PauseReceipt",
     "PauseRequest",
     "PoolReport",
+    "RefusalReport",
     "StatusReport",
     "TicketReceipt",
     "TicketReport",
@@ -138,6 +139,17 @@
     next_after: int
 
 
+@dataclass(frozen=True)
+class RefusalReport:
+    """A ticket that was refused; `refused_at` is epoch seconds."""
+
+    ticket: int
+    author: str
+    failure: str
+    detail: str
+    refused_at: float
+
+
 @dataclass(frozen=True)
 class StatusReport:
     """One daemon's own state and the daemons it believes to live."""
--- a/chestnutstair/protocol/service.py
+++ b/chestnutstair/protocol/service.py
@@ -19,6 +19,7 @@
     LaggingVm,
     PauseReceipt,
     PoolReport,
+    RefusalReport,
     StatusReport,
     TicketReceipt,
     TicketReport,
@@ -147,6 +148,24 @@
             self._log, after, limit, self._set_deadline()
         )
 
+    def list_refusals(
+        self,
+    ) -> Result[tuple[RefusalReport, ...], PlatformFailure]:
+        """Return the newest refused tickets, oldest first."""
+        refusals = self._desk.list_refusals(self._set_deadline())
+        return refusals.map(
+            lambda found: tuple(
+                RefusalReport(
+                    item.ticket,
+                    item.author,
+                    item.failure,
+                    item.detail,
+                    item.refused_at,
+                )
+                for item in found
+            )
+        )
+
     def describe_status(self) -> StatusReport:
         """Return this daemon's own state."""
         return administration.describe_status(
--- a/chestnutstair/tests/test_cli.py
+++ b/chestnutstair/tests/test_cli.py
@@ -20,6 +20,7 @@
     LaggingVm,
     PauseReceipt,
     PoolReport,
+    RefusalReport,
     TicketReceipt,
     TicketReport,
     VmReport,
@@ -250,6 +251,11 @@
             printed = json.loads(result.stdout)
             self.assertEqual(printed, json.loads(answer.body))
 
+    def test_lists_refused_tickets(self) -> None:
+        refusal = RefusalReport(7, "bo", "TicketNumberFailure", "", 1e9)
+        result = self.run_with(answer_json([refusal]), "audit", "refusals")
+        self.assertRegex(result.stdout, r"7 +2001-09-09 .* bo +TicketNumber")
+
     def test_lists_the_vms_of_one_pool(self) -> None:
         reports = [
             VmReport(vm, VmStatus(vm.pool))
--- a/chestnutstair/transport/operators.py
+++ b/chestnutstair/transport/operators.py
@@ -159,6 +159,12 @@
         _require_method("GET")
         return _with_numbers(self._service.read_journal, after, limit)
 
+    @cherrypy.expose
+    def refusals(self) -> bytes:
+        """List the newest refused tickets."""
+        _require_method("GET")
+        return _render(self._service.list_refusals())
+
     @cherrypy.expose
     def status(self) -> bytes:
         """Describe this daemon."""
