Write no access log to standard output

Cause: cherrypy wrote a line to standard output for each call of the admin server. Where nobody reads that pipe, 64 KB later the thread that writes blocks, and with it a lock that every admin call takes. Found by the daemon's own stack dump: the admin thread stood in the access log's write. Ruled out: the reaper, which numbers its entries and had a deadline that was truly past; a slow table, as no thread waited for it. Change: the application logs no access, as the callers' one already did not.

--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -116,6 +116,13 @@
         """Return what the process wrote to standard error."""
         return self._path(f"{name}.log").read_text()
 
+    def read_output(self, name: str) -> bytes:
+        """Return what the process wrote to standard output until now."""
+        output = self._processes[name].stdout
+        assert output is not None
+        os.set_blocking(output.fileno(), False)
+        return output.read() or b""
+
     def _write(self, name: str, value: Any) -> str:
         path = self._path(f"{name}.json")
         path.write_text(json.dumps(value))
--- a/chestnutstair/tests/test_whole_path.py
+++ b/chestnutstair/tests/test_whole_path.py
@@ -150,6 +150,11 @@
         self.assertEqual(status, 404)
         self.assertEqual(answer["error"], "HttpFailure")
 
+    def test_writes_nothing_to_standard_output(self) -> None:
+        for _ in range(20):
+            self.cluster.call_admin("entry-1", "GET", "/status")
+        self.assertEqual(self.cluster.read_output("entry-1"), b"")
+
     def test_answers_health_readiness_and_metrics(self) -> None:
         address = self.cluster.daemons["entry-1"].admin
         for path, word in (
--- a/chestnutstair/transport/operators.py
+++ b/chestnutstair/transport/operators.py
@@ -251,4 +251,8 @@
             "request.error_response": _handle_unexpected,
         }
     }
-    return cherrypy.Application(root, "", config)
+    application = cherrypy.Application(root, "", config)
+    # A line to standard output for each call blocks once nobody reads it.
+    application.log.screen = False
+    application.log.access_log.propagate = False
+    return application
