Drop the change log's wait that nobody calls

Cause: wait_past had no caller, and the condition variable behind it was notified on every record for nobody. Ruled out: keeping it for later use, since readers learn of changes by listeners. Change: the method is gone and a plain reentrant lock takes the condition's place. Conclusion: behaviour as before.

--- a/chestnutstair/coordination/changelog.py
+++ b/chestnutstair/coordination/changelog.py
@@ -86,7 +86,7 @@
         self._tickets: dict[int, TicketEntry] = {}
         self._listeners: list[Callable[[ChangeRecord, FleetView], None]] = []
         self._install_listeners: list[Callable[[FleetView], None]] = []
-        self._moved = threading.Condition(threading.RLock())
+        self._lock = threading.RLock()  # listeners may come back
 
     @property
     def view(self) -> FleetView:
@@ -110,24 +110,15 @@
         """Call the listener, under the lock, when a view is replaced."""
         self._install_listeners.append(listener)
 
-    def wait_past(self, revision: int, deadline: Deadline) -> bool:
-        """Block until the view is newer than the revision."""
-        with self._moved:
-            return self._moved.wait_for(
-                lambda: self._view.revision > revision,
-                deadline.measure_left(self._clock),
-            )
-
     def install_view(self, view: FleetView) -> bool:
         """Replace the view by a newer one; tell whether it was newer."""
-        with self._moved:
+        with self._lock:
             if view.revision <= self._view.revision:
                 return False
             self._view = view
             self._recent.clear()
             for listener in self._install_listeners:
                 listener(view)
-            self._moved.notify_all()
             return True
 
     def fold_records(self, records: Iterable[ChangeRecord]) -> int:
@@ -135,11 +126,10 @@
 
         Records after a gap are left out: the caller reads what lacks.
         """
-        with self._moved:
+        with self._lock:
             for record in records:
                 if record.revision == self._view.revision + 1:
                     self._fold(record)
-            self._moved.notify_all()
             return self._view.revision
 
     def _fold(self, record: ChangeRecord) -> None:
@@ -160,7 +150,7 @@
 
     def list_recent(self, after: int) -> tuple[ChangeRecord, ...] | None:
         """Return the records after the revision, None if some are gone."""
-        with self._moved:
+        with self._lock:
             if after >= self._view.revision:
                 return ()
             found = tuple(
