--- /dev/null
+++ b/chestnutstair/fleet_node.py
@@ -0,0 +1,236 @@
+"""Builds, starts and stops the parts of a scheduler node."""
+
+import logging
+
+from chestnutstair.fleet_settings import FleetSettings
+from chestnutstair.platform import (
+    PlatformDecoder,
+    PlatformRowStore,
+    PlatformSubmissions,
+    PlatformVmControl,
+    PlatformWorkerControl,
+    RunnerSettings,
+    build_front_application,
+    build_ready_application,
+)
+from chestnutstair.scheduling.book import BookSettings, JobBook
+from chestnutstair.scheduling.desk import DeskSettings, JobDesk
+from chestnutstair.scheduling.election import (
+    Election,
+    ElectionSettings,
+    LeaderStatus,
+)
+from chestnutstair.scheduling.leader import Leader, LeaderSettings
+from chestnutstair.scheduling.placement import PlacementSettings, Planner
+from chestnutstair.scheduling.term import Term, TermSettings
+from chestnutstair.scheduling.watch import OperatorWatch
+from chestnutstair.scheduling.workers import SLOWEST_CLOCK
+from chestnutstair.state.deadline import Clock
+from chestnutstair.transport.leader_calls import (
+    HttpLeaderLink,
+    build_node_application,
+)
+from chestnutstair.transport.platform_client import (
+    PlatformClient,
+    PlatformClientSettings,
+)
+from chestnutstair.transport.server import (
+    HttpServer,
+    ServerSettings,
+    build_server,
+    split_address,
+)
+
+__all__ = ["FleetNode"]
+
+logger = logging.getLogger(__name__)
+
+CALLER_THREADS = 24  # each holds a request for about 0.02 s
+NODE_THREADS = 12
+READY_THREADS = 2
+STORE_CONNECTIONS = 16
+BACKLOG = 512  # connections that come in a burst
+STORE_LOST_SECONDS = 3.0
+DRAIN_SHARE = 0.5  # of the grace, for callers on open connections
+
+
+class FleetNode:
+    """All the parts of one scheduler node, wired by its settings."""
+
+    def __init__(self, settings: FleetSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._serving = False
+        self._stopping = False
+        self._build_parts()
+        self._build_servers()
+
+    def _build_client(self, address: str, connections: int) -> PlatformClient:
+        return PlatformClient(
+            f"http://{address}",
+            "",
+            "",
+            self._clock,
+            PlatformClientSettings(connections),
+        )
+
+    def _build_parts(self) -> None:
+        settings = self._settings
+        clock = self._clock
+        self._store = PlatformRowStore(
+            self._build_client(settings.store_address, STORE_CONNECTIONS)
+        )
+        self._decoder = PlatformDecoder()
+        self._workers = PlatformWorkerControl(
+            clock, settings.policy_address, RunnerSettings()
+        )
+        self._vms = PlatformVmControl(
+            self._build_client(settings.vms_address, 2), clock
+        )
+        self._watch = OperatorWatch(
+            self._store, self._decoder, clock, self._note_operator
+        )
+        self._link = HttpLeaderLink(clock, self._get_leader_address)
+        self._election = Election(
+            settings.name,
+            settings.zone,
+            settings.nodes_address,
+            self._store,
+            self._link,
+            self._build_leader,
+            self._note_status,
+            clock,
+            ElectionSettings(),
+            TermSettings(),
+        )
+        self._desk = JobDesk(
+            self._store, self._link, self._get_leader, clock, DeskSettings()
+        )
+
+    def _build_leader(self, term: Term, before_ended: bool) -> Leader:
+        settings = LeaderSettings()
+        lapse = settings.lease_seconds / SLOWEST_CLOCK
+        if not before_ended:
+            # The leader before may have extended leases until it gave up.
+            lapse += TermSettings().give_up_seconds
+        book = JobBook(
+            self._clock, term.epoch, BookSettings(takeover_lapse_seconds=lapse)
+        )
+        configuration = self._watch.configuration
+        if configuration is not None:
+            book.configuration = configuration
+        return Leader(
+            term,
+            book,
+            Planner(book, PlacementSettings()),
+            self._store,
+            self._workers,
+            self._decoder,
+            PlatformSubmissions(),
+            self._clock,
+            settings,
+        )
+
+    def _build_servers(self) -> None:
+        settings = self._settings
+        front = build_front_application(
+            self._desk,
+            lambda: self._watch.configuration,
+            self.is_stopping,
+            self._clock,
+        )
+        nodes = build_node_application(
+            self._describe,
+            self._get_leader,
+            lambda: self._watch.value,
+            self._desk,
+            self._clock,
+        )
+        ready = build_ready_application(self.is_ready)
+        self._servers = [
+            self._build_server("nodes", settings.nodes_address, nodes, 12),
+            self._build_server(
+                "ready", settings.ready_address, ready, READY_THREADS
+            ),
+            self._build_server(
+                "callers", settings.callers_address, front, CALLER_THREADS
+            ),
+        ]
+
+    def _build_server(
+        self, name: str, address: str, application: object, threads: int
+    ) -> HttpServer:
+        settings = ServerSettings(
+            threads=threads, backlog=BACKLOG, idle_seconds=15, stop_seconds=2
+        )
+        return HttpServer(
+            name,
+            build_server(
+                split_address(address), application, settings, self._clock
+            ),
+        )
+
+    def _get_leader(self) -> Leader | None:
+        leader = self._election.leader
+        if leader is None or leader.has_ended:
+            return None
+        return leader
+
+    def _get_leader_address(self) -> str:
+        return self._election.leader_address
+
+    def _describe(self) -> LeaderStatus:
+        return self._election.describe(self._watch.version)
+
+    def _note_operator(self) -> None:
+        leader = self._get_leader()
+        configuration = self._watch.configuration
+        if leader is not None and configuration is not None:
+            leader.set_configuration(configuration)
+
+    def _note_status(self, address: str, status: LeaderStatus) -> None:
+        """Fetch a configuration that another node has and this one lacks."""
+        if status.configuration_version <= self._watch.version:
+            return
+        answer = self._link.ask_configuration(address, 0.5)
+        if answer.is_ok():
+            self._watch.offer(answer.unwrap(), address)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return (
+            self._serving
+            and not self._stopping
+            and self._watch.configuration is not None
+        )
+
+    def is_stopping(self) -> bool:
+        """Tell whether the stop has begun."""
+        return self._stopping
+
+    def start(self) -> None:
+        """Start every part.
+
+        Raises OSError if an address can not be bound.
+        """
+        for server in self._servers:
+            server.start()
+        self._watch.start()
+        self._election.start()
+        self._serving = True
+        logger.info("started", extra={"node": self._settings.name})
+
+    def begin_stop(self) -> None:
+        """Say that this node is not ready any more."""
+        # A signal handler calls this, so it must take no lock.
+        self._stopping = True
+
+    def stop(self) -> None:
+        """Hand the lead over, answer what callers have sent, and end."""
+        logger.info("stopping", extra={"node": self._settings.name})
+        self._election.stop()
+        self._clock.sleep(self._settings.grace_seconds * DRAIN_SHARE)
+        self._watch.stop()
+        for server in reversed(self._servers):
+            server.stop()
+        logger.info("stopped", extra={"node": self._settings.name})
--- /dev/null
+++ b/chestnutstair/fleet_settings.py
@@ -0,0 +1,76 @@
+"""The settings of a scheduler node, read from one JSON file."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import ConfigDict, Field
+from result import Err, Result
+
+from chestnutstair.state.codec import (
+    DecodeFailure,
+    Mistake,
+    decode_json,
+)
+
+__all__ = ["FleetSettings", "PoolTimes", "read_fleet_settings"]
+
+# Fields that a later platform adds are left alone.
+OPEN = ConfigDict(extra="ignore", allow_inf_nan=False)
+Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+@dataclass(frozen=True)
+class PoolTimes:
+    """How long the platform takes for what it does to VMs.
+
+    `move_seconds` and `maintenance_seconds` are how long a VM is away.
+    `turn_seconds` must lie between the orders of two leaders for one VM.
+    `notice_seconds` is how long a lasting task may be away unnoticed.
+    """
+
+    __pydantic_config__ = OPEN
+
+    move_seconds: float = 1.5
+    maintenance_seconds: float = 2.0
+    turn_seconds: float = 3.0
+    notice_seconds: float = 4.5
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    """Everything that a scheduler node is told.
+
+    Addresses are `IP:port`: `callers_address` takes callers' requests,
+    `ready_address` the balancer's health checks, `nodes_address` the other
+    nodes' calls and reads of metrics. `store_address`, `vms_address` and
+    `policy_address` are the platform's; the last may be empty.
+    `longest_lease_seconds` is the most that workers grant.
+    `grace_seconds` is how long a stop may take.
+    `harm_seconds` is how long a serving task may be slowed by fillers.
+    """
+
+    __pydantic_config__ = OPEN
+
+    name: str
+    zone: str
+    callers_address: Address
+    ready_address: Address
+    nodes_address: Address
+    store_address: Address
+    vms_address: Address
+    policy_address: str = ""
+    longest_lease_seconds: float = 6.0
+    grace_seconds: float = 6.0
+    harm_seconds: float = 4.0
+    pools: PoolTimes = field(default_factory=PoolTimes)
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+def read_fleet_settings(path: Path) -> Result[FleetSettings, DecodeFailure]:
+    """Read and check the file; a failure lists every mistake in it."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        return Err(DecodeFailure((Mistake(str(path), str(error.strerror)),)))
+    return decode_json(FleetSettings, text)
--- /dev/null
+++ b/chestnutstair/fleetd.py
@@ -0,0 +1,117 @@
+"""The scheduler daemon's command line: runs a node, or checks settings."""
+
+import logging
+import signal
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from result import Err, Ok
+
+from chestnutstair.fleet_node import FleetNode
+from chestnutstair.fleet_settings import FleetSettings, read_fleet_settings
+from chestnutstair.log import configure_decision_log
+from chestnutstair.state.deadline import SystemClock
+
+__all__ = ["app", "main"]
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+EXIT_NOT_STARTED = 3
+STOP_POLL_SECONDS = 0.05
+
+app = typer.Typer(
+    help="The scheduler that runs on every entry VM.", no_args_is_help=True
+)
+SettingsFile = Annotated[
+    Path,
+    typer.Argument(
+        help="The JSON settings file.", envvar="CHESTNUTSTAIR_SETTINGS"
+    ),
+]
+
+
+def _read_or_exit(path: Path) -> FleetSettings:
+    match read_fleet_settings(path):
+        case Ok(settings):
+            return settings
+        case Err(failure):
+            for mistake in failure.mistakes:
+                print(f"{mistake.path}: {mistake.problem}", file=sys.stderr)
+            sys.exit(EXIT_BAD_SETTINGS)
+    raise AssertionError(path)
+
+
+@app.command()
+def check(path: SettingsFile) -> None:
+    """Check the settings and list every mistake; exit 2 if there is one."""
+    _read_or_exit(path)
+    print(f"{path}: no mistakes")
+
+
+class _Signals:
+    """Plain flags, as a handler must take no lock."""
+
+    def __init__(self, node: FleetNode) -> None:
+        self._node = node
+        self.reload = False
+
+    def stop(self, *_: Any) -> None:
+        """Begin the stop."""
+        self._node.begin_stop()
+
+    def note_reload(self, *_: Any) -> None:
+        """Ask for the settings to be read again."""
+        self.reload = True
+
+
+def _reload(path: Path) -> None:
+    match read_fleet_settings(path):
+        case Ok(settings):
+            logging.getLogger().setLevel(settings.log_level.upper())
+            logger.info(
+                "settings reloaded", extra={"level": settings.log_level}
+            )
+        case Err(failure):
+            logger.error(
+                "settings not reloaded",
+                extra={"mistakes": [str(item) for item in failure.mistakes]},
+            )
+
+
+@app.command()
+def run(path: SettingsFile) -> None:
+    """Serve until SIGTERM or SIGINT; exit 3 if an address is taken."""
+    settings = _read_or_exit(path)
+    log = configure_decision_log(
+        settings.log_level, settings.name, settings.zone
+    )
+    clock = SystemClock()
+    node = FleetNode(settings, clock)
+    signals = _Signals(node)
+    signal.signal(signal.SIGTERM, signals.stop)
+    signal.signal(signal.SIGINT, signals.stop)
+    signal.signal(signal.SIGHUP, signals.note_reload)
+    try:
+        node.start()
+    except OSError as error:
+        print(f"can not listen: {error}", file=sys.stderr)
+        sys.exit(EXIT_NOT_STARTED)
+    while not node.is_stopping():
+        clock.sleep(STOP_POLL_SECONDS)
+        if signals.reload:
+            signals.reload = False
+            _reload(path)
+    node.stop()
+    log.stop()
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chestnutstair/platform/decoding.py
@@ -0,0 +1,167 @@
+"""Reads the platform's documents into the product's types."""
+
+from typing import Any
+
+from result import Err, Result
+
+from chestnutstair.scheduling.configuration import (
+    FleetConfiguration,
+    MaintenanceWave,
+    Queue,
+    Service,
+)
+from chestnutstair.scheduling.ports import (
+    SubmissionCodec,
+    WireDecoder,
+    WorkerEntry,
+)
+from chestnutstair.scheduling.specification import (
+    JobSpecification,
+    Step,
+    SubmissionFailure,
+    check_job,
+)
+from chestnutstair.transport.json_calls import read_body
+
+__all__ = ["PlatformDecoder", "PlatformSubmissions", "read_submission"]
+
+STATES = ("ready", "draining")
+
+
+def _read_step(item: dict[str, Any]) -> Step:
+    return Step(
+        count=int(item.get("count", 0)),
+        millicores=int(item.get("cpu", 0)),  # thousandths of a core
+        memory_mb=int(item.get("memMb", 0)),
+        accelerators=int(item.get("gpu", 0)),
+        estimate_ms=int(item.get("estimateMs", 0)),
+        after=tuple(int(number) for number in item.get("after", ())),
+        gang=bool(item.get("gang")),
+        same_rack=bool(item.get("sameRack")),
+        required_label=str(item.get("requires") or ""),
+        data_rack=str(item.get("affinity") or ""),  # where its data lies
+        # Not an exclusion but the most tasks of the step on one runner.
+        spread_limit=int(item.get("antiAffinity") or 0),
+        speculative=bool(item.get("speculative")),
+        checkpoints=bool(item.get("checkpoint")),
+        lasting=bool(item.get("longRunning")),
+        image=str(item.get("image") or ""),
+        tail_target_ms=int(item.get("targetMs") or 0),
+        filler=bool(item.get("fills")),
+        may_be_away=int(item.get("mayMiss") or 0),
+    )
+
+
+def read_submission(
+    body: bytes,
+) -> Result[JobSpecification, SubmissionFailure]:
+    """Read a submitted job; a failure says what is wrong with it."""
+    fields = read_body(body)
+    if fields is None:
+        return Err(SubmissionFailure("the body is not a JSON object"))
+    try:
+        job = JobSpecification(
+            payload=str(fields.get("spec", "")),
+            steps=tuple(_read_step(item) for item in fields["steps"]),
+            occurrences=int(fields.get("repeats") or 0),
+            # Despite its name a moment, in ms since 1970.
+            first_due_ms=int(fields.get("initialDelayMs") or 0),
+            interval_ms=int(fields.get("intervalMs") or 0),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return Err(SubmissionFailure(f"unreadable: {error!r}"))
+    return check_job(job).map(lambda _: job)
+
+
+class PlatformSubmissions(SubmissionCodec):
+    """Reads stored submissions."""
+
+    def read_job(
+        self, body: bytes
+    ) -> Result[JobSpecification, SubmissionFailure]:
+        """Return the job, or why it can not be one."""
+        return read_submission(body)
+
+
+def _read_queue(item: dict[str, Any]) -> Queue:
+    return Queue(
+        name=item["name"],
+        host=item["host"],
+        prefix=item["prefix"],
+        service=item.get("service", ""),
+        priority=int(item.get("priority", 0)),
+        max_attempts=int(item.get("maxAttempts") or 1),
+        stretch=float(item.get("stretch") or 1.0),
+        latency_objective_ms=int(item.get("targetLatencyMs") or 0),
+        needs_advice=bool(item.get("advice")),
+    )
+
+
+class PlatformDecoder(WireDecoder):
+    """Reads what the operator and the runners write into the store."""
+
+    def read_configuration(self, value: bytes) -> FleetConfiguration | None:
+        """Return the configuration, or None if it can not be read."""
+        fields = read_body(value)
+        if fields is None:
+            return None
+        try:
+            services = {
+                item["name"]: Service(
+                    item["name"],
+                    bool(item.get("enforcesCapacity")),
+                    bool(item.get("spare")),
+                )
+                for item in fields.get("services", ())
+            }
+            queues = tuple(_read_queue(item) for item in fields["routes"])
+            return FleetConfiguration(int(fields["version"]), queues, services)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            return None
+
+    def read_wave(self, value: bytes) -> MaintenanceWave | None:
+        """Return the wave, or None if it can not be read."""
+        fields = read_body(value)
+        if fields is None:
+            return None
+        try:
+            return MaintenanceWave(
+                int(fields["wave"]),
+                tuple(str(name) for name in fields["machines"]),
+                float(fields["durationS"]),
+                int(fields["cap"]),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
+
+    def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
+        """Return the runner, or None if the entry names none to use."""
+        fields = read_body(value)
+        if fields is None:
+            return None
+        try:
+            if fields["state"] not in STATES:
+                return None
+            capacity = fields["capacity"]
+            labels = tuple(str(label) for label in fields["labels"])
+            return WorkerEntry(
+                name=name,
+                born_ms=int(fields.get("born", 0)),
+                service=str(fields["service"]),
+                address=str(fields["address"]),
+                zone=str(fields["zone"]),
+                draining=fields["state"] == "draining",
+                millicores=int(capacity["cpu"]),
+                memory_mb=int(capacity["memMb"]),
+                accelerators=int(capacity.get("gpu", 0)),
+                labels=labels,
+                rack=_find_rack(labels),
+                vm=str(fields.get("machine") or ""),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
+
+
+def _find_rack(labels: tuple[str, ...]) -> str:
+    # The kind comes first and the rack after it.
+    return labels[1] if len(labels) > 1 else ""
--- /dev/null
+++ b/chestnutstair/platform/front.py
@@ -0,0 +1,176 @@
+"""The requests of the platform's requesters, the product's callers."""
+
+import json
+import re
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from result import Err, Ok
+
+from chestnutstair.coordination.platform import UnknownOutcomeFailure
+from chestnutstair.platform.decoding import read_submission
+from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
+from chestnutstair.scheduling.desk import JobDesk, Outcome
+from chestnutstair.state.deadline import Clock, Deadline
+
+__all__ = ["build_front_application", "build_ready_application"]
+
+JOB_NAME = re.compile(r"[0-9a-f]{16}")
+TIMEOUT_KEY = "HTTP_X_CHESTNUTSTAIR_TIMEOUT_MS"
+READY_PATH = "/api/ready"
+DEFAULT_SECONDS = 3.0  # how long callers wait if they do not say
+ANSWER_SECONDS = 0.15  # kept back so that the answer arrives in time
+RETRY_AFTER_SECONDS = 1  # a store that refuses is tried again after this
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Environ = dict[str, Any]
+
+
+def _answer(
+    respond: StartResponse,
+    status: HTTPStatus,
+    body: dict[str, Any] | None = None,
+    headers: Iterable[tuple[str, str]] = (),
+) -> list[bytes]:
+    data = b"" if body is None else json.dumps(body).encode()
+    respond(
+        f"{status.value} {status.phrase}",
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+            *headers,
+        ],
+    )
+    return [data]
+
+
+def _find_status(outcome: Outcome) -> HTTPStatus:
+    match outcome.failure:
+        case None:
+            return HTTPStatus.OK if outcome.known else HTTPStatus.GONE
+        case UnknownOutcomeFailure():
+            return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class _Front:
+    """One WSGI application on the node's desk."""
+
+    def __init__(
+        self,
+        desk: JobDesk,
+        get_configuration: Callable[[], FleetConfiguration | None],
+        is_stopping: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._desk = desk
+        self._get_configuration = get_configuration
+        self._is_stopping = is_stopping
+        self._clock = clock
+
+    def __call__(
+        self, environ: Environ, respond: StartResponse
+    ) -> list[bytes]:
+        """Answer one request."""
+        headers: list[tuple[str, str]] = []
+        if self._is_stopping():
+            headers.append(("Connection", "close"))
+        configuration = self._get_configuration()
+        if configuration is None:
+            return self._unavailable(respond, headers)
+        host = environ.get("HTTP_HOST", "").partition(":")[0]
+        path = environ.get("PATH_INFO", "")
+        queue = configuration.find_queue(host, path)
+        if queue is None:
+            return _answer(respond, HTTPStatus.NOT_FOUND, None, headers)
+        job = path[len(queue.prefix) :]
+        return self._serve(environ, respond, headers, queue, job)
+
+    @staticmethod
+    def _unavailable(
+        respond: StartResponse, headers: list[tuple[str, str]]
+    ) -> list[bytes]:
+        headers.append(("Retry-After", str(RETRY_AFTER_SECONDS)))
+        return _answer(respond, HTTPStatus.SERVICE_UNAVAILABLE, None, headers)
+
+    def _serve(
+        self,
+        environ: Environ,
+        respond: StartResponse,
+        headers: list[tuple[str, str]],
+        queue: Queue,
+        job: str,
+    ) -> list[bytes]:
+        method = environ["REQUEST_METHOD"]
+        deadline = self._read_deadline(environ)
+        body: dict[str, Any] | None = None
+        if method == "GET" and not job:
+            outcome = self._desk.count_pending(queue)
+            body = {"pending": outcome.pending}
+        elif not JOB_NAME.fullmatch(job):
+            return _answer(respond, HTTPStatus.NOT_FOUND, None, headers)
+        elif method == "GET":
+            outcome = self._desk.describe_job(job, deadline)
+            body = {"state": outcome.state}
+        elif method == "DELETE":
+            outcome = self._desk.cancel(job, deadline)
+        elif method == "POST":
+            data = _read_request(environ)
+            match read_submission(data):
+                case Err(failure):
+                    reason = {"reason": failure.problem}
+                    return _answer(
+                        respond, HTTPStatus.BAD_REQUEST, reason, headers
+                    )
+                case Ok(_):
+                    outcome = self._desk.submit(queue, job, data, deadline)
+        else:
+            return _answer(
+                respond, HTTPStatus.METHOD_NOT_ALLOWED, None, headers
+            )
+        status = _find_status(outcome)
+        if status is HTTPStatus.SERVICE_UNAVAILABLE:
+            return self._unavailable(respond, headers)
+        if status is not HTTPStatus.OK:
+            body = None
+        return _answer(respond, status, body, headers)
+
+    def _read_deadline(self, environ: Environ) -> Deadline:
+        seconds = DEFAULT_SECONDS
+        text = environ.get(TIMEOUT_KEY, "")
+        if text.isdigit():
+            seconds = int(text) / 1000
+        return Deadline.after(self._clock, seconds - ANSWER_SECONDS)
+
+
+def _read_request(environ: Environ) -> bytes:
+    length = environ.get("CONTENT_LENGTH") or ""
+    stream = environ["wsgi.input"]
+    data = stream.read(int(length)) if length.isdigit() else stream.read()
+    return bytes(data)
+
+
+def build_front_application(
+    desk: JobDesk,
+    get_configuration: Callable[[], FleetConfiguration | None],
+    is_stopping: Callable[[], bool],
+    clock: Clock,
+) -> Callable[[Environ, StartResponse], list[bytes]]:
+    """Return the WSGI application that serves callers."""
+    return _Front(desk, get_configuration, is_stopping, clock)
+
+
+def build_ready_application(
+    is_ready: Callable[[], bool],
+) -> Callable[[Environ, StartResponse], list[bytes]]:
+    """Return the WSGI application that the platform's balancer asks."""
+
+    def answer(environ: Environ, respond: StartResponse) -> list[bytes]:
+        if environ.get("PATH_INFO") != READY_PATH:
+            return _answer(respond, HTTPStatus.NOT_FOUND)
+        if is_ready():
+            return _answer(respond, HTTPStatus.OK)
+        return _answer(respond, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    return answer
--- /dev/null
+++ b/chestnutstair/platform/runners.py
@@ -0,0 +1,212 @@
+"""Orders to the platform's runners, the product's workers."""
+
+from dataclasses import dataclass
+from functools import cache
+from http import HTTPStatus
+from typing import Any
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    RefusedFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.scheduling.ports import (
+    HoldAnswer,
+    RunEnd,
+    RunListing,
+    StartOrder,
+    StartRefusedFailure,
+    WorkerCallFailure,
+    WorkerControl,
+    WorkerEntry,
+    WrongIncarnationFailure,
+)
+from chestnutstair.state.codec import STRICT
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.transport.json_calls import Answer, call_json
+from chestnutstair.transport.platform_client import (
+    PlatformClient,
+    PlatformClientSettings,
+)
+
+__all__ = ["PlatformWorkerControl", "RunnerSettings"]
+
+INSTANCE_HEADER = "X-Chestnutstair-Expect-Instance"
+
+
+@dataclass(frozen=True)
+class RunnerSettings:
+    """Limits of the calls to runners.
+
+    `order_seconds` bounds an order, twenty times what a runner usually
+    takes; `hold_slack_seconds` is added to the wait that a hold asks for;
+    `connections` are kept to each runner.
+    """
+
+    __pydantic_config__ = STRICT
+
+    order_seconds: float = 0.5
+    hold_slack_seconds: float = 0.6
+    advice_seconds: float = 1.0
+    connections: int = 6
+
+
+def _read_run(item: list[Any]) -> RunListing:
+    gauge = float(item[4]) if len(item) > 4 else 0.0
+    return RunListing(item[0], item[1], item[2], item[3], gauge)
+
+
+def _read_hold(body: dict[str, Any]) -> HoldAnswer:
+    return HoldAnswer(
+        clock_ms=int(body["clockMs"]),
+        born_ms=int(body.get("born", 0)),
+        runs=tuple(_read_run(item) for item in body.get("running", [])),
+        ends=tuple(RunEnd(*item[:5]) for item in body.get("finished", [])),
+    )
+
+
+def _judge(answer: Answer) -> Result[dict[str, Any], WorkerCallFailure]:
+    status, body = answer
+    if status == HTTPStatus.OK:
+        return Ok(body)
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return Err(WrongIncarnationFailure())
+    # The reason tells more than the status: a start that came too late may
+    # be answered 400 as well as 409.
+    reason = str(body.get("reason", f"status {status}"))
+    return Err(StartRefusedFailure(reason, int(body.get("clockMs", 0))))
+
+
+class PlatformWorkerControl(WorkerControl):
+    """Makes the runners' calls on kept connections."""
+
+    def __init__(
+        self, clock: Clock, advice_address: str, settings: RunnerSettings
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._advice_address = advice_address
+        self._connect = cache(self._build_client)
+
+    def _build_client(self, address: str) -> PlatformClient:
+        return PlatformClient(
+            f"http://{address}",
+            "",
+            "",
+            self._clock,
+            PlatformClientSettings(self._settings.connections),
+        )
+
+    def _call(
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: dict[str, Any],
+        seconds: float,
+    ) -> Result[dict[str, Any], WorkerCallFailure]:
+        answer = call_json(
+            self._connect(worker.address),
+            "POST",
+            path,
+            body,
+            Deadline.after(self._clock, seconds),
+            {INSTANCE_HEADER: worker.name},
+        )
+        match answer:
+            case Ok(read):
+                return _judge(read)
+            case Err(RefusedFailure(reason)):
+                return Err(UnavailableFailure(reason))
+            case Err(UnavailableFailure() as failure):
+                return Err(failure)
+            case Err(UnknownOutcomeFailure() as failure):
+                return Err(failure)
+        raise AssertionError(answer)
+
+    def _order(
+        self, worker: WorkerEntry, path: str, body: dict[str, Any]
+    ) -> Result[int, WorkerCallFailure]:
+        seconds = self._settings.order_seconds
+        answer = self._call(worker, path, body, seconds)
+        return answer.map(lambda read: int(read.get("clockMs", 0)))
+
+    def start(
+        self, worker: WorkerEntry, order: StartOrder
+    ) -> Result[int, WorkerCallFailure]:
+        """Start a run; return the runner's clock in ms."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadlineMs": order.deadline_ms,
+            "fence": order.fence,
+        }
+        if order.saved:
+            body["lastCheckpoint"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return self._order(worker, "/api/run-start", body)
+
+    def stop(
+        self, worker: WorkerEntry, task: str, run: int, fence: int
+    ) -> Result[int, WorkerCallFailure]:
+        """Stop a run, or forbid it if it has not arrived yet."""
+        body = {"task": task, "run": run, "fence": fence}
+        return self._order(worker, "/api/run-stop", body)
+
+    def pace(
+        self,
+        worker: WorkerEntry,
+        task: str,
+        run: int,
+        percent: int,
+        fence: int,
+    ) -> Result[int, WorkerCallFailure]:
+        """Let a run work at that share of its speed."""
+        body = {"task": task, "run": run, "percent": percent, "fence": fence}
+        return self._order(worker, "/api/pace", body)
+
+    def hold(
+        self,
+        worker: WorkerEntry,
+        fence: int,
+        seen: int,
+        deadline_ms: int | None,
+        wait_seconds: float,
+    ) -> Result[HoldAnswer, WorkerCallFailure]:
+        """Extend the lease of all runs and list what runs and ended."""
+        body: dict[str, Any] = {
+            "fence": fence,
+            "lastSeen": seen,
+            "waitMs": int(wait_seconds * 1000),
+        }
+        if deadline_ms is not None:
+            body["deadlineMs"] = deadline_ms
+        seconds = wait_seconds + self._settings.hold_slack_seconds
+        answer = self._call(worker, "/api/hold", body, seconds)
+        try:
+            return answer.map(_read_hold)
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            return Err(UnknownOutcomeFailure(f"unreadable listing: {error}"))
+
+    def advise(
+        self, step: str, workers: list[str]
+    ) -> Result[dict[str, str], WorkerCallFailure]:
+        """Return the tickets of the runners that may run the step."""
+        answer = call_json(
+            self._connect(self._advice_address),
+            "POST",
+            "/api/advise",
+            {"step": step, "workers": workers},
+            Deadline.after(self._clock, self._settings.advice_seconds),
+        )
+        match answer:
+            case Ok((HTTPStatus.OK, body)):
+                return Ok({row[0]: row[1] for row in body.get("good", [])})
+            case Ok((status, _)):
+                return Err(UnavailableFailure(f"status {status}"))
+            case Err(failure):
+                return Err(UnavailableFailure(str(failure)))
+        raise AssertionError(answer)
--- /dev/null
+++ b/chestnutstair/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Places jobs on workers: one leader plans, every node answers callers."""
--- /dev/null
+++ b/chestnutstair/scheduling/book.py
@@ -0,0 +1,487 @@
+"""All jobs and workers of one leader, and what events do to them.
+
+Every method expects the book's lock to be held by its caller.
+"""
+
+import logging
+import threading
+from dataclasses import dataclass, replace
+
+from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
+from chestnutstair.scheduling.ports import (
+    HoldAnswer,
+    RunEnd,
+    RunListing,
+    WorkerEntry,
+)
+from chestnutstair.scheduling.progress import (
+    JobRecord,
+    JobState,
+    Submission,
+    TaskKey,
+    TaskStatus,
+    read_task_name,
+)
+from chestnutstair.scheduling.workers import PlacedRun, WorkerState
+from chestnutstair.state.deadline import Clock
+
+__all__ = ["BookSettings", "JobBook", "Stop"]
+
+logger = logging.getLogger(__name__)
+
+DONE = "done"
+FAILED = "failed"
+
+
+@dataclass(frozen=True)
+class BookSettings:
+    """Limits of what the book believes.
+
+    `takeover_lapse_seconds` is how long runs may outlive the leader before
+    on workers that have not answered this one. `failure_streak` failures
+    without a success between them keep new work off a worker for
+    `avoid_seconds`.
+    """
+
+    takeover_lapse_seconds: float = 7.0
+    failure_streak: int = 3
+    avoid_seconds: float = 3.0
+
+
+@dataclass(frozen=True)
+class Stop:
+    """A run that is to be stopped on a worker."""
+
+    worker: WorkerState
+    task: str
+    run: int
+
+
+class JobBook:
+    """The state of one leader."""
+
+    def __init__(
+        self, clock: Clock, epoch: int, settings: BookSettings
+    ) -> None:
+        self.lock = threading.RLock()
+        self.configuration = FleetConfiguration(0)
+        self.jobs: dict[str, JobRecord] = {}
+        self.active: dict[str, JobRecord] = {}
+        self.workers: dict[str, WorkerState] = {}
+        self.dirty: set[str] = set()
+        self.orphans: dict[tuple[str, str], int] = {}
+        self._clock = clock
+        self._epoch = epoch
+        self._settings = settings
+        self._began_at = clock.read_monotonic()
+
+    # Jobs
+
+    def find_queue(self, submission: Submission) -> Queue:
+        """Return the job's queue, or a plain one if it has been removed."""
+        queue = self.configuration.find_queue_by_name(submission.queue)
+        return queue or Queue(
+            submission.queue, "", "", submission.service, max_attempts=1
+        )
+
+    def restore_job(
+        self, submission: Submission, progress: bytes | None
+    ) -> None:
+        """Add a job as the store has it, when a term begins."""
+        record = JobRecord(submission)
+        if progress is not None:
+            record.restore(progress)
+        self.jobs[record.name] = record
+        if record.ended is None:
+            self.active[record.name] = record
+
+    def admit(self, submission: Submission) -> bool:
+        """Add a job that was accepted; tell whether it is new."""
+        if submission.job in self.jobs:
+            return False
+        record = JobRecord(submission)
+        self.jobs[record.name] = record
+        self.active[record.name] = record
+        logger.info(
+            "job admitted",
+            extra={"job": record.name, "queue": submission.queue},
+        )
+        return True
+
+    def cancel(self, name: str) -> None:
+        """End a job and stop its runs."""
+        record = self.jobs.get(name)
+        if record is None or record.ended is not None:
+            return
+        logger.info("job cancelled", extra={"job": name})
+        self._end_job(record, JobState.CANCELLED)
+
+    def _end_job(self, record: JobRecord, state: JobState) -> None:
+        record.end(state, int(self._clock.read_wall() * 1000))
+        self.active.pop(record.name, None)
+        self.dirty.add(record.name)
+        for worker in self.workers.values():
+            for task, run in list(worker.runs.items()):
+                if run.job == record.name:
+                    worker.replace_run(task, replace(run, stopping=True))
+
+    def forget_job(self, name: str) -> None:
+        """Drop a job whose rows have been removed."""
+        self.jobs.pop(name, None)
+        self.dirty.discard(name)
+
+    # Workers
+
+    def note_worker(self, entry: WorkerEntry) -> WorkerState | None:
+        """Take over a registry entry; return the worker if it is new."""
+        known = self.workers.get(entry.name)
+        if known is not None:
+            if known.entry.born_ms == entry.born_ms:
+                known.update_entry(entry)
+                known.gone = False
+                return None
+            if entry.born_ms < known.entry.born_ms:
+                return None  # an entry from before its restart
+            self._replace_incarnation(known)
+        worker = WorkerState(entry, self._clock.read_monotonic())
+        self.workers[entry.name] = worker
+        self._restore_runs(worker)
+        logger.info(
+            "worker known",
+            extra={
+                "worker": entry.name,
+                "born_ms": entry.born_ms,
+                "service": entry.service,
+                "vm": entry.vm,
+                "draining": entry.draining,
+            },
+        )
+        return worker
+
+    def _restore_runs(self, worker: WorkerState) -> None:
+        now = self._clock.read_monotonic()
+        entry = worker.entry
+        for record in self.jobs.values():
+            for key, state in record.tasks.items():
+                if (
+                    state.status is TaskStatus.PLACED
+                    and state.worker == entry.name
+                    and state.born_ms == entry.born_ms
+                ):
+                    run = PlacedRun(
+                        record.name,
+                        key,
+                        state.run,
+                        record.steps[key.step],
+                        now,
+                        # The first listing under this term's fence decides.
+                        confirmed_at=now,
+                        stopping=record.ended is not None,
+                    )
+                    worker.add_run(record.name_task(key), run)
+
+    def _replace_incarnation(self, worker: WorkerState) -> None:
+        logger.info(
+            "worker restarted; its runs are gone",
+            extra={"worker": worker.name, "runs": len(worker.runs)},
+        )
+        worker.gone = True
+        self._release_all(worker, "restarted")
+        self.workers.pop(worker.name, None)
+
+    def drop_worker(self, name: str) -> None:
+        """Note that the registry no longer lists a worker."""
+        worker = self.workers.get(name)
+        if worker is not None and not worker.gone:
+            worker.gone = True
+            logger.info(
+                "worker left the registry",
+                extra={"worker": name, "runs": len(worker.runs)},
+            )
+
+    def release_lapsed(self) -> None:
+        """Release the runs of workers whose leases have lapsed."""
+        now = self._clock.read_monotonic()
+        for worker in list(self.workers.values()):
+            lapse = worker.measure_lapse()
+            if lapse is None:
+                seconds = self._settings.takeover_lapse_seconds
+                lapse = self._began_at + seconds
+            if now <= lapse or worker.is_in_contact(now, 1.0):
+                continue
+            self._release_all(worker, "lapsed")
+            if worker.gone:
+                self.workers.pop(worker.name, None)
+        self._release_unknown(now)
+
+    def _release_unknown(self, now: float) -> None:
+        # Runs placed on incarnations that no registry entry names.
+        if now <= self._began_at + self._settings.takeover_lapse_seconds:
+            return
+        for record in self.active.values():
+            for key, state in list(record.tasks.items()):
+                if state.status is not TaskStatus.PLACED:
+                    continue
+                worker = self.workers.get(state.worker)
+                if worker is None or worker.entry.born_ms != state.born_ms:
+                    self._release(record, key, "unknown worker")
+
+    def _release_all(self, worker: WorkerState, why: str) -> None:
+        for task, run in list(worker.runs.items()):
+            worker.remove_run(task)
+            record = self.jobs.get(run.job)
+            if record is not None:
+                state = record.get_task(run.key)
+                if state.status is TaskStatus.PLACED and state.run == run.run:
+                    self._release(record, run.key, why)
+
+    def _release(self, record: JobRecord, key: TaskKey, why: str) -> None:
+        state = record.get_task(key)
+        logger.info(
+            "run given up",
+            extra={
+                "job": record.name,
+                "task": record.name_task(key),
+                "run": state.run,
+                "worker": state.worker,
+                "reason": why,
+            },
+        )
+        record.release_task(key)
+        self.dirty.add(record.name)
+
+    # What workers say
+
+    def note_hold(
+        self, worker: WorkerState, answer: HoldAnswer, sent: float
+    ) -> bool:
+        """Take over a listing; tell whether it is of this incarnation.
+
+        `sent` is when the call was made, on the monotonic clock.
+        """
+        now = self._clock.read_monotonic()
+        if answer.born_ms and worker.entry.born_ms != answer.born_ms:
+            if answer.born_ms > worker.entry.born_ms:
+                entry = replace(worker.entry, born_ms=answer.born_ms)
+                if self.workers.get(worker.name) is worker:
+                    self._replace_incarnation(worker)
+                    self.note_worker(entry)
+            return False
+        worker.note_contact(answer, now)
+        for end in answer.ends:
+            if end.number > worker.seen_applied:
+                self._apply_end(worker, end)
+                worker.seen_applied = end.number
+        listed = {listing.task: listing for listing in answer.runs}
+        for listing in answer.runs:
+            self._apply_listing(worker, listing, now)
+        for task, run in list(worker.runs.items()):
+            if task not in listed and self._is_gone(run, sent):
+                worker.remove_run(task)
+                self._release_if_current(run, "not listed")
+        return True
+
+    @staticmethod
+    def _is_gone(run: PlacedRun, sent: float) -> bool:
+        if run.stop_answered_at and run.stop_answered_at < sent:
+            return True
+        return bool(run.confirmed_at) and run.confirmed_at < sent
+
+    def _release_if_current(self, run: PlacedRun, why: str) -> None:
+        record = self.jobs.get(run.job)
+        if record is None:
+            return
+        state = record.get_task(run.key)
+        if state.status is TaskStatus.PLACED and state.run == run.run:
+            self._release(record, run.key, why)
+
+    def _apply_listing(
+        self, worker: WorkerState, listing: RunListing, now: float
+    ) -> None:
+        placed = worker.runs.get(listing.task)
+        if placed is not None and placed.run == listing.run:
+            worker.confirm(listing.task, listing, now)
+            if listing.saved:
+                self._keep_checkpoint(placed, listing.saved)
+            return
+        self.orphans[(worker.name, listing.task)] = listing.run
+
+    def _keep_checkpoint(self, placed: PlacedRun, saved: str) -> None:
+        # Not stored by itself: it goes with the task's next change.
+        record = self.jobs.get(placed.job)
+        if record is None:
+            return
+        state = record.get_task(placed.key)
+        if state.run == placed.run and state.saved != saved:
+            record.set_task(placed.key, replace(state, saved=saved))
+
+    def _apply_end(self, worker: WorkerState, end: RunEnd) -> None:
+        placed = worker.runs.get(end.task)
+        if placed is not None and placed.run == end.run:
+            worker.remove_run(end.task)
+        name = read_task_name(end.task)
+        record = self.jobs.get(name[0]) if name else None
+        logger.info(
+            "run ended",
+            extra={
+                "task": end.task,
+                "run": end.run,
+                "how": end.how,
+                "worker": worker.name,
+                "number": end.number,
+                "known": record is not None,
+            },
+        )
+        if name is None or record is None or not record.has_task(name[1]):
+            return
+        self._judge_worker(worker, end.how)
+        state = record.get_task(name[1])
+        if end.run > state.run or state.status is TaskStatus.DONE:
+            return
+        self._apply_task_end(record, name[1], end)
+
+    def _apply_task_end(
+        self, record: JobRecord, key: TaskKey, end: RunEnd
+    ) -> None:
+        state = record.get_task(key)
+        step = record.steps[key.step]
+        current = state.run == end.run and state.status is TaskStatus.PLACED
+        self.dirty.add(record.name)
+        if end.how == DONE and not step.lasting:
+            self._finish_task(record, key)
+            return
+        if end.how == FAILED and not step.lasting:
+            state = replace(state, failures=state.failures + 1)
+            record.set_task(key, state)
+            limit = self.find_queue(record.submission).max_attempts
+            if state.failures >= limit and record.ended is None:
+                logger.info(
+                    "job failed",
+                    extra={
+                        "job": record.name,
+                        "task": end.task,
+                        "failures": state.failures,
+                        "limit": limit,
+                    },
+                )
+                record.set_task(key, replace(state, status=TaskStatus.FAILED))
+                self._end_job(record, JobState.FAILED)
+                return
+        if current:
+            record.release_task(key, end.saved)
+
+    def _finish_task(self, record: JobRecord, key: TaskKey) -> None:
+        keys = [key]
+        if record.steps[key.step].gang:
+            # The members of a gang end together; one end stands for all.
+            keys = [
+                replace(key, index=index)
+                for index in range(record.steps[key.step].count)
+            ]
+        for item in keys:
+            state = record.get_task(item)
+            record.set_task(
+                item,
+                replace(state, status=TaskStatus.DONE, worker="", saved=""),
+            )
+            self._stop_task(record.name_task(item))
+        if record.is_complete() and record.ended is None:
+            logger.info("job completed", extra={"job": record.name})
+            self._end_job(record, JobState.COMPLETED)
+
+    def _stop_task(self, task: str) -> None:
+        for worker in self.workers.values():
+            run = worker.runs.get(task)
+            if run is not None and not run.stopping:
+                worker.replace_run(task, replace(run, stopping=True))
+
+    def _judge_worker(self, worker: WorkerState, how: str) -> None:
+        if how == DONE:
+            worker.failure_streak = 0
+        elif how == FAILED:
+            worker.failure_streak += 1
+            if worker.failure_streak >= self._settings.failure_streak:
+                now = self._clock.read_monotonic()
+                worker.avoided_until = now + self._settings.avoid_seconds
+                logger.info(
+                    "worker avoided: its runs fail",
+                    extra={
+                        "worker": worker.name,
+                        "streak": worker.failure_streak,
+                    },
+                )
+
+    # Orders
+
+    def place(
+        self, record: JobRecord, key: TaskKey, worker: WorkerState
+    ) -> int:
+        """Give a task's next run to a worker; return the run's number."""
+        run = record.get_task(key).run + 1
+        self.place_run(record, key, worker, run)
+        return run
+
+    def place_run(
+        self, record: JobRecord, key: TaskKey, worker: WorkerState, run: int
+    ) -> None:
+        """Give the run of that number to a worker."""
+        record.place_task(key, run, worker.name, worker.entry.born_ms)
+        now = self._clock.read_monotonic()
+        step = record.steps[key.step]
+        placed = PlacedRun(record.name, key, run, step, now)
+        worker.add_run(record.name_task(key), placed)
+        self.dirty.add(record.name)
+
+    def withdraw(
+        self, worker: WorkerState, task: str, run: int, why: str
+    ) -> None:
+        """Take back a run that the worker has certainly not begun."""
+        placed = worker.runs.get(task)
+        if placed is not None and placed.run == run:
+            worker.remove_run(task)
+            self._release_if_current(placed, why)
+
+    def note_started(self, worker: WorkerState, task: str, run: int) -> None:
+        """Note that the worker answered the start."""
+        placed = worker.runs.get(task)
+        if placed is not None and placed.run == run:
+            now = self._clock.read_monotonic()
+            worker.replace_run(
+                task, replace(placed, confirmed_at=now, in_doubt=False)
+            )
+
+    def note_doubt(self, worker: WorkerState, task: str, run: int) -> None:
+        """Note that a start had no answer: it may still be carried out."""
+        placed = worker.runs.get(task)
+        if placed is None or placed.run != run or placed.confirmed_at:
+            return
+        worker.replace_run(task, replace(placed, in_doubt=True, stopping=True))
+
+    def note_stopped(self, worker: WorkerState, task: str, run: int) -> None:
+        """Note that the worker answered the stop."""
+        self.orphans.pop((worker.name, task), None)
+        placed = worker.runs.get(task)
+        if placed is not None and placed.run == run:
+            now = self._clock.read_monotonic()
+            worker.replace_run(task, replace(placed, stop_answered_at=now))
+
+    def list_stops(self) -> list[Stop]:
+        """Return the stops that are to be sent now."""
+        stops = []
+        for worker in self.workers.values():
+            for task, run in worker.runs.items():
+                if run.stopping and not run.stop_answered_at:
+                    stops.append(Stop(worker, task, run.run))
+        for (name, task), number in self.orphans.items():
+            found = self.workers.get(name)
+            if found is not None:
+                stops.append(Stop(found, task, number))
+        return stops
+
+    def count_pending(self, queue: str) -> int:
+        """Return how many accepted jobs of a queue have started no task."""
+        return sum(
+            1
+            for record in self.active.values()
+            if record.submission.queue == queue and not record.started
+        )
--- /dev/null
+++ b/chestnutstair/scheduling/intake.py
@@ -0,0 +1,79 @@
+"""The rows by which jobs are handed in and cancelled."""
+
+import json
+
+from result import Err, Ok, Result
+
+from chestnutstair.scheduling.ports import Row, RowKey, SubmissionCodec
+from chestnutstair.scheduling.progress import Submission
+from chestnutstair.state.failure import Failure
+
+__all__ = [
+    "INTAKE_PARTITION",
+    "INTAKE_TABLE",
+    "build_cancel_key",
+    "build_job_key",
+    "decode_submission",
+    "encode_submission",
+    "is_cancel",
+    "read_job_name",
+]
+
+INTAKE_TABLE = "intake"
+INTAKE_PARTITION = "intake"
+JOB_PREFIX = "job/"
+CANCEL_PREFIX = "cancel/"
+
+
+def build_job_key(job: str) -> RowKey:
+    """Return the row that holds a submission."""
+    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, JOB_PREFIX + job)
+
+
+def build_cancel_key(job: str) -> RowKey:
+    """Return the row whose presence cancels a job."""
+    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, CANCEL_PREFIX + job)
+
+
+def is_cancel(row: Row) -> bool:
+    """Tell whether the row cancels a job."""
+    return row.key.key.startswith(CANCEL_PREFIX)
+
+
+def read_job_name(row: Row) -> str:
+    """Return the job that an intake row is about."""
+    return row.key.key.partition("/")[2]
+
+
+def encode_submission(
+    queue: str, service: str, accepted_ms: int, body: bytes
+) -> bytes:
+    """Return the value of a submission's row."""
+    value = {
+        "queue": queue,
+        "service": service,
+        "accepted_ms": accepted_ms,
+        "body": body.decode(),
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_submission(
+    job: str, value: bytes, codec: SubmissionCodec
+) -> Result[Submission, Failure]:
+    """Read the value of a submission's row."""
+    fields = json.loads(value)
+    match codec.read_job(fields["body"].encode()):
+        case Err(failure):
+            return Err(failure)
+        case Ok(specification):
+            return Ok(
+                Submission(
+                    job,
+                    fields["queue"],
+                    fields["service"],
+                    fields["accepted_ms"],
+                    specification,
+                )
+            )
+    raise AssertionError(job)
--- /dev/null
+++ b/chestnutstair/scheduling/placement.py
@@ -0,0 +1,221 @@
+"""Decides which waiting tasks start now, and on which workers."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from chestnutstair.scheduling.book import JobBook
+from chestnutstair.scheduling.configuration import Queue
+from chestnutstair.scheduling.progress import (
+    JobRecord,
+    TaskKey,
+    TaskStatus,
+)
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.scheduling.workers import WorkerState
+
+__all__ = ["Placement", "PlacementSettings", "Planner", "Urgency"]
+
+
+@dataclass(frozen=True)
+class PlacementSettings:
+    """Limits of placing tasks.
+
+    A worker gets new tasks if it answered within `contact_seconds`, which
+    is a little more than the wait of one hold. Occurrences start
+    `due_margin_ms` after they are due, as times of day differ.
+    A job is beyond use once `useless_factor` times its objective is over.
+    """
+
+    contact_seconds: float = 1.6
+    due_margin_ms: int = 50
+    useless_factor: float = 3.0
+
+
+@dataclass(frozen=True)
+class Placement:
+    """A run that the plan gives to a worker."""
+
+    record: JobRecord
+    key: TaskKey
+    worker: WorkerState
+    run: int
+
+
+@dataclass(frozen=True, order=True)
+class Urgency:
+    """The order in which jobs get room: the smallest first."""
+
+    lateness: int
+    priority: int
+    due_ms: float
+
+
+class Planner:
+    """Plans on the book; its caller holds the book's lock."""
+
+    def __init__(self, book: JobBook, settings: PlacementSettings) -> None:
+        self._book = book
+        self._settings = settings
+
+    def plan(self, now: float, wall_ms: float) -> list[Placement]:
+        """Place what can start and return it, most urgent first."""
+        by_service: dict[str, list[tuple[Urgency, str]]] = defaultdict(list)
+        for name, record in self._book.active.items():
+            queue = self._book.find_queue(record.submission)
+            urgency = self.rate(record, queue, wall_ms)
+            by_service[queue.service].append((urgency, name))
+        placements: list[Placement] = []
+        for service, jobs in by_service.items():
+            workers = self._list_usable(service, now)
+            if not workers:
+                continue
+            for _, name in sorted(jobs):
+                record = self._book.active[name]
+                placements += self._place_job(record, workers, wall_ms)
+        return placements
+
+    def rate(self, record: JobRecord, queue: Queue, wall_ms: float) -> Urgency:
+        """Return how urgent a job is."""
+        if any(step.lasting for step in record.steps):
+            return Urgency(0, -1, record.submission.accepted_ms)
+        objective = (
+            queue.stretch * record.measure_chain_ms()
+            + queue.latency_objective_ms
+        )
+        accepted = record.submission.accepted_ms
+        late = wall_ms - accepted
+        lateness = 0
+        if late > self._settings.useless_factor * objective:
+            lateness = 2
+        elif late > objective:
+            lateness = 1
+        return Urgency(lateness, queue.priority, accepted + objective)
+
+    def _list_usable(self, service: str, now: float) -> list[WorkerState]:
+        limit = self._settings.contact_seconds
+        return [
+            worker
+            for worker in self._book.workers.values()
+            if worker.entry.service == service
+            and not worker.gone
+            and not worker.cordoned
+            and not worker.entry.draining
+            and worker.avoided_until <= now
+            and worker.is_in_contact(now, limit)
+        ]
+
+    def _place_job(
+        self,
+        record: JobRecord,
+        workers: list[WorkerState],
+        wall_ms: float,
+    ) -> list[Placement]:
+        placements: list[Placement] = []
+        due_ms = wall_ms - self._settings.due_margin_ms
+        if not record.submission.specification.occurrences:
+            due_ms = wall_ms
+        for occurrence, number in list(record.list_ready_steps(due_ms)):
+            step = record.steps[number]
+            waiting = [
+                TaskKey(occurrence, number, index)
+                for index in range(step.count)
+                if record.get_task(TaskKey(occurrence, number, index)).status
+                is TaskStatus.WAITING
+            ]
+            if not waiting:
+                continue
+            if step.gang:
+                placements += self._place_gang(record, step, waiting, workers)
+                continue
+            for key in waiting:
+                worker = self._choose(record, step, key, workers)
+                if worker is None:
+                    if not step.spread_limit:
+                        break  # its siblings are of the same size
+                    continue
+                run = self._book.place(record, key, worker)
+                placements.append(Placement(record, key, worker, run))
+        return placements
+
+    def _choose(
+        self,
+        record: JobRecord,
+        step: Step,
+        key: TaskKey,
+        workers: list[WorkerState],
+    ) -> WorkerState | None:
+        fitting = [
+            worker
+            for worker in workers
+            if worker.has_room(step)
+            and (
+                not step.required_label
+                or step.required_label in worker.entry.labels
+            )
+            and self._keeps_spread(record, step, key, worker)
+        ]
+        if not fitting:
+            return None
+        return min(fitting, key=lambda worker: self._cost(step, key, worker))
+
+    @staticmethod
+    def _count_siblings(
+        record: JobRecord, key: TaskKey, worker: WorkerState
+    ) -> int:
+        return sum(
+            1
+            for run in worker.runs.values()
+            if run.job == record.name
+            and run.key.step == key.step
+            and run.key.occurrence == key.occurrence
+        )
+
+    def _keeps_spread(
+        self, record: JobRecord, step: Step, key: TaskKey, worker: WorkerState
+    ) -> bool:
+        if not step.spread_limit:
+            return True
+        return self._count_siblings(record, key, worker) < step.spread_limit
+
+    @staticmethod
+    def _cost(
+        step: Step, key: TaskKey, worker: WorkerState
+    ) -> tuple[int, int, int, str]:
+        away = int(
+            bool(step.data_rack) and step.data_rack != worker.entry.rack
+        )
+        lasting = sum(1 for run in worker.runs.values() if run.step.lasting)
+        # Full workers first, so that others can leave the pool.
+        return away, -lasting, -worker.millicores, worker.name
+
+    def _place_gang(
+        self,
+        record: JobRecord,
+        step: Step,
+        waiting: list[TaskKey],
+        workers: list[WorkerState],
+    ) -> list[Placement]:
+        if len(waiting) < step.count:
+            return []  # members of the run before have not all ended
+        groups = [workers]
+        if step.same_rack:
+            racks: dict[str, list[WorkerState]] = defaultdict(list)
+            for member in workers:
+                racks[member.entry.rack].append(member)
+            groups = [*racks.values(), workers]
+        run = 1 + max(record.get_task(key).run for key in waiting)
+        for group in groups:
+            placements: list[Placement] = []
+            before = [record.get_task(key) for key in waiting]
+            for key in waiting:
+                worker = self._choose(record, step, key, group)
+                if worker is None:
+                    break
+                self._book.place_run(record, key, worker, run)
+                placements.append(Placement(record, key, worker, run))
+            if len(placements) == len(waiting):
+                return placements
+            for placement, state in zip(placements, before, strict=False):
+                placement.worker.remove_run(record.name_task(placement.key))
+                record.undo_place(placement.key, state)
+        return []
--- /dev/null
+++ b/chestnutstair/scheduling/progress.py
@@ -0,0 +1,280 @@
+"""How far a job has come: one record a job, with the state of its tasks."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from chestnutstair.scheduling.specification import JobSpecification, Step
+
+__all__ = [
+    "JobRecord",
+    "JobState",
+    "Submission",
+    "TaskKey",
+    "TaskState",
+    "TaskStatus",
+    "read_task_name",
+]
+
+
+@dataclass(frozen=True)
+class TaskKey:
+    """Which task of a job: occurrence, step and index, each from 0."""
+
+    occurrence: int
+    step: int
+    index: int
+
+
+class TaskStatus(StrEnum):
+    """Where a task stands; the values are those stored."""
+
+    WAITING = "w"
+    PLACED = "p"  # its start is stored and may have been carried out
+    DONE = "d"
+    FAILED = "f"
+
+
+class JobState(StrEnum):
+    """What callers are told of a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED_STATES = frozenset(
+    (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+)
+
+
+@dataclass(frozen=True)
+class TaskState:
+    """The state of one task.
+
+    `run` numbers its starts and never falls. `worker` and `born_ms` name
+    the incarnation that run `run` was sent to. `saved` is the newest
+    checkpoint known.
+    """
+
+    status: TaskStatus = TaskStatus.WAITING
+    run: int = 0
+    worker: str = ""
+    born_ms: int = 0
+    failures: int = 0
+    saved: str = ""
+
+
+UNTOUCHED = TaskState()
+
+
+@dataclass(frozen=True)
+class Submission:
+    """A job as it was accepted; `accepted_ms` is the time of day."""
+
+    job: str
+    queue: str
+    service: str
+    accepted_ms: int
+    specification: JobSpecification
+
+
+def read_task_name(name: str) -> tuple[str, TaskKey] | None:
+    """Split a task's name into job and key; None if it is no such name."""
+    parts = name.split(".")
+    try:
+        job, occurrence, step, index = parts
+        return job, TaskKey(int(occurrence), int(step), int(index))
+    except ValueError:
+        return None
+
+
+class JobRecord:
+    """One job and the states of its tasks; its owner guards it."""
+
+    def __init__(self, submission: Submission) -> None:
+        self.submission = submission
+        self.tasks: dict[TaskKey, TaskState] = {}
+        self.ended: JobState | None = None
+        self.ended_ms = 0
+        self.stored: JobState = JobState.QUEUED  # as last committed
+        self._done: dict[tuple[int, int], int] = {}
+        self._complete = 0  # steps of occurrences whose tasks are all done
+        self.started = False
+
+    @property
+    def name(self) -> str:
+        """Return the job's name."""
+        return self.submission.job
+
+    @property
+    def steps(self) -> tuple[Step, ...]:
+        """Return the steps of each occurrence."""
+        return self.submission.specification.steps
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run, at least once."""
+        return max(1, self.submission.specification.occurrences)
+
+    @property
+    def state(self) -> JobState:
+        """Return the state, whether committed or not."""
+        if self.ended is not None:
+            return self.ended
+        return JobState.RUNNING if self.started else JobState.QUEUED
+
+    def name_task(self, key: TaskKey) -> str:
+        """Return the name by which workers know the task."""
+        return f"{self.name}.{key.occurrence}.{key.step}.{key.index}"
+
+    def get_task(self, key: TaskKey) -> TaskState:
+        """Return the state of a task."""
+        return self.tasks.get(key, UNTOUCHED)
+
+    def has_task(self, key: TaskKey) -> bool:
+        """Tell whether the job has such a task."""
+        return (
+            0 <= key.occurrence < self.occurrences
+            and 0 <= key.step < len(self.steps)
+            and 0 <= key.index < self.steps[key.step].count
+        )
+
+    def set_task(self, key: TaskKey, state: TaskState) -> None:
+        """Replace the state of a task."""
+        before = self.get_task(key)
+        self.tasks[key] = state
+        if state.run:
+            self.started = True
+        step = (key.occurrence, key.step)
+        was, now = (item.status is TaskStatus.DONE for item in (before, state))
+        if was == now:
+            return
+        full = self.steps[key.step].count
+        count = self._done.get(step, 0)
+        if count == full:
+            self._complete -= 1
+        count += 1 if now else -1
+        self._done[step] = count
+        if count == full:
+            self._complete += 1
+
+    def place_task(
+        self, key: TaskKey, run: int, worker: str, born: int
+    ) -> None:
+        """Note that a run is to be started on a worker."""
+        state = self.get_task(key)
+        self.set_task(
+            key,
+            replace(
+                state,
+                status=TaskStatus.PLACED,
+                run=run,
+                worker=worker,
+                born_ms=born,
+            ),
+        )
+
+    def undo_place(self, key: TaskKey, before: TaskState) -> None:
+        """Take back a placement of which nothing was stored or sent."""
+        self.set_task(key, before)
+        self.started = any(state.run for state in self.tasks.values())
+
+    def release_task(self, key: TaskKey, saved: str = "") -> None:
+        """Let a task wait for another run."""
+        state = self.get_task(key)
+        self.set_task(
+            key,
+            replace(
+                state,
+                status=TaskStatus.WAITING,
+                worker="",
+                born_ms=0,
+                saved=saved or state.saved,
+            ),
+        )
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Tell whether all tasks of a step have ended as done."""
+        return self._done.get((occurrence, step), 0) >= self.steps[step].count
+
+    def is_complete(self) -> bool:
+        """Tell whether every task of every occurrence is done."""
+        return self._complete >= self.occurrences * len(self.steps)
+
+    def measure_due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence may start, in ms since 1970."""
+        specification = self.submission.specification
+        if not specification.occurrences:
+            return 0
+        return (
+            specification.first_due_ms + occurrence * specification.interval_ms
+        )
+
+    def list_ready_steps(self, wall_ms: float) -> Iterator[tuple[int, int]]:
+        """Yield occurrence and step where tasks may start now."""
+        for occurrence in range(self.occurrences):
+            if self.measure_due_ms(occurrence) > wall_ms:
+                return
+            for number, step in enumerate(self.steps):
+                if self.is_step_done(occurrence, number):
+                    continue
+                if all(
+                    self.is_step_done(occurrence, before)
+                    for before in step.after
+                ):
+                    yield occurrence, number
+
+    def end(self, state: JobState, wall_ms: int) -> None:
+        """Note the final state of the job."""
+        self.ended = state
+        self.ended_ms = wall_ms
+
+    def encode(self) -> bytes:
+        """Return the progress as it is stored."""
+        value = {
+            "ended": self.ended or "",
+            "ended_ms": self.ended_ms,
+            "tasks": {
+                f"{key.occurrence}.{key.step}.{key.index}": [
+                    state.status,
+                    state.run,
+                    state.worker,
+                    state.born_ms,
+                    state.failures,
+                    state.saved,
+                ]
+                for key, state in self.tasks.items()
+            },
+        }
+        return json.dumps(value, separators=(",", ":")).encode()
+
+    def restore(self, value: bytes) -> None:
+        """Take over progress that was stored."""
+        fields = json.loads(value)
+        for name, item in fields["tasks"].items():
+            key = TaskKey(*(int(part) for part in name.split(".")))
+            self.set_task(key, TaskState(TaskStatus(item[0]), *item[1:]))
+        if fields["ended"]:
+            self.end(JobState(fields["ended"]), fields["ended_ms"])
+        self.stored = self.state
+
+    def measure_chain_ms(self) -> float:
+        """Return the longest chain of estimated work of one occurrence."""
+        longest: dict[int, float] = {}
+        for number in self._order_steps():
+            step = self.steps[number]
+            before = max((longest[n] for n in step.after), default=0.0)
+            longest[number] = before + step.estimate_ms
+        return max(longest.values(), default=0.0)
+
+    def _order_steps(self) -> list[int]:
+        ordered: list[int] = []
+        while len(ordered) < len(self.steps):
+            for number, step in enumerate(self.steps):
+                if number not in ordered and set(step.after) <= set(ordered):
+                    ordered.append(number)
+        return ordered
--- /dev/null
+++ b/chestnutstair/scheduling/watch.py
@@ -0,0 +1,145 @@
+"""What the operator has put into the store, on every node."""
+
+import logging
+import threading
+from collections.abc import Callable
+
+from chestnutstair.scheduling.configuration import (
+    FleetConfiguration,
+    MaintenanceWave,
+)
+from chestnutstair.scheduling.feed import Feed
+from chestnutstair.scheduling.ports import (
+    Changes,
+    Row,
+    RowStore,
+    WireDecoder,
+)
+from chestnutstair.state.deadline import Clock
+
+__all__ = ["OperatorWatch"]
+
+logger = logging.getLogger(__name__)
+
+OPERATOR_TABLE = "op"
+OPERATOR_PARTITION = ""
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+# A connection that has gone silent is noticed after this and the slack of a
+# read, in time for a configuration to be in force within two seconds more.
+WAIT_SECONDS = 1.0
+
+
+class OperatorWatch:
+    """Keeps the newest configuration and the maintenance waves.
+
+    A configuration never gives way to one of a lower version, whichever
+    node or store it comes from.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        decoder: WireDecoder,
+        clock: Clock,
+        note_change: Callable[[], None],
+    ) -> None:
+        self._decoder = decoder
+        self._note_change = note_change
+        self._lock = threading.Lock()
+        self._configuration: FleetConfiguration | None = None
+        self._value: bytes | None = None
+        self._waves: dict[int, MaintenanceWave] = {}
+        self._feed = Feed(
+            store,
+            clock,
+            OPERATOR_TABLE,
+            OPERATOR_PARTITION,
+            None,
+            self._apply,
+            self._apply,
+            0.0,
+            WAIT_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._feed.start()
+
+    def stop(self) -> None:
+        """Follow no more."""
+        self._feed.stop()
+
+    @property
+    def configuration(self) -> FleetConfiguration | None:
+        """Return the configuration in force, None before the first."""
+        return self._configuration
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        known = self._configuration
+        return known.version if known is not None else 0
+
+    @property
+    def value(self) -> bytes | None:
+        """Return the configuration as the operator wrote it."""
+        return self._value
+
+    @property
+    def waves(self) -> list[MaintenanceWave]:
+        """Return the waves, the oldest first."""
+        with self._lock:
+            return [self._waves[number] for number in sorted(self._waves)]
+
+    def _apply(self, changes: Changes) -> None:
+        for row in changes.rows:
+            if row.key.key == CONFIGURATION_KEY and row.value is not None:
+                self.offer(row.value, "store")
+            elif row.key.key.startswith(WAVE_PREFIX):
+                self._apply_wave(row)
+        self._note_change()
+
+    def _apply_wave(self, row: Row) -> None:
+        if row.value is None:
+            return
+        wave = self._decoder.read_wave(row.value)
+        if wave is None:
+            logger.error("wave can not be read", extra={"key": row.key.key})
+            return
+        with self._lock:
+            self._waves[wave.number] = wave
+        logger.info(
+            "maintenance wave known",
+            extra={
+                "wave": wave.number,
+                "vms": len(wave.vms),
+                "cap": wave.cap,
+                "seconds": wave.seconds,
+            },
+        )
+
+    def offer(self, value: bytes, source: str) -> None:
+        """Put a configuration in force if it is newer."""
+        read = self._decoder.read_configuration(value)
+        if read is None:
+            logger.error(
+                "configuration can not be read", extra={"source": source}
+            )
+            return
+        with self._lock:
+            if read.version <= self.version:
+                return
+            before = self.version
+            self._value = value
+            self._configuration = read
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": read.version,
+                "before": before,
+                "source": source,
+                "queues": len(read.queues),
+            },
+        )
+        self._note_change()
--- /dev/null
+++ b/chestnutstair/scheduling/workers.py
@@ -0,0 +1,148 @@
+"""What the scheduler knows of each worker: lease, runs and room."""
+
+from dataclasses import dataclass, replace
+
+from chestnutstair.scheduling.ports import HoldAnswer, RunListing, WorkerEntry
+from chestnutstair.scheduling.progress import TaskKey
+from chestnutstair.scheduling.specification import Step
+
+__all__ = ["Contact", "PlacedRun", "WorkerState"]
+
+# A worker's clock may be 2% slow, so a lease may last that much longer.
+SLOWEST_CLOCK = 0.98
+
+
+@dataclass(frozen=True)
+class Contact:
+    """A reading of the worker's clock; `at` is when it was received."""
+
+    clock_ms: int
+    at: float
+
+    def estimate_clock_ms(self, now: float) -> int:
+        """Return what the worker's clock shows now, or a little less."""
+        return int(self.clock_ms + (now - self.at) * 1000)
+
+
+@dataclass(frozen=True)
+class PlacedRun:
+    """A run that takes room on a worker.
+
+    `confirmed_at` is when the start was answered or the run was listed, 0
+    before. `in_doubt` says that the start had no answer. `stopping` says
+    that a stop is wanted; the room is free once the end is listed.
+    """
+
+    job: str
+    key: TaskKey
+    run: int
+    step: Step
+    placed_at: float
+    confirmed_at: float = 0.0
+    in_doubt: bool = False
+    stopping: bool = False
+    stop_answered_at: float = 0.0
+    listing: RunListing | None = None
+
+    @property
+    def at_work(self) -> bool:
+        """Tell whether the run is listed as fully at work."""
+        return self.listing is not None and self.listing.percent >= 100
+
+
+class WorkerState:
+    """One incarnation of a worker; its owner guards it."""
+
+    def __init__(self, entry: WorkerEntry, known_at: float) -> None:
+        self.entry = entry
+        self.known_at = known_at
+        self.contact: Contact | None = None
+        self.sent_deadline_ms = 0  # the latest lease sent, on its clock
+        self.seen_stored = 0  # ends up to here are in the store
+        self.seen_applied = 0
+        self.runs: dict[str, PlacedRun] = {}
+        self.millicores = 0
+        self.memory_mb = 0
+        self.accelerators = 0
+        self.cordoned = False
+        self.gone = False
+        self.failure_streak = 0
+        self.avoided_until = 0.0
+
+    @property
+    def name(self) -> str:
+        """Return the worker's name in the registry."""
+        return self.entry.name
+
+    def add_run(self, task: str, run: PlacedRun) -> None:
+        """Take room for a run."""
+        self.remove_run(task)
+        self.runs[task] = run
+        self._count(run.step, 1)
+
+    def replace_run(self, task: str, run: PlacedRun) -> None:
+        """Change what is known of a run without changing its room."""
+        self.runs[task] = run
+
+    def remove_run(self, task: str) -> PlacedRun | None:
+        """Free the room of a run."""
+        run = self.runs.pop(task, None)
+        if run is not None:
+            self._count(run.step, -1)
+        return run
+
+    def _count(self, step: Step, sign: int) -> None:
+        if not step.filler:
+            self.millicores += sign * step.millicores
+        self.memory_mb += sign * step.memory_mb
+        self.accelerators += sign * step.accelerators
+
+    def has_room(self, step: Step, tasks: int = 1) -> bool:
+        """Tell whether that many tasks of the step fit beside the runs."""
+        entry = self.entry
+        millicores = 0 if step.filler else step.millicores
+        return (
+            self.millicores + tasks * millicores <= entry.millicores
+            and self.memory_mb + tasks * step.memory_mb <= entry.memory_mb
+            and self.accelerators + tasks * step.accelerators
+            <= entry.accelerators
+        )
+
+    def could_hold(self, step: Step) -> bool:
+        """Tell whether a task of the step fits an empty worker."""
+        entry = self.entry
+        millicores = 0 if step.filler else step.millicores
+        return (
+            millicores <= entry.millicores
+            and step.memory_mb <= entry.memory_mb
+            and step.accelerators <= entry.accelerators
+        )
+
+    def note_contact(self, answer: HoldAnswer, now: float) -> None:
+        """Take over the worker's clock."""
+        self.contact = Contact(answer.clock_ms, now)
+
+    def is_in_contact(self, now: float, seconds: float) -> bool:
+        """Tell whether the worker answered within the given seconds."""
+        return self.contact is not None and now - self.contact.at <= seconds
+
+    def measure_lapse(self) -> float | None:
+        """Return when all runs have lapsed for certain, None if unknown."""
+        if self.contact is None:
+            return None
+        left = max(0, self.sent_deadline_ms - self.contact.clock_ms)
+        return self.contact.at + left / 1000 / SLOWEST_CLOCK
+
+    def update_entry(self, entry: WorkerEntry) -> None:
+        """Take over a newer entry of the same incarnation."""
+        self.entry = entry
+
+    def confirm(self, task: str, listing: RunListing, now: float) -> None:
+        """Note that a run is listed."""
+        run = self.runs[task]
+        self.runs[task] = replace(
+            run,
+            confirmed_at=run.confirmed_at or now,
+            in_doubt=False,
+            listing=listing,
+        )
--- a/chestnutstair/state/deadline.py
+++ b/chestnutstair/state/deadline.py
@@ -13,6 +13,10 @@
         """Return monotonic seconds, comparable within one process only."""
         raise NotImplementedError
 
+    def read_boottime(self) -> float:
+        """Return monotonic seconds that also count time in suspension."""
+        return self.read_monotonic()
+
     def read_wall(self) -> float:
         """Return seconds since the epoch, for records and due dates."""
         raise NotImplementedError
@@ -29,6 +33,10 @@
         """Return monotonic seconds, comparable within one process only."""
         return time.monotonic()
 
+    def read_boottime(self) -> float:
+        """Return monotonic seconds that also count time in suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def read_wall(self) -> float:
         """Return seconds since the epoch, for records and due dates."""
         return time.time()
--- /dev/null
+++ b/chestnutstair/transport/json_calls.py
@@ -0,0 +1,72 @@
+"""Calls with JSON bodies, and the failures that their answers mean."""
+
+import json
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+import urllib3
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    RefusedFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.transport.platform_client import PlatformClient
+
+__all__ = ["CONTENT_TYPE", "Answer", "call_json", "read_body"]
+
+CONTENT_TYPE = {"Content-Type": "application/json"}
+
+# A status, and the fields of the answer's body ({} if it has none).
+Answer = tuple[int, dict[str, Any]]
+
+
+def read_body(data: bytes) -> dict[str, Any] | None:
+    """Return the fields of a JSON object, or None if it is not one."""
+    try:
+        value = json.loads(data)
+    except ValueError:
+        return None
+    return value if isinstance(value, dict) else None
+
+
+def _read_answer(
+    answer: urllib3.BaseHTTPResponse,
+) -> Result[Answer, PlatformFailure]:
+    body = read_body(answer.data) if answer.data else {}
+    status = answer.status
+    if status in (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ):
+        return Err(UnavailableFailure(f"status {status}"))
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Err(UnknownOutcomeFailure(f"status {status}"))
+    if body is None:
+        if status < HTTPStatus.BAD_REQUEST:
+            return Err(UnknownOutcomeFailure("unreadable answer"))
+        body = {}
+    if status == HTTPStatus.FORBIDDEN:
+        return Err(RefusedFailure(f"status {status}"))
+    return Ok((status, body))
+
+
+def call_json(
+    client: PlatformClient,
+    method: str,
+    path: str,
+    body: dict[str, Any] | None,
+    deadline: Deadline,
+    headers: Mapping[str, str] | None = None,
+) -> Result[Answer, PlatformFailure]:
+    """Make a call; statuses that say nothing of the call are failures."""
+    data = None
+    if body is not None:
+        data = json.dumps(body, separators=(",", ":")).encode()
+        headers = {**CONTENT_TYPE, **(headers or {})}
+    sent = client.send(method, path, data, deadline, headers)
+    return sent.and_then(_read_answer)
--- /dev/null
+++ b/chestnutstair/transport/leader_calls.py
@@ -0,0 +1,292 @@
+"""Calls between the nodes of a scheduler: HTTP with JSON bodies."""
+
+import base64
+import json
+import logging
+import threading
+from collections import deque
+from collections.abc import Callable, Iterable
+from functools import cache
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs, urlencode
+
+from prometheus_client import generate_latest
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    RefusedFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.scheduling.desk import JobDesk, LeaderLink
+from chestnutstair.scheduling.election import LeaderStatus, StatusSource
+from chestnutstair.scheduling.leader import Leader
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.transport.json_calls import call_json, read_body
+from chestnutstair.transport.platform_client import (
+    PlatformClient,
+    PlatformClientSettings,
+)
+
+__all__ = ["HttpLeaderLink", "build_node_application"]
+
+logger = logging.getLogger(__name__)
+
+STATUS_PATH = "/node/status"
+CONFIGURATION_PATH = "/node/configuration"
+JOB_PATH = "/node/job"
+PENDING_PATH = "/node/pending"
+STORED_PATH = "/node/stored"
+CANCELLED_PATH = "/node/cancelled"
+SUBMIT_PATH = "/node/submit"
+CANCEL_PATH = "/node/cancel"
+METRICS_PATH = "/metrics"
+
+CONNECTIONS = 8  # kept to each other node
+MESSAGE_SECONDS = 0.5  # a message that is lost is made up by the store's feed
+MESSAGES_WAITING = 500  # messages kept while the leader does not answer
+RELAY_SECONDS = 0.8
+
+
+class HttpLeaderLink(LeaderLink, StatusSource):
+    """Calls other nodes, above all the one that leads."""
+
+    def __init__(self, clock: Clock, get_address: Callable[[], str]) -> None:
+        self._clock = clock
+        self._get_address = get_address
+        self._connect = cache(self._build_client)
+        self._messages: deque[tuple[str, dict[str, Any]]] = deque(
+            maxlen=MESSAGES_WAITING
+        )
+        self._waiting = threading.Semaphore(0)
+        threading.Thread(
+            target=self._send_messages, name="messages", daemon=True
+        ).start()
+
+    def _build_client(self, address: str) -> PlatformClient:
+        settings = PlatformClientSettings(CONNECTIONS)
+        return PlatformClient(
+            f"http://{address}", "", "", self._clock, settings
+        )
+
+    def _call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        seconds: float,
+    ) -> Result[dict[str, Any], PlatformFailure]:
+        if not address:
+            return Err(UnavailableFailure("no leader is known"))
+        deadline = Deadline.after(self._clock, seconds)
+        answer = call_json(
+            self._connect(address), method, path, body, deadline
+        )
+        match answer:
+            case Ok((HTTPStatus.OK, read)):
+                return Ok(read)
+            case Ok((status, _)):
+                return Err(RefusedFailure(f"status {status}"))
+            case Err(failure):
+                return Err(failure)
+        raise AssertionError(answer)
+
+    def _ask(
+        self, path: str, seconds: float, **query: str
+    ) -> Result[dict[str, Any], PlatformFailure]:
+        where = f"{path}?{urlencode(query)}"
+        return self._call(self._get_address(), "GET", where, None, seconds)
+
+    def ask_status(
+        self, address: str, seconds: float
+    ) -> Result[LeaderStatus, PlatformFailure]:
+        """Return the status of the node at the address."""
+        answer = self._call(address, "GET", STATUS_PATH, None, seconds)
+        return answer.map(lambda body: LeaderStatus(**body))
+
+    def ask_configuration(
+        self, address: str, seconds: float
+    ) -> Result[bytes, PlatformFailure]:
+        """Return the configuration that the node at the address has."""
+        answer = self._call(address, "GET", CONFIGURATION_PATH, None, seconds)
+        return answer.map(lambda body: json.dumps(body).encode())
+
+    def ask_job(
+        self, job: str, seconds: float
+    ) -> Result[str, PlatformFailure]:
+        """Return a job's state, "" if the leader does not know it."""
+        answer = self._ask(JOB_PATH, seconds, job=job)
+        return answer.map(lambda body: str(body["state"]))
+
+    def ask_pending(
+        self, queue: str, seconds: float
+    ) -> Result[int, PlatformFailure]:
+        """Return how many jobs of a queue wait."""
+        answer = self._ask(PENDING_PATH, seconds, queue=queue)
+        return answer.map(lambda body: int(body["pending"]))
+
+    def relay_submission(
+        self, job: str, value: bytes, seconds: float
+    ) -> Result[None, PlatformFailure]:
+        """Let the leader's node store a submission."""
+        body = {"job": job, "value": base64.b64encode(value).decode()}
+        address = self._get_address()
+        answer = self._call(address, "POST", SUBMIT_PATH, body, seconds)
+        return answer.map(lambda _: None)
+
+    def relay_cancel(
+        self, job: str, seconds: float
+    ) -> Result[bool, PlatformFailure]:
+        """Let the leader's node cancel a job; tell whether it is known."""
+        address = self._get_address()
+        answer = self._call(
+            address, "POST", CANCEL_PATH, {"job": job}, seconds
+        )
+        return answer.map(lambda body: bool(body["known"]))
+
+    def tell_stored(self, job: str, value: bytes) -> None:
+        """Tell the leader of a submission, without waiting."""
+        body = {"job": job, "value": base64.b64encode(value).decode()}
+        self._queue_message(STORED_PATH, body)
+
+    def tell_cancelled(self, job: str) -> None:
+        """Tell the leader of a cancellation, without waiting."""
+        self._queue_message(CANCELLED_PATH, {"job": job})
+
+    def _queue_message(self, path: str, body: dict[str, Any]) -> None:
+        self._messages.append((path, body))
+        self._waiting.release()
+
+    def _send_messages(self) -> None:
+        while True:
+            self._waiting.acquire()
+            try:
+                path, body = self._messages.popleft()
+            except IndexError:
+                continue  # dropped when too many were waiting
+            address = self._get_address()
+            answer = self._call(address, "POST", path, body, MESSAGE_SECONDS)
+            if answer.is_err():
+                logger.info(
+                    "message to the leader lost; the store has it",
+                    extra={"job": body["job"], "reason": str(answer.err())},
+                )
+
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Environ = dict[str, Any]
+
+
+class _NodeApplication:
+    """Answers other nodes, and serves metrics."""
+
+    def __init__(
+        self,
+        describe: Callable[[], LeaderStatus],
+        get_leader: Callable[[], Leader | None],
+        get_configuration: Callable[[], bytes | None],
+        desk: JobDesk,
+        clock: Clock,
+    ) -> None:
+        self._describe = describe
+        self._get_leader = get_leader
+        self._get_configuration = get_configuration
+        self._desk = desk
+        self._clock = clock
+
+    def __call__(
+        self, environ: Environ, respond: StartResponse
+    ) -> list[bytes]:
+        """Answer one call."""
+        path = environ.get("PATH_INFO", "")
+        if path == METRICS_PATH:
+            return _send(
+                respond, HTTPStatus.OK, generate_latest(), "text/plain"
+            )
+        if environ["REQUEST_METHOD"] == "GET":
+            query = parse_qs(environ.get("QUERY_STRING", ""))
+            status, body = self._answer_question(path, query)
+        else:
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+            fields = read_body(environ["wsgi.input"].read(length)) or {}
+            status, body = self._take_message(path, fields)
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return _send(respond, status, data, "application/json")
+
+    def _answer_question(
+        self, path: str, query: dict[str, list[str]]
+    ) -> tuple[HTTPStatus, Any]:
+        if path == STATUS_PATH:
+            return HTTPStatus.OK, vars(self._describe())
+        if path == CONFIGURATION_PATH:
+            value = self._get_configuration()
+            if value is None:
+                return HTTPStatus.SERVICE_UNAVAILABLE, {}
+            return HTTPStatus.OK, value
+        leader = self._get_leader()
+        if leader is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE, {}
+        if path == JOB_PATH:
+            state = self._desk.ask_leader_here(leader, query["job"][0])
+            return HTTPStatus.OK, {"state": state}
+        if path == PENDING_PATH:
+            with leader.book.lock:
+                count = leader.book.count_pending(query["queue"][0])
+            return HTTPStatus.OK, {"pending": count}
+        return HTTPStatus.NOT_FOUND, {}
+
+    def _take_message(
+        self, path: str, fields: dict[str, Any]
+    ) -> tuple[HTTPStatus, Any]:
+        leader = self._get_leader()
+        job = str(fields.get("job", ""))
+        value = base64.b64decode(fields.get("value", ""))
+        deadline = Deadline.after(self._clock, RELAY_SECONDS)
+        if path == SUBMIT_PATH:
+            stored = self._desk.store_submission(job, value, deadline)
+            return _judge(stored), {}
+        if path == CANCEL_PATH:
+            known = self._desk.store_cancel(job, deadline)
+            return _judge(known), {"known": known.unwrap_or(False)}
+        if leader is None:
+            return HTTPStatus.SERVICE_UNAVAILABLE, {}
+        if path == STORED_PATH:
+            leader.note_stored(job, value)
+            return HTTPStatus.OK, {}
+        if path == CANCELLED_PATH:
+            leader.note_cancelled(job)
+            return HTTPStatus.OK, {}
+        return HTTPStatus.NOT_FOUND, {}
+
+
+def _judge(result: Result[Any, PlatformFailure]) -> HTTPStatus:
+    match result:
+        case Ok(_):
+            return HTTPStatus.OK
+        case Err(UnknownOutcomeFailure()):
+            return HTTPStatus.GATEWAY_TIMEOUT
+    return HTTPStatus.SERVICE_UNAVAILABLE
+
+
+def _send(
+    respond: StartResponse, status: HTTPStatus, data: bytes, kind: str
+) -> list[bytes]:
+    headers = [("Content-Type", kind), ("Content-Length", str(len(data)))]
+    respond(f"{status.value} {status.phrase}", headers)
+    return [data]
+
+
+def build_node_application(
+    describe: Callable[[], LeaderStatus],
+    get_leader: Callable[[], Leader | None],
+    get_configuration: Callable[[], bytes | None],
+    desk: JobDesk,
+    clock: Clock,
+) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
+    """Return the WSGI application that serves the other nodes."""
+    return _NodeApplication(
+        describe, get_leader, get_configuration, desk, clock
+    )
--- a/chestnutstair/transport/platform_client.py
+++ b/chestnutstair/transport/platform_client.py
@@ -1,5 +1,6 @@
 """A client of the platform's HTTP interface."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, TypeVar
@@ -104,9 +105,17 @@
         return answer.and_then(check_status).map(lambda _: None)
 
     def send(
-        self, method: str, path: str, body: bytes | None, deadline: Deadline
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        deadline: Deadline,
+        headers: Mapping[str, str] | None = None,
     ) -> Result[urllib3.BaseHTTPResponse, PlatformFailure]:
-        """Send a request and return its answer, whatever its status."""
+        """Send a request and return its answer, whatever its status.
+
+        `headers` are sent beside those of every call.
+        """
         left = deadline.measure_left(self._clock)
         if left <= 0:
             return Err(UnavailableFailure("the deadline has passed"))
@@ -117,6 +126,7 @@
                 method,
                 path,
                 body=body,
+                headers={**self._pool.headers, **(headers or {})},
                 timeout=urllib3.Timeout(total=left),
                 pool_timeout=left,  # type: ignore[arg-type]
             )
