Size pools by demand and keep maintenance waves

Change: fleet.py and waves.py; leases are extended only for workers that answer. Conclusion: the base of each pool and the time to shrink are to be tuned.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -20,6 +20,7 @@
     ElectionSettings,
     LeaderStatus,
 )
+from chestnutstair.scheduling.fleet import FleetKeeper, FleetKeeperSettings
 from chestnutstair.scheduling.leader import Leader, LeaderSettings
 from chestnutstair.scheduling.placement import PlacementSettings, Planner
 from chestnutstair.scheduling.term import Term, TermSettings
@@ -108,21 +109,29 @@
         )
 
     def _build_leader(self, term: Term, before_ended: bool) -> Leader:
-        settings = LeaderSettings()
+        settings = LeaderSettings(
+            lease_seconds=min(
+                LeaderSettings.lease_seconds,
+                self._settings.longest_lease_seconds,
+            )
+        )
         lapse = settings.lease_seconds / SLOWEST_CLOCK
         if not before_ended:
             # The leader before may have extended leases until it gave up.
-            lapse += TermSettings().give_up_seconds
+            lapse += (
+                TermSettings.give_up_seconds - ElectionSettings.expiry_seconds
+            )
         book = JobBook(
             self._clock, term.epoch, BookSettings(takeover_lapse_seconds=lapse)
         )
         configuration = self._watch.configuration
         if configuration is not None:
             book.configuration = configuration
-        return Leader(
+        planner = Planner(book, self._clock, PlacementSettings())
+        leader = Leader(
             term,
             book,
-            Planner(book, PlacementSettings()),
+            planner,
             self._store,
             self._workers,
             self._decoder,
@@ -130,6 +139,22 @@
             self._clock,
             settings,
         )
+        times = self._settings.pools
+        keeper = FleetKeeper(
+            leader,
+            planner,
+            self._vms,
+            self._store,
+            lambda: self._watch.waves,
+            self._clock,
+            FleetKeeperSettings(
+                turn_seconds=times.turn_seconds,
+                move_seconds=times.move_seconds,
+                maintenance_seconds=times.maintenance_seconds,
+            ),
+        )
+        leader.add_companion(keeper.start)
+        return leader
 
     def _build_servers(self) -> None:
         settings = self._settings
--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -70,6 +70,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.dirty: set[str] = set()
         self.orphans: dict[tuple[str, str], int] = {}
+        self._retired: set[tuple[str, int]] = set()
         self._clock = clock
         self._epoch = epoch
         self._settings = settings
@@ -134,6 +135,8 @@
 
     def note_worker(self, entry: WorkerEntry) -> WorkerState | None:
         """Take over a registry entry; return the worker if it is new."""
+        if (entry.name, entry.born_ms) in self._retired:
+            return None  # the registry forgets it some seconds later
         known = self.workers.get(entry.name)
         if known is not None:
             if known.entry.born_ms == entry.born_ms:
@@ -189,6 +192,14 @@
         self._release_all(worker, "restarted")
         self.workers.pop(worker.name, None)
 
+    def retire_worker(self, worker: WorkerState) -> None:
+        """Forget a worker whose VM has been moved or taken down."""
+        worker.gone = True
+        self._retired.add((worker.name, worker.entry.born_ms))
+        self._release_all(worker, "retired")
+        if self.workers.get(worker.name) is worker:
+            del self.workers[worker.name]
+
     def drop_worker(self, name: str) -> None:
         """Note that the registry no longer lists a worker."""
         worker = self.workers.get(name)
@@ -411,6 +422,24 @@
                     },
                 )
 
+    def may_be_away(self, record: JobRecord, key: TaskKey) -> bool:
+        """Tell whether planned work may stop a lasting task now.
+
+        All others of its step but as many as may be away are at work.
+        """
+        step = record.steps[key.step]
+        away = 0
+        for index in range(step.count):
+            other = replace(key, index=index)
+            if other != key and not self._is_at_work(record, other):
+                away += 1
+        return away < max(1, step.may_be_away)
+
+    def _is_at_work(self, record: JobRecord, key: TaskKey) -> bool:
+        worker = self.workers.get(record.get_task(key).worker)
+        run = worker.runs.get(record.name_task(key)) if worker else None
+        return run is not None and run.at_work and not run.stopping
+
     # Orders
 
     def place(
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
     is_cancel,
     read_job_name,
 )
+from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.placement import Placement, Planner
 from chestnutstair.scheduling.ports import (
     Changes,
@@ -68,7 +70,7 @@
     once at most. `keep_seconds` is how long ended jobs can be asked for.
     """
 
-    lease_seconds: float = 5.0
+    lease_seconds: float = 6.0
     hold_seconds: float = 1.0
     beat_seconds: float = 0.4
     write_gap_seconds: float = 0.02
@@ -78,6 +80,7 @@
     batch_rows: int = 90
     keep_seconds: float = 150.0
     read_seconds: float = 3.0
+    pool_log_seconds: float = 1.0
 
 
 class Leader:
@@ -115,6 +118,9 @@
             target=self._run, name="leader", daemon=True
         )
         self._feeds: list[Feed] = []
+        self._writes: list[RowWrite] = []
+        self._companions: list[Callable[[], None]] = []
+        self._logged_at = 0.0
         self._swept_at = clock.read_monotonic()
 
     # Life
@@ -182,6 +188,8 @@
         """Begin to plan and to listen."""
         for feed in self._feeds:
             feed.start()
+        for companion in self._companions:
+            companion()
         self._main.start()
         self._woken.set()
 
@@ -217,6 +225,16 @@
                 self.book.configuration = configuration
         self.wake()
 
+    def add_companion(self, start: Callable[[], None]) -> None:
+        """Let something start with the leader; it ends with its term."""
+        self._companions.append(start)
+
+    def add_write(self, write: RowWrite) -> None:
+        """Let a row go with the next write of the term."""
+        with self.book.lock:
+            self._writes.append(write)
+        self.wake()
+
     # What the store says
 
     def _apply_intake(self, changes: Changes) -> None:
@@ -310,8 +328,9 @@
             return False
 
     def _extend_lease(self, worker: WorkerState) -> int | None:
-        # The deadline counts as sent before it is.
-        if worker.contact is None:
+        # The deadline counts as sent before it is. A worker that does not
+        # answer gets no further lease: its runs have to lapse some time.
+        if worker.contact is None or worker.silent:
             return None
         now = self._clock.read_monotonic()
         deadline_ms = worker.contact.estimate_clock_ms(now) + int(
@@ -331,6 +350,8 @@
         match answer:
             case Ok(listing):
                 with self.book.lock:
+                    worker.silent = False
+                    worker.seen_sent = max(worker.seen_sent, seen)
                     before = worker.contact
                     known = self.book.note_hold(worker, listing, sent)
                     unstored = worker.seen_applied > worker.seen_stored
@@ -342,7 +363,8 @@
             case Err(StartRefusedFailure(reason)) if reason == Refusal.FENCE:
                 self._lose("a worker knows a newer fence")
             case Err(failure):
-                if worker.contact is not None:
+                if not worker.silent:
+                    worker.silent = True
                     logger.info(
                         "worker does not answer",
                         extra={
@@ -394,6 +416,8 @@
             )
             stops = self.book.list_stops()
             writes, states = self._encode_dirty()
+            writes += self._writes
+            self._writes = []
             seen = [
                 (worker, worker.seen_applied)
                 for worker in self.book.workers.values()
@@ -409,6 +433,7 @@
                 self._lose(outcome.value)
                 return
         self._note_written(states, seen)
+        self._log_pools()
         for placement in placements:
             self._orders.submit(self._start, placement)
         self._sweep()
@@ -445,6 +470,16 @@
                     if event is not None:
                         event.set()
 
+    def _log_pools(self) -> None:
+        now = self._clock.read_monotonic()
+        if now - self._logged_at < self._settings.pool_log_seconds:
+            return
+        self._logged_at = now
+        with self.book.lock:
+            loads = measure_loads(self.book)
+        for load in loads:
+            logger.info("pool load", extra=vars(load))
+
     def _sweep(self) -> None:
         now = self._clock.read_monotonic()
         keep = self._settings.keep_seconds
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -12,6 +12,7 @@
 )
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.state.deadline import Clock
 
 __all__ = ["Placement", "PlacementSettings", "Planner", "Urgency"]
 
@@ -53,8 +54,11 @@
 class Planner:
     """Plans on the book; its caller holds the book's lock."""
 
-    def __init__(self, book: JobBook, settings: PlacementSettings) -> None:
+    def __init__(
+        self, book: JobBook, clock: Clock, settings: PlacementSettings
+    ) -> None:
         self._book = book
+        self._clock = clock
         self._settings = settings
 
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
@@ -137,6 +141,15 @@
                 placements.append(Placement(record, key, worker, run))
         return placements
 
+    def find_place(
+        self, record: JobRecord, key: TaskKey
+    ) -> WorkerState | None:
+        """Return the worker that would get the task now, if any."""
+        service = self._book.find_queue(record.submission).service
+        now = self._clock.read_monotonic()
+        workers = self._list_usable(service, now)
+        return self._choose(record, record.steps[key.step], key, workers)
+
     def _choose(
         self,
         record: JobRecord,
--- /dev/null
+++ b/chestnutstair/scheduling/waves.py
@@ -0,0 +1,100 @@
+"""Which VMs of which maintenance wave have begun, kept in the store."""
+
+import json
+import logging
+
+from chestnutstair.scheduling.configuration import MaintenanceWave
+from chestnutstair.scheduling.leader import Leader
+from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
+from chestnutstair.scheduling.term import PARTITION
+from chestnutstair.state.deadline import Clock, Deadline
+
+__all__ = ["WaveLedger"]
+
+logger = logging.getLogger(__name__)
+
+MAINTENANCE_TABLE = "maintenance"
+STATUS_TABLE = "status"
+STATUS_PARTITION = ""
+CALL_SECONDS = 1.0
+RUNNING = "running"
+COMPLETED = "completed"
+
+
+class WaveLedger:
+    """Remembers over leaders what has been done of each wave."""
+
+    def __init__(self, leader: Leader, store: RowStore, clock: Clock) -> None:
+        self._leader = leader
+        self._store = store
+        self._clock = clock
+        self._begun: set[tuple[int, str]] = set()
+        self._said: dict[int, str] = {}
+        self._waves: dict[int, MaintenanceWave] = {}
+        self._first_seen: dict[int, float] = {}
+
+    def load(self) -> bool:
+        """Read what leaders before have done; tell whether it was read."""
+        deadline = Deadline.after(self._clock, CALL_SECONDS)
+        answer = self._store.read(MAINTENANCE_TABLE, PARTITION, deadline)
+        if answer.is_err():
+            return False
+        for row in answer.unwrap().rows:
+            number, _, vm = row.key.key.partition("/")
+            self._begun.add((int(number), vm))
+        return True
+
+    def note_wave(self, wave: MaintenanceWave, now: float) -> None:
+        """Take over a wave that the operator asks for."""
+        self._waves[wave.number] = wave
+        self._first_seen.setdefault(wave.number, now)
+
+    def measure_age(self, wave: MaintenanceWave, now: float) -> float:
+        """Return for how many seconds this leader has known the wave."""
+        return now - self._first_seen[wave.number]
+
+    def is_over(self, wave: MaintenanceWave) -> bool:
+        """Tell whether the wave has been said to be completed."""
+        return self._said.get(wave.number) == COMPLETED
+
+    def is_due_in(self, wave: MaintenanceWave, vm: str) -> bool:
+        """Tell whether the wave's maintenance of the VM has not begun."""
+        return (wave.number, vm) not in self._begun
+
+    def is_due(self, vm: str) -> bool:
+        """Tell whether any wave's maintenance of the VM has not begun."""
+        return any(
+            vm in wave.vms and self.is_due_in(wave, vm)
+            for wave in self._waves.values()
+        )
+
+    def note_begun(self, number: int, vm: str) -> None:
+        """Remember that the VM's maintenance has begun."""
+        self._begun.add((number, vm))
+        key = RowKey(MAINTENANCE_TABLE, PARTITION, f"{number}/{vm}")
+        self._leader.add_write(RowWrite(key, b"{}"))
+
+    def tell_running(self, wave: MaintenanceWave) -> None:
+        """Tell the operator that the wave is under way."""
+        if wave.number not in self._said:
+            self._tell(wave, RUNNING)
+
+    def tell_completed(self, wave: MaintenanceWave) -> None:
+        """Tell the operator that every VM that stays has begun."""
+        self._tell(wave, COMPLETED)
+
+    def _tell(self, wave: MaintenanceWave, state: str) -> None:
+        value = json.dumps({"wave": wave.number, "state": state}).encode()
+        key = RowKey(STATUS_TABLE, STATUS_PARTITION, f"wave/{wave.number}")
+        deadline = Deadline.after(self._clock, CALL_SECONDS)
+        answer = self._store.commit([], [RowWrite(key, value)], deadline)
+        logger.info(
+            "wave told",
+            extra={
+                "wave": wave.number,
+                "state": state,
+                "stored": answer.is_ok(),
+            },
+        )
+        if answer.is_ok():
+            self._said[wave.number] = state
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -59,6 +59,7 @@
         self.contact: Contact | None = None
         self.sent_deadline_ms = 0  # the latest lease sent, on its clock
         self.seen_stored = 0  # ends up to here are in the store
+        self.seen_sent = 0  # the worker has been told up to here
         self.seen_applied = 0
         self.runs: dict[str, PlacedRun] = {}
         self.millicores = 0
@@ -66,6 +67,7 @@
         self.accelerators = 0
         self.cordoned = False
         self.gone = False
+        self.silent = False  # the last call had no answer
         self.failure_streak = 0
         self.avoided_until = 0.0
 
