Count lasting tasks of silent workers as away; test the book and planner

Change: a listing is believed for 1.6 s; pools are sized once the workers had time to register; 25 tests of book and planner.

--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -40,12 +40,14 @@
     `takeover_lapse_seconds` is how long runs may outlive the leader before
     on workers that have not answered this one. `failure_streak` failures
     without a success between them keep new work off a worker for
-    `avoid_seconds`.
+    `avoid_seconds`. What a worker listed is believed for
+    `contact_seconds`, a little more than the wait of one hold.
     """
 
     takeover_lapse_seconds: float = 7.0
     failure_streak: int = 3
     avoid_seconds: float = 3.0
+    contact_seconds: float = 1.6
 
 
 @dataclass(frozen=True)
@@ -437,7 +439,11 @@
 
     def _is_at_work(self, record: JobRecord, key: TaskKey) -> bool:
         worker = self.workers.get(record.get_task(key).worker)
-        run = worker.runs.get(record.name_task(key)) if worker else None
+        now = self._clock.read_monotonic()
+        seconds = self._settings.contact_seconds
+        if worker is None or not worker.is_in_contact(now, seconds):
+            return False  # its last listing says nothing of now
+        run = worker.runs.get(record.name_task(key))
         return run is not None and run.at_work and not run.stopping
 
     # Orders
--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -44,7 +44,8 @@
     its demand has been lower for `calm_seconds`, about what a move there
     and back costs, and never grows beyond `largest_pool` times its first
     size. `drains_per_pool` VMs are emptied at once for maintenance, and
-    twice as many once `late_share` of the wave's time has gone.
+    twice as many once `late_share` of the wave's time has gone. Workers
+    register within `register_seconds` of a start of the whole system.
     """
 
     tick_seconds: float = 0.1
@@ -61,6 +62,7 @@
     drains_per_pool: int = 1
     largest_pool: float = 2.0
     late_share: float = 0.4
+    register_seconds: float = 8.0
     fresh_seconds: float = 1.0
 
 
@@ -143,15 +145,28 @@
         with self._book.lock:
             loads = measure_loads(self._book)
             spare = self._find_spare()
-        for load in loads:
-            if spare and load.service != spare:
-                self._size_pool(load, spare, now)
+        if spare and self._knows_workers(now):
+            for load in loads:
+                if load.service != spare:
+                    self._size_pool(load, spare, now)
         for wave in self._get_waves():
             self._waves.note_wave(wave, now)
             self._keep_wave(wave, spare, now)
         self._finish_drains(spare)
         self._set_cordons()
 
+    def _knows_workers(self, now: float) -> bool:
+        """Tell whether the workers had time to register since the start."""
+        if now - self._began_at > self._settings.register_seconds:
+            return True
+        spare = self._find_spare()
+        up = sum(
+            vm.service != spare and vm.state == UP
+            for vm in self._listed.values()
+        )
+        with self._book.lock:
+            return len(self._book.workers) >= up
+
     def _may_order(self) -> bool:
         term = self._leader.term
         age = self._clock.read_boottime() - term.renewed_at
--- /dev/null
+++ b/chestnutstair/tests/scheduling_support.py
@@ -0,0 +1,152 @@
+"""Jobs, workers and a book for the tests of the scheduler."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from chestnutstair.scheduling.book import BookSettings, JobBook
+from chestnutstair.scheduling.configuration import (
+    FleetConfiguration,
+    Queue,
+    Service,
+)
+from chestnutstair.scheduling.placement import (
+    Placement,
+    PlacementSettings,
+    Planner,
+)
+from chestnutstair.scheduling.ports import (
+    HoldAnswer,
+    RunEnd,
+    RunListing,
+    WorkerEntry,
+)
+from chestnutstair.scheduling.progress import JobRecord, Submission
+from chestnutstair.scheduling.specification import JobSpecification, Step
+from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.tests.support import ManualClock
+
+__all__ = ["CONFIGURATION", "BookCase", "build_entry", "build_submission"]
+
+CONFIGURATION = FleetConfiguration(
+    1,
+    (
+        Queue("quick", "example", "/quick/", "boxes", 0, 2, 1.6, 600),
+        Queue("heavy", "example", "/heavy/", "boxes", 1, 2, 1.6, 600),
+    ),
+    {
+        "boxes": Service("boxes"),
+        "spare": Service("spare", spare=True),
+    },
+)
+
+
+def build_entry(
+    name: str, service: str = "boxes", rack: str = "r1"
+) -> WorkerEntry:
+    """Return the registry entry of a worker with 64 cores."""
+    return WorkerEntry(
+        name=name,
+        born_ms=1,
+        service=service,
+        address=f"{name}:80",
+        zone="zone-a",
+        draining=False,
+        millicores=64_000,
+        memory_mb=262_144,
+        accelerators=0,
+        labels=("a", rack),
+        rack=rack,
+        vm=f"vm-{name}",
+    )
+
+
+def build_submission(
+    name: str,
+    steps: Sequence[Step],
+    queue: str = "quick",
+    at_ms: int = 1_000_000,
+) -> Submission:
+    """Return an accepted job."""
+    return Submission(
+        name, queue, "boxes", at_ms, JobSpecification("payload", tuple(steps))
+    )
+
+
+class BookCase:
+    """A book on a clock that tests move, with workers that answer."""
+
+    def __init__(self, workers: Sequence[str] = ("w1", "w2")) -> None:
+        self.clock = ManualClock(1000.0)
+        self.settings = BookSettings()
+        self.book = JobBook(self.clock, 1, self.settings)
+        self.book.configuration = CONFIGURATION
+        self.planner = Planner(self.book, self.clock, PlacementSettings())
+        self.born = 1
+        for name in workers:
+            self.book.note_worker(build_entry(name))
+            self.answer(name)
+
+    def get_worker(self, name: str) -> WorkerState:
+        """Return a worker that the book knows."""
+        return self.book.workers[name]
+
+    def answer(
+        self,
+        name: str,
+        runs: Sequence[RunListing] = (),
+        ends: Sequence[RunEnd] = (),
+        sent: float | None = None,
+        born_ms: int = 1,
+    ) -> bool:
+        """Let a worker answer a hold."""
+        answer = HoldAnswer(
+            int(self.clock.now * 1000), born_ms, tuple(runs), tuple(ends)
+        )
+        at = self.clock.now if sent is None else sent
+        return self.book.note_hold(self.get_worker(name), answer, at)
+
+    def list_runs(self, name: str, percent: int = 100) -> list[RunListing]:
+        """Return what a worker lists if it has begun all its runs."""
+        return [
+            RunListing(task, run.run, "", percent)
+            for task, run in self.get_worker(name).runs.items()
+        ]
+
+    def answer_all(self) -> None:
+        """Let every worker list all its runs as at work."""
+        for name in list(self.book.workers):
+            self.answer(name, self.list_runs(name))
+
+    def admit(
+        self, name: str, steps: Sequence[Step], queue: str = "quick"
+    ) -> JobRecord:
+        """Accept a job now."""
+        at_ms = int(self.clock.now * 1000)
+        self.book.admit(build_submission(name, steps, queue, at_ms))
+        return self.book.jobs[name]
+
+    def plan(self) -> list[Placement]:
+        """Plan now."""
+        return self.planner.plan(self.clock.now, self.clock.now * 1000)
+
+    def start_all(self, placements: Sequence[Placement]) -> None:
+        """Let the workers answer the starts."""
+        for placement in placements:
+            self.book.note_started(
+                placement.worker,
+                placement.record.name_task(placement.key),
+                placement.run,
+            )
+
+    def end(self, placement: Placement, how: str, number: int = 1) -> None:
+        """Let a run end and its worker list the end."""
+        name = placement.worker.name
+        task = placement.record.name_task(placement.key)
+        runs = [run for run in self.list_runs(name) if run.task != task]
+        ends = [RunEnd(number, task, placement.run, how, "")]
+        self.answer(name, runs, ends)
+
+    def move_entry(self, name: str, **changes: object) -> None:
+        """Change a worker's registry entry."""
+        entry = self.get_worker(name).entry
+        self.book.note_worker(replace(entry, **changes))  # type: ignore[arg-type]
--- /dev/null
+++ b/chestnutstair/tests/test_book.py
@@ -0,0 +1,217 @@
+"""Tests of what events do to jobs and workers."""
+
+import unittest
+from dataclasses import replace
+
+from chestnutstair.scheduling.ports import RunEnd, RunListing
+from chestnutstair.scheduling.progress import (
+    JobState,
+    TaskKey,
+    TaskStatus,
+)
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.scheduling_support import BookCase, build_entry
+
+FIRST = TaskKey(0, 0, 0)
+LASTING = Step(3, 4000, lasting=True, may_be_away=1, spread_limit=1)
+
+
+class EndsTest(unittest.TestCase):
+    """Ends of runs move jobs on, and never twice."""
+
+    def setUp(self) -> None:
+        self.case = BookCase()
+
+    def test_a_job_is_completed_by_the_end_of_its_last_task(self) -> None:
+        record = self.case.admit(
+            "j", [Step(1, 1000), Step(1, 1000, after=(0,))]
+        )
+        first = self.case.plan()
+        self.assertEqual([item.key for item in first], [FIRST])
+        self.case.start_all(first)
+        self.case.end(first[0], "done")
+        second = self.case.plan()
+        self.assertEqual([item.key for item in second], [TaskKey(0, 1, 0)])
+        self.case.start_all(second)
+        self.case.end(second[0], "done", 2)
+        self.assertIs(record.ended, JobState.COMPLETED)
+        self.assertEqual(self.case.book.active, {})
+
+    def test_an_end_listed_again_counts_once(self) -> None:
+        record = self.case.admit("j", [Step(1, 1000)])
+        placed = self.case.plan()
+        self.case.start_all(placed)
+        self.case.end(placed[0], "failed")
+        self.case.end(placed[0], "failed")
+        self.assertEqual(record.get_task(FIRST).failures, 1)
+
+    def test_a_job_fails_after_its_attempts(self) -> None:
+        record = self.case.admit("j", [Step(1, 1000)])
+        for number in (1, 2):
+            placed = self.case.plan()
+            self.assertEqual(len(placed), 1)
+            self.case.start_all(placed)
+            self.case.end(placed[0], "failed", number)
+        self.assertIs(record.ended, JobState.FAILED)
+
+    def test_a_late_end_of_an_older_run_stops_the_newer(self) -> None:
+        record = self.case.admit("j", [Step(1, 1000)])
+        old = self.case.plan()[0]
+        self.case.book.withdraw(old.worker, "j.0.0.0", 1, "lapsed")
+        new = self.case.plan()[0]
+        self.assertEqual(new.run, 2)
+        ends = [RunEnd(1, "j.0.0.0", 1, "done", "")]
+        self.case.answer(old.worker.name, (), ends)
+        self.assertIs(record.get_task(FIRST).status, TaskStatus.DONE)
+        stops = self.case.book.list_stops()
+        self.assertIn(("j.0.0.0", 2), [(s.task, s.run) for s in stops])
+
+    def test_progress_survives_being_stored(self) -> None:
+        record = self.case.admit("j", [Step(2, 1000)])
+        placed = self.case.plan()
+        self.case.start_all(placed)
+        self.case.end(placed[0], "done")
+        other = BookCase()
+        other.book.restore_job(record.submission, record.encode())
+        restored = other.book.jobs["j"]
+        self.assertEqual(restored.tasks, record.tasks)
+        self.assertIs(restored.state, JobState.RUNNING)
+
+
+class DoubtTest(unittest.TestCase):
+    """A task runs again only when its last run can not be alive."""
+
+    def setUp(self) -> None:
+        self.case = BookCase(("w1",))
+        self.record = self.case.admit("j", [Step(1, 1000)])
+        self.placed = self.case.plan()[0]
+        self.worker = self.placed.worker
+
+    def test_a_start_without_answer_is_stopped_before_the_next(self) -> None:
+        self.case.book.note_doubt(self.worker, "j.0.0.0", 1)
+        self.assertEqual(self.case.plan(), [])
+        stops = self.case.book.list_stops()
+        self.assertEqual([(s.task, s.run) for s in stops], [("j.0.0.0", 1)])
+        self.case.answer("w1")
+        self.assertEqual(self.case.plan(), [], "the stop has no answer yet")
+        self.case.book.note_stopped(self.worker, "j.0.0.0", 1)
+        self.case.answer("w1", sent=self.case.clock.now)
+        self.assertEqual(self.case.plan(), [], "listed before the stop")
+        self.case.clock.now += 0.1
+        self.case.answer("w1")
+        self.assertEqual(self.case.plan()[0].run, 2)
+
+    def test_a_listing_from_before_the_start_says_nothing(self) -> None:
+        sent = self.case.clock.now
+        self.case.clock.now += 0.01
+        self.case.book.note_started(self.worker, "j.0.0.0", 1)
+        self.case.answer("w1", sent=sent)
+        self.assertEqual(self.case.plan(), [])
+
+    def test_runs_of_a_silent_worker_are_released_after_the_lapse(
+        self,
+    ) -> None:
+        self.case.book.note_started(self.worker, "j.0.0.0", 1)
+        now_ms = int(self.case.clock.now * 1000)
+        self.worker.sent_deadline_ms = now_ms + 6000
+        self.case.clock.now += 6.05
+        self.case.book.release_lapsed()
+        self.assertIs(
+            self.record.get_task(FIRST).status,
+            TaskStatus.PLACED,
+            "a clock that is 2% slow has not lapsed yet",
+        )
+        self.case.clock.now += 0.1
+        self.case.book.release_lapsed()
+        self.assertIs(self.record.get_task(FIRST).status, TaskStatus.WAITING)
+
+    def test_a_restarted_worker_runs_nothing_of_before(self) -> None:
+        self.case.book.note_started(self.worker, "j.0.0.0", 1)
+        self.case.answer("w1", born_ms=2)
+        self.assertIs(self.record.get_task(FIRST).status, TaskStatus.WAITING)
+        self.assertEqual(self.case.get_worker("w1").entry.born_ms, 2)
+
+    def test_a_run_that_nobody_placed_is_stopped(self) -> None:
+        listing = RunListing("j.0.0.0", 7, "", 0)
+        self.case.answer("w1", [*self.case.list_runs("w1"), listing])
+        self.case.book.withdraw(self.worker, "j.0.0.0", 1, "refused")
+        self.case.answer("w1", [listing])
+        stops = [(s.task, s.run) for s in self.case.book.list_stops()]
+        self.assertIn(("j.0.0.0", 7), stops)
+
+    def test_a_new_leader_adopts_what_still_runs(self) -> None:
+        self.case.book.note_started(self.worker, "j.0.0.0", 1)
+        after = BookCase(())
+        after.book.restore_job(self.record.submission, self.record.encode())
+        after.book.note_worker(build_entry("w1"))
+        after.clock.now += 0.01
+        after.answer("w1", [RunListing("j.0.0.0", 1, "", 0)])
+        self.assertEqual(after.plan(), [])
+        after.clock.now += 0.01
+        after.answer("w1", [])
+        self.assertEqual(after.plan()[0].run, 2)
+
+    def test_a_new_leader_waits_for_workers_that_it_does_not_reach(
+        self,
+    ) -> None:
+        after = BookCase(())
+        after.book.restore_job(self.record.submission, self.record.encode())
+        for seconds, status in ((6.9, "p"), (0.2, "w")):
+            after.clock.now += seconds
+            after.book.release_lapsed()
+            state = after.book.jobs["j"].get_task(FIRST)
+            self.assertEqual(state.status, status)
+
+
+class LastingTasksTest(unittest.TestCase):
+    """Planned work makes no more lasting tasks unavailable than allowed."""
+
+    def setUp(self) -> None:
+        self.case = BookCase(("w1", "w2", "w3", "w4"))
+        self.record = self.case.admit("j", [LASTING])
+        placed = self.case.plan()
+        self.assertEqual(len(placed), 3)
+        self.case.start_all(placed)
+        self.case.clock.now += 0.1
+
+    def test_one_may_be_away_while_the_others_work(self) -> None:
+        self.assertFalse(self.case.book.may_be_away(self.record, FIRST))
+        self.case.answer_all()
+        self.assertTrue(self.case.book.may_be_away(self.record, FIRST))
+
+    def test_a_task_on_a_silent_worker_counts_as_away(self) -> None:
+        # AVAIL on rosaleda-sched scale-1, seed 71903327589: a rack was dark
+        # and its tasks were still believed to be at work.
+        self.case.answer_all()
+        silent = self.record.get_task(TaskKey(0, 0, 1)).worker
+        self.case.clock.now += 4.7
+        for name in list(self.case.book.workers):
+            if name != silent:
+                self.case.answer(name, self.case.list_runs(name))
+        self.assertFalse(self.case.book.may_be_away(self.record, FIRST))
+
+
+class RegistryTest(unittest.TestCase):
+    """Entries of workers come late, vanish and come back."""
+
+    def setUp(self) -> None:
+        self.case = BookCase(("w1",))
+
+    def test_a_draining_worker_gets_nothing(self) -> None:
+        self.case.move_entry("w1", draining=True)
+        self.case.admit("j", [Step(1, 1000)])
+        self.assertEqual(self.case.plan(), [])
+
+    def test_a_worker_that_left_and_came_back_is_used(self) -> None:
+        self.case.admit("j", [Step(1, 1000)])
+        self.case.book.drop_worker("w1")
+        self.assertEqual(self.case.plan(), [])
+        self.case.book.note_worker(build_entry("w1"))
+        self.assertEqual(len(self.case.plan()), 1)
+
+    def test_a_retired_worker_does_not_come_back(self) -> None:
+        self.case.book.retire_worker(self.case.get_worker("w1"))
+        self.assertIsNone(self.case.book.note_worker(build_entry("w1")))
+        self.assertEqual(self.case.book.workers, {})
+        reborn = replace(build_entry("w1"), born_ms=2)
+        self.assertIsNotNone(self.case.book.note_worker(reborn))
--- a/chestnutstair/tests/test_layers.py
+++ b/chestnutstair/tests/test_layers.py
@@ -6,7 +6,14 @@
 from pathlib import Path
 
 PACKAGE = Path(__file__).resolve().parent.parent
-LAYERS = ("transport", "protocol", "coordination", "state")
+LAYERS = (
+    "platform",
+    "transport",
+    "protocol",
+    "scheduling",
+    "coordination",
+    "state",
+)
 OUTSIDE = ("standins", "tests", "tools")
 
 
@@ -20,7 +27,7 @@
 
 
 class LayersTest(unittest.TestCase):
-    """The order is transport, protocol, coordination, state."""
+    """The order is that of LAYERS, the outermost first."""
 
     def test_no_module_imports_from_above(self) -> None:
         for rank, layer in enumerate(LAYERS):
--- /dev/null
+++ b/chestnutstair/tests/test_placement.py
@@ -0,0 +1,65 @@
+"""Tests of which tasks start, and where."""
+
+import unittest
+
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.scheduling_support import BookCase
+
+
+class PlannerTest(unittest.TestCase):
+    """Room, spreading, gangs and the order of jobs."""
+
+    def test_no_worker_gets_more_than_it_has(self) -> None:
+        case = BookCase(("w1", "w2"))
+        case.admit("j", [Step(10, 20_000)])
+        placed = case.plan()
+        self.assertEqual(len(placed), 6)
+        for worker in case.book.workers.values():
+            self.assertEqual(worker.millicores, 60_000)
+
+    def test_tasks_are_packed_so_that_workers_stay_empty(self) -> None:
+        case = BookCase(("w1", "w2", "w3"))
+        case.admit("j", [Step(4, 10_000)])
+        self.assertEqual(len({p.worker.name for p in case.plan()}), 1)
+
+    def test_a_spread_limit_holds(self) -> None:
+        case = BookCase(("w1", "w2"))
+        case.admit("j", [Step(5, 1000, spread_limit=2)])
+        placed = case.plan()
+        names = [item.worker.name for item in placed]
+        self.assertEqual(sorted(names), ["w1", "w1", "w2", "w2"])
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        case = BookCase(("w1",))
+        case.admit("big", [Step(4, 20_000, gang=True)])
+        self.assertEqual(case.plan(), [])
+        self.assertEqual(case.get_worker("w1").runs, {})
+        case.admit("small", [Step(3, 20_000, gang=True)])
+        placed = case.plan()
+        self.assertEqual({item.run for item in placed}, {1})
+        self.assertEqual(len(placed), 3)
+
+    def test_a_required_label_is_heeded(self) -> None:
+        case = BookCase(("w1",))
+        case.admit("j", [Step(1, 1000, required_label="b")])
+        self.assertEqual(case.plan(), [])
+
+    def test_more_urgent_queues_come_first(self) -> None:
+        case = BookCase(("w1",))
+        case.admit("late", [Step(1, 40_000, estimate_ms=1000)], "heavy")
+        case.admit("soon", [Step(1, 40_000, estimate_ms=1000)], "quick")
+        self.assertEqual([p.record.name for p in case.plan()], ["soon"])
+
+    def test_jobs_beyond_use_come_last(self) -> None:
+        case = BookCase(("w1",))
+        case.admit("old", [Step(1, 40_000, estimate_ms=1000)])
+        case.clock.now += 30.0
+        case.answer("w1")
+        case.admit("new", [Step(1, 40_000, estimate_ms=1000)])
+        self.assertEqual([p.record.name for p in case.plan()], ["new"])
+
+    def test_fillers_need_memory_only(self) -> None:
+        case = BookCase(("w1",))
+        case.admit("j", [Step(2, 64_000, memory_mb=100_000, filler=True)])
+        self.assertEqual(len(case.plan()), 2)
+        self.assertEqual(case.get_worker("w1").millicores, 0)
