Size pools by the work that comes in, and order VMs right after a takeover

Change: demand is at least the rate of arriving work; orders are stored before they are sent, so that a new leader waits only for VMs ordered just before; even shares as base; lasting tasks are moved off VMs that leave; a leader that says that it can not write is replaced at once.

--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -5,6 +5,7 @@
 
 import logging
 import threading
+from collections import deque
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
@@ -25,10 +26,11 @@
 from chestnutstair.scheduling.workers import PlacedRun, WorkerState
 from chestnutstair.state.deadline import Clock
 
-__all__ = ["BookSettings", "JobBook", "Stop"]
+__all__ = ["Arrival", "BookSettings", "JobBook", "Stop"]
 
 logger = logging.getLogger(__name__)
 
+ARRIVALS_KEPT = 2000  # far more than come within a second
 DONE = "done"
 FAILED = "failed"
 
@@ -59,6 +61,15 @@
     run: int
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """The work of a job, in millicore-seconds, and when it was accepted."""
+
+    at: float
+    service: str
+    work: float
+
+
 class JobBook:
     """The state of one leader."""
 
@@ -72,6 +83,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.dirty: set[str] = set()
         self.orphans: dict[tuple[str, str], int] = {}
+        self.arrivals: deque[Arrival] = deque(maxlen=ARRIVALS_KEPT)
         self._retired: set[tuple[str, int]] = set()
         self._clock = clock
         self._epoch = epoch
@@ -105,6 +117,13 @@
         record = JobRecord(submission)
         self.jobs[record.name] = record
         self.active[record.name] = record
+        self.arrivals.append(
+            Arrival(
+                self._clock.read_monotonic(),
+                self.find_queue(submission).service,
+                record.measure_work(),
+            )
+        )
         logger.info(
             "job admitted",
             extra={"job": record.name, "queue": submission.queue},
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -36,8 +36,9 @@
 class ElectionSettings:
     """Times of finding and replacing a leader.
 
-    `poll_seconds` lie between two looks at the leader. A leader whose last
-    write is older than `fresh_seconds` is watched in the store, and
+    `poll_seconds` lie between two looks at the leader. A leader that says
+    its last write is older than `fresh_seconds`, three of its beats, is
+    replaced at once. One that does not answer is watched in the store, and
     replaced if its row has not changed for `expiry_seconds`, or for
     `dead_seconds` if its address refuses connections; both are longer than
     two of its beats. A leader that reaches less than `least_contact` of its
@@ -46,8 +47,8 @@
     """
 
     poll_seconds: float = 0.25
-    fresh_seconds: float = 1.0
-    expiry_seconds: float = 1.8
+    fresh_seconds: float = 1.3
+    expiry_seconds: float = 1.6
     dead_seconds: float = 0.9
     call_seconds: float = 0.4
     store_seconds: float = 1.2
@@ -83,6 +84,7 @@
     """What a look at the leader showed."""
 
     FRESH = "fresh"
+    CUT_OFF = "cut off"  # it answers, but can not write to the store
     STALE = "stale"
     DEAD = "dead"
 
@@ -219,7 +221,7 @@
                 if not status.leading:
                     return Sight.STALE
                 fresh = status.age_seconds <= self._settings.fresh_seconds
-                return Sight.FRESH if fresh else Sight.STALE
+                return Sight.FRESH if fresh else Sight.CUT_OFF
             case Err(failure):
                 refused = "refused" in str(failure)
                 return Sight.DEAD if refused else Sight.STALE
@@ -255,6 +257,8 @@
         if row.released:
             wait = self._settings.fresh_seconds
             return row.avoided_zone != self._zone or unchanged > wait
+        if sight is Sight.CUT_OFF:
+            return True
         if sight is Sight.DEAD:
             return unchanged >= self._settings.dead_seconds
         return unchanged >= self._settings.expiry_seconds
--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -10,6 +10,7 @@
 from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.scheduling.book import JobBook
 from chestnutstair.scheduling.configuration import MaintenanceWave
+from chestnutstair.scheduling.guards import OrderGuards
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.load import PoolLoad, measure_loads
 from chestnutstair.scheduling.placement import Planner
@@ -35,17 +36,16 @@
 class FleetKeeperSettings:
     """Times and shares by which pools are sized.
 
-    `turn_seconds` must lie between the orders of two leaders for one VM,
-    so a leader that replaced another gives none before. A pool is kept at
-    `base_share` of the VMs that it had when the leader first saw it: what
-    it needs while more are on their way, `move_seconds` and a little more.
-    `headroom` is room beyond the demand; `coming_share` is the part of the
-    work in later steps that counts as demand already. A pool shrinks when
-    its demand has been lower for `calm_seconds`, about what a move there
-    and back costs, and never grows beyond `largest_pool` times its first
-    size. `drains_per_pool` VMs are emptied at once for maintenance, and
-    twice as many once `late_share` of the wave's time has gone. Workers
-    register within `register_seconds` of a start of the whole system.
+    `turn_seconds` must lie between the orders of two leaders for one VM. A
+    pool has `base_share` of an even share of all VMs at least, and
+    `largest_pool` even shares at most: the base serves a queue while more
+    VMs are on their way. `headroom` is room beyond the demand, as sizes are
+    estimates; `coming_share` is the part of the work in later steps that
+    counts as demand already. A pool shrinks when its demand has been lower
+    for `calm_seconds`, about what a move there and back costs.
+    `drains_per_pool` VMs are emptied at once for maintenance, and twice as
+    many once `late_share` of the wave's time has gone. Workers register
+    within `register_seconds` of a start of the whole system.
     """
 
     tick_seconds: float = 0.1
@@ -56,8 +56,8 @@
     settle_seconds: float = 0.5
     retry_seconds: float = 1.0
     base_share: float = 0.5
-    headroom: float = 1.1
-    coming_share: float = 0.3
+    headroom: float = 1.2
+    coming_share: float = 0.6
     calm_seconds: float = 2.5
     drains_per_pool: int = 1
     largest_pool: float = 2.0
@@ -81,13 +81,12 @@
     answered: bool
 
 
-@dataclass
-class _Pool:
-    """What the keeper remembers of one pool."""
+@dataclass(frozen=True)
+class Drain:
+    """Why a VM is being emptied: to join `service`, or for a wave."""
 
-    first_size: int
-    base: int
-    calm_since: float | None = None
+    service: str
+    wave: int
 
 
 class FleetKeeper:
@@ -111,12 +110,13 @@
         self._clock = clock
         self._settings = settings
         self._waves = WaveLedger(leader, store, clock)
+        self._guards = OrderGuards(leader, store, clock, settings.turn_seconds)
         self._began_at = clock.read_monotonic()
         self._listed: dict[str, Vm] = {}
         self._listed_at = float("-inf")
         self._orders: dict[str, VmOrder] = {}
-        self._drains: dict[str, int] = {}  # VM to wave, 0 to leave its pool
-        self._pools: dict[str, _Pool] = {}
+        self._drains: dict[str, Drain] = {}
+        self._calm_since: dict[str, float] = {}
         self._thread = threading.Thread(
             target=self._run, name="fleet", daemon=True
         )
@@ -126,7 +126,9 @@
         self._thread.start()
 
     def _run(self) -> None:
-        while not self._waves.load() and not self._leader.has_ended:
+        while not (self._waves.load() and self._guards.load()):
+            if self._leader.has_ended:
+                return
             self._clock.sleep(self._settings.retry_seconds)
         while not self._leader.has_ended:
             try:
@@ -143,16 +145,15 @@
         now = self._clock.read_monotonic()
         self._settle_orders(now)
         with self._book.lock:
-            loads = measure_loads(self._book)
+            loads = measure_loads(self._book, now)
             spare = self._find_spare()
         if spare and self._knows_workers(now):
-            for load in loads:
-                if load.service != spare:
-                    self._size_pool(load, spare, now)
+            sized = [load for load in loads if load.service != spare]
+            self._size_pools(sized, spare, now)
         for wave in self._get_waves():
             self._waves.note_wave(wave, now)
             self._keep_wave(wave, spare, now)
-        self._finish_drains(spare)
+        self._finish_drains()
         self._set_cordons()
 
     def _knows_workers(self, now: float) -> bool:
@@ -170,10 +171,7 @@
     def _may_order(self) -> bool:
         term = self._leader.term
         age = self._clock.read_boottime() - term.renewed_at
-        if age > self._settings.fresh_seconds:
-            return False
-        waited = self._clock.read_monotonic() - self._began_at
-        return term.epoch == 1 or waited >= self._settings.turn_seconds
+        return age <= self._settings.fresh_seconds
 
     def _refresh_list(self) -> None:
         now = self._clock.read_monotonic()
@@ -213,6 +211,17 @@
 
     # Orders
 
+    def _order_all(self, orders: list[tuple[str, str, int]]) -> None:
+        """Send orders once it is stored that they are sent."""
+        now = self._clock.read_monotonic()
+        orders = [
+            item for item in orders if self._guards.may_order(item[0], now)
+        ]
+        if orders and self._guards.store([vm for vm, _, _ in orders]):
+            for vm, service, wave in orders:
+                if self._may_order():
+                    self._order(vm, service, wave)
+
     def _order(self, vm: str, service: str, wave: int) -> None:
         """Send an order and remember it until its outcome is known."""
         settings = self._settings
@@ -281,26 +290,29 @@
 
     # Pools
 
-    def _size_pool(self, load: PoolLoad, spare: str, now: float) -> None:
-        pool = self._pools.get(load.service)
-        if pool is None:
-            size = sum(
-                vm.service == load.service for vm in self._listed.values()
-            )
-            base = max(1, round(size * self._settings.base_share))
-            pool = self._pools[load.service] = _Pool(size, base)
-        want = self._measure_want(load, pool)
-        have = load.workers + self._count_change(load.service)
-        if want > have:
-            pool.calm_since = None
-            self._grow(load.service, spare, want - have)
-        elif want < have:
-            if pool.calm_since is None:
-                pool.calm_since = now
-            if now - pool.calm_since >= self._settings.calm_seconds:
-                self._shrink(load.service, have - want)
-        else:
-            pool.calm_since = None
+    def _size_pools(
+        self, loads: list[PoolLoad], spare: str, now: float
+    ) -> None:
+        missing: dict[str, int] = {}
+        surplus: dict[str, int] = {}
+        for load in loads:
+            want = self._measure_want(load)
+            have = load.workers + self._count_change(load.service)
+            if want >= have:
+                self._calm_since.pop(load.service, None)
+            if want > have:
+                missing[load.service] = want - have
+            elif want < have:
+                self._calm_since.setdefault(load.service, now)
+                surplus[load.service] = have - want
+        for service, count in sorted(missing.items(), key=lambda x: -x[1]):
+            short = self._grow(service, spare, count)
+            if short:
+                self._take_from(surplus, service, short)
+        for service, count in surplus.items():
+            calm = now - self._calm_since[service]
+            if count and calm >= self._settings.calm_seconds:
+                self._drain_for(service, spare, count)
 
     def _count_change(self, service: str) -> int:
         """Return the VMs that are coming, less those that are leaving."""
@@ -310,33 +322,41 @@
         )
         with self._book.lock:
             leaving = sum(
-                worker.entry.service == service and not worker.gone
+                worker.entry.service == service
                 for vm in self._drains
                 if (worker := self._find_worker(vm)) is not None
+                and not worker.silent
             )
+        arriving += sum(
+            drain.service == service for drain in self._drains.values()
+        )
         return arriving - leaving
 
-    def _measure_want(self, load: PoolLoad, pool: _Pool) -> int:
+    def _measure_want(self, load: PoolLoad) -> int:
         settings = self._settings
-        room = max(load.room // max(1, load.workers), 1)
-        demand = (
-            load.lasting
-            + load.batch
-            + load.waiting
-            + settings.coming_share * load.coming
-        )
-        want = -int(-demand * settings.headroom // room)
-        most = round(pool.first_size * settings.largest_pool)
-        return max(pool.base, load.widest, min(want, most))
-
-    def _grow(self, service: str, spare: str, count: int) -> None:
+        services = max(1, len(self._book.configuration.services))
+        usual = len(self._listed) / services
+        room = self._measure_vm()
+        now = load.batch + load.waiting + settings.coming_share * load.coming
+        demand = load.lasting + settings.headroom * max(now, load.rate)
+        want = -int(-demand // room)
+        most = round(usual * settings.largest_pool)
+        base = max(1, round(usual * settings.base_share))
+        return max(base, load.widest, min(want, most))
+
+    def _measure_vm(self) -> int:
+        sizes = [vm.millicores for vm in self._listed.values()]
+        return max(1, round(sum(sizes) / max(1, len(sizes))))
+
+    def _grow(self, service: str, spare: str, count: int) -> int:
+        """Bring VMs into a pool; return how many are still missing."""
         with self._book.lock:
             # VMs that were to leave are the quickest to come back.
-            for vm, wave in list(self._drains.items()):
+            for vm, drain in list(self._drains.items()):
                 worker = self._find_worker(vm)
                 if (
                     count > 0
-                    and not wave
+                    and not drain.wave
                     and worker is not None
                     and worker.entry.service == service
                 ):
@@ -350,47 +370,63 @@
             and vm.name not in self._orders
         ]
         idle.sort(key=lambda vm: (self._waves.is_due(vm), vm))
-        for vm in idle[: max(0, count)]:
-            self._order(vm, service, 0)
+        chosen = idle[: max(0, count)]
+        self._order_all([(vm, service, 0) for vm in chosen])
+        return count - len(chosen)
 
-    def _shrink(self, service: str, count: int) -> None:
+    def _take_from(
+        self, surplus: dict[str, int], service: str, count: int
+    ) -> None:
+        """Let other pools give what they do not need, without waiting."""
+        for other in sorted(surplus, key=lambda name: -surplus[name]):
+            given = self._drain_for(other, service, min(count, surplus[other]))
+            surplus[other] -= given
+            count -= given
+
+    def _drain_for(self, service: str, target: str, count: int) -> int:
+        """Begin to empty VMs of a pool that are to join another."""
         with self._book.lock:
             candidates = [
                 worker
                 for worker in self._book.workers.values()
                 if worker.entry.service == service
                 and not worker.gone
+                and not worker.silent
                 and worker.entry.vm in self._listed
                 and worker.entry.vm not in self._orders
                 and worker.entry.vm not in self._drains
-                and not any(run.step.lasting for run in worker.runs.values())
             ]
-        candidates.sort(
-            key=lambda worker: (
-                not self._waves.is_due(worker.entry.vm),
-                worker.millicores,
-                worker.name,
+            candidates.sort(
+                key=lambda worker: (
+                    sum(run.step.lasting for run in worker.runs.values()),
+                    not self._waves.is_due(worker.entry.vm),
+                    worker.millicores,
+                    worker.name,
+                )
             )
-        )
-        for worker in candidates[:count]:
-            self._drains[worker.entry.vm] = 0
+            chosen = candidates[: max(0, count)]
+            for worker in chosen:
+                worker.cordoned = True
+        for worker in chosen:
+            self._drains[worker.entry.vm] = Drain(target, 0)
+        return len(chosen)
 
-    def _finish_drains(self, spare: str) -> None:
+    def _finish_drains(self) -> None:
         """Give the order for VMs that have become empty."""
-        for vm, wave in list(self._drains.items()):
-            with self._book.lock:
+        free: list[tuple[str, str, int]] = []
+        with self._book.lock:
+            for vm, drain in list(self._drains.items()):
                 worker = self._find_worker(vm)
                 if worker is None:
                     del self._drains[vm]
                     continue
                 worker.cordoned = True
-                if wave:
-                    self._move_lasting(worker)
-                free = self._is_free(worker)
-                service = worker.entry.service
-            if free:
-                del self._drains[vm]
-                self._order(vm, service if wave else spare, wave)
+                self._move_lasting(worker)
+                if self._is_free(worker):
+                    free.append((vm, drain.service, drain.wave))
+        for vm, _, _ in free:
+            del self._drains[vm]
+        self._order_all(free)
 
     @staticmethod
     def _is_free(worker: WorkerState) -> bool:
@@ -434,7 +470,9 @@
             if not busy:
                 self._waves.tell_completed(wave)
             return
-        busy += sum(number == wave.number for number in self._drains.values())
+        busy += sum(
+            drain.wave == wave.number for drain in self._drains.values()
+        )
         for vm in due:
             if busy >= wave.cap:
                 return
@@ -452,11 +490,11 @@
         if worker is not None:
             if not self._may_drain(worker, wave, now):
                 return False
-            self._drains[vm] = wave.number
+            self._drains[vm] = Drain(worker.entry.service, wave.number)
             return True
         if listed.service != spare or listed.state != UP:
             return False  # it is down, or its worker has not come back yet
-        self._order(vm, spare, wave.number)
+        self._order_all([(vm, spare, wave.number)])
         return True
 
     def _may_drain(
@@ -470,8 +508,8 @@
         with self._book.lock:
             drained = sum(
                 other.entry.service == service
-                for vm, number in self._drains.items()
-                if number and (other := self._find_worker(vm)) is not None
+                for vm, drain in self._drains.items()
+                if drain.wave and (other := self._find_worker(vm)) is not None
             )
         down = sum(
             order.wave > 0 and order.service == service
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -119,6 +119,7 @@
         )
         self._feeds: list[Feed] = []
         self._writes: list[RowWrite] = []
+        self._waiting_stores: list[threading.Event] = []
         self._companions: list[Callable[[], None]] = []
         self._logged_at = 0.0
         self._swept_at = clock.read_monotonic()
@@ -229,6 +230,15 @@
         """Let something start with the leader; it ends with its term."""
         self._companions.append(start)
 
+    def store(self, writes: list[RowWrite], seconds: float) -> bool:
+        """Store rows with the term; tell whether they are stored in time."""
+        done = threading.Event()
+        with self.book.lock:
+            self._writes += writes
+            self._waiting_stores.append(done)
+        self.wake()
+        return done.wait(seconds) and not self._ended.is_set()
+
     def add_write(self, write: RowWrite) -> None:
         """Let a row go with the next write of the term."""
         with self.book.lock:
@@ -418,6 +428,7 @@
             writes, states = self._encode_dirty()
             writes += self._writes
             self._writes = []
+            stores, self._waiting_stores = self._waiting_stores, []
             seen = [
                 (worker, worker.seen_applied)
                 for worker in self.book.workers.values()
@@ -433,6 +444,8 @@
                 self._lose(outcome.value)
                 return
         self._note_written(states, seen)
+        for done in stores:
+            done.set()
         self._log_pools()
         for placement in placements:
             self._orders.submit(self._start, placement)
@@ -476,7 +489,7 @@
             return
         self._logged_at = now
         with self.book.lock:
-            loads = measure_loads(self.book)
+            loads = measure_loads(self.book, now)
         for load in loads:
             logger.info("pool load", extra=vars(load))
 
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -7,13 +7,16 @@
 
 __all__ = ["PoolLoad", "measure_loads"]
 
+RATE_SECONDS = 1.0  # some ten jobs come in it when a queue's turn begins
+
 
 @dataclass(frozen=True)
 class PoolLoad:
     """The load of one pool, in millicores and tasks.
 
     `lasting` and `batch` are what runs; `waiting` is what could start now;
-    `coming` belongs to steps that wait for others. `widest` is the most
+    `coming` belongs to steps that wait for others. `rate` is the work that
+    came in lately, in millicore-seconds a second. `widest` is the most
     workers that one lasting step spreads over.
     """
 
@@ -24,13 +27,20 @@
     batch: int
     waiting: int
     coming: int
+    rate: int
     lasting_tasks: int
     filler_tasks: int
     widest: int
 
 
-def measure_loads(book: JobBook) -> list[PoolLoad]:
+def measure_loads(book: JobBook, now: float) -> list[PoolLoad]:
     """Return the load of each pool; the caller holds the book's lock."""
+    rates: dict[str, float] = {}
+    for arrival in reversed(book.arrivals):
+        if now - arrival.at > RATE_SECONDS:
+            break
+        share = arrival.work / RATE_SECONDS
+        rates[arrival.service] = rates.get(arrival.service, 0.0) + share
     waiting: dict[str, int] = {}
     coming: dict[str, int] = {}
     widest: dict[str, int] = {}
@@ -68,6 +78,7 @@
                 ),
                 waiting=waiting.get(service, 0),
                 coming=coming.get(service, 0),
+                rate=round(rates.get(service, 0.0)),
                 lasting_tasks=sum(run.step.lasting for run in runs),
                 filler_tasks=sum(run.step.filler for run in runs),
                 widest=widest.get(service, 0),
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -271,6 +271,17 @@
             longest[number] = before + step.estimate_ms
         return max(longest.values(), default=0.0)
 
+    def measure_work(self) -> float:
+        """Return the estimated work, in millicore-seconds.
+
+        Tasks that last or fill have none, as they never end.
+        """
+        return sum(
+            step.count * step.millicores * step.estimate_ms / 1000
+            for step in self.steps
+            if not step.lasting and not step.filler
+        )
+
     def _order_steps(self) -> list[int]:
         ordered: list[int] = []
         while len(ordered) < len(self.steps):
