--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -57,8 +57,8 @@
     retry_seconds: float = 1.0
     base_share: float = 0.5
     headroom: float = 1.2
-    coming_share: float = 0.6
-    calm_seconds: float = 2.5
+    coming_share: float = 0.7
+    calm_seconds: float = 1.5
     drains_per_pool: int = 1
     largest_pool: float = 2.0
     late_share: float = 0.4
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -64,8 +64,10 @@
     lost worker starts again in time to be of use. `hold_seconds` is the
     wait of one listing. `beat_seconds` is the longest time between writes;
     `write_gap_seconds` the shortest, which groups what comes close
-    together. `feed_gap_seconds` lie between reads of the registry and of
-    the intake, whose rows also come by messages from the other nodes.
+    together. `intake_gap_seconds` lie between reads of the intake, whose
+    rows also come by messages from the other nodes, and
+    `registry_gap_seconds` between reads of the registry, where a VM that
+    has moved must be seen at once.
     `order_threads` send orders side by side. `batch_rows` are written at
     once at most. `keep_seconds` is how long ended jobs can be asked for.
     """
@@ -74,7 +76,8 @@
     hold_seconds: float = 1.0
     beat_seconds: float = 0.4
     write_gap_seconds: float = 0.02
-    feed_gap_seconds: float = 0.3
+    intake_gap_seconds: float = 0.3
+    registry_gap_seconds: float = 0.05
     retry_seconds: float = 0.2
     order_threads: int = 24
     batch_rows: int = 90
@@ -157,7 +160,7 @@
                 intake.unwrap().version,
                 self._apply_intake,
                 self._apply_intake,
-                self._settings.feed_gap_seconds,
+                self._settings.intake_gap_seconds,
             ),
             Feed(
                 self._store,
@@ -167,7 +170,7 @@
                 registry.unwrap().version,
                 self._apply_registry,
                 self._replace_registry,
-                self._settings.feed_gap_seconds,
+                self._settings.registry_gap_seconds,
             ),
         ]
         return True
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -7,16 +7,18 @@
 
 __all__ = ["PoolLoad", "measure_loads"]
 
-RATE_SECONDS = 1.0  # some ten jobs come in it when a queue's turn begins
+RATE_SECONDS = 1.2  # some ten jobs come in it when a queue's turn begins
+RATE_JOBS = 4  # fewer say little: one large job is no trend
 
 
 @dataclass(frozen=True)
 class PoolLoad:
     """The load of one pool, in millicores and tasks.
 
-    `lasting` and `batch` are what runs; `waiting` is what could start now;
-    `coming` belongs to steps that wait for others. `rate` is the work that
-    came in lately, in millicore-seconds a second. `widest` is the most
+    `lasting` and `batch` are what runs; `waiting` is what could start now.
+    `coming` is what jobs will need in a later step beyond what they need
+    now. `rate` is the work that came in lately, in millicore-seconds a
+    second, 0 if it came in too few jobs to tell. `widest` is the most
     workers that one lasting step spreads over.
     """
 
@@ -35,12 +37,7 @@
 
 def measure_loads(book: JobBook, now: float) -> list[PoolLoad]:
     """Return the load of each pool; the caller holds the book's lock."""
-    rates: dict[str, float] = {}
-    for arrival in reversed(book.arrivals):
-        if now - arrival.at > RATE_SECONDS:
-            break
-        share = arrival.work / RATE_SECONDS
-        rates[arrival.service] = rates.get(arrival.service, 0.0) + share
+    rates = _measure_rates(book, now)
     waiting: dict[str, int] = {}
     coming: dict[str, int] = {}
     widest: dict[str, int] = {}
@@ -87,19 +84,36 @@
     return loads
 
 
+def _measure_rates(book: JobBook, now: float) -> dict[str, float]:
+    works: dict[str, list[float]] = {}
+    for arrival in reversed(book.arrivals):
+        if now - arrival.at > RATE_SECONDS:
+            break
+        works.setdefault(arrival.service, []).append(arrival.work)
+    return {
+        service: sum(items) / RATE_SECONDS
+        for service, items in works.items()
+        if len(items) >= RATE_JOBS
+    }
+
+
 def measure_waiting(record: JobRecord) -> tuple[int, int]:
-    """Return the millicores that wait for room, and for other steps."""
-    ready = later = 0
+    """Return the millicores that wait for room, and that come on top.
+
+    What comes on top is the widest later step, less what the job needs now.
+    """
+    ready = running = widest_later = 0
     for number, step in enumerate(record.steps):
         if step.filler:
             continue
-        open_tasks = sum(
+        states = [
             record.get_task(TaskKey(0, number, index)).status
-            is TaskStatus.WAITING
             for index in range(step.count)
-        )
+        ]
+        waiting = states.count(TaskStatus.WAITING) * step.millicores
+        running += states.count(TaskStatus.PLACED) * step.millicores
         if all(record.is_step_done(0, before) for before in step.after):
-            ready += open_tasks * step.millicores
+            ready += waiting
         else:
-            later += open_tasks * step.millicores
-    return ready, later
+            widest_later = max(widest_later, waiting)
+    return ready, max(0, widest_later - ready - running)
