Count maintenance that the leader before has begun

Change: the row stored before each order says its wave; a new leader counts those that are not over. Figures: test_guards fails on the code before (rows without a wave).

--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -10,7 +10,7 @@
 from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.scheduling.book import JobBook
 from chestnutstair.scheduling.configuration import MaintenanceWave
-from chestnutstair.scheduling.guards import OrderGuards
+from chestnutstair.scheduling.guards import OrderGuards, VmOrder
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.load import PoolLoad, measure_loads
 from chestnutstair.scheduling.placement import Planner
@@ -66,21 +66,6 @@
     fresh_seconds: float = 1.0
 
 
-@dataclass(frozen=True)
-class VmOrder:
-    """An order for a VM that may still be under way.
-
-    `wave` is 0 for a move to `service`. Until `back_at` the VM counts as
-    away; `answered` is False while the outcome is unknown.
-    """
-
-    vm: str
-    service: str
-    wave: int
-    back_at: float
-    answered: bool
-
-
 @dataclass(frozen=True)
 class Drain:
     """Why a VM is being emptied: to join `service`, or for a wave."""
@@ -110,7 +95,13 @@
         self._clock = clock
         self._settings = settings
         self._waves = WaveLedger(leader, store, clock)
-        self._guards = OrderGuards(leader, store, clock, settings.turn_seconds)
+        self._guards = OrderGuards(
+            leader,
+            store,
+            clock,
+            settings.turn_seconds,
+            settings.maintenance_seconds + settings.settle_seconds,
+        )
         self._began_at = clock.read_monotonic()
         self._listed: dict[str, Vm] = {}
         self._listed_at = float("-inf")
@@ -130,6 +121,7 @@
             if self._leader.has_ended:
                 return
             self._clock.sleep(self._settings.retry_seconds)
+        self._orders = {order.vm: order for order in self._guards.down}
         while not self._leader.has_ended:
             try:
                 self._step()
@@ -217,7 +209,7 @@
         orders = [
             item for item in orders if self._guards.may_order(item[0], now)
         ]
-        if orders and self._guards.store([vm for vm, _, _ in orders]):
+        if orders and self._guards.store(orders):
             for vm, service, wave in orders:
                 if self._may_order():
                     self._order(vm, service, wave)
--- a/chestnutstair/scheduling/guards.py
+++ b/chestnutstair/scheduling/guards.py
@@ -1,19 +1,35 @@
 """Keeps two leaders from ordering one VM shortly after each other."""
 
 import json
+from dataclasses import dataclass
 
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
 from chestnutstair.scheduling.term import PARTITION
 from chestnutstair.state.deadline import Clock, Deadline
 
-__all__ = ["OrderGuards"]
+__all__ = ["OrderGuards", "VmOrder"]
 
 ORDER_TABLE = "vm-orders"
 CALL_SECONDS = 1.0
 CLOCK_SLACK_SECONDS = 0.5  # times of day differ between nodes
 
 
+@dataclass(frozen=True)
+class VmOrder:
+    """An order for a VM that may still be under way.
+
+    `wave` is 0 for a move to `service`. Until `back_at` the VM counts as
+    away; `answered` is False while the outcome is unknown.
+    """
+
+    vm: str
+    service: str
+    wave: int
+    back_at: float
+    answered: bool
+
+
 class OrderGuards:
     """Stores when each VM was last ordered, before it is ordered."""
 
@@ -23,12 +39,15 @@
         store: RowStore,
         clock: Clock,
         turn_seconds: float,
+        maintenance_seconds: float,
     ) -> None:
         self._leader = leader
         self._store = store
         self._clock = clock
         self._turn_seconds = turn_seconds
+        self._maintenance_seconds = maintenance_seconds
         self._free_at: dict[str, float] = {}
+        self.down: list[VmOrder] = []  # maintenance begun by leaders before
 
     def load(self) -> bool:
         """Read the orders of leaders before; tell whether they were read."""
@@ -39,21 +58,33 @@
         wall = self._clock.read_wall()
         now = self._clock.read_monotonic()
         for row in answer.unwrap().rows:
-            at = json.loads(row.value or b"{}").get("at", 0.0)
-            left = at + self._turn_seconds + CLOCK_SLACK_SECONDS - wall
+            fields = json.loads(row.value or b"{}")
+            age = wall - fields.get("at", 0.0) - CLOCK_SLACK_SECONDS
             # A clock that is far off must not keep a VM for long.
-            left = min(left, self._turn_seconds + CLOCK_SLACK_SECONDS)
-            self._free_at[row.key.key] = now + left
+            age = max(age, -CLOCK_SLACK_SECONDS)
+            self._free_at[row.key.key] = now + self._turn_seconds - age
+            back_at = now + self._maintenance_seconds - age
+            if fields.get("wave") and back_at > now:
+                order = VmOrder(
+                    row.key.key,
+                    fields["service"],
+                    fields["wave"],
+                    back_at,
+                    True,
+                )
+                self.down.append(order)
         return True
 
     def may_order(self, vm: str, now: float) -> bool:
         """Tell whether no leader before has ordered the VM just now."""
         return now >= self._free_at.get(vm, 0.0)
 
-    def store(self, vms: list[str]) -> bool:
-        """Store that the VMs are about to be ordered."""
-        value = json.dumps({"at": self._clock.read_wall()}).encode()
-        writes = [
-            RowWrite(RowKey(ORDER_TABLE, PARTITION, vm), value) for vm in vms
-        ]
+    def store(self, orders: list[tuple[str, str, int]]) -> bool:
+        """Store that VMs are about to be ordered: name, pool and wave."""
+        at = self._clock.read_wall()
+        writes = []
+        for vm, service, wave in orders:
+            fields = {"at": at, "service": service, "wave": wave}
+            value = json.dumps(fields).encode()
+            writes.append(RowWrite(RowKey(ORDER_TABLE, PARTITION, vm), value))
         return self._leader.store(writes, CALL_SECONDS)
--- /dev/null
+++ b/chestnutstair/tests/test_desk.py
@@ -0,0 +1,148 @@
+"""Tests of what callers are told, whatever becomes of the store."""
+
+import json
+import unittest
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import (
+    PlatformFailure,
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.scheduling.desk import DeskSettings, JobDesk, LeaderLink
+from chestnutstair.scheduling.intake import build_job_key
+from chestnutstair.standins.rows import MemoryRowStore
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.scheduling_support import CONFIGURATION
+from chestnutstair.tests.support import ManualClock
+
+QUEUE = CONFIGURATION.queues[0]
+BODY = json.dumps({"spec": "x", "steps": [{"count": 1}]}).encode()
+
+
+class SilentLink(LeaderLink):
+    """A leader that answers nothing unless a test says what."""
+
+    def __init__(self) -> None:
+        self.state: Result[str, PlatformFailure] = Err(UnavailableFailure("x"))
+        self.relayed: list[str] = []
+        self.relays = False
+
+    def ask_job(
+        self, job: str, seconds: float
+    ) -> Result[str, PlatformFailure]:
+        """Answer what the test set."""
+        return self.state
+
+    def ask_pending(
+        self, queue: str, seconds: float
+    ) -> Result[int, PlatformFailure]:
+        """Do not answer."""
+        return Err(UnavailableFailure("x"))
+
+    def tell_stored(self, job: str, value: bytes) -> None:
+        """Take the message."""
+
+    def tell_cancelled(self, job: str) -> None:
+        """Take the message."""
+
+    def relay_submission(
+        self, job: str, value: bytes, seconds: float
+    ) -> Result[None, PlatformFailure]:
+        """Store the job if the test says so."""
+        if not self.relays:
+            return Err(UnavailableFailure("x"))
+        self.relayed.append(job)
+        return Ok(None)
+
+    def relay_cancel(
+        self, job: str, seconds: float
+    ) -> Result[bool, PlatformFailure]:
+        """Do not answer."""
+        return Err(UnavailableFailure("x"))
+
+
+class JobDeskTest(unittest.TestCase):
+    """A refusal is true, and an accepted job is known everywhere."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryRowStore()
+        self.link = SilentLink()
+        self.desk = self.build_desk()
+
+    def build_desk(self) -> JobDesk:
+        return JobDesk(
+            self.store, self.link, lambda: None, self.clock, DeskSettings()
+        )
+
+    def deadline(self) -> Deadline:
+        return Deadline.after(self.clock, 3.0)
+
+    def submit(self, job: str = "a") -> PlatformFailure | None:
+        outcome = self.desk.submit(QUEUE, job, BODY, self.deadline())
+        return outcome.failure
+
+    def count_jobs(self) -> int:
+        key = build_job_key("")
+        rows = self.store.read(key.table, key.partition, self.deadline())
+        return len(rows.unwrap().rows)
+
+    def test_an_accepted_job_is_stored_once(self) -> None:
+        self.assertIsNone(self.submit())
+        first = self.store.version
+        self.assertIsNone(self.submit())
+        self.assertEqual(self.store.version, first)
+
+    def test_a_refused_job_is_not_stored(self) -> None:
+        self.store.down = True
+        self.assertIsInstance(self.submit(), UnavailableFailure)
+        self.store.down = False
+        self.assertEqual(self.count_jobs(), 0)
+
+    def test_a_lost_answer_is_not_a_refusal(self) -> None:
+        self.store.lose_answers = 1
+        self.assertIsNone(self.submit())
+        self.assertEqual(self.count_jobs(), 1)
+
+    def test_an_outcome_that_stays_unknown_is_told_as_unknown(self) -> None:
+        self.store.delay = 1000
+        self.assertIsInstance(self.submit(), UnknownOutcomeFailure)
+
+    def test_a_refusal_after_a_lost_answer_stays_unknown(self) -> None:
+        self.store.delay = 1
+        original = self.store.commit
+
+        def fail_after(*arguments):  # type: ignore[no-untyped-def]
+            answer = original(*arguments)
+            self.store.down = True
+            return answer
+
+        self.store.commit = fail_after  # type: ignore[method-assign]
+        self.assertIsInstance(self.submit(), UnknownOutcomeFailure)
+
+    def test_the_leader_stores_for_a_node_that_is_cut_off(self) -> None:
+        self.store.down = True
+        self.link.relays = True
+        self.assertIsNone(self.submit())
+        self.assertEqual(self.link.relayed, ["a"])
+
+    def test_states_come_from_the_store_without_a_leader(self) -> None:
+        self.submit()
+        describe = self.desk.describe_job
+        self.assertEqual(describe("a", self.deadline()).state, "queued")
+        self.assertFalse(describe("b", self.deadline()).known)
+        self.desk.cancel("a", self.deadline())
+        self.assertEqual(describe("a", self.deadline()).state, "cancelled")
+
+    def test_a_leader_that_does_not_know_a_job_is_not_believed(self) -> None:
+        self.submit()
+        self.link.state = Ok("")
+        outcome = self.desk.describe_job("a", self.deadline())
+        self.assertEqual(outcome.state, "queued")
+
+    def test_cancelling_an_unknown_job_says_so(self) -> None:
+        outcome = self.desk.cancel("b", self.deadline())
+        self.assertFalse(outcome.known)
+        self.assertIsNone(outcome.failure)
--- /dev/null
+++ b/chestnutstair/tests/test_guards.py
@@ -0,0 +1,72 @@
+"""Tests of what a leader knows of the orders of the one before."""
+
+import unittest
+
+from chestnutstair.scheduling.guards import OrderGuards
+from chestnutstair.scheduling.ports import RowWrite
+from chestnutstair.standins.rows import MemoryRowStore
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.support import ManualClock
+
+TURN_SECONDS = 3.0
+MAINTENANCE_SECONDS = 2.5
+
+
+class StoringLeader:
+    """Stores at once what a leader would store with its term."""
+
+    def __init__(self, store: MemoryRowStore, clock: ManualClock) -> None:
+        self._store = store
+        self._clock = clock
+
+    def store(self, writes: list[RowWrite], seconds: float) -> bool:
+        """Store the rows."""
+        deadline = Deadline.after(self._clock, seconds)
+        return self._store.commit([], writes, deadline).is_ok()
+
+
+class OrderGuardsTest(unittest.TestCase):
+    """A new leader counts and respects what was ordered just before."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryRowStore()
+        self.build().store([("vm-1", "boxes", 4), ("vm-2", "spare", 0)])
+
+    def build(self) -> OrderGuards:
+        leader = StoringLeader(self.store, self.clock)
+        return OrderGuards(
+            leader,  # type: ignore[arg-type]
+            self.store,
+            self.clock,
+            TURN_SECONDS,
+            MAINTENANCE_SECONDS,
+        )
+
+    def test_a_vm_ordered_just_before_waits_and_others_do_not(self) -> None:
+        self.clock.now += 1.0
+        guards = self.build()
+        self.assertTrue(guards.load())
+        self.assertFalse(guards.may_order("vm-2", self.clock.now))
+        self.assertTrue(guards.may_order("vm-3", self.clock.now))
+        later = self.clock.now + TURN_SECONDS
+        self.assertTrue(guards.may_order("vm-2", later))
+
+    def test_maintenance_under_way_counts_against_the_cap(self) -> None:
+        # LIMIT on rosaleda-sched trouble-2: a leader that took over did not
+        # count the VMs that the one before had just taken down.
+        self.clock.now += 1.0
+        guards = self.build()
+        guards.load()
+        down = [(order.vm, order.wave) for order in guards.down]
+        self.assertEqual(down, [("vm-1", 4)])
+
+    def test_maintenance_that_is_over_does_not_count(self) -> None:
+        self.clock.now += MAINTENANCE_SECONDS + 1.0
+        guards = self.build()
+        guards.load()
+        self.assertEqual(guards.down, [])
+
+    def test_a_store_that_is_down_is_told(self) -> None:
+        self.store.down = True
+        self.assertFalse(self.build().load())
--- /dev/null
+++ b/chestnutstair/tests/test_term.py
@@ -0,0 +1,82 @@
+"""Tests of the leader's writes while the store misbehaves."""
+
+import unittest
+
+from chestnutstair.scheduling.ports import Expectation, RowKey, RowWrite
+from chestnutstair.scheduling.term import (
+    PARTITION,
+    TERM_KEY,
+    Term,
+    TermRow,
+    TermSettings,
+    Written,
+    read_term,
+)
+from chestnutstair.standins.rows import MemoryRowStore
+from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.support import ManualClock
+
+KEY = RowKey("progress", PARTITION, "j")
+
+
+class TermTest(unittest.TestCase):
+    """Writes of one leader are applied once, in order, or not at all."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.store = MemoryRowStore()
+        self.term = self.begin("one", 1, 0)
+
+    def begin(self, holder: str, epoch: int, version: int) -> Term:
+        row = TermRow(holder, f"{holder}:1", epoch, 0)
+        at = self.store.commit(
+            [Expectation(TERM_KEY, version)],
+            [RowWrite(TERM_KEY, row.encode())],
+            self.deadline(),
+        ).unwrap()
+        return Term(self.store, self.clock, row, at, TermSettings())
+
+    def deadline(self) -> Deadline:
+        return Deadline.after(self.clock, 1.0)
+
+    def read(self, key: RowKey) -> bytes | None:
+        rows = self.store.read(key.table, key.partition, self.deadline())
+        return next(
+            (row.value for row in rows.unwrap().rows if row.key == key), None
+        )
+
+    def test_a_lost_answer_is_found_out(self) -> None:
+        self.store.lose_answers = 1
+        outcome = self.term.write([RowWrite(KEY, b"1")])
+        self.assertIs(outcome, Written.DONE)
+        self.assertIs(self.term.write([RowWrite(KEY, b"2")]), Written.DONE)
+        self.assertEqual(self.read(KEY), b"2")
+
+    def test_a_late_write_does_not_undo_a_newer_one(self) -> None:
+        self.store.delay = 1
+        self.assertIs(self.term.write([RowWrite(KEY, b"1")]), Written.DONE)
+        self.assertIs(self.term.write([RowWrite(KEY, b"2")]), Written.DONE)
+        self.store.deliver_late()
+        self.assertEqual(self.read(KEY), b"2")
+
+    def test_a_leader_that_was_replaced_writes_nothing(self) -> None:
+        rows = self.store.read(TERM_KEY.table, PARTITION, self.deadline())
+        self.begin("two", 2, rows.unwrap().rows[0].version)
+        outcome = self.term.write([RowWrite(KEY, b"1")])
+        self.assertIs(outcome, Written.LOST)
+        self.assertIsNone(self.read(KEY))
+
+    def test_a_store_that_stays_away_ends_the_term(self) -> None:
+        self.store.down = True
+        began = self.clock.now
+        self.assertIs(self.term.write([]), Written.GIVEN_UP)
+        self.assertGreaterEqual(
+            self.clock.now - began, TermSettings.give_up_seconds
+        )
+
+    def test_a_release_is_seen_by_others(self) -> None:
+        self.term.release("zone-a")
+        row = read_term(self.read(TERM_KEY))
+        assert row is not None
+        self.assertTrue(row.released)
+        self.assertEqual(row.avoided_zone, "zone-a")
