Weigh late work less when pools grow; emulate the platform for tests

Change: waiting work that will be late counts 0.3, what is of no use any more not at all; three even shares at most. An emulator of the platform's protocol and seven tests of whole nodes against it.

--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -60,7 +60,7 @@
     coming_share: float = 0.7
     calm_seconds: float = 1.5
     drains_per_pool: int = 1
-    largest_pool: float = 4.0
+    largest_pool: float = 3.0
     late_share: float = 0.4
     register_seconds: float = 8.0
     fresh_seconds: float = 1.0
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -3,12 +3,24 @@
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.book import JobBook
-from chestnutstair.scheduling.progress import JobRecord, TaskKey, TaskStatus
+from chestnutstair.scheduling.progress import (
+    JobRecord,
+    Lateness,
+    TaskKey,
+    TaskStatus,
+)
 
 __all__ = ["PoolLoad", "measure_loads"]
 
 RATE_SECONDS = 1.2  # some ten jobs come in it when a queue's turn begins
 RATE_JOBS = 4  # fewer say little: one large job is no trend
+# What waits counts in full if it can be in time, little if it will be late,
+# and not at all once it is of no use: room is then better kept for others.
+LATE_SHARES = {
+    Lateness.IN_TIME: 1.0,
+    Lateness.LATE: 0.3,
+    Lateness.USELESS: 0.0,
+}
 
 
 @dataclass(frozen=True)
@@ -44,8 +56,9 @@
     for record in book.active.values():
         service = book.find_queue(record.submission).service
         ready, later = measure_waiting(record)
-        waiting[service] = waiting.get(service, 0) + ready
-        coming[service] = coming.get(service, 0) + later
+        share = LATE_SHARES[record.lateness]
+        waiting[service] = waiting.get(service, 0) + round(share * ready)
+        coming[service] = coming.get(service, 0) + round(share * later)
         for step in record.steps:
             if step.lasting and step.spread_limit:
                 width = -(-step.count // step.spread_limit)
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -7,6 +7,7 @@
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.progress import (
     JobRecord,
+    Lateness,
     TaskKey,
     TaskStatus,
 )
@@ -46,7 +47,7 @@
 class Urgency:
     """The order in which jobs get room: the smallest first."""
 
-    lateness: int
+    lateness: Lateness
     priority: int
     due_ms: float
 
@@ -81,19 +82,20 @@
     def rate(self, record: JobRecord, queue: Queue, wall_ms: float) -> Urgency:
         """Return how urgent a job is."""
         if any(step.lasting for step in record.steps):
-            return Urgency(0, -1, record.submission.accepted_ms)
+            accepted_ms = record.submission.accepted_ms
+            return Urgency(Lateness.IN_TIME, -1, accepted_ms)
         objective = (
             queue.stretch * record.chain_ms + queue.latency_objective_ms
         )
         accepted = record.submission.accepted_ms
         # When it would end if all that can start did so now.
         late = wall_ms - accepted + record.measure_rest_ms()
-        lateness = 0
+        record.lateness = Lateness.IN_TIME
         if late > self._settings.useless_factor * objective:
-            lateness = 2
+            record.lateness = Lateness.USELESS
         elif late > objective:
-            lateness = 1
-        return Urgency(lateness, queue.priority, accepted + objective)
+            record.lateness = Lateness.LATE
+        return Urgency(record.lateness, queue.priority, accepted + objective)
 
     def _list_usable(self, service: str, now: float) -> list[WorkerState]:
         limit = self._settings.contact_seconds
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
-from enum import StrEnum
+from enum import IntEnum, StrEnum
 from functools import cached_property
 
 from chestnutstair.scheduling.specification import JobSpecification, Step
@@ -11,6 +11,7 @@
 __all__ = [
     "JobRecord",
     "JobState",
+    "Lateness",
     "Submission",
     "TaskKey",
     "TaskState",
@@ -47,6 +48,14 @@
     CANCELLED = "cancelled"
 
 
+class Lateness(IntEnum):
+    """Whether a job can still end in time."""
+
+    IN_TIME = 0
+    LATE = 1
+    USELESS = 2  # it is too late to be of much use
+
+
 ENDED_STATES = frozenset(
     (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
 )
@@ -112,6 +121,7 @@
         self._done: dict[tuple[int, int], int] = {}
         self._complete = 0  # steps of occurrences whose tasks are all done
         self.started = False
+        self.lateness = Lateness.IN_TIME  # as last planned
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/chestnutstair/tests/platform_emulator.py
@@ -0,0 +1,390 @@
+"""A small emulator of the users' platform: store, runners and machines.
+
+It speaks the platform's published protocol on one loopback address.
+"""
+
+import base64
+import json
+import threading
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+from chestnutstair.scheduling.ports import (
+    Changes,
+    ConditionFailure,
+    Expectation,
+    HistoryLostFailure,
+    Row,
+    RowKey,
+    RowWrite,
+)
+from chestnutstair.standins.rows import MemoryRowStore
+from chestnutstair.standins.webserver import (
+    Answer,
+    Application,
+    Request,
+    WebServer,
+    WebServerSettings,
+    answer_json,
+)
+from chestnutstair.state.deadline import Deadline
+
+__all__ = ["EmulatedRunner", "PlatformEmulator"]
+
+ANY_TIME = Deadline(0.0)  # the store in memory heeds no deadline
+FEED_POLL_SECONDS = 0.01
+SERVICE_CONFIG = {"healthPath": "/health", "enforcesCapacity": True}
+
+
+@dataclass
+class EmulatedRunner:
+    """A runner that ends each task after `work_seconds`."""
+
+    name: str
+    machine: str
+    service: str
+    born: int = 1
+    work_seconds: float = 0.05
+    fence: int = 0
+    lease_until: float = 0.0
+    runs: dict[str, tuple[int, float, bool]] = field(default_factory=dict)
+    highest: dict[str, int] = field(default_factory=dict)
+    ended: int = 0
+    ends: list[list[Any]] = field(default_factory=list)
+    started: list[tuple[str, int]] = field(default_factory=list)
+
+    def read_clock(self) -> int:
+        """Return the runner's own clock in ms."""
+        return int(time.monotonic() * 1000) + 5000
+
+    def settle(self) -> None:
+        """End what is done."""
+        now = time.monotonic()
+        for task, (run, until, lasting) in list(self.runs.items()):
+            if not lasting and now >= until:
+                self.end(task, run, "done")
+
+    def end(self, task: str, run: int, how: str) -> None:
+        """List the end of a run."""
+        del self.runs[task]
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        self.ended += 1
+        self.ends.append([self.ended, task, run, how, ""])
+
+    def refuse(self, reason: str) -> Answer:
+        """Refuse an order."""
+        body = {"clockMs": self.read_clock(), "reason": reason}
+        return answer_json(body, HTTPStatus.CONFLICT)
+
+    def accept(self) -> Answer:
+        """Accept an order."""
+        return answer_json({"clockMs": self.read_clock()})
+
+    def start(self, call: dict[str, Any]) -> Answer:
+        """Start a run unless it is too old or too late."""
+        task, run = call["task"], call["run"]
+        if call.get("fence", 0) < self.fence:
+            return self.refuse("fence")
+        self.fence = call.get("fence", 0)
+        if call["deadlineMs"] < self.read_clock():
+            return self.refuse("late")
+        if run <= self.highest.get(task, 0):
+            return self.refuse("old")
+        if task not in self.runs:
+            self.started.append((task, run))
+            until = time.monotonic() + self.work_seconds
+            self.runs[task] = (run, until, "lasting" in call["spec"])
+        return self.accept()
+
+    def stop(self, call: dict[str, Any]) -> Answer:
+        """Stop a run, or forbid it."""
+        if call.get("fence", 0) < self.fence:
+            return self.refuse("fence")
+        task, run = call["task"], call["run"]
+        if task in self.runs and self.runs[task][0] == run:
+            self.end(task, run, "stopped")
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        return self.accept()
+
+    def hold(self, call: dict[str, Any]) -> Answer:
+        """Answer with what runs and what has ended."""
+        if call.get("fence", 0) < self.fence:
+            return self.refuse("fence")
+        self.fence = call.get("fence", 0)
+        seen = call.get("lastSeen", 0)
+        self.ends = [end for end in self.ends if end[0] > seen]
+        return answer_json(
+            {
+                "clockMs": self.read_clock(),
+                "born": self.born,
+                "running": [
+                    [task, run, "", 100]
+                    for task, (run, _, _) in self.runs.items()
+                ],
+                "finished": self.ends,
+            }
+        )
+
+
+class PlatformEmulator(Application):
+    """The platform on one address; runners are told apart by header."""
+
+    def __init__(self) -> None:
+        self.store = MemoryRowStore()
+        self.runners: dict[str, EmulatedRunner] = {}
+        self.left: list[EmulatedRunner] = []
+        self.spare: list[str] = []
+        self.maintained: list[tuple[str, int]] = []
+        self._lock = threading.RLock()
+        self._server = WebServer(self, settings=WebServerSettings(threads=96))
+
+    @property
+    def address(self) -> str:
+        """Return `IP:port`."""
+        return self._server.address
+
+    def start(self) -> None:
+        """Serve."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        self._server.stop()
+
+    def put(self, table: str, key: str, value: dict[str, Any]) -> None:
+        """Write a row as the operator or a runner would."""
+        data = json.dumps(value).encode()
+        write = RowWrite(RowKey(table, "", key), data)
+        self.store.commit([], [write], ANY_TIME)
+
+    def find(self, table: str, key: str) -> dict[str, Any] | None:
+        """Return a row of the empty partition."""
+        rows = self.store.read(table, "", ANY_TIME).unwrap().rows
+        for row in rows:
+            if row.key.key == key and row.value is not None:
+                return dict(json.loads(row.value))
+        return None
+
+    def configure(self, version: int, queues: Iterable[str]) -> None:
+        """Put a configuration in force."""
+        routes = [
+            {
+                "name": f"r-{name}",
+                "host": "jobs.example",
+                "prefix": f"/{name}/",
+                "service": "boxes",
+                "maxAttempts": 3,
+                "stretch": 1.6,
+                "targetLatencyMs": 600,
+                "priority": 0,
+            }
+            for name in queues
+        ]
+        services = [
+            {"name": "boxes", **SERVICE_CONFIG},
+            {"name": "idle", "spare": True, **SERVICE_CONFIG},
+        ]
+        self.put(
+            "op",
+            "config",
+            {"version": version, "routes": routes, "services": services},
+        )
+
+    def add_runner(self, name: str, service: str = "boxes") -> EmulatedRunner:
+        """Register a runner on a machine of its own."""
+        runner = EmulatedRunner(name, f"m-{name}", service)
+        self.runners[name] = runner
+        self.put(
+            "servers",
+            name,
+            {
+                "service": service,
+                "address": self.address,
+                "zone": "zone-a",
+                "state": "ready",
+                "born": runner.born,
+                "capacity": {"cpu": 64000, "memMb": 262144, "gpu": 0},
+                "labels": ["a", "r1-1"],
+                "machine": runner.machine,
+                "seq": 1,
+            },
+        )
+        return runner
+
+    def answer(self, request: Request) -> Answer:
+        """Answer a call."""
+        name = request.path[-1]
+        call = json.loads(request.body) if request.body else {}
+        if name == "rows-feed":
+            return self._follow(request)
+        with self._lock:
+            if name == "rows-tx":
+                return self._commit(call)
+            if name == "rows-get":
+                return self._read(request)
+            if name == "machines":
+                return self._list_machines()
+            if name.startswith("machine-"):
+                return self._order_machine(name, call)
+            return self._call_runner(name, request, call)
+
+    # Store
+
+    @staticmethod
+    def _read_key(item: dict[str, Any]) -> RowKey:
+        return RowKey(item["table"], item.get("part", ""), item["key"])
+
+    @staticmethod
+    def _show_row(row: Row) -> dict[str, Any]:
+        shown: dict[str, Any] = {
+            "table": row.key.table,
+            "part": row.key.partition,
+            "key": row.key.key,
+            "ver": row.version,
+        }
+        if row.value is None:
+            shown["deleted"] = True
+        else:
+            shown["value"] = base64.b64encode(row.value).decode()
+        return shown
+
+    def _show(self, changes: Changes) -> Answer:
+        return answer_json(
+            {
+                "rows": [self._show_row(row) for row in changes.rows],
+                "ver": changes.version,
+                "morePages": False,
+                "nowMs": int(time.monotonic() * 1000),
+            }
+        )
+
+    def _commit(self, call: dict[str, Any]) -> Answer:
+        expectations = [
+            Expectation(self._read_key(item), item["ver"])
+            for item in call["expectedRev"]
+        ]
+        writes = [
+            RowWrite(self._read_key(item), base64.b64decode(item["value"]))
+            for item in call["puts"]
+        ]
+        writes += [
+            RowWrite(self._read_key(item), None) for item in call["remove"]
+        ]
+        parts = {write.key.partition for write in writes}
+        if len(parts) > 1:
+            return answer_json({}, HTTPStatus.BAD_REQUEST)
+        outcome = self.store.commit(expectations, writes, ANY_TIME)
+        if outcome.is_ok():
+            return answer_json({"ver": outcome.unwrap()})
+        failure = outcome.unwrap_err()
+        if isinstance(failure, ConditionFailure):
+            rows = [self._show_row(row) for row in failure.rows]
+            return answer_json({"rows": rows}, HTTPStatus.PRECONDITION_FAILED)
+        return answer_json({}, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _read(self, request: Request) -> Answer:
+        query = request.query
+        outcome = self.store.read(
+            query["table"],
+            query.get("part", ""),
+            ANY_TIME,
+            query.get("from", ""),
+            query.get("to", ""),
+        )
+        if outcome.is_err():
+            return answer_json({}, HTTPStatus.SERVICE_UNAVAILABLE)
+        return self._show(outcome.unwrap())
+
+    def _follow(self, request: Request) -> Answer:
+        query = request.query
+        until = time.monotonic() + int(query["waitMs"]) / 1000
+        after = int(query["after"])
+        while True:
+            outcome = self.store.follow(query["table"], after, 0.0, ANY_TIME)
+            if outcome.is_err():
+                lost = isinstance(outcome.unwrap_err(), HistoryLostFailure)
+                return answer_json(
+                    {},
+                    HTTPStatus.GONE
+                    if lost
+                    else HTTPStatus.SERVICE_UNAVAILABLE,
+                )
+            if outcome.unwrap().rows or time.monotonic() >= until:
+                return self._show(outcome.unwrap())
+            time.sleep(FEED_POLL_SECONDS)
+
+    # Machines
+
+    def _list_machines(self) -> Answer:
+        machines = [
+            {
+                "machine": runner.machine,
+                "pool": runner.service,
+                "state": "up",
+                "zone": "zone-a",
+                "labels": ["a", "r1-1"],
+                "capacity": {"cpu": 64000, "memMb": 262144, "gpu": 0},
+                "id": runner.name,
+            }
+            for runner in self.runners.values()
+        ]
+        machines += [
+            {
+                "machine": name,
+                "pool": "idle",
+                "state": "up",
+                "zone": "zone-a",
+                "labels": ["a", "r1-2"],
+                "capacity": {"cpu": 64000, "memMb": 262144, "gpu": 0},
+                "id": "",
+            }
+            for name in self.spare
+        ]
+        return answer_json({"machines": machines, "nextToken": None})
+
+    def _order_machine(self, name: str, call: dict[str, Any]) -> Answer:
+        machine = call["machine"]
+        found = [
+            runner
+            for runner in self.runners.values()
+            if runner.machine == machine
+        ]
+        if name == "machine-upkeep":
+            self.maintained.append((machine, call["wave"]))
+        if found:
+            old = found[0]
+            self.left.append(self.runners.pop(old.name))
+            key = RowKey("servers", "", old.name)
+            self.store.commit([], [RowWrite(key, None)], ANY_TIME)
+        if name == "machine-move" and call["pool"] == "idle":
+            self.spare.append(machine)
+            return answer_json({})
+        if machine in self.spare:
+            if name == "machine-upkeep":
+                return answer_json({})
+            self.spare.remove(machine)
+        successor = f"{machine[2:]}x"
+        self.add_runner(successor).machine = machine
+        return answer_json({})
+
+    # Runners
+
+    def _call_runner(
+        self, name: str, request: Request, call: dict[str, Any]
+    ) -> Answer:
+        wanted = request.headers.get("x-chestnutstair-expect-instance", "")
+        runner = self.runners.get(wanted)
+        if runner is None:
+            return answer_json({}, HTTPStatus.MISDIRECTED_REQUEST)
+        runner.settle()
+        if name == "run-start":
+            return runner.start(call)
+        if name == "run-stop":
+            return runner.stop(call)
+        if name == "hold":
+            time.sleep(0.005)
+            return runner.hold(call)
+        return answer_json({}, HTTPStatus.NOT_FOUND)
--- /dev/null
+++ b/chestnutstair/tests/test_fleet_node.py
@@ -0,0 +1,194 @@
+"""Tests of whole scheduler nodes against the emulated platform."""
+
+import json
+import unittest
+from functools import partial
+
+import urllib3
+
+from chestnutstair.fleet_node import FleetNode
+from chestnutstair.fleet_settings import FleetSettings
+from chestnutstair.standins.webserver import HOST, reserve_port
+from chestnutstair.state.deadline import SystemClock
+from chestnutstair.tests.platform_emulator import PlatformEmulator
+from chestnutstair.tests.support import wait_until
+
+HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
+NODES = 2
+PORTS_OF_A_NODE = 3
+
+
+class FleetNodeTest(unittest.TestCase):
+    """Two nodes, three runners and one machine in reserve."""
+
+    def setUp(self) -> None:
+        self.platform = PlatformEmulator()
+        self.platform.start()
+        self.addCleanup(self.platform.stop)
+        self.platform.configure(3, ["quick"])
+        for name in ("one", "two", "three"):
+            self.platform.add_runner(name)
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self.nodes: list[FleetNode] = []
+        self.fronts: list[str] = []
+        for number in range(NODES):
+            self.start_node(number)
+
+    def start_node(self, number: int) -> None:
+        reserved = [reserve_port() for _ in range(PORTS_OF_A_NODE)]
+        front, ready, nodes = (
+            f"{HOST}:{item.getsockname()[1]}" for item in reserved
+        )
+        settings = FleetSettings(
+            name=f"node-{number}",
+            zone="zone-a",
+            callers_address=front,
+            ready_address=ready,
+            nodes_address=nodes,
+            store_address=self.platform.address,
+            vms_address=self.platform.address,
+            grace_seconds=0.2,
+        )
+        for item in reserved:
+            item.close()
+        node = FleetNode(settings, SystemClock())
+        node.start()
+        self.nodes.append(node)
+        self.fronts.append(front)
+        self.addCleanup(self.stop_node, node)
+        wait_until(node.is_ready)
+
+    def stop_node(self, node: FleetNode) -> None:
+        if not node.is_stopping():
+            node.begin_stop()
+            node.stop()
+
+    def call(
+        self, node: int, method: str, path: str, body: object = None
+    ) -> tuple[int, dict[str, object]]:
+        data = None if body is None else json.dumps(body)
+        answer = self.http.request(
+            method,
+            f"http://{self.fronts[node]}{path}",
+            body=data,
+            headers=HEADERS,
+        )
+        read = json.loads(answer.data) if answer.data else {}
+        return answer.status, read
+
+    def submit(self, node: int, job: str, payload: str = "work") -> int:
+        steps = [
+            {"count": 3, "cpu": 1000, "estimateMs": 50},
+            {"count": 1, "cpu": 1000, "estimateMs": 50, "after": [0]},
+        ]
+        if payload == "lasting":
+            steps = [{"count": 1, "cpu": 1000, "longRunning": True}]
+        body = {"spec": payload, "steps": steps}
+        return self.call(node, "POST", f"/quick/{job}", body)[0]
+
+    def read_state(self, node: int, job: str) -> object:
+        return self.call(node, "GET", f"/quick/{job}")[1].get("state")
+
+    def is_completed(self, node: int, job: str) -> bool:
+        return self.read_state(node, job) == "completed"
+
+    def answers(self, node: int, path: str, status: int) -> bool:
+        return self.call(node, "GET", path)[0] == status
+
+    def list_starts(self) -> list[tuple[str, int]]:
+        return [
+            start
+            for runner in (
+                *self.platform.runners.values(),
+                *self.platform.left,
+            )
+            for start in runner.started
+        ]
+
+    def test_a_job_is_run_once_and_shown_by_every_node(self) -> None:
+        job = "00000000000000aa"
+        self.assertEqual(self.submit(1, job), 200)
+        self.assertEqual(self.submit(0, job), 200, "the same job again")
+        for node in range(NODES):
+            wait_until(partial(self.is_completed, node, job))
+        self.assertEqual(len(self.list_starts()), 4)
+
+    def test_answers_by_queue_and_name(self) -> None:
+        self.assertEqual(self.call(0, "GET", "/quick/")[1], {"pending": 0})
+        self.assertEqual(self.call(0, "GET", "/other/")[0], 404)
+        self.assertEqual(
+            self.call(0, "GET", "/quick/0123456789abcdef")[0], 410
+        )
+        self.assertEqual(
+            self.call(1, "DELETE", "/quick/0123456789abcdef")[0], 410
+        )
+        cyclic = {"spec": "", "steps": [{"count": 1, "after": [0]}]}
+        status, body = self.call(0, "POST", "/quick/0123456789abcdef", cyclic)
+        self.assertEqual(status, 400)
+        self.assertEqual(body["reason"], "steps wait for each other")
+
+    def test_a_new_configuration_is_in_force_on_every_node(self) -> None:
+        self.platform.configure(5, ["quick", "added"])
+        for node in range(NODES):
+            wait_until(partial(self.answers, node, "/added/", 200))
+        self.platform.configure(4, ["quick"])
+        self.platform.configure(6, ["added"])
+        for node in range(NODES):
+            wait_until(partial(self.answers, node, "/quick/", 404))
+            self.assertEqual(self.call(node, "GET", "/added/")[0], 200)
+
+    def test_a_planned_stop_hands_the_lead_over(self) -> None:
+        job = "00000000000000bb"
+        self.assertEqual(self.submit(0, job, "lasting"), 200)
+        wait_until(lambda: self.read_state(1, job) == "running")
+        leading = [node._election.is_leading for node in self.nodes].index(
+            True
+        )
+        self.stop_node(self.nodes[leading])
+        other = 1 - leading
+        wait_until(lambda: self.nodes[other]._election.is_leading)
+        second = "00000000000000cc"
+        self.assertEqual(self.submit(other, second), 200)
+        wait_until(lambda: self.read_state(other, second) == "completed")
+        starts = [start for start in self.list_starts() if job in start[0]]
+        self.assertEqual(len(starts), 1, "the lasting task runs on")
+
+    def test_a_cancelled_job_is_stopped(self) -> None:
+        job = "00000000000000dd"
+        self.submit(0, job, "lasting")
+        wait_until(lambda: self.read_state(1, job) == "running")
+        self.assertEqual(self.call(1, "DELETE", f"/quick/{job}")[0], 200)
+        wait_until(lambda: self.read_state(0, job) == "cancelled")
+        wait_until(
+            lambda: not any(r.runs for r in self.platform.runners.values())
+        )
+
+    def test_a_wave_is_kept_within_its_cap(self) -> None:
+        self.platform.put(
+            "op",
+            "wave/1",
+            {
+                "wave": 1,
+                "machines": ["m-one", "m-two"],
+                "durationS": 9,
+                "cap": 1,
+            },
+        )
+        wait_until(
+            lambda: (
+                (self.platform.find("status", "wave/1") or {}).get("state")
+                == "completed"
+            )
+        )
+        self.assertEqual(
+            sorted(self.platform.maintained), [("m-one", 1), ("m-two", 1)]
+        )
+
+    def test_an_outage_of_the_store_is_refused_and_survived(self) -> None:
+        job = "00000000000000ee"
+        self.platform.store.down = True
+        self.assertEqual(self.submit(0, job), 503)
+        self.platform.store.down = False
+        wait_until(lambda: self.submit(0, job) == 200)
+        wait_until(lambda: self.read_state(1, job) == "completed")
+        self.assertEqual(len(self.list_starts()), 4)
