--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -13,6 +13,7 @@
     build_front_application,
     build_ready_application,
 )
+from chestnutstair.scheduling.advice import AdviceDesk
 from chestnutstair.scheduling.book import BookSettings, JobBook
 from chestnutstair.scheduling.desk import DeskSettings, JobDesk
 from chestnutstair.scheduling.election import (
@@ -127,11 +128,13 @@
         configuration = self._watch.configuration
         if configuration is not None:
             book.configuration = configuration
-        planner = Planner(book, self._clock, PlacementSettings())
+        advice = AdviceDesk(self._workers, self._clock)
+        planner = Planner(book, self._clock, PlacementSettings(), advice)
         leader = Leader(
             term,
             book,
             planner,
+            advice,
             self._store,
             self._workers,
             self._decoder,
--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -93,7 +93,8 @@
         max_attempts=int(item.get("maxAttempts") or 1),
         stretch=float(item.get("stretch") or 1.0),
         latency_objective_ms=int(item.get("targetLatencyMs") or 0),
-        needs_advice=bool(item.get("advice")),
+        advice_seconds=float((item.get("advice") or {}).get("validMs", 0))
+        / 1000,
     )
 
 
--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -14,6 +14,7 @@
 )
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
+    PolicyService,
     RunEnd,
     RunListing,
     StartOrder,
@@ -79,7 +80,7 @@
     return Err(StartRefusedFailure(reason, int(body.get("clockMs", 0))))
 
 
-class PlatformWorkerControl(WorkerControl):
+class PlatformWorkerControl(WorkerControl, PolicyService):
     """Makes the runners' calls on kept connections."""
 
     def __init__(
--- /dev/null
+++ b/chestnutstair/scheduling/advice.py
@@ -0,0 +1,114 @@
+"""Asks the policy service which workers may run a step."""
+
+import logging
+import threading
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from chestnutstair.scheduling.ports import PolicyService
+from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.failure import describe_failure
+
+__all__ = ["AdviceDesk", "Ticket"]
+
+logger = logging.getLogger(__name__)
+
+CALL_WORKERS = 30  # of the 100 that a call may name; each takes time
+RETRY_SECONDS = 0.1
+MARGIN_SECONDS = 0.3  # a ticket must still be valid when a start arrives
+
+
+@dataclass(frozen=True)
+class Ticket:
+    """What the service said of one worker; `text` is "" if it said no."""
+
+    text: str
+    until: Deadline
+
+
+class AdviceDesk:
+    """Keeps tickets, and asks for missing ones one call at a time."""
+
+    def __init__(self, policy: PolicyService, clock: Clock) -> None:
+        self._policy = policy
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._tickets: dict[tuple[str, str, int], Ticket] = {}
+        self._wanted: dict[str, tuple[dict[str, int], float]] = {}
+        self._asked = threading.Event()
+        self._ended = threading.Event()
+
+    def run(self, note_answer: Callable[[], None]) -> None:
+        """Ask until the desk is closed; call `note_answer` after each."""
+        while not self._ended.is_set():
+            self._asked.wait(1.0)
+            self._asked.clear()
+            while self._wanted and not self._ended.is_set():
+                self._ask_next()
+                note_answer()
+
+    def close(self) -> None:
+        """Ask no more."""
+        self._ended.set()
+        self._asked.set()
+
+    def find_tickets(
+        self,
+        step: str,
+        workers: Iterable[tuple[str, int]],
+        valid_seconds: float,
+    ) -> dict[str, str]:
+        """Return the workers that may run the step, with their tickets.
+
+        `workers` are names and incarnations. Those that nothing is known of
+        are asked for in the background.
+        """
+        found = {}
+        missing = {}
+        with self._lock:
+            for name, born_ms in workers:
+                ticket = self._tickets.get((step, name, born_ms))
+                if ticket is None or ticket.until.has_passed(self._clock):
+                    missing[name] = born_ms
+                elif ticket.text:
+                    found[name] = ticket.text
+            if missing:
+                self._wanted[step] = (missing, valid_seconds)
+        if missing:
+            self._asked.set()
+        return found
+
+    def drop(self, step: str, worker: str, born_ms: int) -> None:
+        """Forget a ticket that a worker has refused."""
+        with self._lock:
+            self._tickets.pop((step, worker, born_ms), None)
+
+    def _ask_next(self) -> None:
+        with self._lock:
+            step, (missing, valid_seconds) = self._wanted.popitem()
+        names = list(missing)[:CALL_WORKERS]
+        sent = self._clock.read_monotonic()
+        match self._policy.advise(step, names):
+            case Ok(good):
+                # The time counts from before the call, to be safe.
+                until = Deadline(sent + valid_seconds - MARGIN_SECONDS)
+                with self._lock:
+                    for name in names:
+                        key = (step, name, missing[name])
+                        self._tickets[key] = Ticket(good.get(name, ""), until)
+                logger.info(
+                    "advice received",
+                    extra={
+                        "step": step,
+                        "asked": len(names),
+                        "good": len(good),
+                    },
+                )
+            case Err(failure):
+                logger.info(
+                    "no advice",
+                    extra={"step": step, "reason": describe_failure(failure)},
+                )
+                self._ended.wait(RETRY_SECONDS)
--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -42,14 +42,19 @@
     `takeover_lapse_seconds` is how long runs may outlive the leader before
     on workers that have not answered this one. `failure_streak` failures
     without a success between them keep new work off a worker for
-    `avoid_seconds`. What a worker listed is believed for
-    `contact_seconds`, a little more than the wait of one hold.
+    `avoid_seconds`. A first run that takes more than `stuck_factor` times
+    its estimate and `stuck_seconds` more is stopped and tried elsewhere:
+    estimates are up to half off, and tasks of one step uneven. What a
+    worker listed is believed for `contact_seconds`, a little more than the
+    wait of one hold.
     """
 
     takeover_lapse_seconds: float = 7.0
     failure_streak: int = 3
     avoid_seconds: float = 3.0
     contact_seconds: float = 1.6
+    stuck_factor: float = 3.0
+    stuck_seconds: float = 2.0
 
 
 @dataclass(frozen=True)
@@ -522,6 +527,35 @@
             now = self._clock.read_monotonic()
             worker.replace_run(task, replace(placed, stop_answered_at=now))
 
+    def stop_stuck(self) -> None:
+        """Stop first runs that take far longer than estimated."""
+        now = self._clock.read_monotonic()
+        for worker in self.workers.values():
+            for task, run in list(worker.runs.items()):
+                if self._is_stuck(run, now):
+                    logger.info(
+                        "run takes too long; trying another worker",
+                        extra={
+                            "task": task,
+                            "worker": worker.name,
+                            "seconds": now - run.confirmed_at,
+                            "estimate_ms": run.step.estimate_ms,
+                        },
+                    )
+                    worker.replace_run(task, replace(run, stopping=True))
+                    avoided = now + self._settings.avoid_seconds
+                    worker.avoided_until = max(worker.avoided_until, avoided)
+
+    def _is_stuck(self, run: PlacedRun, now: float) -> bool:
+        step = run.step
+        if run.stopping or not run.confirmed_at or run.run > 1:
+            return False
+        if step.lasting or step.gang or not step.estimate_ms:
+            return False
+        limit = self._settings.stuck_factor * step.estimate_ms / 1000
+        limit += self._settings.stuck_seconds
+        return now - run.confirmed_at > limit
+
     def list_stops(self) -> list[Stop]:
         """Return the stops that are to be sent now."""
         stops = []
--- a/chestnutstair/scheduling/configuration.py
+++ b/chestnutstair/scheduling/configuration.py
@@ -11,8 +11,8 @@
 
     `priority` 0 is the most urgent. A job may take `stretch` times its
     longest chain of work, and `latency_objective_ms` more. Where
-    `needs_advice` is set, the policy service tells which workers may run
-    a step.
+    `advice_seconds` is not 0, the policy service tells which workers may
+    run a step, with tickets that are valid for that long.
     """
 
     name: str
@@ -23,7 +23,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     latency_objective_ms: int = 0
-    needs_advice: bool = False
+    advice_seconds: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -12,6 +12,7 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.advice import AdviceDesk
 from chestnutstair.scheduling.book import JobBook, Stop
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.feed import Feed
@@ -25,6 +26,7 @@
     read_job_name,
 )
 from chestnutstair.scheduling.load import measure_loads
+from chestnutstair.scheduling.pacing import Pace, Pacer, PacingSettings
 from chestnutstair.scheduling.placement import Placement, Planner
 from chestnutstair.scheduling.ports import (
     Changes,
@@ -94,6 +96,7 @@
         term: Term,
         book: JobBook,
         planner: Planner,
+        advice: AdviceDesk,
         store: RowStore,
         workers: WorkerControl,
         decoder: WireDecoder,
@@ -104,12 +107,14 @@
         self.term = term
         self.book = book
         self._planner = planner
+        self._advice = advice
         self._store = store
         self._workers = workers
         self._decoder = decoder
         self._submissions = submissions
         self._clock = clock
         self._settings = settings
+        self._pacer = Pacer(clock, PacingSettings())
         self._woken = threading.Event()
         self._ended = threading.Event()
         self._stored: dict[int, threading.Event] = {}
@@ -192,6 +197,12 @@
         """Begin to plan and to listen."""
         for feed in self._feeds:
             feed.start()
+        threading.Thread(
+            target=self._advice.run,
+            args=(self.wake,),
+            name="advice",
+            daemon=True,
+        ).start()
         for companion in self._companions:
             companion()
         self._main.start()
@@ -212,6 +223,7 @@
                 extra={"epoch": self.term.epoch, "outcome": outcome.value},
             )
         self._orders.shutdown(wait=False)
+        self._advice.close()
 
     @property
     def has_ended(self) -> bool:
@@ -367,9 +379,12 @@
                     worker.seen_sent = max(worker.seen_sent, seen)
                     before = worker.contact
                     known = self.book.note_hold(worker, listing, sent)
+                    paces = self._pacer.adjust(worker)
                     unstored = worker.seen_applied > worker.seen_stored
                 if unstored or before is None or not known:
                     self.wake()
+                for pace in paces:
+                    self._orders.submit(self._pace, worker, pace)
                 if unstored:
                     self._wait_stored(worker)
                 return known
@@ -424,6 +439,8 @@
         with self.book.lock:
             now = self._clock.read_monotonic()
             self.book.release_lapsed()
+            self.book.stop_stuck()
+            self._planner.leave_draining()
             placements = self._planner.plan(
                 now, self._clock.read_wall() * 1000
             )
@@ -568,6 +585,23 @@
             self._stops_sent.discard(mark)
             self.wake()
 
+    def _pace(self, worker: WorkerState, pace: Pace) -> None:
+        answer = self._workers.pace(
+            worker.entry, pace.task, pace.run, pace.percent, self.term.epoch
+        )
+        logger.info(
+            "pace sent",
+            extra={
+                "task": pace.task,
+                "percent": pace.percent,
+                "worker": worker.name,
+                "answered": answer.is_ok(),
+            },
+        )
+        if answer.is_ok():
+            with self.book.lock:
+                self._pacer.note_paced(worker, pace)
+
     def _start(self, placement: Placement) -> None:
         worker = placement.worker
         record = placement.record
@@ -593,6 +627,7 @@
             deadline_ms,
             self.term.epoch,
             saved,
+            placement.ticket,
         )
         answer = self._workers.start(worker.entry, order)
         logger.info(
@@ -612,6 +647,12 @@
                 case Ok(_):
                     self.book.note_started(worker, task, placement.run)
                 case Err(failure):
+                    if failure == StartRefusedFailure(Refusal.TICKET):
+                        self._advice.drop(
+                            record.name_step(placement.key),
+                            worker.name,
+                            worker.entry.born_ms,
+                        )
                     self._note_not_started(
                         worker, task, placement.run, failure
                     )
--- /dev/null
+++ b/chestnutstair/scheduling/pacing.py
@@ -0,0 +1,91 @@
+"""Slows tasks that fill a worker while they harm tasks that serve."""
+
+from dataclasses import dataclass, replace
+
+from chestnutstair.scheduling.workers import PlacedRun, WorkerState
+from chestnutstair.state.deadline import Clock
+
+__all__ = ["Pace", "Pacer", "PacingSettings"]
+
+FULL_PERCENT = 100
+
+
+@dataclass(frozen=True)
+class PacingSettings:
+    """How fast fillers are slowed, and let go again.
+
+    Over the target they lose `down_percent` with each listing, so that
+    they stand still within two or three seconds. Under `calm_share` of it
+    they gain `up_percent` every `up_seconds`.
+    """
+
+    down_percent: int = 50
+    up_percent: int = 20
+    calm_share: float = 0.7
+    up_seconds: float = 3.0
+
+
+@dataclass(frozen=True)
+class Pace:
+    """The speed that a run is to have from now on."""
+
+    task: str
+    run: int
+    percent: int
+
+
+class Pacer:
+    """Decides the speed of fillers from each listing of a worker."""
+
+    def __init__(self, clock: Clock, settings: PacingSettings) -> None:
+        self._clock = clock
+        self._settings = settings
+
+    def adjust(self, worker: WorkerState) -> list[Pace]:
+        """Return the orders that a new listing calls for."""
+        fillers = {
+            task: run for task, run in worker.runs.items() if run.step.filler
+        }
+        if not fillers:
+            worker.filler_percent = FULL_PERCENT
+            return []
+        tails = [
+            run.listing.gauge / run.step.tail_target_ms
+            for run in worker.runs.values()
+            if run.listing is not None and run.step.tail_target_ms
+        ]
+        self._set_percent(worker, max(tails, default=0.0))
+        return [
+            Pace(task, run.run, worker.filler_percent)
+            for task, run in fillers.items()
+            if self._needs_order(run, worker.filler_percent)
+        ]
+
+    def _set_percent(self, worker: WorkerState, worst: float) -> None:
+        now = self._clock.read_monotonic()
+        settings = self._settings
+        percent = worker.filler_percent
+        if worst > 1.0:
+            percent = max(0, percent - settings.down_percent)
+        elif (
+            worst < settings.calm_share
+            and now - worker.paced_at >= settings.up_seconds
+        ):
+            percent = min(FULL_PERCENT, percent + settings.up_percent)
+        else:
+            return
+        if percent != worker.filler_percent or worst > 1.0:
+            worker.paced_at = now
+        worker.filler_percent = percent
+
+    @staticmethod
+    def _needs_order(run: PlacedRun, percent: int) -> bool:
+        confirmed = bool(run.confirmed_at) and not run.stopping
+        return confirmed and run.percent != percent
+
+    @staticmethod
+    def note_paced(worker: WorkerState, pace: Pace) -> None:
+        """Remember the speed that a worker has accepted."""
+        run = worker.runs.get(pace.task)
+        if run is not None and run.run == pace.run:
+            worker.replace_run(pace.task, replace(run, percent=pace.percent))
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -1,8 +1,10 @@
 """Decides which waiting tasks start now, and on which workers."""
 
+import logging
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from chestnutstair.scheduling.advice import AdviceDesk
 from chestnutstair.scheduling.book import JobBook
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.progress import (
@@ -17,6 +19,8 @@
 
 __all__ = ["Placement", "PlacementSettings", "Planner", "Urgency"]
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class PlacementSettings:
@@ -41,6 +45,7 @@
     key: TaskKey
     worker: WorkerState
     run: int
+    ticket: str = ""
 
 
 @dataclass(frozen=True, order=True)
@@ -56,9 +61,14 @@
     """Plans on the book; its caller holds the book's lock."""
 
     def __init__(
-        self, book: JobBook, clock: Clock, settings: PlacementSettings
+        self,
+        book: JobBook,
+        clock: Clock,
+        settings: PlacementSettings,
+        advice: AdviceDesk,
     ) -> None:
         self._book = book
+        self._advice = advice
         self._clock = clock
         self._settings = settings
 
@@ -130,19 +140,77 @@
             ]
             if not waiting:
                 continue
-            if step.gang:
-                placements += self._place_gang(record, step, waiting, workers)
+            placements += self._place_step(record, step, waiting, workers)
+        return placements
+
+    def _place_step(
+        self,
+        record: JobRecord,
+        step: Step,
+        waiting: list[TaskKey],
+        workers: list[WorkerState],
+    ) -> list[Placement]:
+        queue = self._book.find_queue(record.submission)
+        tickets: dict[str, str] = {}
+        if queue.advice_seconds:
+            tickets = self._find_tickets(record, waiting[0], workers, queue)
+            workers = [item for item in workers if item.name in tickets]
+        if step.gang:
+            placed = self._place_gang(record, step, waiting, workers)
+        else:
+            placed = self._place_tasks(record, step, waiting, workers)
+        return [
+            replace(item, ticket=tickets.get(item.worker.name, ""))
+            for item in placed
+        ]
+
+    def _find_tickets(
+        self,
+        record: JobRecord,
+        key: TaskKey,
+        workers: list[WorkerState],
+        queue: Queue,
+    ) -> dict[str, str]:
+        return self._advice.find_tickets(
+            record.name_step(key),
+            [(item.name, item.entry.born_ms) for item in workers],
+            queue.advice_seconds,
+        )
+
+    def _place_tasks(
+        self,
+        record: JobRecord,
+        step: Step,
+        waiting: list[TaskKey],
+        workers: list[WorkerState],
+    ) -> list[Placement]:
+        placements: list[Placement] = []
+        for key in waiting:
+            worker = self._choose(record, step, key, workers)
+            if worker is None:
+                if not step.spread_limit:
+                    break  # its siblings are of the same size
                 continue
-            for key in waiting:
-                worker = self._choose(record, step, key, workers)
-                if worker is None:
-                    if not step.spread_limit:
-                        break  # its siblings are of the same size
-                    continue
-                run = self._book.place(record, key, worker)
-                placements.append(Placement(record, key, worker, run))
+            run = self._book.place(record, key, worker)
+            placements.append(Placement(record, key, worker, run))
         return placements
 
+    def leave_draining(self) -> None:
+        """Stop lasting tasks of workers that leave, if another has room."""
+        for worker in list(self._book.workers.values()):
+            if not worker.entry.draining:
+                continue
+            for task, run in list(worker.runs.items()):
+                record = self._book.jobs.get(run.job)
+                if run.stopping or record is None or not run.step.lasting:
+                    continue
+                if self.find_place(record, run.key) is not None:
+                    logger.info(
+                        "lasting task leaves a draining worker",
+                        extra={"task": task, "worker": worker.name},
+                    )
+                    worker.replace_run(task, replace(run, stopping=True))
+
     def find_place(
         self, record: JobRecord, key: TaskKey
     ) -> WorkerState | None:
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -24,6 +24,7 @@
     "Expectation",
     "HistoryLostFailure",
     "HoldAnswer",
+    "PolicyService",
     "Refusal",
     "Row",
     "RowKey",
@@ -280,6 +281,10 @@
         """Let a run work at that share of its speed."""
         ...
 
+
+class PolicyService(Protocol):
+    """Tells which workers may run a step."""
+
     def advise(
         self, step: str, workers: list[str]
     ) -> Result[dict[str, str], WorkerCallFailure]:
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -149,6 +149,10 @@
         """Return the name by which workers know the task."""
         return f"{self.name}.{key.occurrence}.{key.step}.{key.index}"
 
+    def name_step(self, key: TaskKey) -> str:
+        """Return the name by which the policy service knows the step."""
+        return f"{self.name}.{key.occurrence}.{key.step}"
+
     def get_task(self, key: TaskKey) -> TaskState:
         """Return the state of a task."""
         return self.tasks.get(key, UNTOUCHED)
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -42,6 +42,7 @@
     in_doubt: bool = False
     stopping: bool = False
     stop_answered_at: float = 0.0
+    percent: int = 100  # the speed that was ordered
     listing: RunListing | None = None
 
     @property
@@ -70,6 +71,8 @@
         self.silent = False  # the last call had no answer
         self.failure_streak = 0
         self.avoided_until = 0.0
+        self.filler_percent = 100  # the speed of tasks that fill
+        self.paced_at = 0.0  # when that was last changed
 
     @property
     def name(self) -> str:
--- a/chestnutstair/tests/scheduling_support.py
+++ b/chestnutstair/tests/scheduling_support.py
@@ -3,6 +3,9 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
+from result import Ok, Result
+
+from chestnutstair.scheduling.advice import AdviceDesk
 from chestnutstair.scheduling.book import BookSettings, JobBook
 from chestnutstair.scheduling.configuration import (
     FleetConfiguration,
@@ -16,8 +19,10 @@
 )
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
+    PolicyService,
     RunEnd,
     RunListing,
+    WorkerCallFailure,
     WorkerEntry,
 )
 from chestnutstair.scheduling.progress import JobRecord, Submission
@@ -32,6 +37,7 @@
     (
         Queue("quick", "example", "/quick/", "boxes", 0, 2, 1.6, 600),
         Queue("heavy", "example", "/heavy/", "boxes", 1, 2, 1.6, 600),
+        Queue("ruled", "example", "/ruled/", "boxes", advice_seconds=3.0),
     ),
     {
         "boxes": Service("boxes"),
@@ -72,6 +78,21 @@
     )
 
 
+class FakePolicy(PolicyService):
+    """A policy service that a test tells what to answer."""
+
+    def __init__(self) -> None:
+        self.good: dict[str, str] = {}
+        self.asked: list[tuple[str, list[str]]] = []
+
+    def advise(
+        self, step: str, workers: list[str]
+    ) -> Result[dict[str, str], WorkerCallFailure]:
+        """Answer with the good ones of the workers named."""
+        self.asked.append((step, workers))
+        return Ok({n: t for n, t in self.good.items() if n in workers})
+
+
 class BookCase:
     """A book on a clock that tests move, with workers that answer."""
 
@@ -80,7 +101,11 @@
         self.settings = BookSettings()
         self.book = JobBook(self.clock, 1, self.settings)
         self.book.configuration = CONFIGURATION
-        self.planner = Planner(self.book, self.clock, PlacementSettings())
+        self.policy = FakePolicy()
+        self.advice = AdviceDesk(self.policy, self.clock)
+        self.planner = Planner(
+            self.book, self.clock, PlacementSettings(), self.advice
+        )
         self.born = 1
         for name in workers:
             self.book.note_worker(build_entry(name))
--- a/chestnutstair/tests/test_book.py
+++ b/chestnutstair/tests/test_book.py
@@ -209,6 +209,36 @@
         self.assertFalse(self.case.book.may_be_away(self.record, FIRST))
 
 
+class StuckRunsTest(unittest.TestCase):
+    """A run that stands still is tried once on another worker."""
+
+    def setUp(self) -> None:
+        self.case = BookCase(("w1", "w2"))
+        self.case.admit("j", [Step(1, 1000, estimate_ms=1000)])
+        self.first = self.case.plan()[0]
+        self.case.start_all([self.first])
+
+    def wait(self, seconds: float) -> list[int]:
+        """Return the runs to stop after a while."""
+        self.case.clock.now += seconds
+        self.case.answer_all()
+        self.case.book.stop_stuck()
+        return [stop.run for stop in self.case.book.list_stops()]
+
+    def test_a_run_within_three_times_its_estimate_goes_on(self) -> None:
+        self.assertEqual(self.wait(3.0), [])
+
+    def test_a_stuck_run_is_tried_elsewhere_once(self) -> None:
+        self.assertEqual(self.wait(5.5), [1])
+        worker = self.first.worker
+        ends = [RunEnd(1, "j.0.0.0", 1, "stopped", "")]
+        self.case.answer(worker.name, (), ends)
+        second = self.case.plan()
+        self.assertNotEqual(second[0].worker.name, worker.name)
+        self.case.start_all(second)
+        self.assertEqual(self.wait(60.0), [], "it may just take that long")
+
+
 class RegistryTest(unittest.TestCase):
     """Entries of workers come late, vanish and come back."""
 
@@ -220,6 +250,18 @@
         self.case.admit("j", [Step(1, 1000)])
         self.assertEqual(self.case.plan(), [])
 
+    def test_lasting_tasks_leave_a_draining_worker(self) -> None:
+        self.case.admit("j", [Step(1, 1000, lasting=True)])
+        self.case.start_all(self.case.plan())
+        self.case.answer_all()
+        self.case.move_entry("w1", draining=True)
+        self.case.planner.leave_draining()
+        self.assertEqual(self.case.book.list_stops(), [], "no other has room")
+        self.case.book.note_worker(build_entry("w2"))
+        self.case.answer("w2")
+        self.case.planner.leave_draining()
+        self.assertEqual(len(self.case.book.list_stops()), 1)
+
     def test_a_worker_that_left_and_came_back_is_used(self) -> None:
         self.case.admit("j", [Step(1, 1000)])
         self.case.book.drop_worker("w1")
