Serve counters and latency histograms of the scheduler

Cause: the metrics address served only the client's calls to the platform. Ruled out: a histogram for each worker, whose number grows with the fleet.

--- a/chestnutstair/scheduling/desk.py
+++ b/chestnutstair/scheduling/desk.py
@@ -21,6 +21,10 @@
     encode_submission,
 )
 from chestnutstair.scheduling.leader import PROGRESS_TABLE, Leader
+from chestnutstair.scheduling.metrics import (
+    SUBMISSION_SECONDS,
+    SUBMISSIONS,
+)
 from chestnutstair.scheduling.ports import (
     ConditionFailure,
     Expectation,
@@ -127,6 +131,7 @@
         self, queue: Queue, job: str, body: bytes, deadline: Deadline
     ) -> Outcome:
         """Store a job; the same name again is the same job."""
+        began = self._clock.read_monotonic()
         accepted_ms = int(self._clock.read_wall() * 1000)
         value = encode_submission(queue.name, queue.service, accepted_ms, body)
         result = self.store_submission(job, value, deadline)
@@ -143,7 +148,12 @@
                 "outcome": "stored" if result.is_ok() else str(result.err()),
             },
         )
-        return Outcome(failure=result.err())
+        taken = self._clock.read_monotonic() - began
+        SUBMISSION_SECONDS.observe(taken)
+        failure = result.err()
+        kind = "stored" if failure is None else type(failure).__name__
+        SUBMISSIONS.labels(kind).inc()
+        return Outcome(failure=failure)
 
     def store_submission(
         self, job: str, value: bytes, deadline: Deadline
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -12,6 +12,7 @@
 
 from chestnutstair.coordination.platform import PlatformFailure
 from chestnutstair.scheduling.leader import Leader
+from chestnutstair.scheduling.metrics import LEADING
 from chestnutstair.scheduling.ports import (
     Expectation,
     RowStore,
@@ -168,6 +169,7 @@
             self._stopped.wait(pause)
 
     def _step(self) -> None:
+        LEADING.set(int(self.is_leading))
         leader = self.leader
         if leader is not None:
             if leader.has_ended:
--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -13,6 +13,7 @@
 from chestnutstair.scheduling.guards import OrderGuards, VmOrder
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.load import PoolLoad, measure_loads
+from chestnutstair.scheduling.metrics import VM_ORDERS
 from chestnutstair.scheduling.placement import Planner
 from chestnutstair.scheduling.ports import (
     RowStore,
@@ -243,6 +244,7 @@
         )
         match answer:
             case Ok(_):
+                VM_ORDERS.labels("maintain" if wave else "move").inc()
                 self._orders[vm] = order
                 self._retire(vm)
                 if wave:
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -26,6 +26,12 @@
     read_job_name,
 )
 from chestnutstair.scheduling.load import measure_loads
+from chestnutstair.scheduling.metrics import (
+    FIRST_STARTS,
+    PLANNING,
+    STARTS,
+    STORE_WRITES,
+)
 from chestnutstair.scheduling.pacing import Pace, Pacer, PacingSettings
 from chestnutstair.scheduling.placement import Placement, Planner
 from chestnutstair.scheduling.ports import (
@@ -42,7 +48,7 @@
     WorkerControl,
     WrongIncarnationFailure,
 )
-from chestnutstair.scheduling.progress import JobState
+from chestnutstair.scheduling.progress import JobRecord, JobState
 from chestnutstair.scheduling.term import PARTITION, Term, Written
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock, Deadline
@@ -436,7 +442,7 @@
                 self._clock.sleep(left)
 
     def _work(self) -> None:
-        with self.book.lock:
+        with self.book.lock, PLANNING.time():
             now = self._clock.read_monotonic()
             self.book.release_lapsed()
             self.book.stop_stuck()
@@ -459,7 +465,8 @@
             return
         batch = self._settings.batch_rows
         for first in range(0, max(1, len(writes)), batch):
-            outcome = self.term.write(writes[first : first + batch])
+            with STORE_WRITES.time():
+                outcome = self.term.write(writes[first : first + batch])
             if outcome is not Written.DONE:
                 self._lose(outcome.value)
                 return
@@ -642,9 +649,11 @@
                 else describe_failure(answer.unwrap_err()),
             },
         )
+        STARTS.labels("ok" if answer.is_ok() else "not started").inc()
         with self.book.lock:
             match answer:
                 case Ok(_):
+                    self._measure_first_start(record)
                     self.book.note_started(worker, task, placement.run)
                 case Err(failure):
                     if failure == StartRefusedFailure(Refusal.TICKET):
@@ -658,6 +667,13 @@
                     )
                     self.wake()
 
+    def _measure_first_start(self, record: JobRecord) -> None:
+        if not record.start_measured:
+            record.start_measured = True
+            accepted = record.submission.accepted_ms / 1000
+            seconds = self._clock.read_wall() - accepted
+            FIRST_STARTS.observe(max(0.0, seconds))
+
     def _note_not_started(
         self, worker: WorkerState, task: str, run: int, failure: object
     ) -> None:
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -121,6 +121,7 @@
         self._done: dict[tuple[int, int], int] = {}
         self._complete = 0  # steps of occurrences whose tasks are all done
         self.started = False
+        self.start_measured = False
         self.lateness = Lateness.IN_TIME  # as last planned
 
     @property
