Split the leader: tenure, orders and sessions are modules of their own

A start whose order was lost within the process would have stayed placed for ever: found by reading. Ruled out: nothing else changes. Change: orders.py, sessions.py, tenure.py; a start without any answer after 3 s is stopped and tried again, with a test.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -23,7 +23,14 @@
 )
 from chestnutstair.scheduling.fleet import FleetKeeper, FleetKeeperSettings
 from chestnutstair.scheduling.leader import Leader, LeaderSettings
+from chestnutstair.scheduling.orders import OrderSender, OrderSettings
+from chestnutstair.scheduling.pacing import Pacer, PacingSettings
 from chestnutstair.scheduling.placement import PlacementSettings, Planner
+from chestnutstair.scheduling.sessions import (
+    SessionKeeper,
+    SessionSettings,
+)
+from chestnutstair.scheduling.tenure import Tenure
 from chestnutstair.scheduling.term import Term, TermSettings
 from chestnutstair.scheduling.watch import OperatorWatch
 from chestnutstair.scheduling.workers import SLOWEST_CLOCK
@@ -110,9 +117,10 @@
         )
 
     def _build_leader(self, term: Term, before_ended: bool) -> Leader:
-        settings = LeaderSettings(
+        clock = self._clock
+        settings = OrderSettings(
             lease_seconds=min(
-                LeaderSettings.lease_seconds,
+                OrderSettings.lease_seconds,
                 self._settings.longest_lease_seconds,
             )
         )
@@ -122,25 +130,38 @@
             lapse += (
                 TermSettings.give_up_seconds - ElectionSettings.expiry_seconds
             )
-        book = JobBook(
-            self._clock, term.epoch, BookSettings(takeover_lapse_seconds=lapse)
-        )
+        book = JobBook(clock, BookSettings(takeover_lapse_seconds=lapse))
         configuration = self._watch.configuration
         if configuration is not None:
             book.configuration = configuration
-        advice = AdviceDesk(self._workers, self._clock)
-        planner = Planner(book, self._clock, PlacementSettings(), advice)
+        tenure = Tenure(term)
+        advice = AdviceDesk(self._workers, clock)
+        pacer = Pacer(clock, PacingSettings())
+        planner = Planner(book, clock, PlacementSettings(), advice)
+        orders = OrderSender(
+            tenure, book, self._workers, advice, pacer, clock, settings
+        )
+        sessions = SessionKeeper(
+            tenure,
+            book,
+            self._workers,
+            orders,
+            pacer,
+            clock,
+            SessionSettings(),
+        )
         leader = Leader(
-            term,
+            tenure,
             book,
             planner,
             advice,
             self._store,
-            self._workers,
+            sessions,
+            orders,
             self._decoder,
             PlatformSubmissions(),
-            self._clock,
-            settings,
+            clock,
+            LeaderSettings(),
         )
         times = self._settings.pools
         keeper = FleetKeeper(
--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -47,7 +47,8 @@
     its estimate and `stuck_seconds` more is stopped and tried elsewhere:
     estimates are up to half off, and tasks of one step uneven. What a
     worker listed is believed for `contact_seconds`, a little more than the
-    wait of one hold.
+    wait of one hold. A start that is not answered after `unsent_seconds`,
+    six times the limit of an order, is taken as lost.
     """
 
     takeover_lapse_seconds: float = 7.0
@@ -56,6 +57,7 @@
     contact_seconds: float = 1.6
     stuck_factor: float = 3.0
     stuck_seconds: float = 2.0
+    unsent_seconds: float = 3.0
 
 
 @dataclass(frozen=True)
@@ -79,9 +81,7 @@
 class JobBook:
     """The state of one leader."""
 
-    def __init__(
-        self, clock: Clock, epoch: int, settings: BookSettings
-    ) -> None:
+    def __init__(self, clock: Clock, settings: BookSettings) -> None:
         self.lock = threading.RLock()
         self.configuration = FleetConfiguration(0)
         self.jobs: dict[str, JobRecord] = {}
@@ -92,7 +92,6 @@
         self.arrivals: deque[Arrival] = deque(maxlen=ARRIVALS_KEPT)
         self._retired: set[tuple[str, int]] = set()
         self._clock = clock
-        self._epoch = epoch
         self._settings = settings
         self._began_at = clock.read_monotonic()
 
@@ -534,7 +533,11 @@
         now = self._clock.read_monotonic()
         for worker in self.workers.values():
             for task, run in list(worker.runs.items()):
-                if self._is_stuck(run, now):
+                if self._is_unsent(run, now):
+                    worker.replace_run(
+                        task, replace(run, in_doubt=True, stopping=True)
+                    )
+                elif self._is_stuck(run, now):
                     logger.info(
                         "run takes too long; trying another worker",
                         extra={
@@ -548,6 +551,12 @@
                     avoided = now + self._settings.avoid_seconds
                     worker.avoided_until = max(worker.avoided_until, avoided)
 
+    def _is_unsent(self, run: PlacedRun, now: float) -> bool:
+        # Its order was lost in this process; it may still have been sent.
+        age = now - run.placed_at
+        waits = not (run.confirmed_at or run.in_doubt or run.stopping)
+        return waits and age > self._settings.unsent_seconds
+
     def _is_stuck(self, run: PlacedRun, now: float) -> bool:
         step = run.step
         if run.stopping or not run.confirmed_at or run.run > 1:
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -3,17 +3,12 @@
 import logging
 import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
 from result import Err, Ok
 
-from chestnutstair.coordination.platform import (
-    UnavailableFailure,
-    UnknownOutcomeFailure,
-)
 from chestnutstair.scheduling.advice import AdviceDesk
-from chestnutstair.scheduling.book import JobBook, Stop
+from chestnutstair.scheduling.book import JobBook
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.feed import Feed
 from chestnutstair.scheduling.intake import (
@@ -27,28 +22,23 @@
 )
 from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.metrics import (
-    FIRST_STARTS,
     PLANNING,
-    STARTS,
     STORE_WRITES,
 )
-from chestnutstair.scheduling.pacing import Pace, Pacer, PacingSettings
-from chestnutstair.scheduling.placement import Placement, Planner
+from chestnutstair.scheduling.orders import OrderSender
+from chestnutstair.scheduling.placement import Planner
 from chestnutstair.scheduling.ports import (
     Changes,
-    Refusal,
     Row,
     RowKey,
     RowStore,
     RowWrite,
-    StartOrder,
-    StartRefusedFailure,
     SubmissionCodec,
     WireDecoder,
-    WorkerControl,
-    WrongIncarnationFailure,
 )
-from chestnutstair.scheduling.progress import JobRecord, JobState
+from chestnutstair.scheduling.progress import JobState
+from chestnutstair.scheduling.sessions import SessionKeeper
+from chestnutstair.scheduling.tenure import Tenure
 from chestnutstair.scheduling.term import PARTITION, Term, Written
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock, Deadline
@@ -67,27 +57,20 @@
 class LeaderSettings:
     """Times of the leader's work.
 
-    `lease_seconds` is how long runs go on without word from a leader: long
-    enough to outlive a restart of every node, short enough that work of a
-    lost worker starts again in time to be of use. `hold_seconds` is the
-    wait of one listing. `beat_seconds` is the longest time between writes;
-    `write_gap_seconds` the shortest, which groups what comes close
-    together. `intake_gap_seconds` lie between reads of the intake, whose
-    rows also come by messages from the other nodes, and
-    `registry_gap_seconds` between reads of the registry, where a VM that
-    has moved must be seen at once.
-    `order_threads` send orders side by side. `batch_rows` are written at
-    once at most. `keep_seconds` is how long ended jobs can be asked for.
+    `beat_seconds` is the longest time between writes; `write_gap_seconds`
+    the shortest, which groups what comes close together.
+    `intake_gap_seconds` lie between reads of the intake, whose rows also
+    come by messages from the other nodes, and `registry_gap_seconds`
+    between reads of the registry, where a VM that has moved must be seen at
+    once. `batch_rows` are written at once, under the store's bound of 100.
+    `keep_seconds` is how long ended jobs can be asked for, more than the
+    120 s that callers may count on.
     """
 
-    lease_seconds: float = 6.0
-    hold_seconds: float = 1.0
     beat_seconds: float = 0.4
     write_gap_seconds: float = 0.02
     intake_gap_seconds: float = 0.3
     registry_gap_seconds: float = 0.05
-    retry_seconds: float = 0.2
-    order_threads: int = 24
     batch_rows: int = 90
     keep_seconds: float = 150.0
     read_seconds: float = 3.0
@@ -99,35 +82,29 @@
 
     def __init__(
         self,
-        term: Term,
+        tenure: Tenure,
         book: JobBook,
         planner: Planner,
         advice: AdviceDesk,
         store: RowStore,
-        workers: WorkerControl,
+        sessions: SessionKeeper,
+        orders: OrderSender,
         decoder: WireDecoder,
         submissions: SubmissionCodec,
         clock: Clock,
         settings: LeaderSettings,
     ) -> None:
-        self.term = term
+        self._tenure = tenure
         self.book = book
         self._planner = planner
         self._advice = advice
         self._store = store
-        self._workers = workers
+        self._sessions = sessions
+        self._orders = orders
         self._decoder = decoder
         self._submissions = submissions
         self._clock = clock
         self._settings = settings
-        self._pacer = Pacer(clock, PacingSettings())
-        self._woken = threading.Event()
-        self._ended = threading.Event()
-        self._stored: dict[int, threading.Event] = {}
-        self._orders = ThreadPoolExecutor(
-            settings.order_threads, thread_name_prefix="order"
-        )
-        self._stops_sent: set[tuple[str, str, int]] = set()
         self._main = threading.Thread(
             target=self._run, name="leader", daemon=True
         )
@@ -138,6 +115,11 @@
         self._logged_at = 0.0
         self._swept_at = clock.read_monotonic()
 
+    @property
+    def term(self) -> Term:
+        """Return the term."""
+        return self._tenure.term
+
     # Life
 
     def load(self) -> bool:
@@ -212,12 +194,11 @@
         for companion in self._companions:
             companion()
         self._main.start()
-        self._woken.set()
+        self._tenure.woken.set()
 
     def end(self, release: bool, avoided_zone: str = "") -> None:
         """Send no more orders; hand the term over if it is to be released."""
-        self._ended.set()
-        self._woken.set()
+        self._tenure.end()
         for feed in self._feeds:
             feed.stop()
         if self._main.is_alive():
@@ -228,17 +209,17 @@
                 "term released",
                 extra={"epoch": self.term.epoch, "outcome": outcome.value},
             )
-        self._orders.shutdown(wait=False)
+        self._orders.close()
         self._advice.close()
 
     @property
     def has_ended(self) -> bool:
         """Tell whether the term is over."""
-        return self._ended.is_set()
+        return self._tenure.has_ended
 
     def wake(self) -> None:
         """Plan soon."""
-        self._woken.set()
+        self._tenure.woken.set()
 
     def set_configuration(self, configuration: FleetConfiguration) -> None:
         """Take over a configuration, unless it is older."""
@@ -258,7 +239,7 @@
             self._writes += writes
             self._waiting_stores.append(done)
         self.wake()
-        return done.wait(seconds) and not self._ended.is_set()
+        return done.wait(seconds) and not self._tenure.has_ended
 
     def add_write(self, write: RowWrite) -> None:
         """Let a row go with the next write of the term."""
@@ -316,7 +297,7 @@
             return  # written by somebody else; names no worker
         worker = self.book.note_worker(entry)
         if worker is not None:
-            self._start_session(worker)
+            self._sessions.start_session(worker)
 
     def _replace_registry(self, changes: Changes) -> None:
         self._apply_registry(changes)
@@ -326,110 +307,13 @@
                 if name not in names:
                     self.book.drop_worker(name)
 
-    # Workers
-
-    def _start_session(self, worker: WorkerState) -> None:
-        self._stored[id(worker)] = threading.Event()
-        threading.Thread(
-            target=self._run_session,
-            args=(worker,),
-            name=f"worker {worker.name}",
-            daemon=True,
-        ).start()
-
-    def _run_session(self, worker: WorkerState) -> None:
-        """Hold the worker's lease and listen to it until it is gone."""
-        wait = 0.0
-        while not self._ended.is_set() and self._is_current(worker):
-            if self._hold(worker, wait):
-                wait = self._settings.hold_seconds
-            else:
-                wait = 0.0
-                self._ended.wait(self._settings.retry_seconds)
-        self._stored.pop(id(worker), None)
-
-    def _is_current(self, worker: WorkerState) -> bool:
-        with self.book.lock:
-            current = self.book.workers.get(worker.name)
-            if current is None or current is worker:
-                return current is worker
-            if id(current) not in self._stored:
-                # Its restart was seen in its own listing.
-                self._start_session(current)
-            return False
-
-    def _extend_lease(self, worker: WorkerState) -> int | None:
-        # The deadline counts as sent before it is. A worker that does not
-        # answer gets no further lease: its runs have to lapse some time.
-        if worker.contact is None or worker.silent:
-            return None
-        now = self._clock.read_monotonic()
-        deadline_ms = worker.contact.estimate_clock_ms(now) + int(
-            self._settings.lease_seconds * 1000
-        )
-        worker.sent_deadline_ms = max(worker.sent_deadline_ms, deadline_ms)
-        return deadline_ms
-
-    def _hold(self, worker: WorkerState, wait: float) -> bool:
-        with self.book.lock:
-            deadline_ms = self._extend_lease(worker)
-            seen = worker.seen_stored
-        sent = self._clock.read_monotonic()
-        answer = self._workers.hold(
-            worker.entry, self.term.epoch, seen, deadline_ms, wait
-        )
-        match answer:
-            case Ok(listing):
-                with self.book.lock:
-                    worker.silent = False
-                    worker.seen_sent = max(worker.seen_sent, seen)
-                    before = worker.contact
-                    known = self.book.note_hold(worker, listing, sent)
-                    paces = self._pacer.adjust(worker)
-                    unstored = worker.seen_applied > worker.seen_stored
-                if unstored or before is None or not known:
-                    self.wake()
-                for pace in paces:
-                    self._orders.submit(self._pace, worker, pace)
-                if unstored:
-                    self._wait_stored(worker)
-                return known
-            case Err(StartRefusedFailure(reason)) if reason == Refusal.FENCE:
-                self._lose("a worker knows a newer fence")
-            case Err(failure):
-                if not worker.silent:
-                    worker.silent = True
-                    logger.info(
-                        "worker does not answer",
-                        extra={
-                            "worker": worker.name,
-                            "reason": describe_failure(failure),
-                            "runs": len(worker.runs),
-                        },
-                    )
-        return False
-
-    def _wait_stored(self, worker: WorkerState) -> None:
-        event = self._stored.get(id(worker))
-        if event is not None:
-            event.wait(self._settings.hold_seconds / 2)
-            event.clear()
-
-    def _lose(self, why: str) -> None:
-        if not self._ended.is_set():
-            logger.warning(
-                "term lost", extra={"epoch": self.term.epoch, "reason": why}
-            )
-        self._ended.set()
-        self._woken.set()
-
     # Planning and storing
 
     def _run(self) -> None:
         gap = self._settings.write_gap_seconds
-        while not self._ended.is_set():
-            self._woken.wait(self._settings.beat_seconds)
-            self._woken.clear()
+        while not self._tenure.has_ended:
+            self._tenure.woken.wait(self._settings.beat_seconds)
+            self._tenure.woken.clear()
             began = self._clock.read_monotonic()
             try:
                 self._work()
@@ -460,7 +344,7 @@
                 for worker in self.book.workers.values()
             ]
         for stop in stops:
-            self._submit_stop(stop)
+            self._orders.submit_stop(stop)
         if not writes and not self._is_beat_due():
             return
         batch = self._settings.batch_rows
@@ -468,14 +352,14 @@
             with STORE_WRITES.time():
                 outcome = self.term.write(writes[first : first + batch])
             if outcome is not Written.DONE:
-                self._lose(outcome.value)
+                self._tenure.lose(outcome.value)
                 return
         self._note_written(states, seen)
         for done in stores:
             done.set()
         self._log_pools()
         for placement in placements:
-            self._orders.submit(self._start, placement)
+            self._orders.submit_start(placement)
         self._sweep()
 
     def _is_beat_due(self) -> bool:
@@ -506,9 +390,7 @@
             for worker, number in seen:
                 if number > worker.seen_stored:
                     worker.seen_stored = number
-                    event = self._stored.get(id(worker))
-                    if event is not None:
-                        event.set()
+                    self._sessions.note_stored(worker)
 
     def _log_pools(self) -> None:
         now = self._clock.read_monotonic()
@@ -557,138 +439,3 @@
             "old jobs removed",
             extra={"count": len(old), "stored": removed.is_ok()},
         )
-
-    # Orders
-
-    def _submit_stop(self, stop: Stop) -> None:
-        mark = (stop.worker.name, stop.task, stop.run)
-        if mark not in self._stops_sent:
-            self._stops_sent.add(mark)
-            self._orders.submit(self._stop, stop, mark)
-
-    def _stop(self, stop: Stop, mark: tuple[str, str, int]) -> None:
-        try:
-            answer = self._workers.stop(
-                stop.worker.entry, stop.task, stop.run, self.term.epoch
-            )
-            logger.info(
-                "stop sent",
-                extra={
-                    "task": stop.task,
-                    "run": stop.run,
-                    "worker": stop.worker.name,
-                    "answered": answer.is_ok(),
-                },
-            )
-            match answer:
-                case Ok(_) | Err(StartRefusedFailure()):
-                    with self.book.lock:
-                        self.book.note_stopped(
-                            stop.worker, stop.task, stop.run
-                        )
-                case Err(_):
-                    self._ended.wait(self._settings.retry_seconds)
-        finally:
-            self._stops_sent.discard(mark)
-            self.wake()
-
-    def _pace(self, worker: WorkerState, pace: Pace) -> None:
-        answer = self._workers.pace(
-            worker.entry, pace.task, pace.run, pace.percent, self.term.epoch
-        )
-        logger.info(
-            "pace sent",
-            extra={
-                "task": pace.task,
-                "percent": pace.percent,
-                "worker": worker.name,
-                "answered": answer.is_ok(),
-            },
-        )
-        if answer.is_ok():
-            with self.book.lock:
-                self._pacer.note_paced(worker, pace)
-
-    def _start(self, placement: Placement) -> None:
-        worker = placement.worker
-        record = placement.record
-        task = record.name_task(placement.key)
-        with self.book.lock:
-            placed = worker.runs.get(task)
-            if (
-                self._ended.is_set()
-                or placed is None
-                or placed.run != placement.run
-            ):
-                return
-            deadline_ms = self._extend_lease(worker)
-            if placed.stopping or deadline_ms is None:
-                self.book.withdraw(worker, task, placement.run, "not sent")
-                self.wake()
-                return
-            saved = record.get_task(placement.key).saved
-        order = StartOrder(
-            task,
-            placement.run,
-            record.submission.specification.payload,
-            deadline_ms,
-            self.term.epoch,
-            saved,
-            placement.ticket,
-        )
-        answer = self._workers.start(worker.entry, order)
-        logger.info(
-            "start sent",
-            extra={
-                "task": task,
-                "run": placement.run,
-                "worker": worker.name,
-                "epoch": self.term.epoch,
-                "outcome": "ok"
-                if answer.is_ok()
-                else describe_failure(answer.unwrap_err()),
-            },
-        )
-        STARTS.labels("ok" if answer.is_ok() else "not started").inc()
-        with self.book.lock:
-            match answer:
-                case Ok(_):
-                    self._measure_first_start(record)
-                    self.book.note_started(worker, task, placement.run)
-                case Err(failure):
-                    if failure == StartRefusedFailure(Refusal.TICKET):
-                        self._advice.drop(
-                            record.name_step(placement.key),
-                            worker.name,
-                            worker.entry.born_ms,
-                        )
-                    self._note_not_started(
-                        worker, task, placement.run, failure
-                    )
-                    self.wake()
-
-    def _measure_first_start(self, record: JobRecord) -> None:
-        if not record.start_measured:
-            record.start_measured = True
-            accepted = record.submission.accepted_ms / 1000
-            seconds = self._clock.read_wall() - accepted
-            FIRST_STARTS.observe(max(0.0, seconds))
-
-    def _note_not_started(
-        self, worker: WorkerState, task: str, run: int, failure: object
-    ) -> None:
-        now = self._clock.read_monotonic()
-        match failure:
-            case UnknownOutcomeFailure():
-                self.book.note_doubt(worker, task, run)
-            case StartRefusedFailure(Refusal.FENCE):
-                self._lose("a worker knows a newer fence")
-            case StartRefusedFailure(reason):
-                worker.avoided_until = now + self._settings.retry_seconds
-                self.book.withdraw(worker, task, run, reason)
-            case UnavailableFailure(reason):
-                worker.avoided_until = now + self._settings.retry_seconds
-                self.book.withdraw(worker, task, run, reason)
-            case WrongIncarnationFailure():
-                self.book.withdraw(worker, task, run, "another incarnation")
-                self.book.drop_worker(worker.name)
--- /dev/null
+++ b/chestnutstair/scheduling/orders.py
@@ -0,0 +1,236 @@
+"""Sends orders to workers and notes what came of them."""
+
+import logging
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from result import Err, Ok
+
+from chestnutstair.coordination.platform import (
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.scheduling.advice import AdviceDesk
+from chestnutstair.scheduling.book import JobBook, Stop
+from chestnutstair.scheduling.metrics import FIRST_STARTS, STARTS
+from chestnutstair.scheduling.pacing import Pace, Pacer
+from chestnutstair.scheduling.placement import Placement
+from chestnutstair.scheduling.ports import (
+    Refusal,
+    StartOrder,
+    StartRefusedFailure,
+    WorkerControl,
+    WrongIncarnationFailure,
+)
+from chestnutstair.scheduling.progress import JobRecord
+from chestnutstair.scheduling.tenure import Tenure
+from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.state.deadline import Clock
+from chestnutstair.state.failure import describe_failure
+
+__all__ = ["OrderSender", "OrderSettings"]
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class OrderSettings:
+    """Times of orders.
+
+    `lease_seconds` is how long runs go on without word from a leader: long
+    enough to outlive a restart of every node, short enough that work of a
+    lost worker starts again in time to be of use. `threads` send orders
+    side by side. After a refusal or a lost answer `retry_seconds` pass.
+    """
+
+    lease_seconds: float = 6.0
+    retry_seconds: float = 0.2
+    threads: int = 24
+
+
+class OrderSender:
+    """Starts, stops and paces runs, several at once."""
+
+    def __init__(
+        self,
+        tenure: Tenure,
+        book: JobBook,
+        workers: WorkerControl,
+        advice: AdviceDesk,
+        pacer: Pacer,
+        clock: Clock,
+        settings: OrderSettings,
+    ) -> None:
+        self._tenure = tenure
+        self._book = book
+        self._workers = workers
+        self._advice = advice
+        self._pacer = pacer
+        self._clock = clock
+        self._settings = settings
+        self._stops_sent: set[tuple[str, str, int]] = set()
+        self._threads = ThreadPoolExecutor(
+            settings.threads, thread_name_prefix="order"
+        )
+
+    def close(self) -> None:
+        """Send no more; orders under way are not waited for."""
+        self._threads.shutdown(wait=False)
+
+    def extend_lease(self, worker: WorkerState) -> int | None:
+        """Return the deadline to send, None if the lease stays as it is.
+
+        It counts as sent before it is. A worker that does not answer gets
+        no further lease: its runs have to lapse some time. The caller holds
+        the book's lock.
+        """
+        if worker.contact is None or worker.silent:
+            return None
+        now = self._clock.read_monotonic()
+        deadline_ms = worker.contact.estimate_clock_ms(now) + int(
+            self._settings.lease_seconds * 1000
+        )
+        worker.sent_deadline_ms = max(worker.sent_deadline_ms, deadline_ms)
+        return deadline_ms
+
+    def submit_stop(self, stop: Stop) -> None:
+        """Send a stop, unless it is under way."""
+        mark = (stop.worker.name, stop.task, stop.run)
+        if mark not in self._stops_sent:
+            self._stops_sent.add(mark)
+            self._threads.submit(self._stop, stop, mark)
+
+    def submit_start(self, placement: Placement) -> None:
+        """Send a start that has been stored."""
+        self._threads.submit(self._start, placement)
+
+    def submit_pace(self, worker: WorkerState, pace: Pace) -> None:
+        """Send the speed that a run is to have."""
+        self._threads.submit(self._pace, worker, pace)
+
+    def _stop(self, stop: Stop, mark: tuple[str, str, int]) -> None:
+        try:
+            answer = self._workers.stop(
+                stop.worker.entry, stop.task, stop.run, self._tenure.epoch
+            )
+            logger.info(
+                "stop sent",
+                extra={
+                    "task": stop.task,
+                    "run": stop.run,
+                    "worker": stop.worker.name,
+                    "answered": answer.is_ok(),
+                },
+            )
+            match answer:
+                case Ok(_) | Err(StartRefusedFailure()):
+                    with self._book.lock:
+                        self._book.note_stopped(
+                            stop.worker, stop.task, stop.run
+                        )
+                case Err(_):
+                    self._tenure.ended.wait(self._settings.retry_seconds)
+        finally:
+            self._stops_sent.discard(mark)
+            self._tenure.wake()
+
+    def _pace(self, worker: WorkerState, pace: Pace) -> None:
+        answer = self._workers.pace(
+            worker.entry, pace.task, pace.run, pace.percent, self._tenure.epoch
+        )
+        logger.info(
+            "pace sent",
+            extra={
+                "task": pace.task,
+                "percent": pace.percent,
+                "worker": worker.name,
+                "answered": answer.is_ok(),
+            },
+        )
+        if answer.is_ok():
+            with self._book.lock:
+                self._pacer.note_paced(worker, pace)
+
+    def _start(self, placement: Placement) -> None:
+        worker = placement.worker
+        record = placement.record
+        task = record.name_task(placement.key)
+        with self._book.lock:
+            placed = worker.runs.get(task)
+            if (
+                self._tenure.has_ended
+                or placed is None
+                or placed.run != placement.run
+            ):
+                return
+            deadline_ms = self.extend_lease(worker)
+            if placed.stopping or deadline_ms is None:
+                self._book.withdraw(worker, task, placement.run, "not sent")
+                self._tenure.wake()
+                return
+            saved = record.get_task(placement.key).saved
+        order = StartOrder(
+            task,
+            placement.run,
+            record.submission.specification.payload,
+            deadline_ms,
+            self._tenure.epoch,
+            saved,
+            placement.ticket,
+        )
+        answer = self._workers.start(worker.entry, order)
+        logger.info(
+            "start sent",
+            extra={
+                "task": task,
+                "run": placement.run,
+                "worker": worker.name,
+                "epoch": self._tenure.epoch,
+                "outcome": "ok"
+                if answer.is_ok()
+                else describe_failure(answer.unwrap_err()),
+            },
+        )
+        STARTS.labels("ok" if answer.is_ok() else "not started").inc()
+        with self._book.lock:
+            match answer:
+                case Ok(_):
+                    self._measure_first_start(record)
+                    self._book.note_started(worker, task, placement.run)
+                case Err(failure):
+                    if failure == StartRefusedFailure(Refusal.TICKET):
+                        self._advice.drop(
+                            record.name_step(placement.key),
+                            worker.name,
+                            worker.entry.born_ms,
+                        )
+                    self._note_not_started(
+                        worker, task, placement.run, failure
+                    )
+                    self._tenure.wake()
+
+    def _measure_first_start(self, record: JobRecord) -> None:
+        if not record.start_measured:
+            record.start_measured = True
+            accepted = record.submission.accepted_ms / 1000
+            seconds = self._clock.read_wall() - accepted
+            FIRST_STARTS.observe(max(0.0, seconds))
+
+    def _note_not_started(
+        self, worker: WorkerState, task: str, run: int, failure: object
+    ) -> None:
+        now = self._clock.read_monotonic()
+        match failure:
+            case UnknownOutcomeFailure():
+                self._book.note_doubt(worker, task, run)
+            case StartRefusedFailure(Refusal.FENCE):
+                self._tenure.lose("a worker knows a newer fence")
+            case StartRefusedFailure(reason):
+                worker.avoided_until = now + self._settings.retry_seconds
+                self._book.withdraw(worker, task, run, reason)
+            case UnavailableFailure(reason):
+                worker.avoided_until = now + self._settings.retry_seconds
+                self._book.withdraw(worker, task, run, reason)
+            case WrongIncarnationFailure():
+                self._book.withdraw(worker, task, run, "another incarnation")
+                self._book.drop_worker(worker.name)
--- a/chestnutstair/tests/scheduling_support.py
+++ b/chestnutstair/tests/scheduling_support.py
@@ -99,7 +99,7 @@
     def __init__(self, workers: Sequence[str] = ("w1", "w2")) -> None:
         self.clock = ManualClock(1000.0)
         self.settings = BookSettings()
-        self.book = JobBook(self.clock, 1, self.settings)
+        self.book = JobBook(self.clock, self.settings)
         self.book.configuration = CONFIGURATION
         self.policy = FakePolicy()
         self.advice = AdviceDesk(self.policy, self.clock)
--- a/chestnutstair/tests/test_book.py
+++ b/chestnutstair/tests/test_book.py
@@ -228,6 +228,14 @@
     def test_a_run_within_three_times_its_estimate_goes_on(self) -> None:
         self.assertEqual(self.wait(3.0), [])
 
+    def test_a_start_that_was_never_answered_is_stopped(self) -> None:
+        self.case.admit("k", [Step(1, 1000, estimate_ms=1000)])
+        self.case.plan()
+        self.case.clock.now += 3.5
+        self.case.book.stop_stuck()
+        stops = [stop.task for stop in self.case.book.list_stops()]
+        self.assertEqual(stops, ["k.0.0.0"])
+
     def test_a_stuck_run_is_tried_elsewhere_once(self) -> None:
         self.assertEqual(self.wait(5.5), [1])
         worker = self.first.worker
