Try a failed task on another worker; tell a job's story from the logs

Ruled out: the streak that keeps work off such a worker, which needs three failures in a row without another run's end between them. Change: workers on which a task failed come last for it; a command reads the nodes' logs and prints what they say of one job.

--- /dev/null
+++ b/chestnutstair/commands/story.py
@@ -0,0 +1,88 @@
+"""The command that tells from the nodes' logs what became of a job."""
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+__all__ = ["app", "collect_story"]
+
+app = typer.Typer(help="Read the scheduler's logs.", no_args_is_help=True)
+
+# Fields that every line has; the story shows what the others say.
+COMMON_FIELDS = frozenset(
+    ("time", "level", "logger", "message", "entry_vm", "zone", "job", "task")
+)
+
+
+@app.callback()
+def explain() -> None:
+    """Read the scheduler's logs."""
+
+
+def _read_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+        except ValueError:
+            continue  # a line of another program, or one cut short
+        if isinstance(fields, dict):
+            yield fields
+
+
+def _concerns(fields: dict[str, Any], job: str) -> bool:
+    task = str(fields.get("task", ""))
+    return fields.get("job") == job or task.partition(".")[0] == job
+
+
+def _describe(fields: dict[str, Any]) -> str:
+    details = " ".join(
+        f"{name}={value}"
+        for name, value in fields.items()
+        if name not in COMMON_FIELDS
+    )
+    task = str(fields.get("task", "")).partition(".")[2]
+    where = f"{fields.get('entry_vm', '')} {task}".strip()
+    message = fields.get("message", "")
+    return f"{fields.get('time', '')} {where}: {message} {details}".rstrip()
+
+
+def collect_story(lines: Iterable[str], job: str) -> list[str]:
+    """Return what the log lines say of a job, in the order of time."""
+    found = [fields for fields in _read_lines(lines) if _concerns(fields, job)]
+    found.sort(key=lambda fields: str(fields.get("time", "")))
+    return [_describe(fields) for fields in found]
+
+
+def _open(files: list[Path]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+    for path in files:
+        with path.open(errors="replace") as stream:
+            yield from stream
+
+
+@app.command()
+def job(
+    name: Annotated[str, typer.Argument(help="The job's id.")],
+    files: Annotated[
+        list[Path] | None,
+        typer.Argument(help="Log files of the nodes; else standard input."),
+    ] = None,
+) -> None:
+    """Print all that the logs say of one job; exit 1 if that is nothing."""
+    try:
+        story = collect_story(_open(files or []), name)
+    except OSError as error:
+        print(f"can not read: {error}", file=sys.stderr)
+        raise typer.Exit(2) from error
+    for line in story:
+        print(line)
+    if not story:
+        raise typer.Exit(1)
--- a/chestnutstair/scheduling/book.py
+++ b/chestnutstair/scheduling/book.py
@@ -376,6 +376,8 @@
         state = record.get_task(name[1])
         if end.run > state.run or state.status is TaskStatus.DONE:
             return
+        if end.how == FAILED:
+            record.failed_on.add((name[1], worker.name))
         self._apply_task_end(record, name[1], end)
 
     def _apply_task_end(
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -239,7 +239,13 @@
         ]
         if not fitting:
             return None
-        return min(fitting, key=lambda worker: self._cost(step, key, worker))
+        return min(
+            fitting,
+            key=lambda worker: (
+                (key, worker.name) in record.failed_on,
+                self._cost(step, worker),
+            ),
+        )
 
     @staticmethod
     def _count_siblings(
@@ -261,9 +267,7 @@
         return self._count_siblings(record, key, worker) < step.spread_limit
 
     @staticmethod
-    def _cost(
-        step: Step, key: TaskKey, worker: WorkerState
-    ) -> tuple[int, int, int, str]:
+    def _cost(step: Step, worker: WorkerState) -> tuple[int, int, int, str]:
         away = int(
             bool(step.data_rack) and step.data_rack != worker.entry.rack
         )
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -122,6 +122,8 @@
         self._complete = 0  # steps of occurrences whose tasks are all done
         self.started = False
         self.start_measured = False
+        # Workers on which tasks failed; not stored, as it is only a hint.
+        self.failed_on: set[tuple[TaskKey, str]] = set()
         self.lateness = Lateness.IN_TIME  # as last planned
 
     @property
--- a/chestnutstair/tests/test_placement.py
+++ b/chestnutstair/tests/test_placement.py
@@ -29,6 +29,17 @@
         names = [item.worker.name for item in placed]
         self.assertEqual(sorted(names), ["w1", "w1", "w2", "w2"])
 
+    def test_a_task_that_failed_is_tried_on_another_worker(self) -> None:
+        # papagalaki-sched trouble-1, job 0e328772f79e051c: a worker that
+        # fails all it starts got the same task three times.
+        case = BookCase(("w1", "w2"))
+        case.admit("j", [Step(1, 1000)])
+        first = case.plan()[0]
+        case.start_all([first])
+        case.end(first, "failed")
+        second = case.plan()[0]
+        self.assertNotEqual(second.worker.name, first.worker.name)
+
     def test_a_gang_starts_whole_or_not_at_all(self) -> None:
         case = BookCase(("w1",))
         case.admit("big", [Step(4, 20_000, gang=True)])
--- /dev/null
+++ b/chestnutstair/tests/test_story.py
@@ -0,0 +1,48 @@
+"""Tests of the story that the logs tell of a job."""
+
+import json
+import unittest
+
+from typer.testing import CliRunner
+
+from chestnutstair.cli import app
+from chestnutstair.commands.story import collect_story
+
+
+def build_line(time: str, message: str, **fields: object) -> str:
+    """Return a log line as a node writes it."""
+    return json.dumps({"time": time, "message": message, **fields})
+
+
+LINES = [
+    build_line("12:00:02", "start sent", task="aa.0.0.1", worker="w1"),
+    build_line("12:00:01", "submission", job="aa", entry_vm="n1"),
+    build_line("12:00:03", "submission", job="bb"),
+    "  1.5 node-1 " + build_line("12:00:04", "run ended", task="aa.0.0.1"),
+    "Traceback (most recent call last):",
+    '{"cut off": ',
+]
+
+
+class StoryTest(unittest.TestCase):
+    """Lines of one job, from any node, in the order of time."""
+
+    def test_lines_of_the_job_and_of_its_tasks_are_found(self) -> None:
+        self.assertEqual(
+            collect_story(LINES, "aa"),
+            [
+                "12:00:01 n1: submission",
+                "12:00:02 0.0.1: start sent worker=w1",
+                "12:00:04 0.0.1: run ended",
+            ],
+        )
+
+    def test_the_command_reads_standard_input(self) -> None:
+        text = "\n".join(LINES)
+        result = CliRunner().invoke(app, ["logs", "job", "bb"], input=text)
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertEqual(result.output.strip(), "12:00:03 : submission")
+
+    def test_a_job_without_lines_is_told_by_the_exit_code(self) -> None:
+        result = CliRunner().invoke(app, ["logs", "job", "cc"], input="")
+        self.assertEqual(result.exit_code, 1)
