--- a/chestnutstair/daemon.py
+++ b/chestnutstair/daemon.py
@@ -6,17 +6,15 @@
 from typing import Annotated, Any
 
 import typer
-from result import Err, Ok
 
 from chestnutstair.log import configure_logging
 from chestnutstair.node import Node
-from chestnutstair.settings import DaemonSettings, read_settings
+from chestnutstair.settings import read_settings
+from chestnutstair.startup import EXIT_NOT_STARTED, expect_settings
 from chestnutstair.state.deadline import SystemClock
 
 __all__ = ["app", "main"]
 
-EXIT_BAD_SETTINGS = 2
-EXIT_NOT_STARTED = 3
 STOP_POLL_SECONDS = 0.2
 
 app = typer.Typer(
@@ -25,28 +23,17 @@
 SettingsFile = Annotated[Path, typer.Argument(help="The JSON settings file.")]
 
 
-def _read_or_exit(path: Path) -> DaemonSettings:
-    match read_settings(path):
-        case Ok(settings):
-            return settings
-        case Err(failure):
-            for mistake in failure.mistakes:
-                print(f"{mistake.path}: {mistake.problem}", file=sys.stderr)
-            sys.exit(EXIT_BAD_SETTINGS)
-    raise AssertionError(path)
-
-
 @app.command()
 def check(path: SettingsFile) -> None:
     """Check the settings and list every mistake; exit 2 if there is one."""
-    _read_or_exit(path)
+    expect_settings(read_settings(path), path)
     print(f"{path}: no mistakes")
 
 
 @app.command()
 def run(path: SettingsFile) -> None:
     """Serve until SIGTERM or SIGINT; exit 3 if an address is taken."""
-    settings = _read_or_exit(path)
+    settings = expect_settings(read_settings(path), path)
     configure_logging(settings.log.level, settings.name, settings.zone)
     clock = SystemClock()
     node = Node(settings, clock)
--- a/chestnutstair/fleetd.py
+++ b/chestnutstair/fleetd.py
@@ -10,16 +10,15 @@
 from result import Err, Ok
 
 from chestnutstair.fleet_node import FleetNode
-from chestnutstair.fleet_settings import FleetSettings, read_fleet_settings
+from chestnutstair.fleet_settings import read_fleet_settings
 from chestnutstair.log import configure_decision_log
+from chestnutstair.startup import EXIT_NOT_STARTED, expect_settings
 from chestnutstair.state.deadline import SystemClock
 
 __all__ = ["app", "main"]
 
 logger = logging.getLogger(__name__)
 
-EXIT_BAD_SETTINGS = 2
-EXIT_NOT_STARTED = 3
 STOP_POLL_SECONDS = 0.05
 
 app = typer.Typer(
@@ -33,21 +32,10 @@
 ]
 
 
-def _read_or_exit(path: Path) -> FleetSettings:
-    match read_fleet_settings(path):
-        case Ok(settings):
-            return settings
-        case Err(failure):
-            for mistake in failure.mistakes:
-                print(f"{mistake.path}: {mistake.problem}", file=sys.stderr)
-            sys.exit(EXIT_BAD_SETTINGS)
-    raise AssertionError(path)
-
-
 @app.command()
 def check(path: SettingsFile) -> None:
     """Check the settings and list every mistake; exit 2 if there is one."""
-    _read_or_exit(path)
+    expect_settings(read_fleet_settings(path), path)
     print(f"{path}: no mistakes")
 
 
@@ -84,7 +72,7 @@
 @app.command()
 def run(path: SettingsFile) -> None:
     """Serve until SIGTERM or SIGINT; exit 3 if an address is taken."""
-    settings = _read_or_exit(path)
+    settings = expect_settings(read_fleet_settings(path), path)
     log = configure_decision_log(
         settings.log_level, settings.name, settings.zone
     )
--- /dev/null
+++ b/chestnutstair/startup.py
@@ -0,0 +1,28 @@
+"""What the daemons' command lines share when they start."""
+
+import sys
+from pathlib import Path
+from typing import TypeVar
+
+from result import Err, Ok, Result
+
+from chestnutstair.state.codec import DecodeFailure
+
+__all__ = ["EXIT_BAD_SETTINGS", "EXIT_NOT_STARTED", "expect_settings"]
+
+T = TypeVar("T")
+
+EXIT_BAD_SETTINGS = 2
+EXIT_NOT_STARTED = 3
+
+
+def expect_settings(settings: Result[T, DecodeFailure], path: Path) -> T:
+    """Return the settings, or print every mistake and exit with 2."""
+    match settings:
+        case Ok(value):
+            return value
+        case Err(failure):
+            for mistake in failure.mistakes:
+                print(f"{mistake.path}: {mistake.problem}", file=sys.stderr)
+            sys.exit(EXIT_BAD_SETTINGS)
+    raise AssertionError(path)
