Drop code of the scheduler that nothing calls

Cause: read in the whole diff: could_hold, ENDED_STATES, a feed's answered_at and STORE_LOST_SECONDS had no reader; a thread count stood twice, once as a bare number. Ruled out: removing notice_seconds and harm_seconds, which nothing reads either, as the template and the settings page carry them. Change: the first four are gone, the count is the constant. Conclusion: behaviour as before.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -59,7 +59,6 @@
 READY_THREADS = 2
 STORE_CONNECTIONS = 16
 BACKLOG = 512  # connections that come in a burst
-STORE_LOST_SECONDS = 3.0
 DRAIN_SHARE = 0.5  # of the grace, for callers on open connections
 
 
@@ -195,7 +194,9 @@
         )
         ready = build_ready_application(self.is_ready)
         self._servers = [
-            self._build_server("nodes", settings.nodes_address, nodes, 12),
+            self._build_server(
+                "nodes", settings.nodes_address, nodes, NODE_THREADS
+            ),
             self._build_server(
                 "ready", settings.ready_address, ready, READY_THREADS
             ),
--- a/chestnutstair/scheduling/feed.py
+++ b/chestnutstair/scheduling/feed.py
@@ -53,7 +53,6 @@
         self._wait = wait_seconds
         self._stopped = threading.Event()
         self._failing = False
-        self.answered_at = clock.read_monotonic()
 
     def start(self) -> None:
         """Begin to follow, on a thread of its own."""
@@ -112,7 +111,6 @@
         return RETRY_SECONDS
 
     def _note_answer(self) -> None:
-        self.answered_at = self._clock.read_monotonic()
         if self._failing:
             self._failing = False
             logger.info("store regained", extra={"table": self._table})
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -56,11 +56,6 @@
     USELESS = 2  # it is too late to be of much use
 
 
-ENDED_STATES = frozenset(
-    (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
-)
-
-
 @dataclass(frozen=True)
 class TaskState:
     """The state of one task.
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -113,16 +113,6 @@
             <= entry.accelerators
         )
 
-    def could_hold(self, step: Step) -> bool:
-        """Tell whether a task of the step fits an empty worker."""
-        entry = self.entry
-        millicores = 0 if step.filler else step.millicores
-        return (
-            millicores <= entry.millicores
-            and step.memory_mb <= entry.memory_mb
-            and step.accelerators <= entry.accelerators
-        )
-
     def note_contact(self, answer: HoldAnswer, now: float) -> None:
         """Take over the worker's clock."""
         self.contact = Contact(answer.clock_ms, now)
