Run test cases side by side; end a daemon whose address is taken

Test cases now run in processes of their own, as many at once as there are processors, the slowest modules first. Two faults lie behind such a wait: a daemon whose address is taken printed "can not listen" but did not end, as threads of its other parts kept it alive (the scheduler daemon hung in the same way); and ports were picked at random without regard to other picks, in the same cluster (12 of 18,000: one start in 270) and in other processes.

Change: both daemons end with status 3 when an address is taken; picked ports are locked by a file each until the picking process ends.

--- a/chestnutstair/daemon.py
+++ b/chestnutstair/daemon.py
@@ -1,7 +1,6 @@
 """The daemon's command line: runs a node, or checks its settings."""
 
 import signal
-import sys
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -10,7 +9,7 @@
 from chestnutstair.log import configure_logging
 from chestnutstair.node import Node
 from chestnutstair.settings import read_settings
-from chestnutstair.startup import EXIT_NOT_STARTED, expect_settings
+from chestnutstair.startup import abandon_start, expect_settings
 from chestnutstair.state.deadline import SystemClock
 
 __all__ = ["app", "main"]
@@ -46,8 +45,7 @@
     try:
         node.start()
     except OSError as error:
-        print(f"can not listen: {error}", file=sys.stderr)
-        sys.exit(EXIT_NOT_STARTED)
+        abandon_start(error)
     while not node.is_stopping():
         clock.sleep(STOP_POLL_SECONDS)
     node.stop()
--- a/chestnutstair/fleetd.py
+++ b/chestnutstair/fleetd.py
@@ -2,7 +2,6 @@
 
 import logging
 import signal
-import sys
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -12,7 +11,7 @@
 from chestnutstair.fleet_node import FleetNode
 from chestnutstair.fleet_settings import read_fleet_settings
 from chestnutstair.log import configure_decision_log
-from chestnutstair.startup import EXIT_NOT_STARTED, expect_settings
+from chestnutstair.startup import abandon_start, expect_settings
 from chestnutstair.state.deadline import SystemClock
 
 __all__ = ["app", "main"]
@@ -85,8 +84,7 @@
     try:
         node.start()
     except OSError as error:
-        print(f"can not listen: {error}", file=sys.stderr)
-        sys.exit(EXIT_NOT_STARTED)
+        abandon_start(error)
     while not node.is_stopping():
         clock.sleep(STOP_POLL_SECONDS)
         if signals.reload:
--- a/chestnutstair/standins/cluster.py
+++ b/chestnutstair/standins/cluster.py
@@ -1,11 +1,8 @@
 """Daemons, targets and a platform as processes on loopback."""
 
-import contextlib
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,7 +14,9 @@
 
 import urllib3
 
+from chestnutstair.standins.ports import pick_port
 from chestnutstair.standins.target import TargetSettings
+from chestnutstair.standins.webserver import HOST
 from chestnutstair.state.codec import decode_json, encode_json, encode_value
 from chestnutstair.state.fleet import Pool, Vm, Zone
 from chestnutstair.state.ticket import Ticket
@@ -26,11 +25,9 @@
 
 T = TypeVar("T")
 
-HOST = "127.0.0.1"
 POLL_SECONDS = 0.05
 WAIT_SECONDS = 60.0  # generous, so that a slow machine changes nothing
 CALL_SECONDS = 30.0
-PORT_RANGE = (12000, 30000)  # below the ports of outgoing connections
 
 
 def wait_until(
@@ -71,15 +68,6 @@
     body: bytes = b""
 
 
-def _pick_port() -> int:
-    """Return a free port that no outgoing connection is given meanwhile."""
-    while True:
-        port = random.SystemRandom().randrange(*PORT_RANGE)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            return port
-
-
 class LocalCluster:
     """Starts the processes, reaches them over HTTP and ends them."""
 
@@ -164,7 +152,7 @@
     ) -> DaemonAddresses:
         """Start a daemon and wait until it is ready."""
         addresses = self.daemons.get(name) or DaemonAddresses(
-            name, zone, *(f"{HOST}:{_pick_port()}" for _ in range(3))
+            name, zone, *(f"{HOST}:{pick_port()}" for _ in range(3))
         )
         self.daemons[name] = addresses
         path = self._write(
--- a/chestnutstair/startup.py
+++ b/chestnutstair/startup.py
@@ -1,14 +1,20 @@
 """What the daemons' command lines share when they start."""
 
+import os
 import sys
 from pathlib import Path
-from typing import TypeVar
+from typing import NoReturn, TypeVar
 
 from result import Err, Ok, Result
 
 from chestnutstair.state.codec import DecodeFailure
 
-__all__ = ["EXIT_BAD_SETTINGS", "EXIT_NOT_STARTED", "expect_settings"]
+__all__ = [
+    "EXIT_BAD_SETTINGS",
+    "EXIT_NOT_STARTED",
+    "abandon_start",
+    "expect_settings",
+]
 
 T = TypeVar("T")
 
@@ -26,3 +32,10 @@
                 print(f"{mistake.path}: {mistake.problem}", file=sys.stderr)
             sys.exit(EXIT_BAD_SETTINGS)
     raise AssertionError(path)
+
+
+def abandon_start(error: OSError) -> NoReturn:
+    """Say that an address can not be bound, and end with 3."""
+    print(f"can not listen: {error}", file=sys.stderr, flush=True)
+    # Threads of the parts that had started would keep the process alive.
+    os._exit(EXIT_NOT_STARTED)
--- a/chestnutstair/tests/test_fleet_node.py
+++ b/chestnutstair/tests/test_fleet_node.py
@@ -8,7 +8,8 @@
 
 from chestnutstair.fleet_node import FleetNode
 from chestnutstair.fleet_settings import FleetSettings
-from chestnutstair.standins.webserver import HOST, reserve_port
+from chestnutstair.standins.ports import pick_port
+from chestnutstair.standins.webserver import HOST
 from chestnutstair.state.deadline import SystemClock
 from chestnutstair.tests.platform_emulator import PlatformEmulator
 from chestnutstair.tests.support import wait_until
@@ -35,9 +36,8 @@
             self.start_node(number)
 
     def start_node(self, number: int) -> None:
-        reserved = [reserve_port() for _ in range(PORTS_OF_A_NODE)]
         front, ready, nodes = (
-            f"{HOST}:{item.getsockname()[1]}" for item in reserved
+            f"{HOST}:{pick_port()}" for _ in range(PORTS_OF_A_NODE)
         )
         settings = FleetSettings(
             name=f"node-{number}",
@@ -49,8 +49,6 @@
             vms_address=self.platform.address,
             grace_seconds=0.2,
         )
-        for item in reserved:
-            item.close()
         node = FleetNode(settings, SystemClock())
         node.start()
         self.nodes.append(node)
--- /dev/null
+++ b/chestnutstair/tests/test_startup.py
@@ -0,0 +1,69 @@
+"""Tests of daemons that can not start, and of the ports of tests."""
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from chestnutstair.standins.ports import pick_port
+from chestnutstair.standins.webserver import HOST, reserve_port
+from chestnutstair.startup import EXIT_NOT_STARTED
+
+END_SECONDS = 30.0  # a start takes about one on an idle machine
+
+
+class TakenAddressTest(unittest.TestCase):
+    """A daemon whose address is taken ends, with a status that says so."""
+
+    def start_daemon(self, module: str, taken: str, *others: str) -> int:
+        socket = reserve_port()
+        self.addCleanup(socket.close)
+        socket.listen()
+        settings = {"name": "entry-0", "zone": "zone-a"}
+        for field in others:
+            settings[field] = f"{HOST}:{pick_port()}"
+        settings[taken] = f"{HOST}:{socket.getsockname()[1]}"
+        settings["platform_url"] = f"http://{HOST}:{pick_port()}"
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "settings.json")
+            path.write_text(json.dumps(settings))
+            done = subprocess.run(
+                [sys.executable, "-m", module, "run", str(path)],
+                check=False,
+                capture_output=True,
+                timeout=END_SECONDS,
+            )
+        self.assertIn(b"can not listen", done.stderr)
+        return done.returncode
+
+    def test_address_of_the_peers(self) -> None:
+        status = self.start_daemon(
+            "chestnutstair.daemon",
+            "peers_address",
+            "callers_address",
+            "admin_address",
+        )
+        self.assertEqual(status, EXIT_NOT_STARTED)
+
+    def test_address_of_the_scheduler(self) -> None:
+        status = self.start_daemon(
+            "chestnutstair.fleetd",
+            "callers_address",
+            "ready_address",
+            "nodes_address",
+            "store_address",
+            "vms_address",
+        )
+        self.assertEqual(status, EXIT_NOT_STARTED)
+
+
+class PickPortTest(unittest.TestCase):
+    """A port is given to one process of a test at a time."""
+
+    def test_a_picked_port_is_not_picked_again(self) -> None:
+        first = pick_port()
+        ports = (first, first + 40)
+        picked = {first, *(pick_port(ports) for _ in range(8))}
+        self.assertEqual(len(picked), 9)
--- a/tools/check.py
+++ b/tools/check.py
@@ -3,39 +3,51 @@
 Exits 0 when everything passed but the tests that KNOWN-RED.txt lists.
 """
 
-import logging
+import os
 import subprocess
 import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor, as_completed
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
-import nose2
-from nose2.events import Plugin
+from tools.test_process import ROOT
 
-ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 SOURCES = ["chestnutstair", "tools"]
+TESTS = "chestnutstair/tests"
 STEPS = {
     "format": ["-m", "ruff", "format", "--check", *SOURCES],
     "lint": ["-m", "ruff", "check", *SOURCES],
     "types": ["-m", "mypy"],
 }
-
-
-class OutcomePlugin(Plugin):
-    """Notes the outcome of every test by its id."""
-
-    def __init__(self) -> None:
-        self.passed: set[str] = set()
-        self.failed: set[str] = set()
-
-    def testOutcome(self, event: Any) -> None:  # noqa: N802
-        """Note one outcome; a test with a failed part has failed."""
-        bad = event.outcome in ("failed", "error", "skipped") or (
-            event.outcome == "subtest" and event.exc_info is not None
-        )
-        test = getattr(event.test, "test_case", event.test)
-        (self.failed if bad else self.passed).add(test.id())
+# Most tests wait for real time more than they compute.
+PROCESSES = max(2, os.cpu_count() or 2)
+# A test case that takes longer hangs; the slowest takes about a minute.
+CASE_SECONDS = 600
+# These take longest, so they start first.
+SLOW_MODULES = (
+    "test_fleet_node",
+    "test_cluster_faults",
+    "test_request_faults",
+    "test_maintenance_faults",
+    "test_specification",
+    "test_conformance",
+)
+
+
+@dataclass(frozen=True)
+class CaseOutcome:
+    """The outcomes of one test case, by test id, and what it printed."""
+
+    name: str
+    passed: frozenset[str]
+    failed: frozenset[str]
+    seconds: float
+    output: str
 
 
 def read_known_red() -> set[str]:
@@ -53,23 +65,96 @@
     return done.returncode == 0
 
 
-def run_tests(selection: list[str]) -> OutcomePlugin:
-    """Run the tests and return their outcomes."""
-    print("== tests", flush=True)
-    plugin = OutcomePlugin()
-    logging.basicConfig(handlers=[logging.NullHandler()])
-    nose2.discover(
-        exit=False,
-        argv=["nose2", "-t", str(ROOT), *selection],
-        extraHooks=[("testOutcome", plugin)],
+def list_cases() -> list[str]:
+    """Return every test case of the project, the slowest modules first."""
+    loader = unittest.TestLoader()
+    found = loader.discover(str(ROOT / TESTS), top_level_dir=str(ROOT))
+    names = sorted({_name_case(test) for test in _flatten(found)})
+    return sorted(names, key=_rank_case)
+
+
+def _flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from _flatten(item)
+        else:
+            yield item
+
+
+def _name_case(test: unittest.TestCase) -> str:
+    case = type(test)
+    if case.__module__.startswith("unittest"):
+        # A module that can not be imported; its process tells why.
+        return test.id().partition("_FailedTest.")[2]
+    return f"{case.__module__}.{case.__qualname__}"
+
+
+def _rank_case(name: str) -> int:
+    for rank, module in enumerate(SLOW_MODULES):
+        if module in name.split("."):
+            return rank
+    return len(SLOW_MODULES)
+
+
+def run_case(name: str) -> CaseOutcome:
+    """Run one test case in a process of its own."""
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder, "outcomes")
+        command = [sys.executable, "-m", "tools.test_process"]
+        try:
+            done = subprocess.run(
+                [*command, str(report), name],
+                cwd=ROOT,
+                check=False,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                timeout=CASE_SECONDS,
+                text=True,
+            )
+            output = done.stdout
+        except subprocess.TimeoutExpired as timeout:
+            output = f"no end after {timeout.timeout} s"
+        lines = report.read_text().splitlines() if report.exists() else []
+    passed = {line[7:] for line in lines if line.startswith("passed ")}
+    failed = {line[7:] for line in lines if line.startswith("failed ")}
+    if not lines or lines[-1] != "end" or not passed | failed:
+        failed.add(name)  # the process died, hung or found no test
+    return CaseOutcome(
+        name,
+        frozenset(passed),
+        frozenset(failed),
+        time.monotonic() - began,
+        output,
     )
-    return plugin
 
 
-def report_known_red(outcomes: OutcomePlugin, known: set[str]) -> None:
+def run_tests(selection: list[str]) -> list[CaseOutcome]:
+    """Run test cases side by side and return their outcomes."""
+    print("== tests", flush=True)
+    outcomes = []
+    with ThreadPoolExecutor(PROCESSES) as threads:
+        running = [
+            threads.submit(run_case, name)
+            for name in selection or list_cases()
+        ]
+        for done in as_completed(running):
+            outcome = done.result()
+            print(
+                f"{outcome.name}: {len(outcome.passed)} passed, "
+                f"{len(outcome.failed)} failed, {outcome.seconds:.1f} s",
+                flush=True,
+            )
+            if outcome.failed:
+                print(outcome.output, flush=True)
+            outcomes.append(outcome)
+    return outcomes
+
+
+def report_known_red(failed: set[str], known: set[str]) -> None:
     """Print the listed tests, and those whose entry may go."""
     for test in sorted(known):
-        if test in outcomes.failed:
+        if test in failed:
             print(f"known red: {test}")
         else:
             print(f"known red, but it passes now; drop its entry: {test}")
@@ -81,13 +166,15 @@
     steps = {} if selection else STEPS
     results = [run_step(name, command) for name, command in steps.items()]
     outcomes = run_tests(selection)
+    passed = {test for outcome in outcomes for test in outcome.passed}
+    failed = {test for outcome in outcomes for test in outcome.failed}
     known = read_known_red()
     if not selection:
-        report_known_red(outcomes, known)
-    failed = outcomes.failed - known
+        report_known_red(failed, known)
+    passed_count = len(passed - failed) + sum(results)
+    failed -= known
     for test in sorted(failed):
         print(f"failed: {test}")
-    passed_count = len(outcomes.passed - outcomes.failed) + sum(results)
     failed_count = len(failed) + len(results) - sum(results)
     print(f"{passed_count} passed, {failed_count} failed", flush=True)
     return 1 if failed_count or not passed_count else 0
