Judge each occurrence of a job from its own due time

Cause: a job at set times counted as late from its acceptance, so every later occurrence had the last place in its pool; its demand was that of the first occurrence, and all its work counted as coming in at acceptance. Found by the tests of jobs at set times, which were missing.

Ruled out: starting early or twice; those tests passed at once.

Change: planning notes the oldest occurrence that is due and not done, and lateness, urgency, rest of work and demand are of that one.

Conclusion: jobs at set times are planned like others from their due time.

--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -135,14 +135,19 @@
 
     What comes on top is the widest later step, less what the job needs now.
     """
+    if not record.is_due:
+        return 0, 0
     ready = running = widest_later = 0
     for number, step in enumerate(record.steps):
         if step.filler:
             continue
-        tally = record.tally_step(0, number)
+        tally = record.tally_step(record.current, number)
         waiting = len(tally.waiting) * step.millicores
         running += tally.counts[TaskStatus.PLACED] * step.millicores
-        if all(record.is_step_done(0, before) for before in step.after):
+        if all(
+            record.is_step_done(record.current, before)
+            for before in step.after
+        ):
             ready += waiting
         else:
             widest_later = max(widest_later, waiting)
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -125,17 +125,17 @@
         objective = (
             queue.stretch * record.chain_ms + queue.latency_objective_ms
         )
-        accepted = record.submission.accepted_ms
+        since = record.note_current(wall_ms)
         # When it would end if all that can start did so now. A job that
         # would only just make it is likely to end late.
         margin = 1 + self._settings.margin_share * (queue.stretch - 1)
-        late = wall_ms - accepted + margin * record.measure_rest_ms()
+        late = wall_ms - since + margin * record.measure_rest_ms()
         record.lateness = Lateness.IN_TIME
         if late > self._settings.useless_factor * objective:
             record.lateness = Lateness.USELESS
         elif late > objective:
             record.lateness = Lateness.LATE
-        return Urgency(record.lateness, queue.priority, accepted + objective)
+        return Urgency(record.lateness, queue.priority, since + objective)
 
     def _list_usable(self, service: str, now: float) -> list[WorkerState]:
         limit = self._settings.contact_seconds
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -147,6 +147,8 @@
         # Workers on which tasks failed; not stored, as it is only a hint.
         self.failed_on: set[tuple[TaskKey, str]] = set()
         self.lateness = Lateness.IN_TIME  # as last planned
+        self.current = 0  # the occurrence that was planned last
+        self.is_due = not submission.specification.occurrences  # then
 
     @property
     def name(self) -> str:
@@ -266,6 +268,23 @@
             specification.first_due_ms + occurrence * specification.interval_ms
         )
 
+    def note_current(self, wall_ms: float) -> float:
+        """Find the oldest occurrence that is due and not done.
+
+        Return since when it is, in ms since 1970; for a job that runs once,
+        when it was accepted, and now if no occurrence is due.
+        """
+        if not self.submission.specification.occurrences:
+            return self.submission.accepted_ms
+        while self.current < self.occurrences - 1 and all(
+            self.is_step_done(self.current, step)
+            for step in range(len(self.steps))
+        ):
+            self.current += 1
+        due_ms = self.measure_due_ms(self.current)
+        self.is_due = due_ms <= wall_ms
+        return min(wall_ms, due_ms)
+
     def list_ready_steps(self, wall_ms: float) -> Iterator[tuple[int, int]]:
         """Yield occurrence and step where tasks may start now."""
         for occurrence in range(self.occurrences):
@@ -336,7 +355,7 @@
         begun = frozenset(
             number
             for number, step in enumerate(self.steps)
-            if len(self.tally_step(0, number).waiting) < step.count
+            if len(self.tally_step(self.current, number).waiting) < step.count
         )
         if begun not in self._rests:
             self._rests[begun] = self._measure_chain_ms(begun)
@@ -354,8 +373,11 @@
     def measure_work(self) -> float:
         """Return the estimated work, in millicore-seconds.
 
-        Tasks that last or fill have none, as they never end.
+        Tasks that last or fill have none, as they never end, and neither
+        have those that are due later.
         """
+        if self.submission.specification.occurrences:
+            return 0.0
         return sum(
             step.count * step.millicores * step.estimate_ms / 1000
             for step in self.steps
--- /dev/null
+++ b/chestnutstair/tests/test_occurrences.py
@@ -0,0 +1,135 @@
+"""Tests of jobs whose steps run several times, at set times."""
+
+import unittest
+from dataclasses import replace
+
+from chestnutstair.scheduling.load import measure_waiting
+from chestnutstair.scheduling.placement import Placement, PlacementSettings
+from chestnutstair.scheduling.progress import (
+    JobRecord,
+    JobState,
+    Lateness,
+    TaskKey,
+)
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.scheduling_support import BookCase, build_submission
+
+INTERVAL_MS = 2000
+FIRST_SECONDS = 1.0
+TIMES = 3
+
+
+class OccurrencesTest(unittest.TestCase):
+    """A job of two steps that runs three times, two seconds apart."""
+
+    def setUp(self) -> None:
+        self.case = BookCase()
+        steps = [Step(1, 1000), Step(1, 1000, after=(0,))]
+        now_ms = int(self.case.clock.now * 1000)
+        submission = build_submission("j", steps, at_ms=now_ms)
+        self.first_ms = now_ms + int(FIRST_SECONDS * 1000)
+        specification = replace(
+            submission.specification,
+            occurrences=TIMES,
+            first_due_ms=self.first_ms,
+            interval_ms=INTERVAL_MS,
+        )
+        self.case.book.admit(replace(submission, specification=specification))
+        self.record: JobRecord = self.case.book.jobs["j"]
+        self.ends = {"w1": 0, "w2": 0}
+
+    def advance(self, seconds: float) -> None:
+        self.case.clock.now += seconds
+        self.case.answer_all()
+
+    def run_all(self, placed: list[Placement]) -> None:
+        """Let runs start and end."""
+        self.case.start_all(placed)
+        for placement in placed:
+            name = placement.worker.name
+            self.ends[name] += 1
+            self.case.end(placement, "done", self.ends[name])
+
+    def run_ready(self) -> list[TaskKey]:
+        """Let everything that may start do so, and end."""
+        keys = []
+        while placed := self.case.plan():
+            self.run_all(placed)
+            keys += [placement.key for placement in placed]
+        return keys
+
+    def test_nothing_starts_before_it_is_due(self) -> None:
+        self.advance(FIRST_SECONDS - 0.01)
+        self.assertEqual(self.case.plan(), [])
+
+    def test_a_clock_that_is_a_little_ahead_starts_nothing_early(self) -> None:
+        margin = PlacementSettings.due_margin_ms / 1000
+        self.advance(FIRST_SECONDS + margin - 0.01)
+        self.assertEqual(self.case.plan(), [])
+
+    def test_each_occurrence_runs_once_when_it_is_due(self) -> None:
+        seen = []
+        for _ in range(8):
+            self.advance(1.1)
+            seen += self.run_ready()
+        expected = [
+            TaskKey(occurrence, step, 0)
+            for occurrence in range(TIMES)
+            for step in range(2)
+        ]
+        self.assertEqual(seen, expected)
+        self.assertIs(self.record.ended, JobState.COMPLETED)
+
+    def test_occurrences_overlap(self) -> None:
+        self.advance(FIRST_SECONDS + 2 * INTERVAL_MS / 1000 + 0.1)
+        placed = self.case.plan()
+        self.assertEqual(
+            [item.key for item in placed],
+            [TaskKey(occurrence, 0, 0) for occurrence in range(TIMES)],
+        )
+
+    def test_a_job_is_not_completed_before_its_last_occurrence(self) -> None:
+        self.advance(FIRST_SECONDS + 0.1)
+        self.run_ready()
+        self.assertIsNone(self.record.ended)
+
+    def test_a_new_leader_goes_on_where_the_last_one_was(self) -> None:
+        self.advance(FIRST_SECONDS + 0.1)
+        self.run_ready()
+        again = JobRecord(self.record.submission)
+        again.restore(self.record.encode())
+        due = self.first_ms + INTERVAL_MS + 1
+        self.assertEqual(list(again.list_ready_steps(due)), [(1, 0)])
+
+    def test_each_occurrence_is_in_time_from_its_own_due_time(self) -> None:
+        self.advance(FIRST_SECONDS + 0.1 - INTERVAL_MS / 1000)
+        for _ in range(TIMES):
+            self.advance(INTERVAL_MS / 1000)
+            placed = self.case.plan()
+            self.assertIs(self.record.lateness, Lateness.IN_TIME)
+            self.run_all(placed)
+            self.run_ready()
+
+    def test_an_occurrence_that_waits_for_room_becomes_late(self) -> None:
+        for name in list(self.case.book.workers):
+            self.case.get_worker(name).cordoned = True
+        self.advance(FIRST_SECONDS + 30.0)
+        self.case.plan()
+        self.assertIs(self.record.lateness, Lateness.USELESS)
+
+    def test_demand_is_that_of_the_occurrence_that_is_due(self) -> None:
+        self.advance(FIRST_SECONDS + 0.1)
+        self.run_ready()
+        self.assertEqual(measure_waiting(self.record), (0, 0))
+        for name in list(self.case.book.workers):
+            self.case.get_worker(name).cordoned = True
+        self.advance(INTERVAL_MS / 1000)
+        self.case.plan()
+        self.assertEqual(measure_waiting(self.record), (1000, 0))
+
+    def test_a_cancelled_job_has_no_further_occurrences(self) -> None:
+        self.advance(FIRST_SECONDS + 0.1)
+        self.run_ready()
+        self.case.book.cancel("j")
+        self.advance(INTERVAL_MS / 1000)
+        self.assertEqual(self.case.plan(), [])
