Read the configuration in the leader; lead VMs to where they are needed

A term began to size pools only once all workers had registered, or after 8 s, also with a rack down.

Ruled out: a store that did not answer (the term's writes went through), a lack of VMs.

Change: the leader reads the configuration before it loads and in each round; VMs on their way to the reserve go to the pool that lacks them; lasting tasks prefer VMs that are not due; four fifths of the workers are enough to begin.

New tests fail with each old behaviour put back.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -131,9 +131,6 @@
             # The leader before may have extended leases for a while.
             lapse += settings.extend_seconds
         book = JobBook(clock, BookSettings(takeover_lapse_seconds=lapse))
-        configuration = self._watch.configuration
-        if configuration is not None:
-            book.configuration = configuration
         tenure = Tenure(term)
         advice = AdviceDesk(self._workers, clock)
         pacer = Pacer(clock, PacingSettings())
@@ -160,6 +157,7 @@
             orders,
             self._decoder,
             PlatformSubmissions(),
+            lambda: self._watch.configuration,
             clock,
             LeaderSettings(),
         )
@@ -236,9 +234,8 @@
 
     def _note_operator(self) -> None:
         leader = self._get_leader()
-        configuration = self._watch.configuration
-        if leader is not None and configuration is not None:
-            leader.set_configuration(configuration)
+        if leader is not None:
+            leader.wake()
 
     def _note_status(self, address: str, status: LeaderStatus) -> None:
         """Fetch a configuration that another node has and this one lacks."""
--- a/chestnutstair/scheduling/fleet.py
+++ b/chestnutstair/scheduling/fleet.py
@@ -130,7 +130,8 @@
         age = now - self._began_at
         # VMs that this leader moves later are not waited for.
         self._workers_known = (
-            known >= up or age > self._settings.register_seconds
+            known >= up * self._settings.known_share
+            or age > self._settings.register_seconds
         )
         return self._workers_known
 
@@ -141,6 +142,7 @@
                 worker.cordoned = (
                     vm in self._state.drains or vm in self._state.orders
                 )
+                worker.maintenance_due = self._waves.is_due(vm)
 
     # Pools
 
@@ -174,20 +176,9 @@
         Only for work that can be in time do VMs stay that are to join
         another pool.
         """
-        with self._book.lock:
-            # VMs that were to leave are the quickest to come back.
-            workers = self._state.index_workers()
-            for vm, drain in list(self._state.drains.items()):
-                worker = workers.get(vm)
-                if (
-                    count > 0
-                    and not drain.wave
-                    and (timely or drain.service == spare)
-                    and worker is not None
-                    and worker.entry.service == service
-                ):
-                    del self._state.drains[vm]
-                    count -= 1
+        count -= self._keep_leaving(service, spare, count, timely)
+        if timely:
+            count -= self._redirect(service, spare, count)
         idle = [
             vm.name
             for vm in self._state.listed.values()
@@ -200,6 +191,36 @@
         self._orders.order_all([VmOrder(vm, service) for vm in chosen])
         return count - len(chosen)
 
+    def _keep_leaving(
+        self, service: str, spare: str, count: int, timely: bool
+    ) -> int:
+        """Let VMs stay that were to leave; return how many do."""
+        workers = self._state.index_workers()
+        leaving = [
+            vm
+            for vm, drain in self._state.drains.items()
+            if not drain.wave
+            and (timely or drain.service == spare)
+            and (worker := workers.get(vm)) is not None
+            and worker.entry.service == service
+        ]
+        kept = leaving[: max(0, count)]
+        for vm in kept:
+            del self._state.drains[vm]
+        return len(kept)
+
+    def _redirect(self, service: str, spare: str, count: int) -> int:
+        """Let VMs on their way to the reserve join a pool instead."""
+        leaving = [
+            vm
+            for vm, drain in self._state.drains.items()
+            if not drain.wave and drain.service == spare
+        ]
+        redirected = leaving[: max(0, count)]
+        for vm in redirected:
+            self._state.drains[vm] = Drain(service, urgent=True)
+        return len(redirected)
+
     def _take_from(
         self,
         sizes: list[PoolSize],
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -31,7 +31,8 @@
     A wave is to be over in `wave_share` of its time, where emptying a VM
     takes about `drain_seconds`, twice a usual task; it takes `away_share` of
     a pool at once at most, one rack of four. Workers register within
-    `register_seconds` of a start of the whole system.
+    `register_seconds` of a start of the whole system; `known_share` of them
+    are enough to size pools, as a rack may be down.
     """
 
     tick_seconds: float = 0.1
@@ -53,6 +54,7 @@
     order_burst_seconds: float = 0.25
     orders_per_second: float = 50.0
     register_seconds: float = 8.0
+    known_share: float = 0.8
     fresh_seconds: float = 1.0
 
 
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -91,6 +91,7 @@
         orders: OrderSender,
         decoder: WireDecoder,
         submissions: SubmissionCodec,
+        get_configuration: Callable[[], FleetConfiguration | None],
         clock: Clock,
         settings: LeaderSettings,
     ) -> None:
@@ -103,6 +104,7 @@
         self._orders = orders
         self._decoder = decoder
         self._submissions = submissions
+        self._get_configuration = get_configuration
         self._clock = clock
         self._settings = settings
         self._main = threading.Thread(
@@ -139,6 +141,7 @@
             return False
         stored = {row.key.key: row.value for row in progress.unwrap().rows}
         with self.book.lock:
+            self._take_configuration()
             for row in intake.unwrap().rows:
                 self._restore_row(row, stored)
             self.book.order_arrivals()
@@ -223,12 +226,15 @@
         """Plan soon."""
         self._tenure.woken.set()
 
-    def set_configuration(self, configuration: FleetConfiguration) -> None:
-        """Take over a configuration, unless it is older."""
-        with self.book.lock:
-            if configuration.version > self.book.configuration.version:
-                self.book.configuration = configuration
-        self.wake()
+    def _take_configuration(self) -> None:
+        configuration = self._get_configuration()
+        known = self.book.configuration.version
+        if configuration is not None and configuration.version > known:
+            self.book.configuration = configuration
+            logger.info(
+                "configuration taken",
+                extra={"version": configuration.version, "before": known},
+            )
 
     def add_companion(self, start: Callable[[], None]) -> None:
         """Let something start with the leader; it ends with its term."""
@@ -331,6 +337,7 @@
     def _work(self) -> None:
         with self.book.lock, PLANNING.time():
             now = self._clock.read_monotonic()
+            self._take_configuration()
             self.book.release_lapsed()
             self.book.stop_stuck()
             self._planner.leave_draining()
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -309,13 +309,16 @@
         return self._count_siblings(record, key, worker) < step.spread_limit
 
     @staticmethod
-    def _cost(step: Step, worker: WorkerState) -> tuple[int, int, int, str]:
+    def _cost(
+        step: Step, worker: WorkerState
+    ) -> tuple[int, bool, int, int, str]:
         away = int(
             bool(step.data_rack) and step.data_rack != worker.entry.rack
         )
         # Full workers first, so that others can leave the pool.
         return (
             away,
+            step.lasting and worker.maintenance_due,
             -worker.lasting_runs,
             -worker.millicores,
             worker.name,
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -68,6 +68,7 @@
         self.accelerators = 0
         self.lasting_runs = 0
         self.cordoned = False
+        self.maintenance_due = False  # its VM is to be taken down soon
         self.gone = False
         self.silent = False  # the last call had no answer
         self.failure_streak = 0
--- a/chestnutstair/tests/test_fleet_keeper.py
+++ b/chestnutstair/tests/test_fleet_keeper.py
@@ -108,6 +108,39 @@
         self.step()
         self.assertEqual(self.count_pool(), len(POOL) + len(SPARE))
 
+    def test_vms_that_leave_a_pool_go_where_they_are_needed(self) -> None:
+        # papagalaki-sched-grown trouble-3 at 12 s: 54 VMs went from one
+        # pool to the reserve, and from there to the pool that lacked them.
+        services = ("boxes", "gifts", "spare")
+        pools = {f"b{number}": "boxes" for number in range(9)}
+        fleet = FleetCase(pools | {"g0": "gifts"})
+        fleet.book_case.book.configuration = FleetConfiguration(
+            2,
+            (),
+            {name: Service(name, spare=name == "spare") for name in services},
+        )
+        case = fleet.book_case
+        for name in pools:
+            case.admit(f"j{name}", [Step(1, 64_000)])
+        case.start_all(case.plan())
+        for name in pools:
+            case.book.cancel(f"j{name}")
+        for _ in range(int(FleetKeeperSettings.calm_seconds / 0.1) + 2):
+            fleet.step()
+        for number in range(10):
+            case.clock.now += 0.1
+            case.admit(
+                f"g{number}", [Step(8, 4000, estimate_ms=1000)], "gifts"
+            )
+        fleet.step()
+        for name in pools:
+            task = f"j{name}.0.0.0"
+            for worker in case.book.workers.values():
+                worker.remove_run(task)
+        fleet.step()
+        self.assertNotIn("spare", [pool for _, pool in fleet.vms.orders])
+        self.assertGreaterEqual(fleet.count_pool("gifts"), 6)
+
     def test_a_wave_is_as_old_for_the_next_leader(self) -> None:
         wave = MaintenanceWave(3, ("vm-w1",), 20.0, 1)
         ledgers = [
--- a/chestnutstair/tests/test_placement.py
+++ b/chestnutstair/tests/test_placement.py
@@ -69,6 +69,15 @@
         case.admit("new", [Step(1, 40_000, estimate_ms=1000)])
         self.assertEqual([p.record.name for p in case.plan()], ["new"])
 
+    def test_lasting_tasks_go_where_no_maintenance_is_due(self) -> None:
+        # papagalaki-sched-grown trouble-3: tasks were moved from VM to VM
+        # ahead of the wave, and the last VMs were late.
+        case = BookCase(("w1", "w2"))
+        case.get_worker("w1").maintenance_due = True
+        case.admit("j", [Step(2, 1000, lasting=True)])
+        placed = [item.worker.name for item in case.plan()]
+        self.assertEqual(placed, ["w2", "w2"])
+
     def test_fillers_need_memory_only(self) -> None:
         case = BookCase(("w1",))
         case.admit("j", [Step(2, 64_000, memory_mb=100_000, filler=True)])
