Count no run that is being stopped as demand

Cause: the test of redirected VMs passed with the redirection taken out: runs of cancelled jobs still counted as demand, so their VMs were not leaving yet. Ruled out: the redirection itself; with this change the test fails without it. Change: runs that are being stopped are left out of a pool's load. Conclusion: the test now shows what it is for.

--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -29,12 +29,12 @@
 class PoolLoad:
     """The load of one pool, in millicores and tasks.
 
-    `lasting` and `batch` are what runs; `waiting` is what could start now.
-    `coming` is what jobs will need in a later step beyond what they need
-    now. `late_batch` and `late_waiting` are the parts of jobs that will not
-    be in time. `rate` is the work that came in lately, in millicore-seconds a
-    second, 0 if it came in too few jobs to tell. `widest` is the most
-    workers that one lasting step spreads over.
+    `lasting` and `batch` are what runs and is not being stopped; `waiting`
+    is what could start now. `coming` is what jobs will need in a later step
+    beyond what they need now. `late_batch` and `late_waiting` are the parts
+    of jobs that will not be in time. `rate` is the work that came in lately,
+    in millicore-seconds a second, 0 if it came in too few jobs to tell.
+    `widest` is the most workers that one lasting step spreads over.
     """
 
     service: str
@@ -80,7 +80,9 @@
         workers = pools.get(service, [])
         runs = [run for worker in workers for run in worker.runs.values()]
         batch = [
-            run for run in runs if not (run.step.lasting or run.step.filler)
+            run
+            for run in runs
+            if not (run.step.lasting or run.step.filler or run.stopping)
         ]
         loads.append(
             PoolLoad(
