--- a/chestnutstair/tests/test_book.py
+++ b/chestnutstair/tests/test_book.py
@@ -153,7 +153,7 @@
             TaskStatus.PLACED,
             "a clock that is 2% slow has not lapsed yet",
         )
-        self.case.clock.now += 0.1
+        self.case.clock.now += 0.1 + self.case.settings.sweep_seconds
         self.case.book.release_lapsed()
         self.assertIs(self.record.get_task(FIRST).status, TaskStatus.WAITING)
 
