Ask the leader to write when an outcome stays unknown; answer sooner

The caller could have tried another node.

Ruled out: answering at once after the first attempt; a second one finds out about a lost answer (test_a_lost_answer_is_not_a_refusal).

Change: a node tries for 0.95 s, then asks the leader's node, which can write the same row safely, and says after 1.35 s that the outcome is unknown. A refusal by the leader's node does not make an unknown outcome a refusal.

Figures: the new tests fail before (the caller had no time left; nothing was relayed).

Conclusion: callers learn sooner, and more of them learn that the job is stored.

--- a/chestnutstair/scheduling/desk.py
+++ b/chestnutstair/scheduling/desk.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, TypeVar
 
 from result import Err, Ok, Result
 
@@ -40,18 +40,24 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True)
 class DeskSettings:
     """Times of answering callers.
 
     `attempt_seconds` bounds one write to the store, far above the usual
-    0.012 s. `leader_seconds` bounds a question to the leader.
-    `pending_seconds` is how old a queue's count may be if the leader does
-    not answer.
+    0.012 s. A write is tried for `own_seconds`, so that a second attempt can
+    find out about a lost answer; after that the leader's node is asked to
+    write. A caller who then is told that the outcome is unknown has half of
+    its usual 3 s left to try another node. `leader_seconds` bounds a question
+    to the leader. `pending_seconds` is how old a queue's count may be if the
+    leader does not answer.
     """
 
     attempt_seconds: float = 0.8
+    own_seconds: float = 0.95
     leader_seconds: float = 0.4
     pause_seconds: float = 0.05
     pending_seconds: float = 1.5
@@ -107,6 +113,16 @@
     failure: PlatformFailure | None = None
 
 
+def _choose_known(
+    own: Result[T, PlatformFailure], relayed: Result[T, PlatformFailure]
+) -> Result[T, PlatformFailure]:
+    """Return what is known after both attempts; either may be in doubt."""
+    match own:
+        case Err(UnknownOutcomeFailure()) if relayed.is_err():
+            return own
+    return relayed
+
+
 class JobDesk:
     """Stores submissions and cancellations, and tells how jobs stand."""
 
@@ -134,12 +150,12 @@
         began = self._clock.read_monotonic()
         accepted_ms = int(self._clock.read_wall() * 1000)
         value = encode_submission(queue, accepted_ms, body)
-        result = self.store_submission(job, value, deadline)
-        match result:
-            case Err(UnavailableFailure()) if self._get_leader() is None:
-                left = deadline.measure_left(self._clock)
-                seconds = min(left, self._settings.attempt_seconds)
-                result = self._link.relay_submission(job, value, seconds)
+        result = self.store_submission(job, value, self._bound(deadline))
+        if result.is_err() and self._get_leader() is None:
+            relayed = self._link.relay_submission(
+                job, value, self._measure_relay(deadline)
+            )
+            result = _choose_known(result, relayed)
         logger.info(
             "submission",
             extra={
@@ -155,6 +171,15 @@
         SUBMISSIONS.labels(kind).inc()
         return Outcome(failure=failure)
 
+    def _bound(self, deadline: Deadline) -> Deadline:
+        """Return the end of this node's own attempts."""
+        own = Deadline.after(self._clock, self._settings.own_seconds)
+        return own if own.at < deadline.at else deadline
+
+    def _measure_relay(self, deadline: Deadline) -> float:
+        left = deadline.measure_left(self._clock)
+        return min(left, self._settings.leader_seconds)
+
     def store_submission(
         self, job: str, value: bytes, deadline: Deadline
     ) -> Result[None, PlatformFailure]:
@@ -205,12 +230,12 @@
 
     def cancel(self, job: str, deadline: Deadline) -> Outcome:
         """Cancel a job for good."""
-        result = self.store_cancel(job, deadline)
-        match result:
-            case Err(UnavailableFailure()) if self._get_leader() is None:
-                left = deadline.measure_left(self._clock)
-                seconds = min(left, self._settings.attempt_seconds)
-                result = self._link.relay_cancel(job, seconds)
+        result = self.store_cancel(job, self._bound(deadline))
+        if result.is_err() and self._get_leader() is None:
+            relayed = self._link.relay_cancel(
+                job, self._measure_relay(deadline)
+            )
+            result = _choose_known(result, relayed)
         logger.info("cancellation", extra={"job": job, "outcome": str(result)})
         match result:
             case Ok(known):
--- a/chestnutstair/tests/test_desk.py
+++ b/chestnutstair/tests/test_desk.py
@@ -128,6 +128,21 @@
         self.assertIsNone(self.submit())
         self.assertEqual(self.link.relayed, ["a"])
 
+    def test_the_leader_settles_an_outcome_that_is_unknown(self) -> None:
+        self.store.delay = 1000
+        self.link.relays = True
+        self.assertIsNone(self.submit())
+        self.assertEqual(self.link.relayed, ["a"])
+
+    def test_a_caller_has_half_of_its_time_left_after_a_doubt(self) -> None:
+        # rosaleda-sched-grown trouble-2: nodes that the store turned away
+        # kept callers until their time was over.
+        self.store.delay = 1000
+        deadline = self.deadline()
+        outcome = self.desk.submit(QUEUE, "a", BODY, deadline)
+        self.assertIsInstance(outcome.failure, UnknownOutcomeFailure)
+        self.assertGreater(deadline.measure_left(self.clock), 1.5)
+
     def test_states_come_from_the_store_without_a_leader(self) -> None:
         self.submit()
         describe = self.desk.describe_job
