List VMs again at most 2 s after a listing without answer

Cause: the pause after a listing grows with the time it took, so a call that ran into its limit of 1 s kept the next one away for 20 s. Found by reading. Figures: the new test fails without the bound.

--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -24,8 +24,9 @@
     estimates; `coming_share` is the part of the work in later steps that
     counts as demand already. A pool shrinks when its demand has been lower
     for `calm_seconds`, about what a move there and back costs.
-    VMs are listed every `list_seconds`, and after `list_factor` times what
-    the last listing took at the earliest. `orders_per_second` is what the
+    VMs are listed every `list_seconds`, or after `list_factor` times what
+    the last listing took, but for `list_most_seconds` at the most.
+    `orders_per_second` is what the
     platform takes of all nodes, of which `order_burst_seconds` may come at
     once.
     A wave is to be over in `wave_share` of its time, where emptying a VM
@@ -38,6 +39,7 @@
     tick_seconds: float = 0.1
     list_seconds: float = 0.5
     list_factor: float = 20.0
+    list_most_seconds: float = 2.0
     turn_seconds: float = 3.0
     move_seconds: float = 1.5
     maintenance_seconds: float = 2.0
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -72,7 +72,7 @@
         settings = self._settings
         taken = self._clock.read_monotonic() - now
         pause = max(settings.list_seconds, settings.list_factor * taken)
-        self._list_at = now + pause
+        self._list_at = now + min(pause, settings.list_most_seconds)
         match answer:
             case Ok(vms):
                 self._state.listed = {vm.name: vm for vm in vms}
--- a/chestnutstair/tests/test_fleet_keeper.py
+++ b/chestnutstair/tests/test_fleet_keeper.py
@@ -1,13 +1,18 @@
 """Tests of pools that follow demand, and of maintenance waves."""
 
 import unittest
+from unittest import mock
 
+from result import Err, Result
+
+from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.scheduling.configuration import (
     FleetConfiguration,
     MaintenanceWave,
     Service,
 )
 from chestnutstair.scheduling.fleet_state import FleetKeeperSettings
+from chestnutstair.scheduling.ports import Vm, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.waves import WaveLedger
 from chestnutstair.state.deadline import Deadline
@@ -140,6 +145,23 @@
         fleet.step()
         self.assertGreaterEqual(fleet.count_pool("gifts"), 6)
 
+    def test_vms_are_listed_soon_after_an_outage_of_their_list(self) -> None:
+        listed = []
+
+        def list_slowly() -> Result[list[Vm], WorkerCallFailure]:
+            listed.append(self.case.clock.now)
+            self.case.clock.now += 1.0  # no answer until the call's limit
+            return Err(UnavailableFailure("no answer"))
+
+        with mock.patch.object(self.vms, "list_vms", list_slowly):
+            self.step()
+        self.case.clock.now += FleetKeeperSettings.list_most_seconds
+        with mock.patch.object(
+            self.vms, "list_vms", wraps=self.vms.list_vms
+        ) as again:
+            self.step()
+        self.assertEqual(again.call_count, 1)
+
     def test_a_wave_is_as_old_for_the_next_leader(self) -> None:
         wave = MaintenanceWave(3, ("vm-w1",), 20.0, 1)
         ledgers = [
