Add a fault soak of real processes

Ruled out: faults inside the nodes; they are injected from outside, by signals, by a proxy on loopback and by the emulated platform. The emulator's runners now lapse with their leases.

--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -32,13 +32,31 @@
 )
 from chestnutstair.state.deadline import Deadline
 
-__all__ = ["EmulatedRunner", "PlatformEmulator"]
+__all__ = ["EmulatedRunner", "PlatformEmulator", "RunWatch"]
 
 ANY_TIME = Deadline(0.0)  # the store in memory heeds no deadline
 FEED_POLL_SECONDS = 0.01
 SERVICE_CONFIG = {"healthPath": "/health", "enforcesCapacity": True}
 
 
+class RunWatch:
+    """Hears what runners do; this one does nothing about it."""
+
+    def note_begun(self, runner: "EmulatedRunner", task: str) -> None:
+        """Hear that a run begins."""
+
+    def note_ended(
+        self, runner: "EmulatedRunner", task: str, how: str
+    ) -> None:
+        """Hear how a run has ended."""
+
+    def note_seen(self, runner: "EmulatedRunner", task: str, how: str) -> None:
+        """Hear that an end was taken note of."""
+
+    def note_lapsed(self, runner: "EmulatedRunner") -> None:
+        """Hear that a runner's lease has lapsed."""
+
+
 @dataclass
 class EmulatedRunner:
     """A runner that ends each task after `work_seconds`."""
@@ -49,20 +67,25 @@
     born: int = 1
     work_seconds: float = 0.05
     fence: int = 0
-    lease_until: float = 0.0
+    lease_ms: int = 0  # on the runner's own clock
     runs: dict[str, tuple[int, float, bool]] = field(default_factory=dict)
     highest: dict[str, int] = field(default_factory=dict)
     ended: int = 0
     ends: list[list[Any]] = field(default_factory=list)
     started: list[tuple[str, int]] = field(default_factory=list)
+    watch: RunWatch = field(default_factory=RunWatch)
 
     def read_clock(self) -> int:
         """Return the runner's own clock in ms."""
         return int(time.monotonic() * 1000) + 5000
 
     def settle(self) -> None:
-        """End what is done."""
+        """End what is done, or all if the lease has lapsed."""
         now = time.monotonic()
+        if self.read_clock() >= self.lease_ms:
+            for task, (run, _, _) in list(self.runs.items()):
+                self.end(task, run, "lapsed")
+            self.watch.note_lapsed(self)
         for task, (run, until, lasting) in list(self.runs.items()):
             if not lasting and now >= until:
                 self.end(task, run, "done")
@@ -73,6 +96,7 @@
         self.highest[task] = max(run, self.highest.get(task, 0))
         self.ended += 1
         self.ends.append([self.ended, task, run, how, ""])
+        self.watch.note_ended(self, task, how)
 
     def refuse(self, reason: str) -> Answer:
         """Refuse an order."""
@@ -91,10 +115,12 @@
         self.fence = call.get("fence", 0)
         if call["deadlineMs"] < self.read_clock():
             return self.refuse("late")
+        self.lease_ms = max(self.lease_ms, call["deadlineMs"])
         if run <= self.highest.get(task, 0):
             return self.refuse("old")
         if task not in self.runs:
             self.started.append((task, run))
+            self.watch.note_begun(self, task)
             until = time.monotonic() + self.work_seconds
             self.runs[task] = (run, until, "lasting" in call["spec"])
         return self.accept()
@@ -115,6 +141,10 @@
             return self.refuse("fence")
         self.fence = call.get("fence", 0)
         seen = call.get("lastSeen", 0)
+        self.lease_ms = max(self.lease_ms, call.get("deadlineMs", 0))
+        for number, task, _, how, _ in self.ends:
+            if number <= seen:
+                self.watch.note_seen(self, task, how)
         self.ends = [end for end in self.ends if end[0] > seen]
         return answer_json(
             {
@@ -132,7 +162,8 @@
 class PlatformEmulator(Application):
     """The platform on one address; runners are told apart by header."""
 
-    def __init__(self) -> None:
+    def __init__(self, watch: RunWatch | None = None) -> None:
+        self.watch = watch or RunWatch()
         self.store = MemoryRowStore()
         self.runners: dict[str, EmulatedRunner] = {}
         self.left: list[EmulatedRunner] = []
@@ -193,9 +224,12 @@
             {"version": version, "routes": routes, "services": services},
         )
 
-    def add_runner(self, name: str, service: str = "boxes") -> EmulatedRunner:
+    def add_runner(
+        self, name: str, service: str = "boxes", born: int = 1
+    ) -> EmulatedRunner:
         """Register a runner on a machine of its own."""
-        runner = EmulatedRunner(name, f"m-{name}", service)
+        runner = EmulatedRunner(name, f"m-{name}", service, born)
+        runner.watch = self.watch
         self.runners[name] = runner
         self.put(
             "servers",
@@ -214,6 +248,17 @@
         )
         return runner
 
+    def restart_runner(self, name: str) -> None:
+        """Let a runner, if it is there, begin anew and know nothing."""
+        with self._lock:
+            old = self.runners.pop(name, None)
+            if old is None:
+                return
+            self.watch.note_lapsed(old)
+            new = self.add_runner(name, old.service, old.born + 1)
+            new.machine = old.machine
+            new.work_seconds = old.work_seconds
+
     def answer(self, request: Request) -> Answer:
         """Answer a call."""
         name = request.path[-1]
--- a/tools/check.py
+++ b/tools/check.py
@@ -34,6 +34,7 @@
     "test_cluster_faults",
     "test_request_faults",
     "test_fleet_node",
+    "test_soak",
     "test_specification",
     "test_configuration",
     "test_task_takeover",
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,334 @@
+"""Runs scheduler nodes as processes under random faults, and judges them.
+
+`python -m tools.soak --seed 1 --seconds 20 --nodes 3` runs the real daemon
+against the emulated platform on loopback. Exits 1 if a promise was broken.
+"""
+
+import argparse
+import contextlib
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from chestnutstair.standins.ports import pick_port
+from chestnutstair.standins.webserver import HOST
+from chestnutstair.tests.platform_emulator import PlatformEmulator
+from tools.soak_judge import SoakJudge
+from tools.soak_proxy import FaultProxy, Link
+
+__all__ = ["Soak", "main"]
+
+HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
+READY_SECONDS = 60.0  # generous, as the machine may be busy
+FINISH_SECONDS = 45.0  # leases, a takeover and a busy machine
+CALL_SECONDS = 3.0
+CLIENTS = 4
+JOB_PAUSE_SECONDS = 0.15
+RETRIES = 4
+FAULT_PAUSE_SECONDS = (0.3, 1.5)
+FAULT_SECONDS = (0.5, 4.0)
+RUNNERS = 4
+
+
+@dataclass
+class NodeProcess:
+    """One node: its process, its addresses and its way to the platform."""
+
+    name: str
+    proxy: FaultProxy
+    settings: Path
+    callers: str
+    ready: str
+    process: subprocess.Popen[bytes] | None = None
+    busy: threading.Lock = field(default_factory=threading.Lock)
+
+    def start(self, log: Path) -> None:
+        """Start the daemon; what it writes goes to a file."""
+        with open(log, "ab") as output:
+            self.process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "chestnutstair.fleetd",
+                    "run",
+                    str(self.settings),
+                ],
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it is there."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+class Soak:
+    """One run: nodes, callers, faults and a judge, by one seed."""
+
+    def __init__(self, seed: int, nodes: int, folder: Path) -> None:
+        self._random = random.Random(seed)
+        self._folder = folder
+        self._ended = threading.Event()
+        self.faults: list[str] = []
+        self._began = time.monotonic()
+        self.platform = PlatformEmulator()
+        self.judge = SoakJudge(self.platform.runners)
+        self.platform.watch = self.judge
+        self.platform.start()
+        self.platform.configure(3, ["quick"])
+        for number in range(RUNNERS):
+            self.platform.add_runner(f"r{number}").work_seconds = 0.2
+        self.nodes = [self._build_node(number) for number in range(nodes)]
+
+    def _build_node(self, number: int) -> NodeProcess:
+        name = f"node-{number}"
+        proxy = FaultProxy(self.platform.address)
+        callers, ready, nodes = (f"{HOST}:{pick_port()}" for _ in range(3))
+        path = self._folder / f"{name}.json"
+        settings = {
+            "name": name,
+            "zone": f"zone-{number % 2}",
+            "callers_address": callers,
+            "ready_address": ready,
+            "nodes_address": nodes,
+            "store_address": proxy.address,
+            "vms_address": proxy.address,
+            "grace_seconds": 2.0,
+        }
+        path.write_text(json.dumps(settings))
+        return NodeProcess(name, proxy, path, callers, ready)
+
+    def _start(self, node: NodeProcess) -> None:
+        node.start(self._folder / f"{node.name}.log")
+
+    def run(self, seconds: float) -> None:
+        """Let callers work under faults, and wait for what was accepted."""
+        try:
+            for node in self.nodes:
+                self._start(node)
+            self._wait_ready()
+            callers = [
+                threading.Thread(target=self._hand_in, args=(number,))
+                for number in range(CLIENTS)
+            ]
+            for thread in callers:
+                thread.start()
+            self._inject(time.monotonic() + seconds)
+            self._ended.set()
+            for thread in callers:
+                thread.join()
+            self._wait_ready()
+            self._check_jobs()
+            self.judge.check_refusals()
+        finally:
+            self._ended.set()
+            self._stop()
+
+    def _stop(self) -> None:
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+            node.send(signal.SIGKILL)
+            if node.process is not None:
+                node.process.wait()
+            node.proxy.close()
+        self.platform.stop()
+
+    def _wait_ready(self) -> None:
+        until = time.monotonic() + READY_SECONDS
+        for node in self.nodes:
+            while not self._is_ready(node):
+                if time.monotonic() > until:
+                    self.judge.broken.append(f"{node.name} is not ready")
+                    return
+                time.sleep(0.1)
+
+    @staticmethod
+    def _is_ready(node: NodeProcess) -> bool:
+        try:
+            connection = http.client.HTTPConnection(node.ready, timeout=1.0)
+            with contextlib.closing(connection):
+                connection.request("GET", "/api/ready")
+                return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False  # down, paused or starting: asked again
+
+    # Callers
+
+    def _hand_in(self, caller: int) -> None:
+        """Hand jobs in; a connection is used until its node is gone."""
+        generator = random.Random(f"{self._random.random()}/{caller}")
+        connection: http.client.HTTPConnection | None = None
+        number = 0
+        while not self._ended.is_set():
+            number += 1
+            job = f"{caller:08x}{number:08x}"
+            for _ in range(1 + RETRIES):
+                if connection is None:
+                    node = generator.choice(self.nodes)
+                    connection = http.client.HTTPConnection(
+                        node.callers, timeout=CALL_SECONDS
+                    )
+                answer = self._try(connection, job)
+                self.judge.note_answer(job, answer)
+                if answer == "accepted":
+                    break
+                if answer == "unknown" or generator.random() < 0.5:
+                    connection.close()
+                    connection = None
+                time.sleep(JOB_PAUSE_SECONDS)
+            time.sleep(JOB_PAUSE_SECONDS)
+
+    @staticmethod
+    def _try(connection: http.client.HTTPConnection, job: str) -> str:
+        steps = [
+            {"count": 3, "cpu": 4000, "memMb": 256, "estimateMs": 200},
+            {"count": 1, "cpu": 4000, "estimateMs": 200, "after": [0]},
+        ]
+        body = json.dumps({"spec": "work", "steps": steps})
+        try:
+            connection.request("POST", f"/quick/{job}", body, HEADERS)
+            response = connection.getresponse()
+            response.read()
+        except (OSError, http.client.HTTPException):
+            return "unknown"
+        if response.status == 200:
+            return "accepted"
+        return "refused" if response.status in (429, 503) else "unknown"
+
+    def _check_jobs(self) -> None:
+        """Ask for each accepted job until it is shown as completed."""
+        until = time.monotonic() + FINISH_SECONDS
+        for number, job in enumerate(self.judge.list_accepted()):
+            node = self.nodes[number % len(self.nodes)]
+            state = self._ask(node, job)
+            while state != "completed" and time.monotonic() < until:
+                time.sleep(0.2)
+                state = self._ask(node, job)
+            self.judge.note_state(job, state)
+
+    @staticmethod
+    def _ask(node: NodeProcess, job: str) -> str:
+        connection = http.client.HTTPConnection(
+            node.callers, timeout=CALL_SECONDS
+        )
+        try:
+            with contextlib.closing(connection):
+                connection.request("GET", f"/quick/{job}", None, HEADERS)
+                answer = json.loads(connection.getresponse().read() or b"{}")
+                return str(answer.get("state", "unknown"))
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            return f"unknown ({type(error).__name__})"
+
+    # Faults
+
+    def _inject(self, until: float) -> None:
+        """Begin faults, one after another; they overlap."""
+        running: list[threading.Thread] = []
+        while time.monotonic() < until:
+            time.sleep(self._random.uniform(*FAULT_PAUSE_SECONDS))
+            seconds = self._random.uniform(*FAULT_SECONDS)
+            node = self._random.choice(self.nodes)
+            kind = self._random.choice(
+                (
+                    "kill",
+                    "pause",
+                    "terminate",
+                    "reload",
+                    "link",
+                    "link",
+                    "store down",
+                    "answers lost",
+                    "runner restarts",
+                    "configuration",
+                )
+            )
+            link = self._random.choice(list(Link)[1:])
+            thread = threading.Thread(
+                target=self._strike, args=(kind, node, seconds, link)
+            )
+            thread.start()
+            running.append(thread)
+        for thread in running:
+            thread.join()
+
+    def _strike(
+        self, kind: str, node: NodeProcess, seconds: float, link: Link
+    ) -> None:
+        at = time.monotonic() - self._began
+        detail = link.value if kind == "link" else ""
+        self.faults.append(
+            f"{at:.2f} s {kind} {detail} {node.name} {seconds:.2f} s"
+        )
+        match kind:
+            case "kill" | "pause" | "terminate" | "reload":
+                with node.busy:
+                    self._signal(kind, node, seconds)
+            case "link":
+                node.proxy.link = link
+                time.sleep(seconds)
+                node.proxy.link = Link.OPEN
+            case "store down":
+                self.platform.store.down = True
+                time.sleep(seconds)
+                self.platform.store.down = False
+            case "answers lost":
+                self.platform.store.lose_answers = 3
+            case "runner restarts":
+                # A runner that has been moved meanwhile stays as it is.
+                self.platform.restart_runner(f"r{int(at * 1000) % RUNNERS}")
+            case "configuration":
+                version = int(time.monotonic() * 1000)
+                self.platform.configure(version, ["quick", "added"])
+
+    def _signal(self, kind: str, node: NodeProcess, seconds: float) -> None:
+        match kind:
+            case "pause":
+                node.send(signal.SIGSTOP)
+                time.sleep(seconds)
+                node.send(signal.SIGCONT)
+            case "reload":
+                node.send(signal.SIGHUP)
+            case _:
+                kill = kind == "kill"
+                node.send(signal.SIGKILL if kill else signal.SIGTERM)
+                if node.process is not None:
+                    node.process.wait()
+                time.sleep(seconds)
+                self._start(node)
+
+
+def main() -> int:
+    """Run one soak and print what was injected, served and broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=os.getpid())
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--keep", help="folder for logs; else they go")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = Path(options.keep or temporary)
+        folder.mkdir(exist_ok=True)
+        soak = Soak(options.seed, options.nodes, folder)
+        soak.run(options.seconds)
+    for fault in soak.faults:
+        print(f"injected: {fault}")
+    print(f"served: {len(soak.judge.list_accepted())} jobs accepted")
+    print(f"served: {soak.judge.begun} runs begun")
+    for what in soak.judge.broken:
+        print(f"broken: {what}")
+    print(f"seed {options.seed}: {len(soak.judge.broken)} broken")
+    return 1 if soak.judge.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
