--- a/tools/check.py
+++ b/tools/check.py
@@ -35,6 +35,8 @@
     "test_request_faults",
     "test_fleet_node",
     "test_soak",
+    "test_protocol",
+    "test_router",
     "test_specification",
     "test_configuration",
     "test_task_takeover",
