Reset connections of VM orders that were given up

The calls had been given up, but a plain close leaves what has not been sent to the kernel, which delivers it later.

Ruled out: orders given after the term was lost; each is checked to be within 1 s of the term's last write when it is sent.

Change: connections to the VM service are reset when they are closed, which discards what has not been sent.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -75,13 +75,15 @@
         self._build_parts()
         self._build_servers()
 
-    def _build_client(self, address: str, connections: int) -> PlatformClient:
+    def _build_client(
+        self, address: str, connections: int, resets: bool = False
+    ) -> PlatformClient:
         return PlatformClient(
             f"http://{address}",
             "",
             "",
             self._clock,
-            PlatformClientSettings(connections),
+            PlatformClientSettings(connections, resets),
         )
 
     def _build_parts(self) -> None:
@@ -95,7 +97,8 @@
             clock, settings.policy_address, RunnerSettings()
         )
         self._vms = PlatformVmControl(
-            self._build_client(settings.vms_address, VM_CONNECTIONS), clock
+            self._build_client(settings.vms_address, VM_CONNECTIONS, True),
+            clock,
         )
         self._watch = OperatorWatch(
             self._store, self._decoder, clock, self._note_operator
--- a/chestnutstair/transport/platform_client.py
+++ b/chestnutstair/transport/platform_client.py
@@ -1,5 +1,7 @@
 """A client of the platform's HTTP interface."""
 
+import socket
+import struct
 from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -8,6 +10,7 @@
 import urllib3
 from prometheus_client import Counter
 from result import Err, Ok, Result
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     EmptyPoolError,
@@ -39,6 +42,8 @@
 
 T = TypeVar("T")
 
+RESET = struct.pack("ii", 1, 0)  # linger on close, for no time
+
 SERVICE_CALLS = Counter(
     "chestnutstair_platform_calls", "Calls to the platform.", ["service"]
 )
@@ -53,11 +58,17 @@
 
 @dataclass(frozen=True)
 class PlatformClientSettings:
-    """The most connections that one client holds open."""
+    """The connections of one client.
+
+    It holds `connections` open at most. With `resets` a connection is reset
+    when it is closed: what a call that was given up has not sent yet, as on
+    a link that is cut, then never arrives.
+    """
 
     __pydantic_config__ = STRICT
 
     connections: int = 8
+    resets: bool = False
 
 
 class PlatformClient:
@@ -72,12 +83,16 @@
         settings: PlatformClientSettings = PlatformClientSettings(),
     ) -> None:
         self._clock = clock
+        options = list(HTTPConnection.default_socket_options)
+        if settings.resets:
+            options.append((socket.SOL_SOCKET, socket.SO_LINGER, RESET))
         self._pool = urllib3.connection_from_url(
             base_url,
             maxsize=settings.connections,
             block=True,
             retries=False,
             headers={PARTY_HEADER: party, ZONE_HEADER: zone},
+            socket_options=options,
         )
 
     def query(
