Mend the claim test that was known red, and keep results over an error

Cause: test_a_hanging_table_holds_up_one_claim_only started claim 2 on a thread and claims 3 at once; if a claim 3 was queued first, that one was held up. The test now waits until claim 2 has reached the table; its checks are as they were.

Second: results in a batch whose commit raises an unexpected error were lost. They are queued again, without deletions, as after an unknown outcome.

--- a/chestnutstair/coordination/claims.py
+++ b/chestnutstair/coordination/claims.py
@@ -270,6 +270,8 @@
             return self._commit(group, results)
         except Exception:  # this thread serves all claims and must not end
             logger.exception("unexpected error while committing claims")
+            # The commit may have been applied, so deletions are dropped.
+            self._requeue_results([item for item in results if item.value])
             for item in group:
                 if item.answer is None:
                     reason = "internal error in this daemon"
--- a/chestnutstair/tests/test_claims.py
+++ b/chestnutstair/tests/test_claims.py
@@ -39,13 +39,19 @@
         super().__init__()
         self.gate = threading.Event()
         self.gate.set()
+        self.blocked = threading.Event()  # a commit waits for the gate
         self.lost: list[Any] = []
+        self.errors: list[Exception] = []  # raised by the next commits
 
     def commit(self, conditions: Any, writes: Any, deadline: Any) -> Any:
         """Commit once the gate is set; lose the answer of the first deletion.
 
         Another attempt claims the deleted row before the failure returns.
         """
+        if self.errors:
+            raise self.errors.pop()
+        if not self.gate.is_set():
+            self.blocked.set()
         self.gate.wait(10)
         outcome = super().commit(conditions, writes, deadline)
         if any(write.value is None for write in writes) and not self.lost:
@@ -124,6 +130,8 @@
         self.table.gate.clear()
         with ThreadPoolExecutor(1) as pool:
             first = pool.submit(self.claim, 2)
+            # A claim 3 that is queued first would be held up instead.
+            self.assertTrue(self.table.blocked.wait(10))
             found = [self.claim(3, 0.01) for _ in range(20)]
             self.assertIn(DOWN, found)
             self.assertFalse(first.done())
@@ -131,6 +139,16 @@
             self.assertTrue(first.result().is_ok())
         self.assertTrue(self.claim(4).is_ok())
 
+    def test_results_outlast_an_unexpected_error_of_the_table(self) -> None:
+        """A result dropped with its batch leaves the claim unknown."""
+        claim = self.claim(1).unwrap()
+        self.table.errors.append(ValueError("malformed answer"))
+        self.claims.record_result(self.build_key(1), claim, Ran.YES)
+        deadline = Deadline.after(self.clock, 10)
+        while self.read(1).value["ran"] != Ran.YES.value:
+            self.assertFalse(deadline.has_passed(self.clock))
+            time.sleep(0.01)
+
     def test_sweep_deletes_expired_claims(self) -> None:
         self.claims = ClaimStore(
             self.table,
