Tell the refusals of orders apart, and read damaged intake rows as failures

Cause: a refusal carries the worker's clock, so it never equalled the ticket refusal without one, and a refused ticket was used again; a stop refused for any reason counted as acknowledged, also one with an old fence, after which a run that goes on could be started elsewhere; a row that cannot be decoded raised an error that lost the rows after it.

Now: the reason alone decides; a stop with an old fence ends the term; only 'old' counts as stopped; a damaged row is a MalformedRowFailure and logged.

--- a/chestnutstair/scheduling/intake.py
+++ b/chestnutstair/scheduling/intake.py
@@ -1,9 +1,9 @@
 """Encoding of the rows that submit and cancel jobs."""
 
 import json
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.ports import Row, RowKey, SubmissionCodec
@@ -13,6 +13,7 @@
 __all__ = [
     "INTAKE_PARTITION",
     "INTAKE_TABLE",
+    "MalformedRowFailure",
     "build_cancel_key",
     "build_job_key",
     "decode_submission",
@@ -27,6 +28,13 @@
 CANCEL_PREFIX = "cancel/"
 
 
+@dataclass(frozen=True)
+class MalformedRowFailure(Failure):
+    """An intake row cannot be decoded."""
+
+    reason: str
+
+
 def build_job_key(job: str) -> RowKey:
     """Return the key of a job's submission row."""
     return RowKey(INTAKE_TABLE, INTAKE_PARTITION, JOB_PREFIX + job)
@@ -64,18 +72,19 @@
 def decode_submission(
     job: str, value: bytes, codec: SubmissionCodec
 ) -> Result[Submission, Failure]:
-    """Decode the value of a submission's row."""
-    fields = json.loads(value)
-    match codec.read_job(fields["body"].encode()):
-        case Err(failure):
-            return Err(failure)
-        case Ok(specification):
-            return Ok(
-                Submission(
-                    job,
-                    Queue(**fields["queue"]),
-                    fields["accepted_ms"],
-                    specification,
-                )
-            )
-    raise AssertionError(job)
+    """Decode the value of a submission's row.
+
+    Rows of other versions of this program may lack fields or have more.
+    """
+    try:
+        fields = json.loads(value)
+        queue = Queue(**fields["queue"])
+        accepted_ms = int(fields["accepted_ms"])
+        body = fields["body"].encode()
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        return Err(MalformedRowFailure(repr(error)))
+    return codec.read_job(body).map(
+        lambda specification: Submission(
+            job, queue, accepted_ms, specification
+        )
+    )
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -20,6 +20,7 @@
     RefusalReason,
     StartOrder,
     StartRefusedFailure,
+    WorkerCallFailure,
     WorkerControl,
     WrongIncarnationFailure,
 )
@@ -28,10 +29,12 @@
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.failure import describe_failure
 
-__all__ = ["OrderSender", "OrderSettings"]
+__all__ = ["FENCED", "OrderSender", "OrderSettings"]
 
 logger = logging.getLogger(__name__)
 
+FENCED = "a worker has seen a newer fencing token"
+
 
 @dataclass(frozen=True)
 class OrderSettings:
@@ -130,7 +133,9 @@
                 },
             )
             match answer:
-                case Ok(_) | Err(StartRefusedFailure()):
+                case Err(StartRefusedFailure(RefusalReason.FENCE)):
+                    self._leadership.mark_lost(FENCED)
+                case Ok(_) | Err(StartRefusedFailure(RefusalReason.OLD)):
                     with self._tracker.lock:
                         self._tracker.confirm_stop(
                             stop.worker, stop.task, stop.run
@@ -209,15 +214,7 @@
                     self._measure_first_start(record)
                     self._tracker.confirm_start(worker, task, placement.run)
                 case Err(failure):
-                    if failure == StartRefusedFailure(RefusalReason.TICKET):
-                        self._advice.drop(
-                            record.name_step(placement.key),
-                            worker.name,
-                            worker.entry.born_ms,
-                        )
-                    self._handle_failed_start(
-                        worker, task, placement.run, failure
-                    )
+                    self._handle_failed_start(placement, task, failure)
                     self._leadership.wake_planner()
 
     def _measure_first_start(self, record: JobRecord) -> None:
@@ -228,20 +225,24 @@
             FIRST_START_SECONDS.observe(max(0.0, seconds))
 
     def _handle_failed_start(
-        self, worker: WorkerState, task: str, run: int, failure: object
+        self, placement: Placement, task: str, failure: WorkerCallFailure
     ) -> None:
-        now = self._clock.read_monotonic()
+        worker = placement.worker
+        run = placement.run
         match failure:
             case UnknownOutcomeFailure():
                 self._tracker.mark_in_doubt(worker, task, run)
             case StartRefusedFailure(RefusalReason.FENCE):
-                self._leadership.mark_lost(
-                    "a worker has seen a newer fencing token"
+                self._leadership.mark_lost(FENCED)
+            case StartRefusedFailure(RefusalReason.TICKET):
+                self._advice.drop(
+                    placement.record.name_step(placement.key),
+                    worker.name,
+                    worker.entry.born_ms,
                 )
-            case StartRefusedFailure(reason):
-                worker.avoided_until = now + self._settings.retry_seconds
-                self._tracker.withdraw(worker, task, run, reason)
-            case UnavailableFailure(reason):
+                self._tracker.withdraw(worker, task, run, RefusalReason.TICKET)
+            case StartRefusedFailure(reason) | UnavailableFailure(reason):
+                now = self._clock.read_monotonic()
                 worker.avoided_until = now + self._settings.retry_seconds
                 self._tracker.withdraw(worker, task, run, reason)
             case WrongIncarnationFailure():
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -8,7 +8,7 @@
 
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.leadership import Leadership
-from chestnutstair.scheduling.orders import OrderSender
+from chestnutstair.scheduling.orders import FENCED, OrderSender
 from chestnutstair.scheduling.pacing import Pacer
 from chestnutstair.scheduling.ports import (
     RefusalReason,
@@ -77,12 +77,27 @@
         wait = 0.0
         while not self._leadership.has_ended and self._is_current(worker):
             if self._hold(worker, wait):
-                wait = self._settings.hold_seconds
+                wait = self._choose_wait(worker)
             else:
                 wait = 0.0
                 self._leadership.ended.wait(self._settings.retry_seconds)
         self._stored_events.pop(id(worker), None)
 
+    def _choose_wait(self, worker: WorkerState) -> float:
+        """Return how long the next hold call may wait.
+
+        A VM that is to leave its pool is ordered once its last end is
+        acknowledged, which only the answer to a call shows.
+        """
+        with self._tracker.lock:
+            if (
+                worker.cordoned
+                and not worker.runs
+                and worker.acknowledged_end < worker.stored_end
+            ):
+                return 0.0
+        return self._settings.hold_seconds
+
     def _is_current(self, worker: WorkerState) -> bool:
         with self._tracker.lock:
             current = self._tracker.workers.get(worker.name)
@@ -135,9 +150,7 @@
             case Err(StartRefusedFailure(reason)) if (
                 reason == RefusalReason.FENCE
             ):
-                self._leadership.mark_lost(
-                    "a worker has seen a newer fencing token"
-                )
+                self._leadership.mark_lost(FENCED)
             case Err(failure):
                 if not worker.unresponsive:
                     worker.unresponsive = True
--- /dev/null
+++ b/chestnutstair/tests/test_orders.py
@@ -0,0 +1,117 @@
+"""Tests of how the outcomes of orders to workers are handled."""
+
+import unittest
+from typing import Any
+
+from result import Err, Ok, Result
+
+from chestnutstair.coordination.platform import UnavailableFailure
+from chestnutstair.scheduling.leadership import Leadership
+from chestnutstair.scheduling.orders import OrderSender, OrderSettings
+from chestnutstair.scheduling.pacing import Pacer, PacingSettings
+from chestnutstair.scheduling.ports import (
+    HoldAnswer,
+    RefusalReason,
+    StartRefusedFailure,
+    WorkerCallFailure,
+    WorkerControl,
+)
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.scheduling.term import Term, TermRow, TermSettings
+from chestnutstair.standins.rows import MemoryRowStore
+from chestnutstair.tests.scheduling_support import TrackerHarness
+
+
+class ScriptedControl(WorkerControl):
+    """Answers each start and stop with the failure set, if any."""
+
+    def __init__(self) -> None:
+        self.failure: WorkerCallFailure | None = None
+
+    def _answer(self) -> Result[int, WorkerCallFailure]:
+        return Ok(0) if self.failure is None else Err(self.failure)
+
+    def start(self, *_: Any) -> Result[int, WorkerCallFailure]:
+        """Answer a start."""
+        return self._answer()
+
+    def stop(self, *_: Any) -> Result[int, WorkerCallFailure]:
+        """Answer a stop."""
+        return self._answer()
+
+    def pace(self, *_: Any) -> Result[int, WorkerCallFailure]:
+        """Accept the speed."""
+        return Ok(0)
+
+    def hold(self, *_: Any) -> Result[HoldAnswer, WorkerCallFailure]:
+        """Fail; the tests deliver listings themselves."""
+        return Err(UnavailableFailure("not used"))
+
+
+class OrderOutcomeTest(unittest.TestCase):
+    """One worker, and a leader whose orders are answered as scripted."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.control = ScriptedControl()
+        row = TermRow("n", "n:1", 1, 0)
+        store = MemoryRowStore()
+        self.leadership = Leadership(
+            Term(store, self.harness.clock, row, 0, TermSettings())
+        )
+        self.orders = OrderSender(
+            self.leadership,
+            self.harness.tracker,
+            self.control,
+            self.harness.advice,
+            Pacer(self.harness.clock, PacingSettings()),
+            self.harness.clock,
+            OrderSettings(retry_seconds=0.0),
+        )
+        self.addCleanup(self.orders.close)
+
+    def send_stop(self) -> None:
+        worker = self.harness.get_worker("w1")
+        worker.mark_stopping("j.0.0.0")
+        (stop,) = self.harness.tracker.list_stop_requests()
+        self.orders._stop(stop, ("w1", stop.task, stop.run))
+
+    def place_and_start(self) -> None:
+        self.record = self.harness.admit("j", [Step(1, 1000)])
+        (placement,) = self.harness.plan()
+        self.orders._start(placement)
+
+    def is_stop_answered(self) -> bool:
+        run = self.harness.get_worker("w1").runs["j.0.0.0"]
+        return bool(run.stop_answered_at)
+
+    def test_a_refused_ticket_is_dropped_whatever_the_clock_says(self) -> None:
+        # Refusals carry the worker's clock, so none was equal to one without.
+        self.harness.policy.good = {"w1": "ticket"}
+        self.record = self.harness.admit("j", [Step(1, 1000)], "ruled")
+        self.assertEqual(self.harness.plan(), [])
+        self.harness.advice._ask_next()
+        (placement,) = self.harness.plan()
+        self.control.failure = StartRefusedFailure(RefusalReason.TICKET, 4711)
+        self.orders._start(placement)
+        self.assertEqual(self.harness.plan(), [], "the ticket is used again")
+
+    def test_a_stop_with_an_old_fence_ends_the_term(self) -> None:
+        self.place_and_start()
+        self.control.failure = StartRefusedFailure(RefusalReason.FENCE, 4711)
+        self.send_stop()
+        self.assertTrue(self.leadership.has_ended)
+        self.assertFalse(self.is_stop_answered())
+
+    def test_a_stop_refused_without_a_known_reason_is_sent_again(self) -> None:
+        # A run counted as stopped that goes on would run twice.
+        self.place_and_start()
+        self.control.failure = StartRefusedFailure("status 400", 4711)
+        self.send_stop()
+        self.assertFalse(self.is_stop_answered())
+
+    def test_a_stop_of_a_run_that_is_over_counts_as_answered(self) -> None:
+        self.place_and_start()
+        self.control.failure = StartRefusedFailure(RefusalReason.OLD, 4711)
+        self.send_stop()
+        self.assertTrue(self.is_stop_answered())
