Leave a lasting run in doubt running if its worker lists it

Cause: a start without answer was stopped at once, also where it had been carried out and the lasting task was at work. If another task of its step was away, for instance because its start was in doubt too, the step fell below its limit.

Now: the next listing that was asked for after the doubt decides; a run that it lacks is stopped, so that a late start is refused.

The objective of a job is computed in one place, and an arrival keeps its critical path and slack for the forecast of the pools.

--- a/chestnutstair/scheduling/configuration.py
+++ b/chestnutstair/scheduling/configuration.py
@@ -27,6 +27,10 @@
     # service, which is valid for this long; 0 if the queue needs no tickets.
     advice_seconds: float = 0.0
 
+    def compute_objective_ms(self, critical_path_ms: float) -> float:
+        """Return the latency objective of a job with this critical path."""
+        return self.stretch * critical_path_ms + self.latency_objective_ms
+
 
 @dataclass(frozen=True)
 class Service:
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -73,11 +73,17 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """An accepted job: `work` in millicore-seconds, `at` in monotonic time."""
+    """An accepted job: `work` in millicore-seconds, `at` in monotonic time.
+
+    `path_seconds` is its estimated critical path, and `slack_seconds` how much
+    longer it may take.
+    """
 
     at: float
     service: str
     work: float
+    path_seconds: float = 0.0
+    slack_seconds: float = 0.0
 
 
 class JobTracker:
@@ -135,8 +141,18 @@
 
     def _record_arrival(self, record: JobRecord, age: float) -> None:
         at = self._clock.read_monotonic() - age
-        service = self.find_queue(record.submission).service
-        self.arrivals.append(Arrival(at, service, record.estimate_work()))
+        queue = self.find_queue(record.submission)
+        path_ms = record.critical_path_ms
+        slack_ms = queue.compute_objective_ms(path_ms) - path_ms
+        self.arrivals.append(
+            Arrival(
+                at,
+                queue.service,
+                record.estimate_work(),
+                path_ms / 1000,
+                slack_ms / 1000,
+            )
+        )
 
     def admit(self, submission: Submission) -> bool:
         """Add an accepted job; return False if it already exists."""
@@ -369,15 +385,24 @@
             if end.number > worker.applied_end:
                 self._apply_end(worker, end)
                 worker.applied_end = end.number
-        listed = {listing.task: listing for listing in answer.runs}
+        listed = {listing.task for listing in answer.runs}
         for listing in answer.runs:
             self._apply_listing(worker, listing, now)
         for task, run in list(worker.runs.items()):
-            if task not in listed and self._is_gone(run, sent_at):
-                worker.remove_run(task)
-                self._release_if_current(run, "not listed")
+            if task not in listed:
+                self._apply_absence(worker, task, run, sent_at)
         return True
 
+    def _apply_absence(
+        self, worker: WorkerState, task: str, run: PlacedRun, sent_at: float
+    ) -> None:
+        """Release or stop a run that the worker's answer does not list."""
+        if self._is_gone(run, sent_at):
+            worker.remove_run(task)
+            self._release_if_current(run, "not listed")
+        elif run.in_doubt_at and run.in_doubt_at < sent_at:
+            worker.mark_stopping(task)  # its start may still come
+
     @staticmethod
     def _is_gone(run: PlacedRun, sent_at: float) -> bool:
         """Return whether a run that an answer does not list has ended.
@@ -594,7 +619,15 @@
         placed = worker.runs.get(task)
         if placed is None or placed.run != run or placed.confirmed_at:
             return
-        worker.replace_run(task, replace(placed, in_doubt=True, stopping=True))
+        # A lasting task may be at work by now, and its step may not spare it:
+        # the next listing tells whether it has to be stopped.
+        doubtful = replace(
+            placed,
+            in_doubt=True,
+            in_doubt_at=self._clock.read_monotonic(),
+            stopping=placed.stopping or not placed.step.lasting,
+        )
+        worker.replace_run(task, doubtful)
 
     def confirm_stop(self, worker: WorkerState, task: str, run: int) -> None:
         """Record that the worker acknowledged the stop."""
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -128,10 +128,7 @@
         if any(step.lasting for step in record.steps):
             accepted_ms = record.submission.accepted_ms
             return Urgency(Lateness.IN_TIME, -1, accepted_ms)
-        objective_ms = (
-            queue.stretch * record.critical_path_ms
-            + queue.latency_objective_ms
-        )
+        objective_ms = queue.compute_objective_ms(record.critical_path_ms)
         due_since_ms = record.advance_occurrence(wall_ms)
         # Latency if every ready task started now. The margin counts a job
         # that would barely meet its objective as late, as it likely will be.
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -41,6 +41,8 @@
     confirmed_at: float = 0.0
     # The start got no answer and may still take effect.
     in_doubt: bool = False
+    # When the start became in doubt; 0 if it never was.
+    in_doubt_at: float = 0.0
     # The run must be stopped. Its room becomes free once its end is listed.
     stopping: bool = False
     # When the stop was acknowledged; 0 before.
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -267,6 +267,42 @@
         )
 
 
+class LastingRunsInDoubtTest(unittest.TestCase):
+    """A lasting task whose start got no answer may be at work already.
+
+    Stopping it while another task of its step is away, whose start was in
+    doubt too, took the step below its limit.
+    """
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.record = self.harness.admit("j", [Step(1, 1000, lasting=True)])
+        self.placed = self.harness.plan()[0]
+        self.harness.clock.now += 0.5
+        self.harness.tracker.mark_in_doubt(self.placed.worker, "j.0.0.0", 1)
+
+    def list_stops(self) -> list[str]:
+        return [s.task for s in self.harness.tracker.list_stop_requests()]
+
+    def test_a_run_that_the_worker_lists_goes_on(self) -> None:
+        self.assertEqual(self.list_stops(), [])
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.harness.clock.now += 5.0
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.assertEqual(self.list_stops(), [])
+        self.assertTrue(self.placed.worker.runs["j.0.0.0"].is_ready)
+
+    def test_a_run_that_the_worker_does_not_list_is_stopped(self) -> None:
+        sent = self.harness.clock.now - 0.2
+        self.harness.answer("w1", sent=sent)
+        self.assertEqual(self.list_stops(), [], "listed before the doubt")
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        self.assertEqual(self.list_stops(), ["j.0.0.0"])
+        self.assertEqual(self.harness.plan(), [], "the start may come later")
+
+
 class StuckRunsTest(unittest.TestCase):
     """A stuck run is retried once on another worker."""
 
