Size pools by what VMs ordered now must meet, and count VMs once

Causes and mends: - VMs draining for a wave take no new tasks but counted as capacity; demand now gets others in their place.

Fewer VMs in idle pools are paid for by moves and by jobs that wait at the start of a turn.

The setup of CompetingPoolsTest lets workers answer before it places work: without contact nothing was placed, and pools without work are now cordoned at once. Its checks are as they were.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -74,7 +74,6 @@
         )
         self._began_at = clock.read_monotonic()
         self._workers_registered = False
-        self._surplus_since: dict[str, float] = {}
         self._thread = threading.Thread(
             target=self._run, name="fleet", daemon=True
         )
@@ -111,9 +110,10 @@
             loads = measure_loads(self._tracker, now)
             spare = self._state.find_spare_pool()
         if spare and self._are_workers_registered(now):
+            self._replace_drains_by_idle_vms(spare)
             sized = [load for load in loads if load.service != spare]
             self._resize_pools(self._sizer.measure(sized), spare, now)
-        self._finish_drains()
+        self._finish_drains(now)
         for wave in self._get_waves():
             self._wave_controller.reconcile(wave, spare, now)
         self._set_cordons()
@@ -142,9 +142,7 @@
         with self._tracker.lock:
             for worker in self._tracker.workers.values():
                 vm = worker.entry.vm
-                worker.cordoned = (
-                    vm in self._state.drains or vm in self._state.orders
-                )
+                worker.cordoned = self._state.is_unusable(vm)
                 worker.maintenance_due = self._waves.is_due(vm)
 
     # Pools
@@ -152,12 +150,11 @@
     def _resize_pools(
         self, sizes: list[PoolSize], spare: str, now: float
     ) -> None:
-        """Add VMs to pools that lack some; drain those long in surplus."""
-        for size in sizes:
-            if size.want >= size.have:
-                self._surplus_since.pop(size.service, None)
-            else:
-                self._surplus_since.setdefault(size.service, now)
+        """Add VMs to pools that lack some; drain those in surplus.
+
+        Drained VMs take no new tasks, so that work gathers on the others and
+        they are empty when the delay before their order is over.
+        """
         drained: Counter[str] = Counter()
         for size in sorted(sizes, key=lambda size: size.have - size.need):
             missing = size.need - size.have
@@ -170,15 +167,34 @@
             if extra > 0:
                 self._grow(size.service, spare, extra, False)
             surplus = size.have - size.want - drained[size.service]
-            surplus_seconds = now - self._surplus_since.get(size.service, now)
-            if (
-                surplus > 0
-                and surplus_seconds >= self._settings.shrink_delay_seconds
-            ):
-                self._start_drains(size.service, spare, surplus)
+            if surplus > 0:
+                order_at = now + self._settings.shrink_delay_seconds
+                self._start_drains(
+                    size.service, Drain(spare, order_at=order_at), surplus
+                )
+
+    def _replace_drains_by_idle_vms(self, spare: str) -> None:
+        """Order idle VMs for pools that wait for VMs of others to drain.
+
+        An idle VM is there sooner. The draining ones are redirected to the
+        spare pool, from which their own pools can take them back.
+        """
+        waiting = [
+            (vm, drain)
+            for vm, drain in self._state.drains.items()
+            if not drain.wave and drain.service != spare
+        ]
+        idle = self._list_orderable_vms(spare)
+        pairs = list(zip(idle, waiting, strict=False))
+        ordered = self._orders.order_all(
+            [VmOrder(vm, drain.service) for vm, (_, drain) in pairs]
+        )
+        for vm, (draining_vm, _) in pairs:
+            if vm in ordered:
+                self._state.drains[draining_vm] = Drain(spare)
 
     def _grow(self, service: str, spare: str, count: int, timely: bool) -> int:
-        """Add VMs to a pool; return how many are still missing.
+        """Add VMs to a pool; return how many could not be added.
 
         Cancels drains of the pool's VMs first, then orders idle spare VMs.
         With `timely`, the VMs are for work that can be in time: VMs that
@@ -188,18 +204,22 @@
         count -= self._cancel_drains(service, spare, count, timely)
         if timely:
             count -= self._redirect_drains(service, spare, count)
-        idle = [
-            vm.name
-            for vm in self._state.listed.values()
-            if vm.service == spare
-            and vm.state == UP
-            and vm.name not in self._state.orders
-        ]
-        idle.sort(key=lambda vm: (self._waves.is_due(vm), vm))
-        chosen = idle[: max(0, count)]
+        chosen = self._list_orderable_vms(spare)[: max(0, count)]
+        # VMs beyond the rate limit are ordered in one of the next rounds.
         self._orders.order_all([VmOrder(vm, service) for vm in chosen])
         return count - len(chosen)
 
+    def _list_orderable_vms(self, spare: str) -> list[str]:
+        """Return the idle VMs that may be ordered, best ones first."""
+        now = self._clock.read_monotonic()
+        orderable = [
+            vm
+            for vm in self._state.list_idle_vms(spare)
+            if self._order_history.is_interval_over(vm, now)
+        ]
+        # A VM that is due for maintenance would soon leave its pool again.
+        return sorted(orderable, key=lambda vm: (self._waves.is_due(vm), vm))
+
     def _cancel_drains(
         self, service: str, spare: str, count: int, timely: bool
     ) -> int:
@@ -254,19 +274,19 @@
             available = size.have - size.need - drained[size.service]
             if size.service != service and missing > 0 and available > 0:
                 started = self._start_drains(
-                    size.service, service, min(missing, available), True
+                    size.service,
+                    Drain(service, urgent=True),
+                    min(missing, available),
                 )
                 drained[size.service] += started
                 missing -= started
 
-    def _start_drains(
-        self, service: str, target: str, count: int, urgent: bool = False
-    ) -> int:
-        """Start draining VMs of a pool for another; return how many.
+    def _start_drains(self, service: str, drain: Drain, count: int) -> int:
+        """Start draining up to `count` VMs of a pool; return how many.
 
-        Prefers VMs with few lasting runs and, if `urgent`, few runs that can
-        be in time; then VMs due for maintenance, then those with little in
-        use.
+        Prefers VMs with few lasting runs and, if the drain is urgent, few
+        runs that can be in time; then VMs due for maintenance, then those
+        with little in use.
         """
         with self._tracker.lock:
             candidates = [
@@ -282,7 +302,7 @@
             candidates.sort(
                 key=lambda worker: (
                     worker.lasting_runs,
-                    self._count_timely(worker) if urgent else 0,
+                    self._count_timely(worker) if drain.urgent else 0,
                     not self._waves.is_due(worker.entry.vm),
                     worker.used_millicores,
                     worker.name,
@@ -292,10 +312,10 @@
             for worker in chosen:
                 worker.cordoned = True
         for worker in chosen:
-            self._state.drains[worker.entry.vm] = Drain(target, 0, urgent)
+            self._state.drains[worker.entry.vm] = drain
         return len(chosen)
 
-    def _finish_drains(self) -> None:
+    def _finish_drains(self, now: float) -> None:
         """Send the orders for draining VMs that have become empty.
 
         Also moves lasting tasks off draining VMs, and stops late runs on VMs
@@ -310,6 +330,8 @@
                     del self._state.drains[vm]
                     continue
                 worker.cordoned = True
+                if now < drain.order_at:
+                    continue
                 self._move_lasting_tasks(worker)
                 if drain.urgent and not self._count_timely(worker):
                     self._stop_late_runs(worker)
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -42,10 +42,14 @@
     base_share: float = 0.5
     # Capacity for each unit of demand; above 1 because sizes are estimates.
     headroom: float = 1.2
+    # Part of a job's slack that it may spend waiting for a VM; the rest is for
+    # tasks that run longer than estimated.
+    slack_share: float = 0.6
     # Part of the work in later steps that already counts as demand.
     later_work_share: float = 0.7
-    # A pool shrinks once its demand has been lower for this long, about the
-    # cost of a move there and back.
+    # Minimum time between the start of a drain for the spare pool and the
+    # order to move the VM, about the cost of a move there and back. Until
+    # then the pool can take the VM back for nothing.
     shrink_delay_seconds: float = 1.5
     # Maximum size of a pool in even shares.
     max_share: float = 3.0
@@ -77,11 +81,14 @@
     - `service`: pool that the VM will join, or its own pool for a wave.
     - `wave`: number of the maintenance wave; 0 for a move.
     - `urgent`: the new pool needs the VM for work that can be in time.
+    - `order_at`: monotonic time before which the VM is not ordered, and
+      keeps its lasting tasks, even if it is empty otherwise.
     """
 
     service: str
     wave: int = 0
     urgent: bool = False
+    order_at: float = 0.0
 
 
 class FleetState:
@@ -122,12 +129,44 @@
         if listed is not None:
             self.listed[vm] = replace(listed, state=UP)
 
+    def count_in_maintenance(self) -> Counter[str]:
+        """Return how many VMs of each pool are under maintenance.
+
+        VMs whose worker has registered again no longer count.
+        """
+        workers = self.index_workers()
+        return Counter(
+            order.service
+            for order in self.orders.values()
+            if order.wave and order.vm not in workers
+        )
+
+    def count_maintenance_drains(self) -> Counter[str]:
+        """Return how many VMs of each pool are draining for maintenance."""
+        return Counter(
+            drain.service for drain in self.drains.values() if drain.wave
+        )
+
+    def list_idle_vms(self, spare: str) -> list[str]:
+        """Return the VMs of the spare pool that can be ordered."""
+        return [
+            vm.name
+            for vm in self.listed.values()
+            if vm.service == spare
+            and vm.state == UP
+            and vm.name not in self.orders
+        ]
+
     def count_pending_changes(self) -> Counter[str]:
         """Return how many VMs each pool will gain, less those it will lose."""
-        changes = Counter(
-            order.service for order in self.orders.values() if not order.wave
-        )
+        changes: Counter[str] = Counter()
         workers = self.index_workers()
+        for order in self.orders.values():
+            worker = workers.get(order.vm)
+            if not order.wave and (
+                worker is None or worker.entry.service != order.service
+            ):
+                changes[order.service] += 1  # not registered there yet
         for vm, drain in self.drains.items():
             changes[drain.service] += 1
             worker = workers.get(vm)
@@ -135,6 +174,20 @@
                 changes[worker.entry.service] -= 1
         return changes
 
+    def is_unusable(self, vm: str) -> bool:
+        """Return whether the VM's worker must get no new tasks.
+
+        Once an order is answered, the worker of before has been retired, and
+        one that registers is ready for work.
+        """
+        order = self.orders.get(vm)
+        return vm in self.drains or (order is not None and not order.answered)
+
+    def compute_even_share(self) -> float:
+        """Return the number of all VMs divided by the number of pools."""
+        pool_count = max(1, len(self._tracker.configuration.services))
+        return len(self.listed) / pool_count
+
     def compute_average_millicores(self) -> int:
         """Return the average millicores of a VM, at least 1."""
         sizes = [vm.millicores for vm in self.listed.values()]
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -1,8 +1,9 @@
 """Measures the load of each pool against its capacity."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from chestnutstair.scheduling.job_tracker import JobTracker
+from chestnutstair.scheduling.job_tracker import Arrival, JobTracker
 from chestnutstair.scheduling.progress import (
     JobRecord,
     Lateness,
@@ -50,6 +51,10 @@
     # Recent arrivals in millicore-seconds per second; 0 if too few jobs
     # arrived to measure it.
     rate: int
+    # Critical path and slack of the arrivals that `rate` counts, averaged by
+    # work.
+    path_seconds: float
+    slack_seconds: float
     # Numbers of running tasks.
     lasting_tasks: int
     filler_tasks: int
@@ -83,6 +88,7 @@
             pools.setdefault(worker.entry.service, []).append(worker)
     for service in sorted(tracker.configuration.services):
         workers = pools.get(service, [])
+        rate = rates.get(service, NO_ARRIVALS)
         runs = [run for worker in workers for run in worker.runs.values()]
         batch = [
             run
@@ -108,7 +114,9 @@
                 late_waiting=late.get(service, 0),
                 waiting=waiting.get(service, 0),
                 coming=coming.get(service, 0),
-                rate=round(rates.get(service, 0.0)),
+                rate=round(rate.work_per_second),
+                path_seconds=rate.path_seconds,
+                slack_seconds=rate.slack_seconds,
                 lasting_tasks=sum(run.step.lasting for run in runs),
                 filler_tasks=sum(run.step.filler for run in runs),
                 widest=widest.get(service, 0),
@@ -122,23 +130,50 @@
     return record is not None and record.lateness is not Lateness.IN_TIME
 
 
-def _measure_rates(tracker: JobTracker, now: float) -> dict[str, float]:
-    rates: dict[str, float] = {}
+@dataclass(frozen=True)
+class _ArrivalRate:
+    """Arrivals of a pool: millicore-seconds a second, and averages."""
+
+    work_per_second: float
+    path_seconds: float
+    slack_seconds: float
+
+
+NO_ARRIVALS = _ArrivalRate(0.0, 0.0, 0.0)
+
+
+def _measure_rates(tracker: JobTracker, now: float) -> dict[str, _ArrivalRate]:
+    rates: dict[str, _ArrivalRate] = {}
     for seconds, min_jobs in RATE_WINDOWS:
-        work_by_service: dict[str, list[float]] = {}
+        arrivals: dict[str, list[Arrival]] = {}
         for arrival in reversed(tracker.arrivals):
             if now - arrival.at > seconds:
                 break
-            work_by_service.setdefault(arrival.service, []).append(
-                arrival.work
-            )
-        for service, amounts in work_by_service.items():
-            if len(amounts) >= min_jobs:
-                rate = sum(amounts) / seconds
-                rates[service] = max(rate, rates.get(service, 0.0))
+            arrivals.setdefault(arrival.service, []).append(arrival)
+        for service, items in arrivals.items():
+            if len(items) < min_jobs:
+                continue
+            rate = _average_arrivals(items, seconds)
+            before = rates.get(service, NO_ARRIVALS)
+            if rate.work_per_second > before.work_per_second:
+                rates[service] = rate
     return rates
 
 
+def _average_arrivals(arrivals: list[Arrival], seconds: float) -> _ArrivalRate:
+    total = sum(arrival.work for arrival in arrivals)
+
+    def average(read: Callable[[Arrival], float]) -> float:
+        weighted = sum(arrival.work * read(arrival) for arrival in arrivals)
+        return weighted / max(total, 1.0)
+
+    return _ArrivalRate(
+        total / seconds,
+        average(lambda arrival: arrival.path_seconds),
+        average(lambda arrival: arrival.slack_seconds),
+    )
+
+
 def measure_demand(record: JobRecord) -> tuple[int, int]:
     """Return a job's waiting and additional later demand, in millicores.
 
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -1,6 +1,7 @@
 """Sizes of pools: how many VMs each has and needs for its work."""
 
 from dataclasses import dataclass
+from functools import partial
 
 from chestnutstair.scheduling.fleet_state import (
     FleetControllerSettings,
@@ -16,7 +17,8 @@
 class PoolSize:
     """The size of a pool, in VMs.
 
-    - `have`: current size, after pending moves.
+    - `have`: current size, after pending moves, including the VMs that drain
+      for maintenance.
     - `want`: size for all of its work.
     - `need`: size for the work that can be in time.
     """
@@ -43,34 +45,65 @@
     def measure(self, loads: list[PoolLoad]) -> list[PoolSize]:
         """Return the sizes of the pools, in the order of their loads."""
         changes = self._state.count_pending_changes()
-        return [
-            self._measure_size(load, changes[load.service]) for load in loads
-        ]
+        draining = self._state.count_maintenance_drains()
+        away = self._state.count_in_maintenance()
+        sizes = []
+        for load in loads:
+            service = load.service
+            timely = load.batch - load.late_batch
+            timely += load.waiting - load.late_waiting
+            work = load.batch + load.waiting
+            measure = partial(
+                self._measure_vms,
+                load,
+                draining=draining[service],
+                away=away[service],
+            )
+            sizes.append(
+                PoolSize(
+                    service,
+                    load.workers + changes[service],
+                    measure(work),
+                    measure(timely),
+                )
+            )
+        return sizes
 
-    def _measure_size(self, load: PoolLoad, change: int) -> PoolSize:
-        timely = load.batch - load.late_batch
-        timely += load.waiting - load.late_waiting
-        return PoolSize(
-            load.service,
-            load.workers + change,
-            self._measure_vms(load, load.batch + load.waiting),
-            self._measure_vms(load, timely),
-        )
-
-    def _measure_vms(self, load: PoolLoad, work: int) -> int:
+    def _measure_vms(
+        self, load: PoolLoad, work: int, draining: int, away: int
+    ) -> int:
         """Return how many VMs a pool needs.
 
-        `work` is the running and waiting work in millicores. The maximum size
-        limits the VMs for demand, but not those over which a lasting step must
-        be spread.
+        `work` is the running and waiting work in millicores, `draining` and
+        `away` are the VMs that drain for and are under maintenance. Draining
+        VMs take no new tasks, so demand needs others in their place; the
+        minimum size does not, nor while VMs are away that come back soon. The
+        maximum size limits the VMs for demand, but not those over which a
+        lasting step must be spread.
         """
         settings = self._settings
-        pool_count = max(1, len(self._tracker.configuration.services))
-        even_share = len(self._state.listed) / pool_count
+        even_share = self._state.compute_even_share()
         vm_millicores = self._state.compute_average_millicores()
         present = work + settings.later_work_share * load.coming
-        demand = load.lasting + settings.headroom * max(present, load.rate)
+        expected = max(present, self._forecast(load, present))
+        demand = load.lasting + settings.headroom * expected
         wanted = -int(-demand // vm_millicores)
         max_size = round(even_share * settings.max_share)
-        min_size = max(1, round(even_share * settings.base_share))
-        return max(min_size, load.widest, min(wanted, max_size))
+        min_size = round(even_share * settings.base_share)
+        needed = max(load.widest, min(wanted, max_size)) + draining
+        return max(1, min_size - away, needed)
+
+    def _forecast(self, load: PoolLoad, present: float) -> float:
+        """Return the demand that VMs ordered now must meet, in millicores.
+
+        Work that arrives while they are on their way can wait for them as
+        long as its slack allows; what arrives before that needs room at once.
+        Of the present demand, the part that ends meanwhile is left out.
+        """
+        settings = self._settings
+        order_seconds = settings.move_seconds + settings.settle_seconds
+        horizon = order_seconds - settings.slack_share * load.slack_seconds
+        if not load.path_seconds or horizon <= 0:
+            return present
+        replaced = min(1.0, horizon / load.path_seconds)
+        return (1 - replaced) * present + replaced * load.rate
--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -23,6 +23,7 @@
 
 
 MOVE_SECONDS = 1.5
+MAINTENANCE_SECONDS = 2.0
 
 
 class FakeVms(VmControl):
@@ -72,6 +73,7 @@
     ) -> Result[None, WorkerCallFailure]:
         """Record an order for maintenance of a VM."""
         self.orders.append((vm, f"wave {wave}"))
+        self.back_at[vm] = self._harness.clock.now + MAINTENANCE_SECONDS
         return self._answer()
 
     def _answer(self) -> Result[None, WorkerCallFailure]:
@@ -81,13 +83,17 @@
         return Ok(None)
 
     def bring_workers_back(self) -> None:
-        """Register a worker for each VM outside the spare pool without one."""
+        """Register a worker for each VM that is up and has none.
+
+        VMs of the spare pool have no workers.
+        """
         harness = self._harness
         for vm, pool in self.pools.items():
             vms_with_worker = {
                 w.entry.vm for w in harness.tracker.workers.values()
             }
-            if pool != "spare" and vm not in vms_with_worker:
+            is_up = self._get_state(vm) == "up"
+            if pool != "spare" and is_up and vm not in vms_with_worker:
                 name = f"{vm[3:]}-{harness.clock.now}"
                 entry = build_entry(name, pool)
                 harness.tracker.apply_worker_entry(
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -11,7 +11,7 @@
     MaintenanceWave,
     Service,
 )
-from chestnutstair.scheduling.fleet_state import FleetControllerSettings
+from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
 from chestnutstair.scheduling.ports import Vm, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.wave_progress import WaveProgress
@@ -157,6 +157,80 @@
         fleet.run_round()
         self.assertGreaterEqual(fleet.count_vms("gifts"), 6)
 
+    def count_usable(self) -> int:
+        return sum(
+            not worker.cordoned and worker.entry.service == "boxes"
+            for worker in self.harness.tracker.workers.values()
+        )
+
+    def test_vms_draining_for_a_wave_are_replaced_where_work_waits(
+        self,
+    ) -> None:
+        # A pool of three VMs, two of which drained for a wave, counted as
+        # three: jobs waited for seconds while spare VMs were idle.
+        for number in range(4):
+            self.harness.admit(f"j{number}", [Step(1, 50_000)])
+        self.harness.start_all(self.harness.plan())
+        self.waves.append(
+            MaintenanceWave(1, ("vm-w1", "vm-w2", "vm-w3"), 8.0, 3)
+        )
+        for _ in range(20):
+            self.run_round()
+            self.vms.bring_workers_back()
+        self.assertGreaterEqual(self.count_usable(), len(POOL_WORKERS))
+
+    def test_a_pool_at_its_minimum_size_is_not_enlarged_for_a_wave(
+        self,
+    ) -> None:
+        while self.count_vms() > 2:
+            self.run_round()
+        left = [vm for vm, pool in self.vms.pools.items() if pool == "boxes"]
+        self.waves.append(MaintenanceWave(1, tuple(left), 20.0, 1))
+        order_count = len(self.vms.orders)
+        for _ in range(100):
+            self.run_round()
+            self.vms.bring_workers_back()
+        orders = self.vms.orders[order_count:]
+        self.assertEqual(sorted(orders), [(vm, "wave 1") for vm in left])
+
+    def test_idle_vms_go_first_to_a_pool_that_waits_for_draining_ones(
+        self,
+    ) -> None:
+        # A pool waited 5 s for VMs that drained in another pool, while VMs
+        # that had become idle since were there.
+        for number, name in enumerate(POOL_WORKERS):
+            self.harness.admit(f"j{number}", [Step(1, 60_000)])
+            self.controller._state.drains[f"vm-{name}"] = Drain(
+                "gifts", urgent=True
+            )
+        self.harness.start_all(self.harness.plan())
+        self.run_round()
+        self.assertEqual(self.count_vms("gifts"), len(SPARE_WORKERS))
+        self.assertEqual(self.vms.pools["vm-w1"], "boxes")
+
+    def test_a_vm_takes_work_as_soon_as_it_is_back_from_a_move(self) -> None:
+        # New workers stayed idle for half a second, and counted twice.
+        self.admit_burst()
+        self.run_round()
+        while len(self.harness.tracker.workers) < 8:
+            self.run_round()
+            self.vms.bring_workers_back()
+        self.run_round()
+        self.assertEqual(self.count_usable(), 8)
+
+    def test_a_pool_takes_draining_vms_back_before_it_orders_others(
+        self,
+    ) -> None:
+        # A pool in surplus gathers its work at once, and sends VMs away only
+        # after the delay.
+        self.run_round()
+        self.assertEqual(self.count_usable(), 2)
+        self.admit_burst()
+        self.run_round()
+        self.assertEqual(self.count_usable(), len(POOL_WORKERS))
+        left = [vm for vm, pool in self.vms.orders if pool == "spare"]
+        self.assertEqual(left, [])
+
     def test_vms_are_listed_soon_after_a_listing_timed_out(self) -> None:
         called_at = []
 
@@ -250,6 +324,7 @@
             job = build_submission(f"old{number}", steps, "quick", accepted_ms)
             self.harness.tracker.admit(job)
         self.harness.clock.now += 2.0  # the jobs arrived some time ago
+        self.harness.answer_all()  # workers out of contact get no tasks
         self.place_tasks()
 
     def place_tasks(self) -> None:
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -136,3 +136,14 @@
         self.hold()
         self.assertIsNone(self.control.deadlines[2])
         self.assertIsNotNone(self.control.deadlines[3])
+
+    def test_the_last_end_of_a_leaving_worker_is_acknowledged_at_once(
+        self,
+    ) -> None:
+        # An empty VM stayed in its pool until the next long poll returned.
+        self.assertEqual(self.sessions._choose_wait(self.worker), 1.0)
+        self.worker.cordoned = True
+        self.worker.applied_end = self.worker.stored_end = 3
+        self.assertEqual(self.sessions._choose_wait(self.worker), 0.0)
+        self.hold()
+        self.assertEqual(self.sessions._choose_wait(self.worker), 1.0)
