Keep what a job still needs until one of its tasks changes

Cause: with a backlog, each planning round and each load measurement examined every step of every active job, though one job in dozens had changed; and jobs were sorted by comparing data classes.

A job's outlook (steps that can start, remaining path, demand) is computed after a task's status has changed. Tests: a round in which nothing changed examines no step; the outlook follows the tasks.

--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -5,9 +5,7 @@
 
 from chestnutstair.scheduling.job_tracker import Arrival, JobTracker
 from chestnutstair.scheduling.progress import (
-    JobRecord,
     Lateness,
-    TaskStatus,
 )
 from chestnutstair.scheduling.workers import WorkerState
 
@@ -71,12 +69,16 @@
     widest: dict[str, int] = {}
     for record in tracker.active.values():
         service = tracker.find_queue(record.submission).service
-        ready, later = measure_demand(record)
-        weight = LATENESS_WEIGHTS[record.lateness]
-        waiting[service] = waiting.get(service, 0) + round(weight * ready)
-        coming[service] = coming.get(service, 0) + round(weight * later)
-        if record.lateness is not Lateness.IN_TIME:
-            late[service] = late.get(service, 0) + round(weight * ready)
+        if record.is_due:
+            weight = LATENESS_WEIGHTS[record.lateness]
+            ready = round(weight * record.outlook.waiting_millicores)
+            later = round(weight * record.outlook.later_millicores)
+            waiting[service] = waiting.get(service, 0) + ready
+            coming[service] = coming.get(service, 0) + later
+            if record.lateness is not Lateness.IN_TIME:
+                late[service] = late.get(service, 0) + ready
+        if not record.is_lasting:
+            continue
         for step in record.steps:
             if step.lasting and step.spread_limit:
                 width = -(-step.count // step.spread_limit)
@@ -172,28 +174,3 @@
         average(lambda arrival: arrival.path_seconds),
         average(lambda arrival: arrival.slack_seconds),
     )
-
-
-def measure_demand(record: JobRecord) -> tuple[int, int]:
-    """Return a job's waiting and additional later demand, in millicores.
-
-    The later demand is that of the widest step that cannot start yet, less
-    what the job's running and waiting tasks need now.
-    """
-    if not record.is_due:
-        return 0, 0
-    ready = running = widest_later = 0
-    for number, step in enumerate(record.steps):
-        if step.filler:
-            continue
-        progress = record.get_step_progress(record.current_occurrence, number)
-        waiting = len(progress.waiting) * step.millicores
-        running += progress.counts[TaskStatus.PLACED] * step.millicores
-        if all(
-            record.is_step_done(record.current_occurrence, dependency)
-            for dependency in step.after
-        ):
-            ready += waiting
-        else:
-            widest_later = max(widest_later, waiting)
-    return ready, max(0, widest_later - ready - running)
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -77,7 +77,7 @@
         )
 
 
-@dataclass(frozen=True, order=True)
+@dataclass(frozen=True)
 class Urgency:
     """Sort key of the order in which jobs get room, smallest first."""
 
@@ -86,6 +86,12 @@
     due_ms: float
 
 
+def _rank_job(job: tuple[Urgency, str]) -> tuple[int, int, float, str]:
+    # Compares faster than the data class: a round sorts all active jobs.
+    urgency, name = job
+    return urgency.lateness, urgency.priority, urgency.due_ms, name
+
+
 class Planner:
     """Places tasks of a tracker's jobs; callers must hold its lock."""
 
@@ -114,7 +120,7 @@
             if not workers:
                 continue
             rejected = RejectedSizes()
-            for _, name in sorted(jobs):
+            for _, name in sorted(jobs, key=_rank_job):
                 record = self._tracker.active[name]
                 placements += self._place_job(
                     record, workers, rejected, wall_ms
@@ -125,26 +131,41 @@
         self, record: JobRecord, queue: Queue, wall_ms: float
     ) -> Urgency:
         """Return the urgency of a job and update its lateness."""
-        if any(step.lasting for step in record.steps):
+        if record.is_lasting:
             accepted_ms = record.submission.accepted_ms
             return Urgency(Lateness.IN_TIME, -1, accepted_ms)
         objective_ms = queue.compute_objective_ms(record.critical_path_ms)
         due_since_ms = record.advance_occurrence(wall_ms)
-        # Latency if every ready task started now. The margin counts a job
-        # that would barely meet its objective as late, as it likely will be.
-        margin = 1 + self._settings.margin_share * (queue.stretch - 1)
-        projected_ms = (
-            wall_ms - due_since_ms + margin * record.estimate_remaining_ms()
+        record.lateness = self._judge_lateness(
+            record, queue, wall_ms - due_since_ms, objective_ms
         )
-        record.lateness = Lateness.IN_TIME
-        if projected_ms > self._settings.useless_factor * objective_ms:
-            record.lateness = Lateness.USELESS
-        elif projected_ms > objective_ms:
-            record.lateness = Lateness.LATE
         return Urgency(
             record.lateness, queue.priority, due_since_ms + objective_ms
         )
 
+    def _judge_lateness(
+        self,
+        record: JobRecord,
+        queue: Queue,
+        age_ms: float,
+        objective_ms: float,
+    ) -> Lateness:
+        """Project the latency if every ready task started now.
+
+        `age_ms` is the time since the job's latency counts.
+        """
+        settings = self._settings
+        remaining_ms = record.outlook.remaining_ms
+        # The margin counts a job that would barely meet its objective as
+        # late, as it likely will be.
+        margin = 1 + settings.margin_share * (queue.stretch - 1)
+        projected_ms = age_ms + margin * remaining_ms
+        if projected_ms > settings.useless_factor * objective_ms:
+            return Lateness.USELESS
+        if projected_ms > objective_ms:
+            return Lateness.LATE
+        return Lateness.IN_TIME
+
     def _list_usable_workers(
         self, service: str, now: float
     ) -> list[WorkerState]:
@@ -171,17 +192,17 @@
         due_ms = wall_ms - self._settings.due_margin_ms
         if not record.submission.specification.occurrences:
             due_ms = wall_ms
-        for occurrence, number in list(record.list_ready_steps(due_ms)):
+        for occurrence, number in record.list_startable_steps(due_ms):
             step = record.steps[number]
-            indexes = record.get_step_progress(occurrence, number).waiting
-            if not indexes or rejected.covers(step):
+            if rejected.covers(step):
                 continue
-            waiting = [
-                TaskKey(occurrence, number, index) for index in sorted(indexes)
-            ]
             if not any(worker.has_room(step) for worker in workers):
                 rejected.add(step)
                 continue
+            indexes = record.get_step_progress(occurrence, number).waiting
+            waiting = [
+                TaskKey(occurrence, number, index) for index in sorted(indexes)
+            ]
             placements += self._place_step(record, step, waiting, workers)
         return placements
 
@@ -296,7 +317,8 @@
         return min(
             fitting,
             key=lambda worker: (
-                (key, worker.name) in record.failed_on,
+                bool(record.failed_on)
+                and (key, worker.name) in record.failed_on,
                 self._rank_worker(step, worker),
             ),
         )
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -1,7 +1,6 @@
 """Progress of jobs: one record per job, with the state of its tasks."""
 
 import json
-from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
 from functools import cached_property
@@ -13,6 +12,7 @@
     "JobRecord",
     "JobState",
     "Lateness",
+    "Outlook",
     "Submission",
     "TaskKey",
     "TaskState",
@@ -133,6 +133,24 @@
         return None
 
 
+@dataclass(frozen=True)
+class Outlook:
+    """What a job's current occurrence still needs.
+
+    - `startable`: numbers of the steps that have waiting tasks and whose
+      dependencies are done.
+    - `remaining_ms`: estimated critical path of the steps not yet started.
+    - `waiting_millicores`: total of the tasks that could start now.
+    - `later_millicores`: what the widest step that cannot start yet will need
+      beyond what runs and waits now.
+    """
+
+    startable: tuple[int, ...]
+    remaining_ms: float
+    waiting_millicores: int
+    later_millicores: int
+
+
 class JobRecord:
     """One job and the states of its tasks; the owner must lock access."""
 
@@ -144,6 +162,8 @@
         self.stored_state: JobState = JobState.QUEUED  # as last stored
         self._step_progress: dict[tuple[int, int], StepProgress] = {}
         self._remaining_ms: dict[frozenset[int], float] = {}
+        # What the tasks still need; None after one of them has changed.
+        self._outlook: Outlook | None = None
         # Steps with all tasks done, counted over all occurrences.
         self._completed_steps = 0
         self.started = False
@@ -206,6 +226,7 @@
             self.started = True
         if before.status is state.status:
             return
+        self._outlook = None
         task_count = self.steps[key.step].count
         progress = self.get_step_progress(key.occurrence, key.step)
         was_done = progress.counts[TaskStatus.DONE] == task_count
@@ -288,23 +309,72 @@
             for step in range(len(self.steps))
         ):
             self.current_occurrence += 1
+            self._outlook = None
         due_ms = self.compute_due_ms(self.current_occurrence)
         self.is_due = due_ms <= wall_ms
         return min(wall_ms, due_ms)
 
-    def list_ready_steps(self, wall_ms: float) -> Iterator[tuple[int, int]]:
-        """Yield the occurrence and step numbers whose tasks may start now."""
+    def list_startable_steps(self, wall_ms: float) -> list[tuple[int, int]]:
+        """Return the occurrence and step numbers whose tasks may start now.
+
+        Only steps with waiting tasks are included.
+        """
+        if not self.submission.specification.occurrences:
+            return [(0, number) for number in self.outlook.startable]
+        startable = []
         for occurrence in range(self.occurrences):
             if self.compute_due_ms(occurrence) > wall_ms:
-                return
-            for number, step in enumerate(self.steps):
-                if self.is_step_done(occurrence, number):
-                    continue
-                if all(
-                    self.is_step_done(occurrence, dependency)
-                    for dependency in step.after
-                ):
-                    yield occurrence, number
+                break
+            startable += [
+                (occurrence, number)
+                for number in self._list_startable(occurrence)
+            ]
+        return startable
+
+    def _list_startable(self, occurrence: int) -> list[int]:
+        return [
+            number
+            for number, step in enumerate(self.steps)
+            if self.get_step_progress(occurrence, number).waiting
+            and self._are_dependencies_done(occurrence, step)
+        ]
+
+    def _are_dependencies_done(self, occurrence: int, step: Step) -> bool:
+        return all(
+            self.is_step_done(occurrence, dependency)
+            for dependency in step.after
+        )
+
+    @property
+    def outlook(self) -> Outlook:
+        """What the current occurrence still needs.
+
+        Computed again only after a task has changed, as a planning round
+        reads it for every job.
+        """
+        if self._outlook is None:
+            self._outlook = self._compute_outlook()
+        return self._outlook
+
+    def _compute_outlook(self) -> Outlook:
+        occurrence = self.current_occurrence
+        waiting = running = widest_later = 0
+        for number, step in enumerate(self.steps):
+            if step.filler:
+                continue
+            progress = self.get_step_progress(occurrence, number)
+            needed = len(progress.waiting) * step.millicores
+            running += progress.counts[TaskStatus.PLACED] * step.millicores
+            if self._are_dependencies_done(occurrence, step):
+                waiting += needed
+            else:
+                widest_later = max(widest_later, needed)
+        return Outlook(
+            tuple(self._list_startable(occurrence)),
+            self._estimate_remaining_ms(),
+            waiting,
+            max(0, widest_later - waiting - running),
+        )
 
     def end(self, state: JobState, wall_ms: int) -> None:
         """Set the final state of the job."""
@@ -349,16 +419,18 @@
             self.end(JobState(fields["ended"]), fields["ended_ms"])
         self.stored_state = self.state
 
+    @cached_property
+    def is_lasting(self) -> bool:
+        """Whether the job has tasks that run until they are stopped."""
+        return any(step.lasting for step in self.steps)
+
     @cached_property
     def critical_path_ms(self) -> float:
         """Return the estimated critical path of one occurrence."""
         return self._compute_critical_path_ms(frozenset())
 
-    def estimate_remaining_ms(self) -> float:
-        """Return the estimated critical path of the steps not yet started.
-
-        Started steps count as 0, as the progress of their tasks is unknown.
-        """
+    def _estimate_remaining_ms(self) -> float:
+        # Started steps count as 0, as the progress of their tasks is unknown.
         started_steps = frozenset(
             number
             for number, step in enumerate(self.steps)
--- a/chestnutstair/tests/test_occurrences.py
+++ b/chestnutstair/tests/test_occurrences.py
@@ -3,7 +3,7 @@
 import unittest
 from dataclasses import replace
 
-from chestnutstair.scheduling.load import measure_demand
+from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.placement import Placement, PlacementSettings
 from chestnutstair.scheduling.progress import (
     JobRecord,
@@ -104,7 +104,7 @@
         restored = JobRecord(self.record.submission)
         restored.restore(self.record.encode())
         due = self.first_ms + INTERVAL_MS + 1
-        self.assertEqual(list(restored.list_ready_steps(due)), [(1, 0)])
+        self.assertEqual(restored.list_startable_steps(due), [(1, 0)])
 
     def test_each_occurrence_is_in_time_from_its_own_due_time(self) -> None:
         self.advance(FIRST_SECONDS + 0.1 - INTERVAL_MS / 1000)
@@ -122,15 +122,25 @@
         self.harness.plan()
         self.assertIs(self.record.lateness, Lateness.USELESS)
 
+    def measure_demand(self) -> tuple[int, int]:
+        # Once an occurrence is done and the next not due, nothing is needed,
+        # whatever the record knows of the next one.
+        now = self.harness.clock.now
+        loads = measure_loads(self.harness.tracker, now)
+        return (
+            sum(load.waiting for load in loads),
+            sum(load.coming for load in loads),
+        )
+
     def test_demand_counts_the_due_occurrence(self) -> None:
         self.advance(FIRST_SECONDS + 0.1)
         self.run_ready()
-        self.assertEqual(measure_demand(self.record), (0, 0))
+        self.assertEqual(self.measure_demand(), (0, 0))
         for name in list(self.harness.tracker.workers):
             self.harness.get_worker(name).cordoned = True
         self.advance(INTERVAL_MS / 1000)
         self.harness.plan()
-        self.assertEqual(measure_demand(self.record), (1000, 0))
+        self.assertEqual(self.measure_demand(), (1000, 0))
 
     def test_a_cancelled_job_has_no_further_occurrences(self) -> None:
         self.advance(FIRST_SECONDS + 0.1)
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+from chestnutstair.scheduling.load import measure_loads
+from chestnutstair.scheduling.placement import Placement
 from chestnutstair.scheduling.progress import (
     JobRecord,
     TaskKey,
@@ -49,6 +51,36 @@
         # There are two sizes of tasks; the number of jobs must not matter.
         self.assertLessEqual(self.count_room_checks(), 2 * len(WORKERS))
 
+    def test_a_round_in_which_nothing_changed_examines_no_step(self) -> None:
+        # A full pool is planned again after each end, with hundreds of jobs
+        # waiting: looking at all of their steps took 20 ms a round.
+        self.harness.plan()
+        with mock.patch.object(
+            JobRecord, "get_step_progress", autospec=True
+        ) as look:
+            self.harness.plan()
+            measure_loads(self.harness.tracker, self.harness.clock.now)
+        self.assertEqual(look.call_count, 0)
+
+    def test_what_a_job_needs_follows_its_tasks(self) -> None:
+        harness = TrackerHarness(("w1",))
+        steps = [Step(2, 40_000, estimate_ms=500), Step(1, 1000, after=(0,))]
+        record = harness.admit("a" * 16, steps)
+        self.assertEqual(record.outlook.startable, (0,))
+        self.assertEqual(record.outlook.waiting_millicores, 80_000)
+        self.assertEqual(record.outlook.remaining_ms, 500)
+        (placed,) = harness.plan()
+        self.assertEqual(record.outlook.waiting_millicores, 40_000)
+        self.assertEqual(record.outlook.remaining_ms, 0)
+        harness.start_all([placed])
+        harness.end(placed, "done")
+        harness.start_all(harness.plan())
+        self.assertEqual(record.outlook.startable, ())
+        harness.end(
+            Placement(record, TaskKey(0, 0, 1), placed.worker, 1), "done", 2
+        )
+        self.assertEqual(record.outlook.startable, (1,))
+
     def test_the_pool_is_filled_behind_tasks_that_do_not_fit(self) -> None:
         # Wide tasks that do not fit must not keep narrow ones from starting.
         self.assertTrue(self.placed)
