Maintain overdue VMs before they move, and do not wait for their tasks

Cause: moves knew nothing of how much time a wave has left, and a VM that drains for a wave waited for its tasks however long they ran.

After wave_time_share of a wave's time its VMs no longer move, and after wave_stop_share their batch runs are stopped and start again on other VMs. Both tests failed before.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -216,10 +216,16 @@
             vm
             for vm in self._state.list_idle_vms(spare)
             if self._order_history.is_interval_over(vm, now)
+            and not self._must_be_maintained(vm, now)
         ]
         # A VM that is due for maintenance would soon leave its pool again.
         return sorted(orderable, key=lambda vm: (self._waves.is_due(vm), vm))
 
+    def _must_be_maintained(self, vm: str, now: float) -> bool:
+        """Return whether a VM must not move before its maintenance."""
+        share = self._settings.wave_time_share
+        return self._waves.is_overdue(vm, share, now)
+
     def _cancel_drains(
         self, service: str, spare: str, count: int, timely: bool
     ) -> int:
@@ -333,13 +339,27 @@
                 if now < drain.order_at:
                     continue
                 self._move_lasting_tasks(worker)
-                if drain.urgent and not self._count_timely(worker):
-                    self._stop_late_runs(worker)
-                if self._is_empty(worker):
+                self._stop_runs_in_the_way(vm, drain, worker, now)
+                if not self._is_empty(worker):
+                    continue
+                if not drain.wave and self._must_be_maintained(vm, now):
+                    del self._state.drains[vm]  # left to its wave
+                else:
                     orders.append(VmOrder(vm, drain.service, drain.wave))
         for vm in self._orders.order_all(orders):
             del self._state.drains[vm]
 
+    def _stop_runs_in_the_way(
+        self, vm: str, drain: Drain, worker: WorkerState, now: float
+    ) -> None:
+        """Stop runs that delay a drain and are worth less than the VM."""
+        if drain.wave:
+            share = self._settings.wave_stop_share
+            if self._waves.is_overdue(vm, share, now):
+                self._stop_batch_runs(worker, "maintenance is overdue")
+        elif drain.urgent and not self._count_timely(worker):
+            self._stop_batch_runs(worker, "late, and another pool lacks VMs")
+
     def _count_timely(self, worker: WorkerState) -> int:
         """Return how many non-lasting runs are of jobs that can be in time."""
         return sum(
@@ -349,13 +369,17 @@
             for run in worker.runs.values()
         )
 
-    def _stop_late_runs(self, worker: WorkerState) -> None:
+    def _stop_batch_runs(self, worker: WorkerState, reason: str) -> None:
         for task, run in list(worker.runs.items()):
             if run.step.lasting or run.stopping:
                 continue
             logger.info(
-                "stopping late run to free its VM for another pool",
-                extra={"task": task, "worker": worker.name},
+                "stopping run to free its VM",
+                extra={
+                    "task": task,
+                    "worker": worker.name,
+                    "reason": reason,
+                },
             )
             worker.mark_stopping(task)
             self._leader.wake()
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -58,6 +58,9 @@
     unavailable_share: float = 0.25
     # Part of a wave's time in which the wave should be completed.
     wave_time_share: float = 0.65
+    # After this part of a wave's time its VMs no longer wait for their tasks
+    # to end: these start again on other VMs.
+    wave_stop_share: float = 0.85
     # Estimated time to empty a VM, twice that of a usual task.
     drain_seconds: float = 3.0
     # Orders are rate limited to `orders_per_second`, which is what the
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -84,6 +84,18 @@
             for wave in self._waves.values()
         )
 
+    def is_overdue(self, vm: str, share: float, now: float) -> bool:
+        """Return whether a VM is due in a wave that is mostly over.
+
+        That is when `share` of the wave's time has passed at monotonic `now`.
+        """
+        return any(
+            vm in wave.vms
+            and self.is_due_in(wave, vm)
+            and self.measure_age(wave, now) >= share * wave.seconds
+            for wave in self._waves.values()
+        )
+
     def mark_begun(self, number: int, vm: str) -> None:
         """Record that the VM's maintenance in a wave has begun."""
         self._begun.add((number, vm))
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -179,6 +179,35 @@
             self.vms.bring_workers_back()
         self.assertGreaterEqual(self.count_usable(), len(POOL_WORKERS))
 
+    def pass_time_of_wave(self, share: float) -> None:
+        self.waves.append(MaintenanceWave(1, ("vm-w1",), 20.0, 1))
+        self.controller._waves.add_wave(
+            self.waves[0], self.harness.clock.now - share * 20.0
+        )
+
+    def test_an_overdue_vm_is_maintained_before_it_moves(self) -> None:
+        # An empty VM moved to another pool two seconds before the end of its
+        # wave, took work there and missed the wave.
+        self.pass_time_of_wave(0.8)
+        self.controller._state.drains["vm-w1"] = Drain("gifts", urgent=True)
+        for _ in range(3):
+            self.run_round()
+        orders = [order for vm, order in self.vms.orders if vm == "vm-w1"]
+        self.assertEqual(orders[:1], ["wave 1"])
+
+    def test_tasks_do_not_keep_a_vm_from_a_wave_that_ends(self) -> None:
+        self.harness.admit("j", [Step(4, 60_000, estimate_ms=30_000)])
+        self.harness.start_all(self.harness.plan())
+        self.pass_time_of_wave(0.8)
+        self.run_round()
+        worker = self.harness.get_worker("w1")
+        self.assertFalse(worker.runs["j.0.0.0"].stopping)
+        self.run_round(1.1)
+        self.assertTrue(worker.runs["j.0.0.0"].stopping)
+        self.assertFalse(
+            self.harness.get_worker("w2").runs["j.0.0.1"].stopping
+        )
+
     def test_a_pool_at_its_minimum_size_is_not_enlarged_for_a_wave(
         self,
     ) -> None:
