Renew the term while a leader loads, and index what it restores

Cause: a new leader wrote nothing until it had loaded, and other nodes replace a leader that has not written for 1.5 s. Loading grew as workers times tasks of all jobs: each worker that registered was compared with each task, also every VM that came back from a move.

Now the term is renewed while the leader loads, for 8 s at most; placed tasks are indexed by the incarnation that they were sent to; the end of a task looks at its own worker, not at all.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -101,6 +101,11 @@
         # worker and task; they must be stopped.
         self.orphans: dict[tuple[str, str], int] = {}
         self.arrivals: deque[Arrival] = deque(maxlen=MAX_ARRIVALS)
+        # Placed tasks of restored jobs by worker name and born_ms, until that
+        # incarnation registers.
+        self._unclaimed: dict[
+            tuple[str, int], list[tuple[JobRecord, TaskKey]]
+        ] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._clock = clock
@@ -130,6 +135,12 @@
         self.jobs[record.name] = record
         if record.ended is None:
             self.active[record.name] = record
+        for key, state in record.tasks.items():
+            if state.status is TaskStatus.PLACED:
+                incarnation = (state.worker, state.born_ms)
+                self._unclaimed.setdefault(incarnation, []).append(
+                    (record, key)
+                )
         age = self._clock.read_wall() - submission.accepted_ms / 1000
         self._record_arrival(record, max(0.0, age))
 
@@ -225,27 +236,28 @@
         return worker
 
     def _restore_runs(self, worker: WorkerState) -> None:
+        """Add the runs that an earlier leader placed on the incarnation."""
         now = self._clock.read_monotonic()
-        entry = worker.entry
-        for record in self.jobs.values():
-            for key, state in record.tasks.items():
-                if (
-                    state.status is TaskStatus.PLACED
-                    and state.worker == entry.name
-                    and state.born_ms == entry.born_ms
-                ):
-                    run = PlacedRun(
-                        record.name,
-                        key,
-                        state.run,
-                        record.steps[key.step],
-                        now,
-                        # Counts as confirmed, so that the first listing under
-                        # this term's epoch decides whether it still runs.
-                        confirmed_at=now,
-                        stopping=record.ended is not None,
-                    )
-                    worker.add_run(record.name_task(key), run)
+        incarnation = (worker.name, worker.entry.born_ms)
+        for record, key in self._unclaimed.pop(incarnation, []):
+            state = record.get_task(key)
+            if (
+                state.status is not TaskStatus.PLACED
+                or (state.worker, state.born_ms) != incarnation
+            ):
+                continue  # released in the meantime
+            run = PlacedRun(
+                record.name,
+                key,
+                state.run,
+                record.steps[key.step],
+                now,
+                # Counts as confirmed, so that the first listing under this
+                # term's epoch decides whether it still runs.
+                confirmed_at=now,
+                stopping=record.ended is not None,
+            )
+            worker.add_run(record.name_task(key), run)
 
     def _replace_incarnation(
         self, worker: WorkerState, successor: WorkerState
@@ -523,16 +535,17 @@
                     state, status=TaskStatus.DONE, worker="", checkpoint=""
                 ),
             )
-            self._stop_task(record.name_task(item))
+            self._stop_task(record.name_task(item), state.worker)
         if record.is_complete() and record.ended is None:
             logger.info("job completed", extra={"job": record.name})
             self._end_job(record, JobState.COMPLETED)
 
-    def _stop_task(self, task: str) -> None:
-        for worker in self.workers.values():
-            run = worker.runs.get(task)
-            if run is not None and not run.stopping:
-                worker.mark_stopping(task)
+    def _stop_task(self, task: str, worker_name: str) -> None:
+        # Earlier runs of the task, on other workers, are being stopped.
+        worker = self.workers.get(worker_name)
+        run = worker.runs.get(task) if worker is not None else None
+        if worker is not None and run is not None and not run.stopping:
+            worker.mark_stopping(task)
 
     def _update_failure_streak(
         self, worker: WorkerState, outcome: str
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -59,6 +59,9 @@
 
     # Longest time between writes, each of which also renews the term.
     renew_interval_seconds: float = 0.4
+    # How long the term is renewed while its leader loads. With thousands of
+    # jobs that takes longer than other nodes wait for a write.
+    max_load_seconds: float = 8.0
     # Shortest time between writes, so that changes close together share one.
     min_write_interval_seconds: float = 0.02
     # Time between reads of the intake table. Other nodes also send new rows
@@ -131,8 +134,31 @@
     def load(self) -> bool:
         """Load jobs, progress and workers from the store.
 
-        Return False if the store did not answer.
+        Renews the term meanwhile. Return False if the store did not answer.
         """
+        loaded = threading.Event()
+        renewal = threading.Thread(
+            target=self._renew_until, args=(loaded,), name="renewal"
+        )
+        renewal.start()
+        try:
+            return self._load()
+        finally:
+            loaded.set()
+            renewal.join()
+
+    def _renew_until(self, loaded: threading.Event) -> None:
+        deadline = Deadline.after(self._clock, self._settings.max_load_seconds)
+        while not (
+            loaded.wait(self._settings.renew_interval_seconds)
+            or deadline.has_passed(self._clock)
+        ):
+            outcome = self.term.write([])
+            if outcome is not WriteOutcome.DONE:
+                self._leadership.mark_lost(outcome.value)
+                return
+
+    def _load(self) -> bool:
         deadline = Deadline.after(
             self._clock, self._settings.store_timeout_seconds
         )
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -18,6 +18,7 @@
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.tests.scheduling_support import (
     TrackerHarness,
+    build_entry,
     build_submission,
 )
 
@@ -140,3 +141,39 @@
         restored.restore(self.record.encode())
         self.check(restored)
         self.assertEqual(restored.get_step_progress(0, 0).waiting, {1, 2, 3})
+
+
+class TakeoverTest(unittest.TestCase):
+    """A new leader with many jobs and workers.
+
+    Each worker that registered was compared with each task of each job: 272
+    workers and 1,300 jobs took longer than the term lasted.
+    """
+
+    def test_each_placed_task_is_looked_at_once(self) -> None:
+        before = TrackerHarness(WORKERS)
+        for number in range(JOBS):
+            before.admit(f"{number:016x}", [Step(4, 500, estimate_ms=1000)])
+        placed = before.plan()
+        harness = TrackerHarness(())
+        for record in before.tracker.jobs.values():
+            harness.tracker.restore_job(record.submission, record.encode())
+        with mock.patch.object(
+            JobRecord,
+            "get_task",
+            autospec=True,
+            side_effect=JobRecord.get_task,
+        ) as look:
+            for name in WORKERS:
+                harness.tracker.apply_worker_entry(build_entry(name))
+        self.assertEqual(look.call_count, len(placed))
+        runs = {
+            (worker.name, task)
+            for worker in harness.tracker.workers.values()
+            for task in worker.runs
+        }
+        expected = {
+            (item.worker.name, item.record.name_task(item.key))
+            for item in placed
+        }
+        self.assertEqual(runs, expected)
