Count the silence of the previous leader into the wait for its leases

Cause: a lease and the 2 s in which the previous leader may have extended it were waited for from the begin of the new term, though the new leader had seen no write for 1.3 s or more by then.

What the new leader knows of that silence is subtracted. The rest of the wait stays: the new leader does not know when a worker was heard last.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -37,7 +37,6 @@
     WorkerSessions,
 )
 from chestnutstair.scheduling.term import Term, TermSettings
-from chestnutstair.scheduling.workers import SLOWEST_CLOCK_RATE
 from chestnutstair.state.deadline import Clock
 from chestnutstair.transport.leader_calls import (
     HttpLeaderLink,
@@ -130,7 +129,7 @@
             JobRequestSettings(),
         )
 
-    def _build_leader(self, term: Term, previous_ended: bool) -> Leader:
+    def _build_leader(self, term: Term, unchanged_seconds: float) -> Leader:
         clock = self._clock
         settings = OrderSettings(
             lease_seconds=min(
@@ -138,14 +137,13 @@
                 self._settings.longest_lease_seconds,
             )
         )
-        takeover_wait_seconds = settings.lease_seconds / SLOWEST_CLOCK_RATE
-        if not previous_ended:
-            # The previous leader may have extended leases for this long
-            # after its last write.
-            takeover_wait_seconds += settings.max_write_age_seconds
         tracker = JobTracker(
             clock,
-            JobTrackerSettings(takeover_wait_seconds=takeover_wait_seconds),
+            JobTrackerSettings(
+                takeover_wait_seconds=settings.compute_takeover_wait(
+                    unchanged_seconds
+                )
+            ),
         )
         leadership = Leadership(term)
         advice = AdviceCache(self._workers, clock)
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -1,6 +1,7 @@
 """Leader election among the nodes, by conditional writes of one row."""
 
 import logging
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -119,7 +120,7 @@
         address: str,
         store: RowStore,
         peers: StatusSource,
-        build_leader: Callable[[Term, bool], Leader],
+        build_leader: Callable[[Term, float], Leader],
         on_status: Callable[[str, LeaderStatus], None],
         clock: Clock,
         settings: ElectionSettings,
@@ -343,6 +344,7 @@
     def _take_over(self, row: TermRow | None, version: int) -> None:
         epoch = row.epoch + 1 if row is not None else 1
         wall = self._clock.read_wall()
+        began = self._clock.read_monotonic()
         new_row = TermRow(self._name, self._address, epoch, 0, wall)
         deadline = Deadline.after(self._clock, self._settings.store_seconds)
         answer = self._store.commit(
@@ -367,8 +369,12 @@
             answer.unwrap(),
             self._term_settings,
         )
-        ended = row is None or row.released or row.holder == self._name
-        leader = self._build_leader(term, ended)
+        # How long the previous leader has not written, for certain: infinite
+        # if it has ended.
+        unchanged_seconds = math.inf
+        if not (row is None or row.released or row.holder == self._name):
+            unchanged_seconds = began - self._row_changed_at
+        leader = self._build_leader(term, unchanged_seconds)
         if not leader.load():
             return
         self.leader = leader
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -25,7 +25,10 @@
     WrongIncarnationFailure,
 )
 from chestnutstair.scheduling.progress import JobRecord
-from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.scheduling.workers import (
+    SLOWEST_CLOCK_RATE,
+    WorkerState,
+)
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.failure import describe_failure
 
@@ -53,6 +56,15 @@
     # Orders sent in parallel.
     threads: int = 24
 
+    def compute_takeover_wait(self, unchanged_seconds: float) -> float:
+        """Return how long leases of the previous leader may still last.
+
+        `unchanged_seconds` is how long it has not written: it may have
+        extended leases until `max_write_age_seconds` after its last write.
+        """
+        extended = max(0.0, self.max_write_age_seconds - unchanged_seconds)
+        return self.lease_seconds / SLOWEST_CLOCK_RATE + extended
+
 
 class OrderSender:
     """Starts, stops and paces runs from a pool of threads."""
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -6,7 +6,7 @@
 from chestnutstair.scheduling.progress import TaskKey
 from chestnutstair.scheduling.specification import Step
 
-__all__ = ["Contact", "PlacedRun", "WorkerState"]
+__all__ = ["SLOWEST_CLOCK_RATE", "Contact", "PlacedRun", "WorkerState"]
 
 # Rate of the slowest permitted clock: a worker's clock may run 2% slow, so a
 # lease may last that much longer.
--- a/chestnutstair/tests/protocol_simulation.py
+++ b/chestnutstair/tests/protocol_simulation.py
@@ -291,10 +291,7 @@
         self.term = term
         leadership = Leadership(term)
         self.leadership = leadership
-        takeover_wait = (
-            ORDER_SETTINGS.lease_seconds / SLOWEST_CLOCK_RATE
-            + ORDER_SETTINGS.max_write_age_seconds
-        )
+        takeover_wait = ORDER_SETTINGS.compute_takeover_wait(0.0)
         settings = JobTrackerSettings(takeover_wait_seconds=takeover_wait)
         self.tracker = JobTracker(self.clock, settings)
         self.tracker.configuration = CONFIGURATION
--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -1,5 +1,6 @@
 """Tests of leader election when leaders crash, freeze or are cut off."""
 
+import math
 import unittest
 from collections.abc import Callable
 
@@ -81,7 +82,7 @@
         self.clock = ManualClock()
         self.store = MemoryRowStore()
         self.nodes = FakeNodes()
-        self.built: list[tuple[int, bool]] = []
+        self.built: list[tuple[int, float]] = []
         self.write(TermRow("other", "other:1", 1, 0, self.clock.now))
         self.election = self.build("me", "zone-a")
 
@@ -91,8 +92,8 @@
         self.store.commit([], [write], deadline).unwrap()
 
     def build(self, name: str, zone: str, power: float = 1.0) -> Election:
-        def build_leader(term: Term, before_ended: bool) -> FakeLeader:
-            self.built.append((term.epoch, before_ended))
+        def build_leader(term: Term, unchanged_seconds: float) -> FakeLeader:
+            self.built.append((term.epoch, unchanged_seconds))
             return FakeLeader(term)
 
         build: Callable[..., FakeLeader] = build_leader
@@ -142,7 +143,10 @@
         seconds = self.run_for(10.0)
         assert seconds is not None
         self.assertLess(seconds, TAKEOVER_LIMIT_SECONDS)
-        self.assertEqual(self.built, [(2, False)])
+        ((epoch, unchanged_seconds),) = self.built
+        self.assertEqual(epoch, 2)
+        # The row is first read in the round that finds the leader silent.
+        self.assertAlmostEqual(unchanged_seconds, seconds - STEP_SECONDS)
 
     def test_a_leader_that_can_not_write_is_replaced_at_once(self) -> None:
         self.run_for(1.0, other_leader_writes=True)
@@ -164,7 +168,7 @@
         self.write(TermRow("other", "other:1", 1, 1, self.clock.now, True))
         self.nodes.answer = REFUSED
         self.assertEqual(self.run_for(5.0), STEP_SECONDS)
-        self.assertEqual(self.built, [(2, True)])
+        self.assertEqual(self.built, [(2, math.inf)])
 
     def test_nodes_of_an_avoided_zone_wait_before_they_take_over(self) -> None:
         row = TermRow("other", "other:1", 1, 1, self.clock.now, True, "zone-a")
@@ -238,7 +242,7 @@
     def test_a_restarted_node_takes_its_own_term_over(self) -> None:
         self.write(TermRow("me", "me:1", 4, 0, self.clock.now))
         self.assertEqual(self.run_for(1.0), STEP_SECONDS)
-        self.assertEqual(self.built, [(5, True)])
+        self.assertEqual(self.built, [(5, math.inf)])
 
     def test_a_leader_that_lost_its_term_writes_nothing_more(self) -> None:
         self.nodes.answer = REFUSED
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -1,5 +1,6 @@
 """Tests of when a leader extends the leases of workers."""
 
+import math
 import unittest
 from typing import Any
 
@@ -147,3 +148,17 @@
         self.assertEqual(self.sessions._choose_wait(self.worker), 0.0)
         self.hold()
         self.assertEqual(self.sessions._choose_wait(self.worker), 1.0)
+
+    def test_a_new_leader_waits_less_after_a_longer_silence(self) -> None:
+        # Tasks of a worker that was lost before a takeover waited for 2 s in
+        # which the previous leader could not extend a lease any more.
+        settings = OrderSettings(lease_seconds=4.9, max_write_age_seconds=2.0)
+        for unchanged_seconds, expected in (
+            (0.0, 7.0),
+            (1.5, 5.5),
+            (2.5, 5.0),
+            (math.inf, 5.0),
+        ):
+            with self.subTest(unchanged_seconds=unchanged_seconds):
+                wait = settings.compute_takeover_wait(unchanged_seconds)
+                self.assertAlmostEqual(wait, expected)
