Read term rows and statuses of other versions

Cause: a field that this version does not know, in the term's row or in a node's status, raised an error in the election loop. It goes on after an error, but no node would have taken over from that leader. Unknown fields of the row are ignored; a status that cannot be read counts as no answer.

--- a/chestnutstair/scheduling/term.py
+++ b/chestnutstair/scheduling/term.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, fields, replace
 from enum import Enum
 
 from result import Err, Ok
@@ -82,8 +82,15 @@
 
 
 def read_term(value: bytes | None) -> TermRow | None:
-    """Decode a stored row; None if there is none."""
-    return None if value is None else TermRow(**json.loads(value))
+    """Decode a stored row; None if there is none.
+
+    Fields of later versions of this program are ignored.
+    """
+    if value is None:
+        return None
+    known = {field.name for field in fields(TermRow)}
+    stored = json.loads(value)
+    return TermRow(**{key: stored[key] for key in known & stored.keys()})
 
 
 class WriteOutcome(Enum):
--- a/chestnutstair/tests/test_term.py
+++ b/chestnutstair/tests/test_term.py
@@ -1,5 +1,6 @@
 """Tests of the leader's writes while the store fails."""
 
+import json
 import unittest
 
 from chestnutstair.scheduling.ports import Expectation, RowKey, RowWrite
@@ -94,3 +95,9 @@
         assert row is not None
         self.assertTrue(row.released)
         self.assertEqual(row.avoided_zone, "zone-a")
+
+    def test_a_row_of_a_later_version_can_be_taken_over(self) -> None:
+        # An unknown field made each check of the leader fail, on every node.
+        row = TermRow("later", "later:1", 3, 7)
+        stored = json.loads(row.encode()) | {"shard": "a"}
+        self.assertEqual(read_term(json.dumps(stored).encode()), row)
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -115,7 +115,7 @@
     ) -> Result[LeaderStatus, PlatformFailure]:
         """Return the status of the node at the address."""
         answer = self._call(address, "GET", STATUS_PATH, None, seconds)
-        return answer.map(lambda body: LeaderStatus(**body))
+        return answer.and_then(_read_status)
 
     def ask_configuration(
         self, address: str, seconds: float
@@ -192,6 +192,16 @@
                 )
 
 
+def _read_status(
+    body: dict[str, Any],
+) -> Result[LeaderStatus, PlatformFailure]:
+    # A node of another version, or another program, may answer otherwise.
+    try:
+        return Ok(LeaderStatus(**body))
+    except TypeError as error:
+        return Err(UnavailableFailure(f"unreadable status: {error}"))
+
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
 
