Count jobs as waiting until a worker has begun one of their tasks

Cause: a job counted as started once a task was placed, also if the start was refused, withdrawn or not sent, of which an overloaded leader has many. A job has begun once a start is acknowledged, listed or ended.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -440,6 +440,7 @@
         placed = worker.runs.get(listing.task)
         if placed is not None and placed.run == listing.run:
             worker.confirm_run(listing.task, listing, now)
+            self._mark_begun(placed.job)
             if listing.checkpoint:
                 self._record_checkpoint(placed, listing.checkpoint)
             return
@@ -478,6 +479,7 @@
             or not record.has_task(parsed_name[1])
         ):
             return
+        record.begun = True
         self._update_failure_streak(worker, end.outcome)
         state = record.get_task(parsed_name[1])
         if end.run > state.run or state.status is TaskStatus.DONE:
@@ -626,6 +628,12 @@
             worker.replace_run(
                 task, replace(placed, confirmed_at=now, in_doubt=False)
             )
+            self._mark_begun(placed.job)
+
+    def _mark_begun(self, job: str) -> None:
+        record = self.jobs.get(job)
+        if record is not None:
+            record.begun = True
 
     def mark_in_doubt(self, worker: WorkerState, task: str, run: int) -> None:
         """Record that a start got no answer and may still take effect."""
@@ -712,9 +720,12 @@
         return stops
 
     def count_pending(self, queue: str) -> int:
-        """Return how many active jobs of a queue have not started a task."""
+        """Return how many active jobs of a queue wait for their first task.
+
+        A start that was placed but refused, or not sent, counts as waiting.
+        """
         return sum(
             1
             for record in self.active.values()
-            if record.submission.queue.name == queue and not record.started
+            if record.submission.queue.name == queue and not record.begun
         )
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -267,6 +267,42 @@
         )
 
 
+class PendingCountTest(unittest.TestCase):
+    """Jobs wait until a worker has begun one of their tasks.
+
+    Jobs whose first start was refused or never sent counted as started: an
+    overloaded leader told callers of 6 waiting jobs where 15 waited.
+    """
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.record = self.harness.admit("j", [Step(1, 1000)])
+        self.placed = self.harness.plan()[0]
+
+    def count(self) -> int:
+        return self.harness.tracker.count_pending("quick")
+
+    def test_a_refused_start_leaves_the_job_waiting(self) -> None:
+        self.assertEqual(self.count(), 1)
+        self.harness.tracker.withdraw(self.placed.worker, "j.0.0.0", 1, "room")
+        self.assertEqual(self.count(), 1)
+
+    def test_a_start_that_was_acknowledged_has_begun(self) -> None:
+        self.harness.start_all([self.placed])
+        self.assertEqual(self.count(), 0)
+
+    def test_a_listed_run_has_begun_though_its_answer_was_lost(self) -> None:
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.assertEqual(self.count(), 0)
+
+    def test_a_new_leader_takes_placed_tasks_as_begun(self) -> None:
+        harness = TrackerHarness(())
+        harness.tracker.restore_job(
+            self.record.submission, self.record.encode()
+        )
+        self.assertEqual(harness.tracker.count_pending("quick"), 0)
+
+
 class LastingRunsInDoubtTest(unittest.TestCase):
     """A lasting task whose start got no answer may be at work already.
 
