--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -45,9 +45,6 @@
     # Part of a job's slack that it may spend waiting for a VM; the rest is for
     # tasks that run longer than estimated.
     slack_share: float = 0.6
-    # Rising arrivals are expected to rise on while VMs are on their way, up to
-    # this multiple.
-    max_growth: float = 3.0
     # Part of the work in later steps that already counts as demand.
     later_work_share: float = 0.7
     # Minimum time between the start of a drain for the spare pool and the
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -1,6 +1,5 @@
 """Measures the load of each pool against its capacity."""
 
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,11 +16,6 @@
 # one would look like a trend. Where many jobs arrive, the shorter window shows
 # the start of a burst.
 RATE_WINDOWS = ((1.2, 4), (0.4, 8))
-# Length of the two windows whose difference shows whether arrivals rise.
-GROWTH_WINDOW_SECONDS = 1.0
-# The difference of two counts that chance explains has a standard deviation of
-# the square root of their sum. A rise counts from this multiple of it.
-GROWTH_DEVIATIONS = 2.0
 # Weight of waiting work in the demand: full if it can meet its objective, low
 # if it will be late, and none once its result is useless, as other jobs then
 # make better use of the capacity.
@@ -55,8 +49,6 @@
     # Recent arrivals in millicore-seconds per second; 0 if too few jobs
     # arrived to measure it.
     rate: int
-    # How much `rate` rises each second; 0 if that may be chance.
-    growth: int
     # Critical path and slack of the arrivals that `rate` counts, averaged by
     # work.
     path_seconds: float
@@ -71,7 +63,6 @@
 def measure_loads(tracker: JobTracker, now: float) -> list[PoolLoad]:
     """Return each pool's load; the caller must hold the tracker's lock."""
     rates = _measure_rates(tracker, now)
-    growths = _measure_growths(tracker, now)
     waiting: dict[str, int] = {}
     coming: dict[str, int] = {}
     late: dict[str, int] = {}
@@ -126,7 +117,6 @@
                 waiting=waiting.get(service, 0),
                 coming=coming.get(service, 0),
                 rate=round(rate.work_per_second),
-                growth=round(growths.get(service, 0.0)),
                 path_seconds=rate.path_seconds,
                 slack_seconds=rate.slack_seconds,
                 lasting_tasks=sum(run.step.lasting for run in runs),
@@ -172,28 +162,6 @@
     return rates
 
 
-def _measure_growths(tracker: JobTracker, now: float) -> dict[str, float]:
-    """Return the rise of each pool's arrivals, where it is significant."""
-    seconds = GROWTH_WINDOW_SECONDS
-    later: dict[str, list[float]] = {}
-    earlier: dict[str, list[float]] = {}
-    for arrival in reversed(tracker.arrivals):
-        age = now - arrival.at
-        if age > 2 * seconds:
-            break
-        window = later if age <= seconds else earlier
-        window.setdefault(arrival.service, []).append(arrival.work)
-    growths = {}
-    for service, works in later.items():
-        before = earlier.get(service, [])
-        rise = len(works) - len(before)
-        count = len(works) + len(before)
-        if rise > GROWTH_DEVIATIONS * math.sqrt(count):
-            average_work = (sum(works) + sum(before)) / count
-            growths[service] = rise * average_work / seconds**2
-    return growths
-
-
 def _average_arrivals(arrivals: list[Arrival], seconds: float) -> _ArrivalRate:
     total = sum(arrival.work for arrival in arrivals)
 
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -106,8 +106,4 @@
         if not load.path_seconds or horizon <= 0:
             return present
         replaced = min(1.0, horizon / load.path_seconds)
-        rate = min(
-            load.rate + order_seconds * load.growth,
-            settings.max_growth * load.rate,
-        )
-        return (1 - replaced) * present + replaced * rate
+        return (1 - replaced) * present + replaced * load.rate
--- a/chestnutstair/tests/test_pool_sizes.py
+++ b/chestnutstair/tests/test_pool_sizes.py
@@ -19,8 +19,7 @@
 from chestnutstair.tests.scheduling_support import TrackerHarness
 
 VM_MILLICORES = 64_000
-VM_COUNT = 20
-MIN_SIZE = 5  # half an even share of the VMs in two pools
+MIN_SIZE = 5  # half an even share of 20 VMs in two pools
 
 
 class TurnTest(unittest.TestCase):
@@ -29,7 +28,7 @@
     def setUp(self) -> None:
         self.harness = TrackerHarness(("w1", "w2"))
         self.state = FleetState(self.harness.tracker)
-        names = [f"vm-w{number}" for number in range(1, VM_COUNT + 1)]
+        names = [f"vm-w{number}" for number in range(1, 21)]
         self.state.listed = {
             name: Vm(name, "boxes", "up", "z", "", (), VM_MILLICORES)
             for name in names
@@ -62,33 +61,6 @@
         present = 12 * 32_000 * FleetControllerSettings.headroom
         self.assertEqual(self.measure().want, -int(-present // VM_MILLICORES))
 
-    def play_ramp(self, rates: tuple[int, ...]) -> None:
-        """Admit jobs evenly at each rate, in jobs per second, for 1 s.
-
-        Those of the second before have ended by then.
-        """
-        for second, rate in enumerate(rates):
-            for name in list(self.harness.tracker.active):
-                self.harness.tracker.cancel(name)
-            for number in range(rate):
-                self.harness.clock.now += 1 / rate
-                step = Step(2, 3000, estimate_ms=1000)
-                self.harness.admit(f"r{second}-{number}", [step])
-
-    def test_a_rising_rate_is_extended_to_the_arrival_of_the_vms(self) -> None:
-        # With a hundred jobs a second a turn shows its slope: the pool had
-        # a quarter of the VMs that were needed when they arrived.
-        self.play_ramp((20, 60))
-        rising = self.measure().want
-        self.setUp()
-        self.play_ramp((60, 60))
-        self.assertGreater(rising, 1.5 * self.measure().want)
-
-    def test_a_rise_that_may_be_chance_is_ignored(self) -> None:
-        self.play_ramp((6, 10))
-        loads = measure_loads(self.harness.tracker, self.harness.clock.now)
-        self.assertEqual([load.growth for load in loads], [0] * len(loads))
-
     def test_a_vm_that_drains_for_a_wave_does_not_serve_demand(self) -> None:
         self.admit(12, 5000)
         before = self.measure().want
