Let a new leader wait for stops of the previous one before it stops lasting tasks

Cause: a stop in progress is not stored. The successor sees the task listed as ready and may stop another of its step. Orders that waited in the threads of the old leader were sent after its term, too.

Ended leaders drop what waits.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -143,7 +143,8 @@
             JobTrackerSettings(
                 takeover_wait_seconds=settings.compute_takeover_wait(
                     unchanged_seconds
-                )
+                ),
+                longest_stop_seconds=self._settings.longest_stop_seconds,
             ),
         )
         leadership = Leadership(term)
--- a/chestnutstair/fleet_settings.py
+++ b/chestnutstair/fleet_settings.py
@@ -73,6 +73,7 @@
     - `policy_address`: the platform's policy service, which says which
       workers may run a step; may be empty.
     - `longest_lease_seconds`: longest lease that workers grant.
+    - `longest_stop_seconds`: longest time in which a worker stops a run.
     - `grace_seconds`: how long a stop may take.
     - `log_level`: lowest level of the records that are logged.
 
@@ -92,6 +93,7 @@
     vms_address: Address
     policy_address: str = ""
     longest_lease_seconds: float = 6.0
+    longest_stop_seconds: float = 1.0
     grace_seconds: float = 6.0
     pools: PoolTimes = field(default_factory=PoolTimes)
     processor: Processor = field(default_factory=Processor)
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -43,6 +43,11 @@
     # How long leases granted by the previous leader may last on workers that
     # have not answered this leader.
     takeover_wait_seconds: float = 7.0
+    # Longest time in which a worker stops a run; until then it lists the run
+    # as it was.
+    longest_stop_seconds: float = 1.0
+    # How long a stop of the previous leader may be on its way.
+    late_stop_seconds: float = 0.5
     # Consecutive failures after which a worker gets no new tasks for
     # avoid_seconds.
     failure_streak: int = 3
@@ -571,8 +576,11 @@
         """Return whether planned maintenance may stop a lasting task now.
 
         With this task stopped, no more than `max_unavailable` tasks of its
-        step may be unready; one is always allowed.
+        step may be unready; one is always allowed. None is while a task that
+        the previous leader has stopped may still be listed as ready.
         """
+        if self._may_be_stopping_elsewhere():
+            return False
         step = record.steps[key.step]
         unavailable = 0
         for index in range(step.count):
@@ -581,6 +589,15 @@
                 unavailable += 1
         return unavailable < max(1, step.max_unavailable)
 
+    def _may_be_stopping_elsewhere(self) -> bool:
+        settings = self._settings
+        seconds = (
+            settings.late_stop_seconds
+            + settings.longest_stop_seconds
+            + settings.contact_seconds
+        )
+        return self._clock.read_monotonic() - self._began_at < seconds
+
     def _is_ready(self, record: JobRecord, key: TaskKey) -> bool:
         worker = self.workers.get(record.get_task(key).worker)
         now = self._clock.read_monotonic()
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -92,8 +92,8 @@
         )
 
     def close(self) -> None:
-        """Accept no more orders, without waiting for those in progress."""
-        self._threads.shutdown(wait=False)
+        """Drop the orders that wait, without waiting for those in progress."""
+        self._threads.shutdown(wait=False, cancel_futures=True)
 
     def extend_lease(self, worker: WorkerState) -> int | None:
         """Return the lease deadline to send, or None to not extend it.
@@ -131,6 +131,8 @@
         self._threads.submit(self._pace, worker, pace)
 
     def _stop(self, stop: StopRequest, key: tuple[str, str, int]) -> None:
+        if self._leadership.has_ended:
+            return  # the next leader decides what is stopped
         try:
             answer = self._workers.stop(
                 stop.worker.entry, stop.task, stop.run, self._leadership.epoch
@@ -159,6 +161,8 @@
             self._leadership.wake_planner()
 
     def _pace(self, worker: WorkerState, pace: Pace) -> None:
+        if self._leadership.has_ended:
+            return
         answer = self._workers.pace(
             worker.entry,
             pace.task,
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -27,8 +27,10 @@
 
     def __init__(self) -> None:
         self.failure: WorkerCallFailure | None = None
+        self.call_count = 0
 
     def _answer(self) -> Result[int, WorkerCallFailure]:
+        self.call_count += 1
         return Ok(0) if self.failure is None else Err(self.failure)
 
     def start(self, *_: Any) -> Result[int, WorkerCallFailure]:
@@ -115,3 +117,10 @@
         self.control.failure = StartRefusedFailure(RefusalReason.OLD, 4711)
         self.send_stop()
         self.assertTrue(self.is_stop_answered())
+
+    def test_a_stop_that_waits_is_not_sent_after_the_term(self) -> None:
+        # The next leader may have found the task ready and stop another one.
+        self.place_and_start()
+        self.leadership.end()
+        self.send_stop()
+        self.assertEqual(self.control.call_count, 1, "the start only")
