Name parts of the scheduler by what they hold, and say the fence once

Cause: a reading of the whole change as a newcomer. The reason for a fenced term stood in the order sender and was imported by the sessions; a pool's size was measured through a partial function; 'begun' beside 'started', 'overdue' for a VM whose time is not over, 'unusable' for one to cordon, 'in the way'; the silence of a leader was computed after the write that needs none of it.

Leadership.mark_fenced, PoolSizer._measure_size, JobRecord.start_confirmed, WaveProgress.is_due_after, FleetState.must_cordon, _stop_delaying_runs, Election._measure_silence. No text in logs, settings or the store changes.

--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -54,9 +54,10 @@
     dead_expiry_seconds: float = 0.8
     # Timeout of a status call to another node.
     call_seconds: float = 0.25
-    # Timeout of a write of the leader's row, and of a read of it. A node that
-    # is cut off finds that out by a read without answer.
+    # Timeout of a write of the leader's row.
     store_seconds: float = 1.2
+    # Timeout of a read of it. A node that is cut off finds that out by a read
+    # without answer.
     read_seconds: float = 0.6
     # A leader that reaches a smaller share of its workers than this for
     # `unfit_seconds` steps down in favour of a node in another zone.
@@ -343,10 +344,20 @@
             return unchanged_seconds >= self._settings.dead_expiry_seconds
         return unchanged_seconds >= self._settings.expiry_seconds
 
+    def _measure_silence(self, row: TermRow | None) -> float:
+        """Return the seconds for which the previous leader has not written.
+
+        At least that long, as its last write was seen later than it was made;
+        infinite if that leader has ended.
+        """
+        if row is None or row.released or row.holder == self._name:
+            return math.inf
+        return self._clock.read_monotonic() - self._row_changed_at
+
     def _take_over(self, row: TermRow | None, version: int) -> None:
         epoch = row.epoch + 1 if row is not None else 1
         wall = self._clock.read_wall()
-        began = self._clock.read_monotonic()
+        unchanged_seconds = self._measure_silence(row)
         new_row = TermRow(self._name, self._address, epoch, 0, wall)
         deadline = Deadline.after(self._clock, self._settings.store_seconds)
         answer = self._store.commit(
@@ -371,11 +382,6 @@
             answer.unwrap(),
             self._term_settings,
         )
-        # How long the previous leader has not written, for certain: infinite
-        # if it has ended.
-        unchanged_seconds = math.inf
-        if not (row is None or row.released or row.holder == self._name):
-            unchanged_seconds = began - self._row_changed_at
         leader = self._build_leader(term, unchanged_seconds)
         if not leader.load():
             return
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -142,7 +142,7 @@
         with self._tracker.lock:
             for worker in self._tracker.workers.values():
                 vm = worker.entry.vm
-                worker.cordoned = self._state.is_unusable(vm)
+                worker.cordoned = self._state.must_cordon(vm)
                 worker.maintenance_due = self._waves.is_due(vm)
 
     # Pools
@@ -224,7 +224,7 @@
     def _must_be_maintained(self, vm: str, now: float) -> bool:
         """Return whether a VM must not move before its maintenance."""
         share = self._settings.wave_time_share
-        return self._waves.is_overdue(vm, share, now)
+        return self._waves.is_due_after(vm, share, now)
 
     def _cancel_drains(
         self, service: str, spare: str, count: int, timely: bool
@@ -339,23 +339,23 @@
                 if now < drain.order_at:
                     continue
                 self._move_lasting_tasks(worker)
-                self._stop_runs_in_the_way(vm, drain, worker, now)
+                self._stop_delaying_runs(vm, drain, worker, now)
                 if not self._is_empty(worker):
                     continue
                 if not drain.wave and self._must_be_maintained(vm, now):
-                    del self._state.drains[vm]  # left to its wave
+                    del self._state.drains[vm]  # the wave drains it again
                 else:
                     orders.append(VmOrder(vm, drain.service, drain.wave))
         for vm in self._orders.order_all(orders):
             del self._state.drains[vm]
 
-    def _stop_runs_in_the_way(
+    def _stop_delaying_runs(
         self, vm: str, drain: Drain, worker: WorkerState, now: float
     ) -> None:
         """Stop runs that delay a drain and are worth less than the VM."""
         if drain.wave:
             share = self._settings.wave_stop_share
-            if self._waves.is_overdue(vm, share, now):
+            if self._waves.is_due_after(vm, share, now):
                 self._stop_batch_runs(worker, "maintenance is overdue")
         elif drain.urgent and not self._count_timely(worker):
             self._stop_batch_runs(worker, "late, and another pool lacks VMs")
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -177,11 +177,11 @@
                 changes[worker.entry.service] -= 1
         return changes
 
-    def is_unusable(self, vm: str) -> bool:
+    def must_cordon(self, vm: str) -> bool:
         """Return whether the VM's worker must get no new tasks.
 
-        Once an order is answered, the worker of before has been retired, and
-        one that registers is ready for work.
+        An answered order has retired the worker that the VM had, so a worker
+        that registers after it may get tasks.
         """
         order = self.orders.get(vm)
         return vm in self.drains or (order is not None and not order.answered)
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -46,7 +46,8 @@
     # Longest time in which a worker stops a run; until then it lists the run
     # as it was.
     longest_stop_seconds: float = 1.0
-    # How long a stop of the previous leader may be on its way.
+    # How long a stop of the previous leader may be on its way: the timeout of
+    # an order.
     late_stop_seconds: float = 0.5
     # Consecutive failures after which a worker gets no new tasks for
     # avoid_seconds.
@@ -445,7 +446,7 @@
         placed = worker.runs.get(listing.task)
         if placed is not None and placed.run == listing.run:
             worker.confirm_run(listing.task, listing, now)
-            self._mark_begun(placed.job)
+            self._record_start_confirmed(placed.job)
             if listing.checkpoint:
                 self._record_checkpoint(placed, listing.checkpoint)
             return
@@ -484,7 +485,7 @@
             or not record.has_task(parsed_name[1])
         ):
             return
-        record.begun = True
+        record.start_confirmed = True
         self._update_failure_streak(worker, end.outcome)
         state = record.get_task(parsed_name[1])
         if end.run > state.run or state.status is TaskStatus.DONE:
@@ -645,12 +646,12 @@
             worker.replace_run(
                 task, replace(placed, confirmed_at=now, in_doubt=False)
             )
-            self._mark_begun(placed.job)
+            self._record_start_confirmed(placed.job)
 
-    def _mark_begun(self, job: str) -> None:
+    def _record_start_confirmed(self, job: str) -> None:
         record = self.jobs.get(job)
         if record is not None:
-            record.begun = True
+            record.start_confirmed = True
 
     def mark_in_doubt(self, worker: WorkerState, task: str, run: int) -> None:
         """Record that a start got no answer and may still take effect."""
@@ -744,5 +745,6 @@
         return sum(
             1
             for record in self.active.values()
-            if record.submission.queue.name == queue and not record.begun
+            if record.submission.queue.name == queue
+            and not record.start_confirmed
         )
--- a/chestnutstair/scheduling/leadership.py
+++ b/chestnutstair/scheduling/leadership.py
@@ -40,6 +40,10 @@
         self.ended.set()
         self.planner_wakeup.set()
 
+    def mark_fenced(self) -> None:
+        """End the term because a worker has seen a newer fencing token."""
+        self.mark_lost("a worker has seen a newer fencing token")
+
     def mark_lost(self, reason: str) -> None:
         """Log that the term was lost, for the given reason, and end it."""
         if not self.has_ended:
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -4,9 +4,7 @@
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.job_tracker import Arrival, JobTracker
-from chestnutstair.scheduling.progress import (
-    Lateness,
-)
+from chestnutstair.scheduling.progress import Lateness
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = ["PoolLoad", "measure_loads"]
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -32,12 +32,10 @@
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.failure import describe_failure
 
-__all__ = ["FENCED", "OrderSender", "OrderSettings"]
+__all__ = ["OrderSender", "OrderSettings"]
 
 logger = logging.getLogger(__name__)
 
-FENCED = "a worker has seen a newer fencing token"
-
 
 @dataclass(frozen=True)
 class OrderSettings:
@@ -148,7 +146,7 @@
             )
             match answer:
                 case Err(StartRefusedFailure(RefusalReason.FENCE)):
-                    self._leadership.mark_lost(FENCED)
+                    self._leadership.mark_fenced()
                 case Ok(_) | Err(StartRefusedFailure(RefusalReason.OLD)):
                     with self._tracker.lock:
                         self._tracker.confirm_stop(
@@ -249,7 +247,7 @@
             case UnknownOutcomeFailure():
                 self._tracker.mark_in_doubt(worker, task, run)
             case StartRefusedFailure(RefusalReason.FENCE):
-                self._leadership.mark_lost(FENCED)
+                self._leadership.mark_fenced()
             case StartRefusedFailure(RefusalReason.TICKET):
                 self._advice.drop(
                     placement.record.name_step(placement.key),
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -1,7 +1,6 @@
 """Sizes of pools: how many VMs each has and needs for its work."""
 
 from dataclasses import dataclass
-from functools import partial
 
 from chestnutstair.scheduling.fleet_state import (
     FleetControllerSettings,
@@ -47,39 +46,38 @@
         changes = self._state.count_pending_changes()
         draining = self._state.count_maintenance_drains()
         away = self._state.count_in_maintenance()
-        sizes = []
-        for load in loads:
-            service = load.service
-            timely = load.batch - load.late_batch
-            timely += load.waiting - load.late_waiting
-            work = load.batch + load.waiting
-            measure = partial(
-                self._measure_vms,
+        return [
+            self._measure_size(
                 load,
-                draining=draining[service],
-                away=away[service],
+                load.workers + changes[load.service],
+                draining[load.service],
+                away[load.service],
             )
-            sizes.append(
-                PoolSize(
-                    service,
-                    load.workers + changes[service],
-                    measure(work),
-                    measure(timely),
-                )
-            )
-        return sizes
+            for load in loads
+        ]
+
+    def _measure_size(
+        self, load: PoolLoad, have: int, draining: int, away: int
+    ) -> PoolSize:
+        work = load.batch + load.waiting
+        timely = work - load.late_batch - load.late_waiting
+        return PoolSize(
+            load.service,
+            have,
+            self._measure_vms(load, work, draining, away),
+            self._measure_vms(load, timely, draining, away),
+        )
 
     def _measure_vms(
         self, load: PoolLoad, work: int, draining: int, away: int
     ) -> int:
         """Return how many VMs a pool needs.
 
-        `work` is the running and waiting work in millicores, `draining` and
-        `away` are the VMs that drain for and are under maintenance. Draining
-        VMs take no new tasks, so demand needs others in their place; the
-        minimum size does not, nor while VMs are away that come back soon. The
-        maximum size limits the VMs for demand, but not those over which a
-        lasting step must be spread.
+        `work` is the running and waiting work in millicores. `draining` VMs
+        drain for maintenance and take no new tasks, so demand needs others in
+        their place. `away` VMs are under maintenance and come back soon, so
+        the minimum size counts them. The maximum size limits the VMs for
+        demand, but not those over which a lasting step must be spread.
         """
         settings = self._settings
         even_share = self._state.compute_even_share()
@@ -102,8 +100,9 @@
         """
         settings = self._settings
         order_seconds = settings.move_seconds + settings.settle_seconds
-        horizon = order_seconds - settings.slack_share * load.slack_seconds
-        if not load.path_seconds or horizon <= 0:
+        wait_seconds = settings.slack_share * load.slack_seconds
+        horizon_seconds = order_seconds - wait_seconds
+        if not load.path_seconds or horizon_seconds <= 0:
             return present
-        replaced = min(1.0, horizon / load.path_seconds)
-        return (1 - replaced) * present + replaced * load.rate
+        ended_share = min(1.0, horizon_seconds / load.path_seconds)
+        return (1 - ended_share) * present + ended_share * load.rate
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -167,7 +167,7 @@
         # Steps with all tasks done, counted over all occurrences.
         self._completed_steps = 0
         self.started = False  # a task has been placed
-        self.begun = False  # a worker has begun a task, as far as is known
+        self.start_confirmed = False  # a worker has begun a task
         self.start_measured = False
         # Tasks and workers on which they failed; a hint that is not stored.
         self.failed_on: set[tuple[TaskKey, str]] = set()
@@ -416,7 +416,7 @@
                 checkpoint,
             )
             self.set_task(key, state)
-        self.begun = self.started
+        self.start_confirmed = self.started
         if fields["ended"]:
             self.end(JobState(fields["ended"]), fields["ended_ms"])
         self.stored_state = self.state
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -8,7 +8,7 @@
 
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.leadership import Leadership
-from chestnutstair.scheduling.orders import FENCED, OrderSender
+from chestnutstair.scheduling.orders import OrderSender
 from chestnutstair.scheduling.pacing import Pacer
 from chestnutstair.scheduling.ports import (
     RefusalReason,
@@ -147,10 +147,8 @@
                 if unstored:
                     self._wait_until_stored(worker)
                 return is_current
-            case Err(StartRefusedFailure(reason)) if (
-                reason == RefusalReason.FENCE
-            ):
-                self._leadership.mark_lost(FENCED)
+            case Err(StartRefusedFailure(RefusalReason.FENCE)):
+                self._leadership.mark_fenced()
             case Err(failure):
                 if not worker.unresponsive:
                     worker.unresponsive = True
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -84,10 +84,10 @@
             for wave in self._waves.values()
         )
 
-    def is_overdue(self, vm: str, share: float, now: float) -> bool:
-        """Return whether a VM is due in a wave that is mostly over.
+    def is_due_after(self, vm: str, share: float, now: float) -> bool:
+        """Return whether a VM is still due late in a wave.
 
-        That is when `share` of the wave's time has passed at monotonic `now`.
+        That is once `share` of the wave's time has passed at monotonic `now`.
         """
         return any(
             vm in wave.vms
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -156,7 +156,7 @@
     def confirm_run(self, task: str, listing: RunListing, now: float) -> None:
         """Record a listing of a run.
 
-        Later listings of batch runs, hundreds a second, tell nothing new.
+        Later listings of a batch run tell nothing new.
         """
         run = self.runs[task]
         is_batch = not (run.step.lasting or run.step.filler)
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -173,8 +173,8 @@
 class TakeoverTest(unittest.TestCase):
     """A new leader with many jobs and workers.
 
-    Each worker that registered was compared with each task of each job: 272
-    workers and 1,300 jobs took longer than the term lasted.
+    Each worker that registered was compared with each task of each job, and
+    leaders of a large fleet were replaced before they had loaded.
     """
 
     def test_each_placed_task_is_looked_at_once(self) -> None:
