Log when a VM's next worker registers, and count runs lost with a worker

Logs said 'lapsed' for a crashed worker and for one that is cut off, so a crash that is not counted could not be told from a crash that is not recognised. No logic changed.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
-from chestnutstair.scheduling.metrics import RUN_ENDS
+from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
     RunEnd,
@@ -225,6 +225,8 @@
             if entry.born_ms < current.entry.born_ms:
                 return None  # a stale entry from before its restart
         worker = WorkerState(entry, self._clock.read_monotonic())
+        for predecessor in self._list_predecessors(worker):
+            self._log_predecessor(predecessor, worker)
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -241,6 +243,44 @@
         )
         return worker
 
+    def _list_predecessors(self, worker: WorkerState) -> list[WorkerState]:
+        """Return the workers that ran on the VM before this one.
+
+        A VM has one worker at a time, so their processes have ended.
+        """
+        entry = worker.entry
+        if not entry.vm:
+            return []
+        return [
+            other
+            for other in self.workers.values()
+            if other.entry.vm == entry.vm
+            and other.entry.born_ms < entry.born_ms
+        ]
+
+    def _log_predecessor(
+        self, worker: WorkerState, successor: WorkerState
+    ) -> None:
+        contact = worker.contact
+        now = self._clock.read_monotonic()
+        logger.info(
+            "worker replaced on its VM",
+            extra={
+                "vm": worker.entry.vm,
+                "worker": worker.name,
+                "born_ms": worker.entry.born_ms,
+                "successor": successor.name,
+                "successor_born_ms": successor.entry.born_ms,
+                "draining": worker.entry.draining,
+                "runs": len(worker.runs),
+                "runs_started_after_its_last_answer": sum(
+                    contact is None or run.placed_at > contact.at
+                    for run in worker.runs.values()
+                ),
+                "silent_seconds": now - contact.at if contact else None,
+            },
+        )
+
     def _restore_runs(self, worker: WorkerState) -> None:
         """Add the runs that an earlier leader placed on the incarnation."""
         now = self._clock.read_monotonic()
@@ -361,6 +401,7 @@
     def _release_all(self, worker: WorkerState, reason: str) -> None:
         for task, run in list(worker.runs.items()):
             worker.remove_run(task)
+            RUNS_LOST.labels(reason).inc()
             record = self.jobs.get(run.job)
             if record is not None:
                 state = record.get_task(run.key)
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -6,6 +6,7 @@
     "FIRST_START_SECONDS",
     "LEADING",
     "PLANNING_SECONDS",
+    "RUNS_LOST",
     "RUN_ENDS",
     "START_ORDERS",
     "SUBMISSIONS",
@@ -36,6 +37,11 @@
 RUN_ENDS = Counter(
     "chestnutstair_ends", "Ends of runs reported by workers.", ["how"]
 )
+RUNS_LOST = Counter(
+    "chestnutstair_runs_lost",
+    "Runs given up together with their worker.",
+    ["reason"],
+)
 TERM_WRITE_SECONDS = Histogram(
     "chestnutstair_term_write_seconds",
     "Duration of the leader's writes to the store, with retries.",
