Give up a task under which two workers have crashed

Cause: a retry without a limit whose cost falls on others. Only ends that a worker lists as failed counted as attempts; a crashed worker lists none. Its crash was not even recognised, since the VM's next worker has another name, and looked like a worker that is cut off.

Change: the next worker of a VM, once it has answered, ends the one before; its runs are released at once and the crash counts against those that may have caused it, by run, stored with the task and with the VM's name, so that a new leader goes on counting. Runs that their worker survived for 0.3 s are not suspected. A suspected task runs again only where every other run has proven itself, and nothing else starts there until it has, too; up to a quarter of a pool is reserved for that while such tasks wait. Two crashes, the second one alone, or four in any case, and the job is failed. Workers that drain, are cut off or are retired by an order do not count.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -5,11 +5,26 @@
 
 import logging
 import threading
-from collections import deque
-from dataclasses import dataclass, replace
+from collections import defaultdict, deque
+from dataclasses import dataclass, field, replace
 
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
-from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
+from chestnutstair.scheduling.crashes import (
+    CrashSettings,
+    LostRun,
+    LostWorker,
+    LostWorkers,
+    assign_blame,
+    count_crash,
+    list_lost_runs,
+    must_give_up,
+)
+from chestnutstair.scheduling.metrics import (
+    JOBS_GIVEN_UP,
+    RUN_ENDS,
+    RUNS_LOST,
+    WORKER_CRASHES,
+)
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
     RunEnd,
@@ -21,9 +36,11 @@
     JobState,
     Submission,
     TaskKey,
+    TaskState,
     TaskStatus,
     parse_task_name,
 )
+from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import PlacedRun, WorkerState
 from chestnutstair.state.deadline import Clock
 
@@ -66,6 +83,7 @@
     start_timeout_seconds: float = 3.0
     # Interval of the checks for expired and for stuck runs.
     check_interval_seconds: float = 0.1
+    crashes: CrashSettings = field(default_factory=CrashSettings)
 
 
 @dataclass(frozen=True)
@@ -114,6 +132,7 @@
         ] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
+        self._lost_workers = LostWorkers(settings.crashes.remember_seconds)
         self._clock = clock
         self._settings = settings
         self._began_at = clock.read_monotonic()
@@ -225,8 +244,6 @@
             if entry.born_ms < current.entry.born_ms:
                 return None  # a stale entry from before its restart
         worker = WorkerState(entry, self._clock.read_monotonic())
-        for predecessor in self._list_predecessors(worker):
-            self._log_predecessor(predecessor, worker)
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -243,44 +260,6 @@
         )
         return worker
 
-    def _list_predecessors(self, worker: WorkerState) -> list[WorkerState]:
-        """Return the workers that ran on the VM before this one.
-
-        A VM has one worker at a time, so their processes have ended.
-        """
-        entry = worker.entry
-        if not entry.vm:
-            return []
-        return [
-            other
-            for other in self.workers.values()
-            if other.entry.vm == entry.vm
-            and other.entry.born_ms < entry.born_ms
-        ]
-
-    def _log_predecessor(
-        self, worker: WorkerState, successor: WorkerState
-    ) -> None:
-        contact = worker.contact
-        now = self._clock.read_monotonic()
-        logger.info(
-            "worker replaced on its VM",
-            extra={
-                "vm": worker.entry.vm,
-                "worker": worker.name,
-                "born_ms": worker.entry.born_ms,
-                "successor": successor.name,
-                "successor_born_ms": successor.entry.born_ms,
-                "draining": worker.entry.draining,
-                "runs": len(worker.runs),
-                "runs_started_after_its_last_answer": sum(
-                    contact is None or run.placed_at > contact.at
-                    for run in worker.runs.values()
-                ),
-                "silent_seconds": now - contact.at if contact else None,
-            },
-        )
-
     def _restore_runs(self, worker: WorkerState) -> None:
         """Add the runs that an earlier leader placed on the incarnation."""
         now = self._clock.read_monotonic()
@@ -302,6 +281,9 @@
                 # term's epoch decides whether it still runs.
                 confirmed_at=now,
                 stopping=record.ended is not None,
+                on_probation=self._must_run_alone(
+                    record.steps[key.step], state
+                ),
             )
             worker.add_run(record.name_task(key), run)
 
@@ -313,6 +295,7 @@
             extra={"worker": worker.name, "runs": len(worker.runs)},
         )
         worker.gone = True
+        self._record_crash(self._build_lost(worker))
         for task, run in list(worker.runs.items()):
             if run.listing is None:
                 # Its start may have reached the successor, or still do so.
@@ -339,15 +322,22 @@
         state = record.get_task(run.key)
         if state.status is TaskStatus.PLACED and state.run == run.run:
             record.place_task(
-                run.key, run.run, successor.name, successor.entry.born_ms
+                run.key,
+                run.run,
+                successor.name,
+                successor.entry.born_ms,
+                successor.entry.vm,
             )
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
         """Remove a worker whose VM has been moved or taken down."""
+        self._end_incarnation(worker, "retired")
+
+    def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
         worker.gone = True
         self._retired.add((worker.name, worker.entry.born_ms))
-        self._release_all(worker, "retired")
+        self._release_all(worker, reason)
         if self.workers.get(worker.name) is worker:
             del self.workers[worker.name]
 
@@ -361,8 +351,166 @@
                 extra={"worker": name, "runs": len(worker.runs)},
             )
 
+    # Crashed workers
+
+    def _build_lost(self, worker: WorkerState) -> LostWorker:
+        # A worker that drains ends as planned.
+        runs = [] if worker.entry.draining else list_lost_runs(worker)
+        return LostWorker(
+            worker.name,
+            worker.entry.born_ms,
+            worker.entry.vm,
+            assign_blame(runs),
+            self._clock.read_monotonic(),
+        )
+
+    def _record_crash(self, lost: LostWorker) -> None:
+        """Count a worker's crash against the tasks that may have caused it."""
+        if lost.blames:
+            WORKER_CRASHES.inc()
+        for blame in lost.blames:
+            record = self.jobs.get(blame.job)
+            if record is None or record.ended is not None:
+                continue
+            before = record.get_task(blame.key)
+            state = count_crash(before, blame)
+            if state is before or before.status is TaskStatus.DONE:
+                continue
+            record.set_task(blame.key, state)
+            self.dirty.add(record.name)
+            gives_up = must_give_up(state, blame, self._settings.crashes)
+            logger.info(
+                "crash counted against a task",
+                extra={
+                    "job": record.name,
+                    "task": record.name_task(blame.key),
+                    "run": blame.run,
+                    "worker": lost.name,
+                    "born_ms": lost.born_ms,
+                    "vm": lost.vm,
+                    "crashes": len(state.crashed_runs),
+                    "suspected": blame.suspected,
+                    "isolated": blame.isolated,
+                    "gives_up": gives_up,
+                },
+            )
+            if gives_up:
+                JOBS_GIVEN_UP.inc()
+                record.set_task(
+                    blame.key, replace(state, status=TaskStatus.FAILED)
+                )
+                self._end_job(record, JobState.FAILED)
+
+    def _release_replaced(self) -> None:
+        """Release the runs of workers that have a successor on their VM.
+
+        A VM has one worker at a time, so the one before has ended. Only a
+        successor that has answered counts, as entries of the registry may be
+        wrong, and only for a worker that does not answer itself.
+        """
+        newest: dict[str, WorkerState] = {}
+        for worker in self.workers.values():
+            vm = worker.entry.vm
+            if not vm or worker.contact is None:
+                continue
+            other = newest.get(vm)
+            if other is None or other.entry.born_ms < worker.entry.born_ms:
+                newest[vm] = worker
+        for worker in list(self.workers.values()):
+            successor = newest.get(worker.entry.vm)
+            if (
+                successor is not None
+                and worker.entry.born_ms < successor.entry.born_ms
+                and (worker.unresponsive or worker.contact is None)
+            ):
+                self._end_replaced(worker, successor)
+        newest_born_ms = {
+            vm: worker.entry.born_ms for vm, worker in newest.items()
+        }
+        now = self._clock.read_monotonic()
+        for lost in self._lost_workers.take_replaced(newest_born_ms, now):
+            self._record_crash(lost)
+        self._release_unclaimed(newest_born_ms)
+
+    def _end_replaced(
+        self, worker: WorkerState, successor: WorkerState
+    ) -> None:
+        contact = worker.contact
+        now = self._clock.read_monotonic()
+        lost = self._build_lost(worker)
+        logger.info(
+            "worker replaced on its VM",
+            extra={
+                "vm": worker.entry.vm,
+                "worker": worker.name,
+                "born_ms": worker.entry.born_ms,
+                "successor": successor.name,
+                "successor_born_ms": successor.entry.born_ms,
+                "draining": worker.entry.draining,
+                "runs": len(worker.runs),
+                "blamed": len(lost.blames),
+                "silent_seconds": now - contact.at if contact else None,
+            },
+        )
+        self._record_crash(lost)
+        self._end_incarnation(worker, "replaced")
+
+    def _release_unclaimed(self, newest_born_ms: dict[str, int]) -> None:
+        """Release runs that an earlier leader placed on ended workers."""
+        for incarnation, items in list(self._unclaimed.items()):
+            placed = [
+                (record, key)
+                for record, key in items
+                if self._is_placed_on(record.get_task(key), incarnation)
+            ]
+            if not placed:
+                del self._unclaimed[incarnation]
+                continue
+            lost = self._build_lost_unseen(incarnation, placed)
+            if lost.born_ms < newest_born_ms.get(lost.vm, 0):
+                del self._unclaimed[incarnation]
+                self._retired.add(incarnation)
+                self._record_crash(lost)
+                for record, key in placed:
+                    if self._is_placed_on(record.get_task(key), incarnation):
+                        self._release(record, key, "replaced")
+
+    @staticmethod
+    def _is_placed_on(state: TaskState, incarnation: tuple[str, int]) -> bool:
+        return (
+            state.status is TaskStatus.PLACED
+            and (state.worker, state.born_ms) == incarnation
+        )
+
+    def _build_lost_unseen(
+        self,
+        incarnation: tuple[str, int],
+        placed: list[tuple[JobRecord, TaskKey]],
+    ) -> LostWorker:
+        """Describe a lost worker that has never answered this leader."""
+        states = [record.get_task(key) for record, key in placed]
+        runs = [
+            LostRun(
+                record.name,
+                key,
+                state.run,
+                record.steps[key.step].lasting,
+                proven=False,
+                on_probation=self._must_run_alone(
+                    record.steps[key.step], state
+                ),
+            )
+            for (record, key), state in zip(placed, states, strict=True)
+        ]
+        return LostWorker(
+            *incarnation,
+            states[0].vm,
+            assign_blame(runs),
+            self._clock.read_monotonic(),
+        )
+
     def release_expired(self) -> None:
-        """Release the runs of workers whose leases have expired."""
+        """Release the runs of workers that have ended, or whose lease has."""
         now = self._clock.read_monotonic()
         if (
             now - self._expiry_checked_at
@@ -370,6 +518,7 @@
         ):
             return
         self._expiry_checked_at = now
+        self._release_replaced()
         # Leases from the previous leader remain valid, also on workers that
         # this leader has reached but not yet sent a lease.
         seconds = self._settings.takeover_wait_seconds
@@ -381,6 +530,7 @@
             expiry = max(previous_expiry, expiry)
             if now <= expiry or worker.is_in_contact(now, 1.0):
                 continue
+            self._lost_workers.add(self._build_lost(worker))
             self._release_all(worker, "lapsed")
             if worker.gone:
                 self.workers.pop(worker.name, None)
@@ -390,13 +540,21 @@
         # Releases runs on incarnations that are not in the registry.
         if now <= self._began_at + self._settings.takeover_wait_seconds:
             return
+        unregistered = defaultdict(list)
         for record in self.active.values():
-            for key, state in list(record.tasks.items()):
+            for key, state in record.tasks.items():
                 if state.status is not TaskStatus.PLACED:
                     continue
                 worker = self.workers.get(state.worker)
                 if worker is None or worker.entry.born_ms != state.born_ms:
-                    self._release(record, key, "unknown worker")
+                    incarnation = (state.worker, state.born_ms)
+                    unregistered[incarnation].append((record, key))
+        for incarnation, placed in unregistered.items():
+            self._lost_workers.add(
+                self._build_lost_unseen(incarnation, placed)
+            )
+            for record, key in placed:
+                self._release(record, key, "unknown worker")
 
     def _release_all(self, worker: WorkerState, reason: str) -> None:
         for task, run in list(worker.runs.items()):
@@ -440,6 +598,7 @@
                     self.apply_worker_entry(entry)
             return False
         worker.record_contact(answer, now)
+        self._lost_workers.forget(worker.name, worker.entry.born_ms)
         for end in answer.ends:
             if end.number > worker.applied_end:
                 self._apply_end(worker, end)
@@ -450,8 +609,29 @@
         for task, run in list(worker.runs.items()):
             if task not in listed:
                 self._apply_absence(worker, task, run, sent_at)
+        self._end_probation(worker)
         return True
 
+    def _end_probation(self, worker: WorkerState) -> None:
+        """Clear the suspicion of tasks whose runs have proven themselves."""
+        for task in list(worker.probation):
+            run = worker.runs[task]
+            if not worker.has_proven(run):
+                continue
+            worker.probation.discard(task)
+            record = self.jobs.get(run.job)
+            if record is None or record.get_task(run.key).run != run.run:
+                continue
+            state = replace(record.get_task(run.key), suspected=False)
+            if run.step.lasting:
+                state = replace(state, crashed_runs=())
+            record.set_task(run.key, state)
+            self.dirty.add(record.name)
+            logger.info(
+                "task no longer suspected",
+                extra={"task": task, "run": run.run, "worker": worker.name},
+            )
+
     def _apply_absence(
         self, worker: WorkerState, task: str, run: PlacedRun, sent_at: float
     ) -> None:
@@ -581,7 +761,11 @@
             record.set_task(
                 item,
                 replace(
-                    state, status=TaskStatus.DONE, worker="", checkpoint=""
+                    state,
+                    status=TaskStatus.DONE,
+                    worker="",
+                    vm="",
+                    checkpoint="",
                 ),
             )
             self._stop_task(record.name_task(item), state.worker)
@@ -663,13 +847,26 @@
         self, record: JobRecord, key: TaskKey, worker: WorkerState, run: int
     ) -> None:
         """Place the run with the given number on a worker."""
-        record.place_task(key, run, worker.name, worker.entry.born_ms)
+        entry = worker.entry
+        record.place_task(key, run, entry.name, entry.born_ms, entry.vm)
         now = self._clock.read_monotonic()
         step = record.steps[key.step]
-        placed = PlacedRun(record.name, key, run, step, now)
+        placed = PlacedRun(
+            record.name,
+            key,
+            run,
+            step,
+            now,
+            on_probation=self._must_run_alone(step, record.get_task(key)),
+        )
         worker.add_run(record.name_task(key), placed)
         self.dirty.add(record.name)
 
+    @staticmethod
+    def _must_run_alone(step: Step, state: TaskState) -> bool:
+        # The tasks of a gang have to start together.
+        return state.suspected and not step.gang
+
     def withdraw(
         self, worker: WorkerState, task: str, run: int, reason: str
     ) -> None:
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "FIRST_START_SECONDS",
+    "JOBS_GIVEN_UP",
     "LEADING",
     "PLANNING_SECONDS",
     "RUNS_LOST",
@@ -13,6 +14,7 @@
     "SUBMISSION_SECONDS",
     "TERM_WRITE_SECONDS",
     "VM_ORDERS",
+    "WORKER_CRASHES",
 ]
 
 # Buckets cover a fast store and one that is a hundred times slower.
@@ -42,6 +44,13 @@
     "Runs given up together with their worker.",
     ["reason"],
 )
+WORKER_CRASHES = Counter(
+    "chestnutstair_worker_crashes", "Crashes of workers that had runs."
+)
+JOBS_GIVEN_UP = Counter(
+    "chestnutstair_jobs_given_up",
+    "Jobs failed because a task crashed its workers.",
+)
 TERM_WRITE_SECONDS = Histogram(
     "chestnutstair_term_write_seconds",
     "Duration of the leader's writes to the store, with retries.",
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -6,6 +6,7 @@
 
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.configuration import Queue
+from chestnutstair.scheduling.isolation import PoolIsolation
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.progress import (
     JobRecord,
@@ -92,6 +93,15 @@
     return urgency.lateness, urgency.priority, urgency.due_ms, name
 
 
+def _filter_allowed(
+    workers: list[WorkerState], allowed: set[str] | None
+) -> list[WorkerState]:
+    """Return the workers with an allowed name; None allows all."""
+    if allowed is None:
+        return workers
+    return [worker for worker in workers if worker.name in allowed]
+
+
 class Planner:
     """Places tasks of a tracker's jobs; callers must hold its lock."""
 
@@ -119,14 +129,18 @@
             workers = self._list_usable_workers(service, now)
             if not workers:
                 continue
+            pool = PoolIsolation(workers)
+            pool.reserve(self._has_suspects(jobs))
             rejected = RejectedSizes()
             for _, name in sorted(jobs, key=_rank_job):
                 record = self._tracker.active[name]
-                placements += self._place_job(
-                    record, workers, rejected, wall_ms
-                )
+                placements += self._place_job(record, pool, rejected, wall_ms)
         return placements
 
+    def _has_suspects(self, jobs: list[tuple[Urgency, str]]) -> bool:
+        active = self._tracker.active
+        return any(active[name].suspects for _, name in jobs)
+
     def compute_urgency(
         self, record: JobRecord, queue: Queue, wall_ms: float
     ) -> Urgency:
@@ -184,7 +198,7 @@
     def _place_job(
         self,
         record: JobRecord,
-        workers: list[WorkerState],
+        pool: PoolIsolation,
         rejected: RejectedSizes,
         wall_ms: float,
     ) -> list[Placement]:
@@ -194,16 +208,19 @@
             due_ms = wall_ms
         for occurrence, number in record.list_startable_steps(due_ms):
             step = record.steps[number]
-            if rejected.covers(step):
-                continue
-            if not any(worker.has_room(step) for worker in workers):
+            is_rejected = rejected.covers(step)
+            if not is_rejected and not any(
+                worker.has_room(step) for worker in pool.open_workers
+            ):
                 rejected.add(step)
+                is_rejected = True
+            if is_rejected and not record.suspects:
                 continue
             indexes = record.get_step_progress(occurrence, number).waiting
             waiting = [
                 TaskKey(occurrence, number, index) for index in sorted(indexes)
             ]
-            placements += self._place_step(record, step, waiting, workers)
+            placements += self._place_step(record, step, waiting, pool)
         return placements
 
     def _place_step(
@@ -211,17 +228,26 @@
         record: JobRecord,
         step: Step,
         waiting: list[TaskKey],
-        workers: list[WorkerState],
+        pool: PoolIsolation,
     ) -> list[Placement]:
         queue = self._tracker.find_queue(record.submission)
         tickets: dict[str, str] = {}
+        allowed: set[str] | None = None
         if queue.advice_seconds:
-            tickets = self._find_tickets(record, waiting[0], workers, queue)
-            workers = [item for item in workers if item.name in tickets]
+            tickets = self._find_tickets(
+                record, waiting[0], pool.workers, queue
+            )
+            allowed = set(tickets)
+        workers = _filter_allowed(pool.open_workers, allowed)
         if step.gang:
+            # Its tasks have to start together, so none can start alone.
             placed = self._place_gang(record, step, waiting, workers)
         else:
-            placed = self._place_tasks(record, step, waiting, workers)
+            suspects = [key for key in waiting if key in record.suspects]
+            others = [key for key in waiting if key not in record.suspects]
+            placed = self._place_tasks(record, step, others, workers)
+            for key in suspects:
+                placed += self._place_suspect(record, key, pool, allowed)
         return [
             replace(item, ticket=tickets.get(item.worker.name, ""))
             for item in placed
@@ -260,6 +286,35 @@
             placements.append(Placement(record, key, worker, run))
         return placements
 
+    def _place_suspect(
+        self,
+        record: JobRecord,
+        key: TaskKey,
+        pool: PoolIsolation,
+        allowed: set[str] | None,
+    ) -> list[Placement]:
+        """Place a task on a worker where no other run can be blamed.
+
+        Prefers the emptiest one, as all of its runs end if it crashes.
+        """
+        quiet = _filter_allowed(pool.list_quiet_workers(), allowed)
+        fitting = self._list_fitting(
+            record, record.steps[key.step], key, quiet
+        )
+        if not fitting:
+            return []
+        worker = min(
+            fitting,
+            key=lambda item: (
+                item.lasting_runs,
+                item.used_millicores,
+                item.name,
+            ),
+        )
+        run = self._tracker.place(record, key, worker)
+        pool.close_worker(worker)
+        return [Placement(record, key, worker, run)]
+
     @staticmethod
     def _remains_best(
         record: JobRecord, step: Step, worker: WorkerState
@@ -290,9 +345,9 @@
         """Return the worker that the task would be placed on now, if any."""
         service = self._tracker.find_queue(record.submission).service
         now = self._clock.read_monotonic()
-        workers = self._list_usable_workers(service, now)
+        pool = PoolIsolation(self._list_usable_workers(service, now))
         return self._choose_worker(
-            record, record.steps[key.step], key, workers
+            record, record.steps[key.step], key, pool.open_workers
         )
 
     def _choose_worker(
@@ -302,16 +357,7 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> WorkerState | None:
-        fitting = [
-            worker
-            for worker in workers
-            if worker.has_room(step)
-            and (
-                not step.required_label
-                or step.required_label in worker.entry.labels
-            )
-            and self._is_within_spread_limit(record, step, key, worker)
-        ]
+        fitting = self._list_fitting(record, step, key, workers)
         if not fitting:
             return None
         return min(
@@ -323,6 +369,24 @@
             ),
         )
 
+    def _list_fitting(
+        self,
+        record: JobRecord,
+        step: Step,
+        key: TaskKey,
+        workers: list[WorkerState],
+    ) -> list[WorkerState]:
+        return [
+            worker
+            for worker in workers
+            if worker.has_room(step)
+            and (
+                not step.required_label
+                or step.required_label in worker.entry.labels
+            )
+            and self._is_within_spread_limit(record, step, key, worker)
+        ]
+
     @staticmethod
     def _count_siblings(
         record: JobRecord, key: TaskKey, worker: WorkerState
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -76,6 +76,13 @@
     failed_runs: tuple[int, ...] = ()
     # The latest known checkpoint.
     checkpoint: str = ""
+    # VM of the worker, as the worker's own name ends with its process.
+    vm: str = ""
+    # Runs that may have crashed their worker.
+    crashed_runs: tuple[int, ...] = ()
+    # The last of them had not proven itself, so the next run has to do so
+    # alone.
+    suspected: bool = False
 
     @property
     def failures(self) -> int:
@@ -169,6 +176,8 @@
         self.started = False  # a task has been placed
         self.start_confirmed = False  # a worker has begun a task
         self.start_measured = False
+        # Waiting tasks that may crash their worker.
+        self.suspects: set[TaskKey] = set()
         # Tasks and workers on which they failed; a hint that is not stored.
         self.failed_on: set[tuple[TaskKey, str]] = set()
         self.lateness = Lateness.IN_TIME  # as of the last planning round
@@ -225,6 +234,10 @@
         self.tasks[key] = state
         if state.run:
             self.started = True
+        if state.suspected and state.status is TaskStatus.WAITING:
+            self.suspects.add(key)
+        else:
+            self.suspects.discard(key)
         if before.status is state.status:
             return
         self._outlook = None
@@ -244,7 +257,7 @@
         return progress
 
     def place_task(
-        self, key: TaskKey, run: int, worker: str, born_ms: int
+        self, key: TaskKey, run: int, worker: str, born_ms: int, vm: str = ""
     ) -> None:
         """Mark a task as placed on a worker, with the number of the run."""
         state = self.get_task(key)
@@ -256,6 +269,7 @@
                 run=run,
                 worker=worker,
                 born_ms=born_ms,
+                vm=vm,
             ),
         )
 
@@ -274,6 +288,7 @@
                 status=TaskStatus.WAITING,
                 worker="",
                 born_ms=0,
+                vm="",
                 checkpoint=checkpoint or state.checkpoint,
             ),
         )
@@ -384,7 +399,7 @@
 
     def encode(self) -> bytes:
         """Encode the progress as JSON for the store."""
-        value = {
+        value: dict[str, object] = {
             "ended": self.ended or "",
             "ended_ms": self.ended_ms,
             "tasks": {
@@ -399,14 +414,36 @@
                 for key, state in self.tasks.items()
             },
         }
+        # Not among the fields of a task, so that nodes of the previous
+        # version can read the row.
+        vms = {
+            state.worker: state.vm
+            for state in self.tasks.values()
+            if state.worker and state.vm
+        }
+        if vms:
+            value["vms"] = vms
+        crashes = {
+            f"{key.occurrence}.{key.step}.{key.index}": [
+                state.crashed_runs,
+                state.suspected,
+            ]
+            for key, state in self.tasks.items()
+            if state.crashed_runs
+        }
+        if crashes:
+            value["crashes"] = crashes
         return json.dumps(value, separators=(",", ":")).encode()
 
     def restore(self, value: bytes) -> None:
         """Restore the progress from its stored form."""
         fields = json.loads(value)
+        vms = fields.get("vms", {})
+        crashes = fields.get("crashes", {})
         for name, item in fields["tasks"].items():
             key = TaskKey(*(int(part) for part in name.split(".")))
             status, run, worker, born_ms, failed_runs, checkpoint = item
+            crashed_runs, suspected = crashes.get(name, ((), False))
             state = TaskState(
                 TaskStatus(status),
                 run,
@@ -414,6 +451,9 @@
                 born_ms,
                 tuple(failed_runs),
                 checkpoint,
+                vms.get(worker, ""),
+                tuple(crashed_runs),
+                suspected,
             )
             self.set_task(key, state)
         self.start_confirmed = self.started
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -15,7 +15,7 @@
     StartRefusedFailure,
     WorkerControl,
 )
-from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.scheduling.workers import PROVING_SECONDS, WorkerState
 from chestnutstair.state.deadline import Clock
 from chestnutstair.state.failure import describe_failure
 
@@ -86,6 +86,9 @@
     def _choose_wait(self, worker: WorkerState) -> float:
         """Return how long the next hold call may wait.
 
+        It waits only briefly while a task is on probation, as each answer
+        may end that.
+
         A VM that is to leave its pool is ordered once its last end is
         acknowledged, which only the answer to a call shows.
         """
@@ -96,6 +99,8 @@
                 and worker.acknowledged_end < worker.stored_end
             ):
                 return 0.0
+            if worker.probation or worker.reserved:
+                return PROVING_SECONDS
         return self._settings.hold_seconds
 
     def _is_current(self, worker: WorkerState) -> bool:
@@ -135,12 +140,19 @@
                         worker.acknowledged_end, end_to_acknowledge
                     )
                     previous_contact = worker.contact
+                    had_probation = bool(worker.probation)
                     is_current = self._tracker.apply_hold_answer(
                         worker, hold_answer, sent
                     )
                     paces = self._pacer.adjust(worker)
                     unstored = worker.applied_end > worker.stored_end
-                if unstored or previous_contact is None or not is_current:
+                    is_proven = had_probation and not worker.probation
+                if (
+                    unstored
+                    or previous_contact is None
+                    or not is_current
+                    or is_proven
+                ):
                     self._leadership.wake_planner()
                 for pace in paces:
                     self._orders.submit_pace(worker, pace)
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -6,11 +6,20 @@
 from chestnutstair.scheduling.progress import TaskKey
 from chestnutstair.scheduling.specification import Step
 
-__all__ = ["SLOWEST_CLOCK_RATE", "Contact", "PlacedRun", "WorkerState"]
+__all__ = [
+    "PROVING_SECONDS",
+    "SLOWEST_CLOCK_RATE",
+    "Contact",
+    "PlacedRun",
+    "WorkerState",
+]
 
 # Rate of the slowest permitted clock: a worker's clock may run 2% slow, so a
 # lease may last that much longer.
 SLOWEST_CLOCK_RATE = 0.98
+# A run whose worker answers this long after the run's start has not crashed
+# it by starting.
+PROVING_SECONDS = 0.3
 
 
 @dataclass(frozen=True)
@@ -49,6 +58,9 @@
     stop_answered_at: float = 0.0
     # The speed last accepted by the worker, in percent of full speed.
     percent: int = 100
+    # Its task may crash the worker: no other run starts there until this one
+    # has proven itself.
+    on_probation: bool = False
     # The latest listing of the run; None before the first.
     listing: RunListing | None = None
 
@@ -84,6 +96,9 @@
         self.unresponsive = False  # the last hold call failed
         self.failure_streak = 0
         self.avoided_until = 0.0  # gets no new tasks before this time
+        # Tasks of the runs on probation that have not proven themselves yet.
+        self.probation: set[str] = set()
+        self.reserved = False  # gets only tasks that run alone
         self.filler_percent = 100  # speed of filler tasks
         self.paced_at = 0.0  # when filler_percent was last adjusted
 
@@ -96,6 +111,8 @@
         """Add a run and reserve its room."""
         self.remove_run(task)
         self.runs[task] = run
+        if run.on_probation:
+            self.probation.add(task)
         self._adjust_usage(run.step, 1)
 
     def replace_run(self, task: str, run: PlacedRun) -> None:
@@ -109,6 +126,7 @@
     def remove_run(self, task: str) -> PlacedRun | None:
         """Remove a run and free its room; return it, or None if unknown."""
         run = self.runs.pop(task, None)
+        self.probation.discard(task)
         if run is not None:
             self._adjust_usage(run.step, -1)
         return run
@@ -135,6 +153,14 @@
         """Record an answer and the worker's clock in it."""
         self.contact = Contact(answer.clock_ms, now)
 
+    def has_proven(self, run: PlacedRun) -> bool:
+        """Return whether the worker has survived the start of a run."""
+        return (
+            bool(run.confirmed_at)
+            and self.contact is not None
+            and self.contact.at - run.confirmed_at >= PROVING_SECONDS
+        )
+
     def is_in_contact(self, now: float, seconds: float) -> bool:
         """Return whether the worker answered within the given seconds."""
         return self.contact is not None and now - self.contact.at <= seconds
--- a/chestnutstair/tests/scheduling_support.py
+++ b/chestnutstair/tests/scheduling_support.py
@@ -103,8 +103,10 @@
 class TrackerHarness:
     """A tracker and planner on a manual clock, with workers that answer."""
 
-    def __init__(self, workers: Sequence[str] = ("w1", "w2")) -> None:
-        self.clock = ManualClock(1000.0)
+    def __init__(
+        self, workers: Sequence[str] = ("w1", "w2"), now: float = 1000.0
+    ) -> None:
+        self.clock = ManualClock(now)
         self.settings = JobTrackerSettings()
         self.tracker = JobTracker(self.clock, self.settings)
         self.tracker.configuration = CONFIGURATION
--- a/chestnutstair/tests/test_crashes.py
+++ b/chestnutstair/tests/test_crashes.py
@@ -4,136 +4,343 @@
 registers some seconds later, under another name.
 """
 
+import json
 import unittest
 from dataclasses import replace
 
-from chestnutstair.scheduling.placement import Placement
-from chestnutstair.scheduling.ports import RunEnd
-from chestnutstair.scheduling.progress import JobState
+from chestnutstair.scheduling.progress import JobRecord, JobState, TaskKey
 from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.crash_simulation import CrashSimulation
 from chestnutstair.tests.scheduling_support import TrackerHarness, build_entry
 
-WORKERS = ("w1", "w2", "w3", "w4")
-RETURN_SECONDS = 3.3  # from a worker's crash to the start of the next one
-LEASE_SECONDS = 6.0
-RUN_SECONDS = 1.0
-ROUND_SECONDS = 0.1
 BATCH = Step(6, 3500, estimate_ms=1000)
+LASTING = Step(3, 4000, lasting=True, max_unavailable=1)
 DEADLY = "deadly.0.0.0"
-
-
-class CrashSimulation:
-    """Workers that run tasks, and crash when they start a deadly one."""
-
-    def __init__(self, deadly: set[str]) -> None:
-        self.deadly = deadly
-        self.harness = TrackerHarness(WORKERS)
-        self.starts: list[str] = []  # tasks, in the order of their starts
-        # When runs end, by worker and task.
-        self._end_times: dict[str, dict[str, float]] = {
-            name: {} for name in WORKERS
-        }
-        self._end_numbers = dict.fromkeys(WORKERS, 0)
-        self._returns: list[tuple[float, str]] = []  # time and VM
-
-    def run(self, seconds: float) -> None:
-        """Let the leader and the workers act for the given time."""
-        until = self.harness.clock.now + seconds
-        while self.harness.clock.now < until:
-            self.harness.clock.now += ROUND_SECONDS
-            self._return_workers()
-            self._stop_runs()
-            for name in list(self._end_times):
-                self._answer(name)
-            self.harness.tracker.release_expired()
-            for placement in self.harness.plan():
-                self._start(placement)
-
-    def count_starts(self, task: str) -> int:
-        """Return how often a worker has started a task."""
-        return self.starts.count(task)
-
-    def _start(self, placement: Placement) -> None:
-        name = placement.worker.name
-        task = placement.record.name_task(placement.key)
-        if name not in self._end_times:
-            # It has crashed in this round: the start is refused.
-            self.harness.tracker.withdraw(
-                placement.worker, task, placement.run, "refused"
-            )
-            return
-        self.starts.append(task)
-        self.harness.start_all([placement])
-        if task in self.deadly:
-            self._crash(name)
-        else:
-            end = self.harness.clock.now + RUN_SECONDS
-            self._end_times[name][task] = end
-
-    def _crash(self, name: str) -> None:
-        del self._end_times[name]
-        at = self.harness.clock.now + RETURN_SECONDS
-        self._returns.append((at, self.harness.get_worker(name).entry.vm))
-
-    def _return_workers(self) -> None:
-        now = self.harness.clock.now
-        due = [item for item in self._returns if item[0] <= now]
-        for item in due:
-            self._returns.remove(item)
-            name = f"worker-{len(self._end_numbers)}"
-            entry = replace(
-                build_entry(name), vm=item[1], born_ms=int(now * 1000)
-            )
-            self.harness.tracker.apply_worker_entry(entry)
-            self._end_times[name] = {}
-            self._end_numbers[name] = 0
-
-    def _stop_runs(self) -> None:
-        for stop in self.harness.tracker.list_stop_requests():
-            end_times = self._end_times.get(stop.worker.name)
-            if end_times is not None:
-                end_times.pop(stop.task, None)
-                self.harness.tracker.confirm_stop(
-                    stop.worker, stop.task, stop.run
-                )
-
-    def _answer(self, name: str) -> None:
-        worker = self.harness.get_worker(name)
-        end_times = self._end_times[name]
-        now = self.harness.clock.now
-        ends = []
-        for task in [task for task, at in end_times.items() if at <= now]:
-            del end_times[task]
-            self._end_numbers[name] += 1
-            run = worker.runs[task].run
-            number = self._end_numbers[name]
-            ends.append(RunEnd(number, task, run, "done", ""))
-        runs = [
-            run
-            for run in self.harness.list_runs(name)
-            if run.task in end_times
-        ]
-        worker.sent_deadline_ms = int((now + LEASE_SECONDS) * 1000)
-        self.harness.answer(
-            name, runs, ends, sent=now + 0.01, born_ms=worker.entry.born_ms
-        )
+FIRST = TaskKey(0, 0, 0)
+# A task may be started twice more after three crashes, and no more.
+MAX_STARTS = 5
 
 
 class DeadlyTaskTest(unittest.TestCase):
     """A task under which workers crash is given up; other tasks are not."""
 
+    def admit_jobs(self, simulation: CrashSimulation, count: int = 8) -> None:
+        simulation.harness.admit("deadly", [BATCH])
+        for number in range(count):
+            simulation.harness.admit(f"job{number}", [BATCH])
+
+    def check_outcome(self, simulation: CrashSimulation) -> None:
+        """Check that only the deadly job failed, after few starts."""
+        self.assertLessEqual(simulation.count_starts(DEADLY), MAX_STARTS)
+        for name, record in simulation.harness.tracker.jobs.items():
+            expected = JobState.COMPLETED
+            if name == "deadly":
+                expected = JobState.FAILED
+            self.assertIs(record.ended, expected, name)
+
     # Guards against starting a task again without limit while each worker
     # that starts it crashes.
     def test_a_task_that_crashes_each_of_its_workers_is_given_up(self) -> None:
         simulation = CrashSimulation({DEADLY})
-        deadly = simulation.harness.admit("deadly", [BATCH])
-        innocent = [
-            simulation.harness.admit(f"job{number}", [BATCH])
-            for number in range(8)
-        ]
+        self.admit_jobs(simulation)
+        simulation.run(40.0)
+        self.check_outcome(simulation)
+
+    # Guards against more crashes than it takes to be sure of the cause.
+    def test_two_crashes_are_enough_if_the_task_ran_alone(self) -> None:
+        simulation = CrashSimulation({DEADLY})
+        self.admit_jobs(simulation)
+        simulation.run(40.0)
+        self.assertEqual(simulation.count_starts(DEADLY), 2)
+
+    # Guards against losing the count of crashes with the leader.
+    def test_crashes_count_across_leaders(self) -> None:
+        simulation = CrashSimulation({DEADLY})
+        self.admit_jobs(simulation)
+        for _ in range(8):
+            simulation.run(2.0)
+            simulation.replace_leader()
+        simulation.run(30.0)
+        self.check_outcome(simulation)
+
+    # Guards against a crash that is seen only after the leases have lapsed,
+    # as while the registry cannot be read.
+    def test_a_crash_counts_that_is_known_after_the_lapse(self) -> None:
+        simulation = CrashSimulation({DEADLY}, return_seconds=9.0)
+        self.admit_jobs(simulation)
+        simulation.run(60.0)
+        self.check_outcome(simulation)
+
+    # Guards against crashes of workers that return under their old name.
+    def test_crashes_of_workers_that_keep_their_name_count(self) -> None:
+        simulation = CrashSimulation({DEADLY}, keeps_name=True)
+        self.admit_jobs(simulation)
         simulation.run(40.0)
-        self.assertLessEqual(simulation.count_starts(DEADLY), 5)
-        self.assertIs(deadly.ended, JobState.FAILED)
+        self.check_outcome(simulation)
+
+    # Guards against a task that has run for a while when its worker crashes.
+    def test_a_task_that_crashes_its_workers_late_is_given_up(self) -> None:
+        simulation = CrashSimulation({DEADLY}, crash_seconds=0.8)
+        self.admit_jobs(simulation)
+        simulation.run(60.0)
+        self.assertLessEqual(simulation.count_starts(DEADLY), MAX_STARTS)
+        self.assertIs(simulation.get_job("deadly").ended, JobState.FAILED)
+
+    # Guards against blaming tasks that ran beside a deadly one.
+    def test_many_deadly_tasks_at_once_take_no_other_job_down(self) -> None:
+        simulation = CrashSimulation(
+            {f"bad{number}.0.0.{number}" for number in range(4)}
+        )
+        for number in range(8):
+            simulation.harness.admit(f"job{number}", [BATCH])
+        for number in range(4):
+            simulation.harness.admit(f"bad{number}", [BATCH])
+            simulation.run(0.5)
+        simulation.run(90.0)
+        for task in simulation.deadly:
+            self.assertLessEqual(simulation.count_starts(task), MAX_STARTS)
+        ended = {
+            name: record.ended
+            for name, record in simulation.harness.tracker.jobs.items()
+        }
         self.assertEqual(
-            {record.ended for record in innocent}, {JobState.COMPLETED}
+            {
+                name
+                for name, state in ended.items()
+                if state is JobState.FAILED
+            },
+            {f"bad{number}" for number in range(4)},
         )
+        self.assertNotIn(None, ended.values())
+
+    # Guards against giving up lasting tasks, which outlive many crashes.
+    def test_lasting_tasks_beside_deadly_ones_are_not_given_up(self) -> None:
+        deadly = {f"bad{number}.0.0.0" for number in range(6)}
+        simulation = CrashSimulation(deadly)
+        simulation.harness.admit("lasting", [LASTING])
+        simulation.run(2.0)
+        for number in range(6):
+            simulation.harness.admit(f"bad{number}", [BATCH])
+            simulation.run(8.0)
+        simulation.run(10.0)
+        self.assertIsNone(simulation.get_job("lasting").ended)
+        for number in range(6):
+            job = simulation.get_job(f"bad{number}")
+            self.assertIs(job.ended, JobState.FAILED)
+
+    # Guards against a lasting task that crashes each of its workers.
+    def test_a_deadly_lasting_task_is_given_up(self) -> None:
+        simulation = CrashSimulation({DEADLY})
+        simulation.harness.admit("deadly", [LASTING])
+        simulation.run(40.0)
+        self.assertLessEqual(simulation.count_starts(DEADLY), MAX_STARTS)
+        self.assertIs(simulation.get_job("deadly").ended, JobState.FAILED)
+
+
+class CrashEvidenceTest(unittest.TestCase):
+    """Only workers that have certainly ended count as crashed."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1", "w2"))
+        self.record = self.harness.admit("j", [Step(1, 1000)])
+        (self.placed,) = self.harness.plan()
+        self.harness.start_all([self.placed])
+        self.worker = self.placed.worker
+        self.worker.sent_deadline_ms = int(self.harness.clock.now * 1000)
+        self.worker.sent_deadline_ms += 6000
+
+    def register_successor(self, answers: bool = True) -> None:
+        entry = replace(self.worker.entry, name="next", born_ms=2)
+        self.harness.tracker.apply_worker_entry(entry)
+        if answers:
+            self.harness.answer("next", born_ms=2)
+
+    def count_crashes(self) -> int:
+        return len(self.record.get_task(FIRST).crashed_runs)
+
+    def release(self, seconds: float) -> None:
+        self.harness.clock.now += seconds
+        self.harness.tracker.release_expired()
+
+    def test_a_crashed_worker_is_released_before_its_lease_lapses(
+        self,
+    ) -> None:
+        self.worker.unresponsive = True
+        self.register_successor()
+        self.release(0.2)
+        self.assertEqual(self.worker.runs, {})
+        self.assertEqual(self.count_crashes(), 1)
+        self.assertNotIn(self.worker.name, self.harness.tracker.workers)
+        self.harness.tracker.apply_worker_entry(self.worker.entry)
+        self.assertNotIn(self.worker.name, self.harness.tracker.workers)
+
+    def test_a_worker_that_is_cut_off_has_not_crashed(self) -> None:
+        self.worker.unresponsive = True
+        self.release(15.0)
+        self.assertEqual(self.worker.runs, {})
+        self.harness.answer(self.worker.name)  # the same process
+        self.release(0.2)
+        self.assertEqual(self.count_crashes(), 0)
+        self.worker.unresponsive = True
+        self.register_successor()
+        self.release(0.2)
+        self.assertEqual(self.count_crashes(), 0)
+
+    def test_a_worker_that_answers_has_not_crashed(self) -> None:
+        # The registry may have wrong entries.
+        self.register_successor()
+        self.release(0.2)
+        self.assertIn("j.0.0.0", self.worker.runs)
+
+    def test_a_successor_counts_once_it_has_answered(self) -> None:
+        self.worker.unresponsive = True
+        self.register_successor(answers=False)
+        self.release(0.2)
+        self.assertIn("j.0.0.0", self.worker.runs)
+
+    def test_the_end_of_a_draining_worker_is_no_crash(self) -> None:
+        self.harness.move_entry(self.worker.name, draining=True)
+        self.worker.unresponsive = True
+        self.register_successor()
+        self.release(0.2)
+        self.assertEqual(self.worker.runs, {})
+        self.assertEqual(self.count_crashes(), 0)
+
+    def test_a_crash_counts_once(self) -> None:
+        self.worker.unresponsive = True
+        self.release(15.0)
+        self.register_successor()
+        self.release(0.2)
+        self.release(0.2)
+        self.assertEqual(self.count_crashes(), 1)
+
+    def test_runs_of_an_earlier_leader_are_released_with_their_vm(
+        self,
+    ) -> None:
+        new_leader = TrackerHarness(())
+        new_leader.tracker.restore_job(
+            self.record.submission, self.record.encode()
+        )
+        entry = replace(self.worker.entry, name="next", born_ms=2)
+        new_leader.tracker.apply_worker_entry(entry)
+        new_leader.answer("next", born_ms=2)
+        new_leader.tracker.release_expired()
+        state = new_leader.tracker.jobs["j"].get_task(FIRST)
+        self.assertEqual((state.crashed_runs, state.worker), ((1,), ""))
+
+
+class IsolationTest(unittest.TestCase):
+    """A suspected task starts where nothing else could be blamed."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1", "w2"))
+        self.record = self.harness.admit("j", [Step(1, 1000)])
+        self.record.set_task(
+            FIRST,
+            replace(
+                self.record.get_task(FIRST),
+                run=1,
+                crashed_runs=(1,),
+                suspected=True,
+            ),
+        )
+
+    def prove(self, seconds: float = 0.5) -> None:
+        self.harness.clock.now += seconds
+        self.harness.answer_all()
+
+    def test_nothing_else_starts_beside_a_suspected_run(self) -> None:
+        (placed,) = self.harness.plan()
+        self.harness.start_all([placed])
+        self.harness.admit("k", [Step(100, 1000)])
+        others = self.harness.plan()
+        self.assertGreater(len(others), 0)
+        self.assertNotIn(placed.worker, [item.worker for item in others])
+        self.prove()
+        self.assertFalse(self.record.get_task(FIRST).suspected)
+        beside = [item.worker for item in self.harness.plan()]
+        self.assertIn(placed.worker, beside)
+
+    def test_a_suspected_task_waits_until_other_runs_have_proven(self) -> None:
+        harness = TrackerHarness(("w1",))
+        other = harness.admit("a", [Step(1, 1000)])
+        harness.start_all(harness.plan())
+        record = harness.admit("j", [Step(1, 1000)])
+        state = record.get_task(FIRST)
+        record.set_task(FIRST, replace(state, run=1, suspected=True))
+        self.assertEqual(harness.plan(), [])
+        harness.clock.now += 0.5
+        harness.answer_all()
+        (placed,) = harness.plan()
+        self.assertEqual(placed.run, 2)
+        self.assertIsNone(other.ended)
+
+    def test_other_work_does_not_starve_a_suspected_task(self) -> None:
+        # A worker never becomes quiet by itself under a steady load.
+        harness = TrackerHarness(("w1", "w2"))
+        for number in range(10):
+            harness.admit(f"a{number}", [Step(2, 1000)])
+        harness.start_all(harness.plan())
+        record = harness.admit("j", [Step(1, 1000)])
+        state = record.get_task(FIRST)
+        record.set_task(FIRST, replace(state, run=1, suspected=True))
+        for number in range(10, 20):
+            harness.admit(f"a{number}", [Step(2, 1000)])
+            harness.start_all(harness.plan())
+            harness.clock.now += 0.1
+            harness.answer_all()
+        self.assertEqual(record.get_task(FIRST).run, 2)
+
+    def test_reserved_workers_are_opened_again(self) -> None:
+        (placed,) = self.harness.plan()
+        self.harness.start_all([placed])
+        self.prove()
+        self.harness.plan()
+        workers = self.harness.tracker.workers.values()
+        self.assertEqual([item for item in workers if item.reserved], [])
+
+
+class StoredCrashesTest(unittest.TestCase):
+    """Stored crashes are read by this version and by the one before."""
+
+    def build_record(self) -> JobRecord:
+        harness = TrackerHarness(("w1",))
+        record = harness.admit("j", [Step(2, 1000)])
+        harness.plan()
+        state = record.get_task(FIRST)
+        record.set_task(
+            FIRST, replace(state, crashed_runs=(1, 2), suspected=True)
+        )
+        return record
+
+    def test_crashes_are_restored(self) -> None:
+        record = self.build_record()
+        restored = JobRecord(record.submission)
+        restored.restore(record.encode())
+        self.assertEqual(restored.tasks, record.tasks)
+
+    def test_a_row_of_the_previous_version_is_read(self) -> None:
+        record = self.build_record()
+        fields = json.loads(record.encode())
+        del fields["vms"], fields["crashes"]
+        restored = JobRecord(record.submission)
+        restored.restore(json.dumps(fields).encode())
+        self.assertEqual(restored.get_task(FIRST).crashed_runs, ())
+
+    def test_the_previous_version_can_read_a_row(self) -> None:
+        # It unpacks six fields of each task and ignores other parts.
+        fields = json.loads(self.build_record().encode())
+        self.assertEqual({len(item) for item in fields["tasks"].values()}, {6})
+
+
+class RegistryTest(unittest.TestCase):
+    """Entries of other VMs end no worker."""
+
+    def test_workers_of_different_vms_are_not_successors(self) -> None:
+        harness = TrackerHarness(("w1",))
+        harness.get_worker("w1").unresponsive = True
+        entry = replace(build_entry("w2"), born_ms=9)
+        harness.tracker.apply_worker_entry(entry)
+        harness.answer("w2", born_ms=9)
+        harness.tracker.release_expired()
+        self.assertIn("w1", harness.tracker.workers)
