Place no tasks on a worker whose last call failed

Cause: a worker counts as usable for 1.6 s after its last answer, while no lease is extended to one whose last call failed, so each start was withdrawn and placed there again in the next round. Change: such a worker is not usable until it answers. Test: failed before.

--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -189,6 +189,7 @@
             for worker in self._tracker.workers.values()
             if worker.entry.service == service
             and not worker.gone
+            and not worker.unresponsive
             and not worker.cordoned
             and not worker.entry.draining
             and worker.avoided_until <= now
--- a/chestnutstair/tests/test_placement.py
+++ b/chestnutstair/tests/test_placement.py
@@ -29,6 +29,18 @@
         names = [item.worker.name for item in placed]
         self.assertEqual(sorted(names), ["w1", "w1", "w2", "w2"])
 
+    # Guards against thousands of starts that are placed on a crashed worker,
+    # stored and withdrawn, until its last answer is old enough.
+    def test_a_worker_whose_last_call_failed_gets_no_tasks(self) -> None:
+        harness = TrackerHarness(("w1", "w2"))
+        harness.get_worker("w1").unresponsive = True
+        harness.admit("j", [Step(2, 1000)])
+        names = {item.worker.name for item in harness.plan()}
+        self.assertEqual(names, {"w2"})
+        harness.get_worker("w1").unresponsive = False
+        harness.admit("k", [Step(20, 10_000)])
+        self.assertIn("w1", {item.worker.name for item in harness.plan()})
+
     def test_a_task_that_failed_is_tried_on_another_worker(self) -> None:
         # A worker that failed every run got the same task three times.
         harness = TrackerHarness(("w1", "w2"))
