Suspect fewer tasks after a crash, and let them start alone faster

Change: a connection that the worker closes shows that it ran until then, and 0.2 s prove a start; calls are short while suspected tasks wait; as many workers are reserved as tasks wait, at most half of the pool, and the pool grows until all could start in 5 s. Tests: each failed before.

--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -51,6 +51,8 @@
     # order to move the VM, about the cost of a move there and back. Until
     # then the pool can take the VM back for nothing.
     shrink_delay_seconds: float = 1.5
+    # Time in which all suspected tasks that wait should have started alone.
+    suspects_seconds: float = 5.0
     # Maximum size of a pool in even shares.
     max_share: float = 3.0
     # Maximum part of a pool that waves take down at a time: one rack of
--- a/chestnutstair/scheduling/isolation.py
+++ b/chestnutstair/scheduling/isolation.py
@@ -2,11 +2,11 @@
 
 from chestnutstair.scheduling.workers import WorkerState
 
-__all__ = ["PoolIsolation"]
+__all__ = ["RESERVED_SHARE", "PoolIsolation"]
 
-# Part of a pool's workers that is kept free of other starts while suspected
+# Largest part of a pool that is kept free of other starts while suspected
 # tasks wait. The rest of the pool serves all other work.
-RESERVED_SHARE = 0.25
+RESERVED_SHARE = 0.5
 
 
 class PoolIsolation:
@@ -21,17 +21,18 @@
         self.open_workers = workers
         self._close_workers()
 
-    def reserve(self, suspects_wait: bool) -> None:
-        """Reserve workers while suspected tasks wait, and open them after.
+    def reserve(self, suspect_count: int) -> None:
+        """Reserve workers for suspected tasks that wait; open the others.
 
         Workers stay reserved from round to round until then, as their latest
         runs first have to prove themselves.
         """
-        if not suspects_wait and self.open_workers is self.workers:
+        for worker in self.workers:
+            worker.suspects_wait = bool(suspect_count)
+        if not suspect_count and self.open_workers is self.workers:
             return
-        count = 0
-        if suspects_wait:
-            count = max(1, int(len(self.workers) * RESERVED_SHARE))
+        limit = max(1, int(len(self.workers) * RESERVED_SHARE))
+        count = min(suspect_count, limit)
         ranked = sorted(
             self.workers,
             key=lambda worker: (
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -1,5 +1,6 @@
 """Measures the load of each pool against its capacity."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -56,6 +57,8 @@
     filler_tasks: int
     # Largest number of workers over which a lasting step must be spread.
     widest: int
+    # Waiting tasks that may crash their worker and so have to start alone.
+    suspects: int = 0
 
 
 def measure_loads(tracker: JobTracker, now: float) -> list[PoolLoad]:
@@ -65,6 +68,7 @@
     coming: dict[str, int] = {}
     late: dict[str, int] = {}
     widest: dict[str, int] = {}
+    suspects = _count_suspects(tracker)
     for record in tracker.active.values():
         service = tracker.find_queue(record.submission).service
         if record.is_due:
@@ -120,11 +124,21 @@
                 lasting_tasks=sum(run.step.lasting for run in runs),
                 filler_tasks=sum(run.step.filler for run in runs),
                 widest=widest.get(service, 0),
+                suspects=suspects[service],
             )
         )
     return loads
 
 
+def _count_suspects(tracker: JobTracker) -> Counter[str]:
+    suspects: Counter[str] = Counter()
+    for record in tracker.active.values():
+        if record.suspects:
+            service = tracker.find_queue(record.submission).service
+            suspects[service] += len(record.suspects)
+    return suspects
+
+
 def _is_late(tracker: JobTracker, job: str) -> bool:
     record = tracker.active.get(job)
     return record is not None and record.lateness is not Lateness.IN_TIME
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -130,16 +130,16 @@
             if not workers:
                 continue
             pool = PoolIsolation(workers)
-            pool.reserve(self._has_suspects(jobs))
+            pool.reserve(self._count_suspects(jobs))
             rejected = RejectedSizes()
             for _, name in sorted(jobs, key=_rank_job):
                 record = self._tracker.active[name]
                 placements += self._place_job(record, pool, rejected, wall_ms)
         return placements
 
-    def _has_suspects(self, jobs: list[tuple[Urgency, str]]) -> bool:
+    def _count_suspects(self, jobs: list[tuple[Urgency, str]]) -> int:
         active = self._tracker.active
-        return any(active[name].suspects for _, name in jobs)
+        return sum(len(active[name].suspects) for _, name in jobs)
 
     def compute_urgency(
         self, record: JobRecord, queue: Queue, wall_ms: float
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -1,13 +1,16 @@
 """Sizes of pools: how many VMs each has and needs for its work."""
 
+import math
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.fleet_state import (
     FleetControllerSettings,
     FleetState,
 )
+from chestnutstair.scheduling.isolation import RESERVED_SHARE
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.load import PoolLoad
+from chestnutstair.scheduling.workers import PROVING_SECONDS
 
 __all__ = ["PoolSize", "PoolSizer"]
 
@@ -61,13 +64,26 @@
     ) -> PoolSize:
         work = load.batch + load.waiting
         timely = work - load.late_batch - load.late_waiting
+        want = self._measure_vms(load, work, draining, away)
         return PoolSize(
             load.service,
             have,
-            self._measure_vms(load, work, draining, away),
+            max(want, self._measure_vms_for_suspects(load)),
             self._measure_vms(load, timely, draining, away),
         )
 
+    def _measure_vms_for_suspects(self, load: PoolLoad) -> int:
+        """Return how many VMs a pool needs for tasks that start alone.
+
+        A part of the pool takes them, one at a time on each worker. How much
+        work they are does not matter, nor whether it is late.
+        """
+        # A start and the next call to the worker each take some time, too.
+        seconds = load.suspects * 2 * PROVING_SECONDS / RESERVED_SHARE
+        wanted = math.ceil(seconds / self._settings.suspects_seconds)
+        even_share = self._state.compute_even_share()
+        return min(wanted, round(even_share * self._settings.max_share))
+
     def _measure_vms(
         self, load: PoolLoad, work: int, draining: int, away: int
     ) -> int:
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -86,8 +86,8 @@
     def _choose_wait(self, worker: WorkerState) -> float:
         """Return how long the next hold call may wait.
 
-        It waits only briefly while a task is on probation, as each answer
-        may end that.
+        It waits only briefly while suspected tasks run or wait to, as each
+        answer may show that another can start.
 
         A VM that is to leave its pool is ordered once its last end is
         acknowledged, which only the answer to a call shows.
@@ -99,7 +99,7 @@
                 and worker.acknowledged_end < worker.stored_end
             ):
                 return 0.0
-            if worker.probation or worker.reserved:
+            if worker.probation or worker.suspects_wait:
                 return PROVING_SECONDS
         return self._settings.hold_seconds
 
@@ -162,8 +162,13 @@
             case Err(StartRefusedFailure(RefusalReason.FENCE)):
                 self._leadership.mark_fenced()
             case Err(failure):
+                now = self._clock.read_monotonic()
                 if not worker.unresponsive:
                     worker.unresponsive = True
+                    if now - sent < wait:
+                        # The call did not time out: its connection was closed.
+                        with self._tracker.lock:
+                            worker.record_closed(now)
                     logger.info(
                         "worker does not answer",
                         extra={
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -17,9 +17,9 @@
 # Rate of the slowest permitted clock: a worker's clock may run 2% slow, so a
 # lease may last that much longer.
 SLOWEST_CLOCK_RATE = 0.98
-# A run whose worker answers this long after the run's start has not crashed
+# A run whose worker is alive this long after the run's start has not crashed
 # it by starting.
-PROVING_SECONDS = 0.3
+PROVING_SECONDS = 0.2
 
 
 @dataclass(frozen=True)
@@ -77,6 +77,8 @@
         self.entry = entry
         self.first_seen_at = first_seen_at
         self.contact: Contact | None = None
+        # When its process was last known to run; monotonic.
+        self.alive_at = 0.0
         # End of the latest lease sent, on the worker's clock.
         self.sent_deadline_ms = 0
         # Ends of runs are numbered. Numbers of the last end that was stored
@@ -99,6 +101,7 @@
         # Tasks of the runs on probation that have not proven themselves yet.
         self.probation: set[str] = set()
         self.reserved = False  # gets only tasks that run alone
+        self.suspects_wait = False  # in its pool, for a worker to run alone
         self.filler_percent = 100  # speed of filler tasks
         self.paced_at = 0.0  # when filler_percent was last adjusted
 
@@ -152,13 +155,17 @@
     def record_contact(self, answer: HoldAnswer, now: float) -> None:
         """Record an answer and the worker's clock in it."""
         self.contact = Contact(answer.clock_ms, now)
+        self.alive_at = now
+
+    def record_closed(self, now: float) -> None:
+        """Record that it closed a connection, so it ran until now."""
+        self.alive_at = max(self.alive_at, now)
 
     def has_proven(self, run: PlacedRun) -> bool:
         """Return whether the worker has survived the start of a run."""
         return (
             bool(run.confirmed_at)
-            and self.contact is not None
-            and self.contact.at - run.confirmed_at >= PROVING_SECONDS
+            and self.alive_at - run.confirmed_at >= PROVING_SECONDS
         )
 
     def is_in_contact(self, now: float, seconds: float) -> bool:
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -29,6 +29,8 @@
     def __init__(self, harness: TrackerHarness) -> None:
         self._harness = harness
         self.unresponsive = False
+        # How long a call takes until it fails.
+        self.failure_seconds = 0.0
         self.deadlines: list[int | None] = []
 
     def hold(
@@ -42,6 +44,7 @@
         """Record the deadline; answer unless unresponsive."""
         self.deadlines.append(deadline_ms)
         if self.unresponsive:
+            self._harness.clock.now += self.failure_seconds
             return Err(UnknownOutcomeFailure("silent"))
         runs = tuple(self._harness.list_runs(worker.name))
         now_ms = int(self._harness.clock.now * 1000)
@@ -120,6 +123,29 @@
         self.assertEqual(self.control.deadlines[2:], [None] * 7)
         self.assertEqual(self.worker.runs, {})
 
+    # Guards against suspecting all tasks of a crashed worker that have started
+    # since its last answer, which may be a second old.
+    def test_a_closed_connection_shows_that_the_worker_ran_until_then(
+        self,
+    ) -> None:
+        for failure_seconds, expected in ((0.5, True), (1.5, False)):
+            with self.subTest(failure_seconds=failure_seconds):
+                self.setUp()
+                self.harness.admit("j", [Step(1, 1000)])
+                self.harness.start_all(self.harness.plan())
+                self.control.unresponsive = True
+                self.control.failure_seconds = failure_seconds
+                self.hold()
+                (run,) = self.worker.runs.values()
+                self.assertIs(self.worker.has_proven(run), expected)
+
+    def test_calls_are_short_while_suspected_tasks_run_or_wait(self) -> None:
+        self.worker.suspects_wait = True
+        self.assertLess(self.sessions._choose_wait(self.worker), 0.5)
+        self.worker.suspects_wait = False
+        self.worker.probation.add("j.0.0.0")
+        self.assertLess(self.sessions._choose_wait(self.worker), 0.5)
+
     def test_a_leader_that_can_not_write_extends_no_lease(self) -> None:
         # The next leader had to wait 12.6 s for a lost worker, as the previous
         # leader might have extended its lease until it gave up the term.
--- a/chestnutstair/tests/test_pool_sizes.py
+++ b/chestnutstair/tests/test_pool_sizes.py
@@ -14,6 +14,7 @@
 from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.pool_sizes import PoolSize, PoolSizer
 from chestnutstair.scheduling.ports import Vm
+from chestnutstair.scheduling.progress import TaskKey, TaskState
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.vm_order_history import VmOrder
 from chestnutstair.tests.scheduling_support import TrackerHarness
@@ -61,6 +62,23 @@
         present = 12 * 32_000 * FleetControllerSettings.headroom
         self.assertEqual(self.measure().want, -int(-present // VM_MILLICORES))
 
+    # Guards against a backlog of tasks that start alone in a pool that is
+    # sized for their work only, most of it late: it outlasted the day.
+    def test_tasks_that_start_alone_get_vms_though_they_are_late(self) -> None:
+        record = self.harness.admit("j", [Step(100, 100, estimate_ms=100)])
+        before = self.measure().want
+        for index in range(100):
+            key = TaskKey(0, 0, index)
+            record.set_task(key, TaskState(run=1, suspected=True))
+        self.harness.clock.now += 60
+        self.harness.answer_all()
+        self.harness.plan()
+        size = self.measure()
+        # Half of the pool takes them, each worker one in about 0.4 s.
+        self.assertGreater(size.want / 2 * 5.0 / 0.4, 80)
+        self.assertGreater(size.want, before)
+        self.assertEqual(size.need, before)
+
     def test_a_vm_that_drains_for_a_wave_does_not_serve_demand(self) -> None:
         self.admit(12, 5000)
         before = self.measure().want
