Read a worker's capacity that has shrunk to nothing

An entry whose capacity leaves out zeros was dropped as not of a worker, so the one from before went on to count and tasks were started beyond what the worker had. Missing amounts now count as zero. Test: failed before.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -147,7 +147,7 @@
         try:
             if fields["state"] not in STATES:
                 return None
-            capacity = fields["capacity"]
+            capacity = dict(fields["capacity"])
             labels = tuple(str(label) for label in fields["labels"])
             return WorkerEntry(
                 name=name,
@@ -156,8 +156,8 @@
                 address=str(fields["address"]),
                 zone=str(fields["zone"]),
                 draining=fields["state"] == "draining",
-                millicores=int(capacity["cpu"]),
-                memory_mb=int(capacity["memMb"]),
+                millicores=int(capacity.get("cpu", 0)),
+                memory_mb=int(capacity.get("memMb", 0)),
                 accelerators=int(capacity.get("gpu", 0)),
                 labels=labels,
                 rack=_find_rack(labels),
--- a/chestnutstair/tests/test_platform_decoding.py
+++ b/chestnutstair/tests/test_platform_decoding.py
@@ -33,6 +33,13 @@
         self.assertEqual((worker.rack, worker.vm), ("r1-2", "m-1"))
         self.assertEqual((worker.born_ms, worker.draining), (17, False))
 
+    # Guards against using the capacity from before, as zeros may be left out.
+    def test_a_capacity_that_has_shrunk_to_nothing_is_read(self) -> None:
+        value = encode({**ENTRY, "capacity": {}})
+        worker = PlatformDecoder().read_worker("i-1", value)
+        assert worker is not None
+        self.assertEqual((worker.millicores, worker.memory_mb), (0, 0))
+
     def test_foreign_entries_are_left_out(self) -> None:
         without = {k: v for k, v in ENTRY.items() if k != "address"}
         for value in (
