Count the room of runs that a worker lists though they were given up

A run that was released, as after a partition, and that the worker still lists is stopped; until its end its room counted as free, so a worker that does not check its capacity could be started beyond it. The steps of such runs now reserve room with each listing.

Two more tests, of a worker that shrinks and grows and of a run that is being stopped, passed before and stay as guards.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -604,8 +604,11 @@
                 self._apply_end(worker, end)
                 worker.applied_end = end.number
         listed = {listing.task for listing in answer.runs}
+        orphan_steps = []
         for listing in answer.runs:
-            self._apply_listing(worker, listing, now)
+            if not self._apply_listing(worker, listing, now):
+                orphan_steps += self._find_steps(listing)
+        worker.reserve_for_orphans(orphan_steps)
         for task, run in list(worker.runs.items()):
             if task not in listed:
                 self._apply_absence(worker, task, run, sent_at)
@@ -663,15 +666,27 @@
 
     def _apply_listing(
         self, worker: WorkerState, listing: RunListing, now: float
-    ) -> None:
+    ) -> bool:
+        """Apply a listed run; return False if it is not placed there."""
         placed = worker.runs.get(listing.task)
         if placed is not None and placed.run == listing.run:
             worker.confirm_run(listing.task, listing, now)
             self._record_start_confirmed(placed.job)
             if listing.checkpoint:
                 self._record_checkpoint(placed, listing.checkpoint)
-            return
+            return True
         self.orphans[(worker.name, listing.task)] = listing.run
+        return False
+
+    def _find_steps(self, listing: RunListing) -> list[Step]:
+        """Return the step of a listed run; empty if its job is not known."""
+        parsed_name = parse_task_name(listing.task)
+        record = self.jobs.get(parsed_name[0]) if parsed_name else None
+        if parsed_name is None or record is None:
+            return []
+        if not record.has_task(parsed_name[1]):
+            return []
+        return [record.steps[parsed_name[1].step]]
 
     def _record_checkpoint(self, placed: PlacedRun, checkpoint: str) -> None:
         # Not written at once: stored with the next change of the task.
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -92,6 +92,9 @@
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.lasting_runs = 0
+        # Steps of the runs that it listed last although they are not placed
+        # there. These still use its room.
+        self._orphan_steps: list[Step] = []
         self.cordoned = False  # gets no new tasks
         self.maintenance_due = False  # its VM is due for maintenance soon
         self.gone = False  # left the registry, retired or restarted
@@ -136,6 +139,17 @@
 
     def _adjust_usage(self, step: Step, sign: int) -> None:
         self.lasting_runs += sign * step.lasting
+        self._adjust_resources(step, sign)
+
+    def reserve_for_orphans(self, steps: list[Step]) -> None:
+        """Reserve the room of the listed runs that are not placed there."""
+        for step in self._orphan_steps:
+            self._adjust_resources(step, -1)
+        self._orphan_steps = steps
+        for step in steps:
+            self._adjust_resources(step, 1)
+
+    def _adjust_resources(self, step: Step, sign: int) -> None:
         if not step.filler:
             self.used_millicores += sign * step.millicores
         self.used_memory_mb += sign * step.memory_mb
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -109,6 +109,57 @@
         self.assertIsNone(restored.ended)
 
 
+class RoomTest(unittest.TestCase):
+    """A worker gets no more than it has, even if it does not check."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.worker = self.harness.get_worker("w1")
+
+    def count_started(self, job: str, millicores: int) -> int:
+        """Start tasks of a size; return how many."""
+        self.harness.admit(job, [Step(100, millicores)])
+        placed = self.harness.plan()
+        self.harness.start_all(placed)
+        return len(placed)
+
+    # Guards against starts on a worker whose capacity has shrunk meanwhile.
+    def test_a_worker_that_has_shrunk_gets_only_what_it_has_now(self) -> None:
+        self.harness.move_entry("w1", millicores=20_000)
+        self.assertEqual(self.count_started("j", 8000), 2)
+        self.harness.move_entry("w1", millicores=10_000)
+        self.assertEqual(self.harness.plan(), [])
+        self.harness.move_entry("w1", millicores=64_000)
+        self.assertEqual(len(self.harness.plan()), 6)
+
+    # Guards against counting the room of a run as free before it has ended.
+    def test_a_run_that_is_being_stopped_keeps_its_room(self) -> None:
+        self.assertEqual(self.count_started("j", 32_000), 2)
+        self.harness.tracker.cancel("j")
+        self.assertEqual(self.count_started("k", 32_000), 0)
+        for task, run in list(self.worker.runs.items()):
+            self.harness.tracker.confirm_stop(self.worker, task, run.run)
+        self.assertEqual(self.harness.plan(), [])
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        self.assertEqual(len(self.harness.plan()), 2)
+
+    # Guards against starts beside a run that was taken for ended, as after a
+    # partition, and is still there.
+    def test_a_listed_run_that_was_released_keeps_its_room(self) -> None:
+        self.assertEqual(self.count_started("j", 32_000), 2)
+        listed = self.harness.list_runs("w1")
+        for task, run in list(self.worker.runs.items()):
+            self.harness.tracker.withdraw(self.worker, task, run.run, "lapsed")
+        self.harness.answer("w1", listed)
+        self.assertEqual(self.harness.plan(), [])
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1", listed[:1])
+        self.assertEqual(len(self.harness.plan()), 1)
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.assertEqual(len(self.harness.plan()), 1)
+
+
 class InDoubtRunsTest(unittest.TestCase):
     """A task runs again only once its previous run cannot be running."""
 
