Refuse submissions that no leader could store or plan

Change: at intake a job has at most 500 tasks over all occurrences and amounts from 0 to 2^31, or is answered 400 with the reason; a body over 32 KB is answered 413 without being read. Jobs accepted before stay readable.

--- a/chestnutstair/platform/requesters.py
+++ b/chestnutstair/platform/requesters.py
@@ -6,12 +6,13 @@
 from http import HTTPStatus
 from typing import Any
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from chestnutstair.coordination.platform import UnknownOutcomeFailure
 from chestnutstair.platform.decoding import read_submission
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
 from chestnutstair.scheduling.job_requests import JobRequestHandler, Outcome
+from chestnutstair.scheduling.specification import check_limits
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["build_ready_application", "build_requester_application"]
@@ -23,6 +24,9 @@
 DEFAULT_TIMEOUT_SECONDS = 3.0
 # Subtracted from a caller's timeout, so that the answer arrives in time.
 ANSWER_MARGIN_SECONDS = 0.15
+# Largest body of a submission. A row of the store holds 64 KB, and the body is
+# stored as a JSON string, with its queue.
+MAX_BODY_BYTES = 32 * 1024
 # Sent with status 503: the request could not be served, or no configuration
 # has been loaded yet.
 RETRY_AFTER_SECONDS = 1
@@ -126,14 +130,13 @@
         elif method == "DELETE":
             outcome = self._handler.cancel(job, deadline)
         elif method == "POST":
-            submission = _read_body(environ)
-            match read_submission(submission):
-                case Err(failure):
-                    reason = {"reason": failure.problem}
-                    return _answer(
-                        start_response, HTTPStatus.BAD_REQUEST, reason, headers
-                    )
-                case Ok(_):
+            match self._read_submission(environ):
+                case Err((refusal, problem)):
+                    # The body may not have been read to its end.
+                    headers.append(("Connection", "close"))
+                    reason = {"reason": problem}
+                    return _answer(start_response, refusal, reason, headers)
+                case Ok(submission):
                     outcome = self._handler.submit(
                         queue, job, submission, deadline
                     )
@@ -148,6 +151,20 @@
             fields = None
         return _answer(start_response, status, fields, headers)
 
+    @staticmethod
+    def _read_submission(
+        environ: Environ,
+    ) -> Result[bytes, tuple[HTTPStatus, str]]:
+        """Return a valid submission, or the status and reason of refusal."""
+        body = _read_body(environ)
+        if body is None:
+            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            return Err((status, f"the limit is {MAX_BODY_BYTES} bytes"))
+        answer = read_submission(body).and_then(check_limits)
+        return answer.map(lambda _: body).map_err(
+            lambda failure: (HTTPStatus.BAD_REQUEST, failure.problem)
+        )
+
     def _read_deadline(self, environ: Environ) -> Deadline:
         seconds = DEFAULT_TIMEOUT_SECONDS
         text = environ.get(TIMEOUT_HEADER_KEY, "")
@@ -156,11 +173,16 @@
         return Deadline.after(self._clock, seconds - ANSWER_MARGIN_SECONDS)
 
 
-def _read_body(environ: Environ) -> bytes:
+def _read_body(environ: Environ) -> bytes | None:
+    """Return the body, or None if it is too large."""
     length = environ.get("CONTENT_LENGTH") or ""
     stream = environ["wsgi.input"]
-    data = stream.read(int(length)) if length.isdigit() else stream.read()
-    return bytes(data)
+    if length.isdigit():
+        if int(length) > MAX_BODY_BYTES:
+            return None
+        return bytes(stream.read(int(length)))
+    data = bytes(stream.read(MAX_BODY_BYTES + 1))
+    return data if len(data) <= MAX_BODY_BYTES else None
 
 
 def build_requester_application(
--- a/chestnutstair/scheduling/specification.py
+++ b/chestnutstair/scheduling/specification.py
@@ -6,7 +6,22 @@
 
 from chestnutstair.state.failure import Failure
 
-__all__ = ["JobSpecification", "Step", "SubmissionFailure", "check_job"]
+__all__ = [
+    "MAX_TASKS",
+    "JobSpecification",
+    "Step",
+    "SubmissionFailure",
+    "check_job",
+    "check_limits",
+]
+
+# Tasks of a job in all of its occurrences. Their states share one row of the
+# store, which holds 64 KB.
+MAX_TASKS = 500
+# Largest number in a job, such as a task's memory in MB.
+MAX_AMOUNT = 2**31
+# Largest due time, in ms since 1970.
+MAX_TIME_MS = 2**53
 
 
 @dataclass(frozen=True)
@@ -86,3 +101,31 @@
             return Err(SubmissionFailure("steps wait for each other"))
         ordered |= ready
     return Ok(None)
+
+
+def check_limits(job: JobSpecification) -> Result[None, SubmissionFailure]:
+    """Reject jobs that cannot be stored, and numbers that make no sense.
+
+    For new jobs only, as jobs that were accepted with other limits stay.
+    """
+    if (
+        sum(step.count for step in job.steps) * max(1, job.occurrences)
+        > MAX_TASKS
+    ):
+        return Err(SubmissionFailure(f"a job has at most {MAX_TASKS} tasks"))
+    amounts = [job.occurrences, job.interval_ms]
+    for step in job.steps:
+        amounts += [
+            step.millicores,
+            step.memory_mb,
+            step.accelerators,
+            step.estimate_ms,
+            step.spread_limit,
+            step.tail_target_ms,
+            step.max_unavailable,
+        ]
+    if any(not 0 <= amount <= MAX_AMOUNT for amount in amounts):
+        return Err(SubmissionFailure("a number is out of range"))
+    if not 0 <= job.first_due_ms <= MAX_TIME_MS:
+        return Err(SubmissionFailure("the due time is out of range"))
+    return Ok(None)
--- a/chestnutstair/transport/json_calls.py
+++ b/chestnutstair/transport/json_calls.py
@@ -29,7 +29,7 @@
     """Return the JSON object in the data, or None if there is none."""
     try:
         value = json.loads(data)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return value if isinstance(value, dict) else None
 
