Set a job aside whose stored progress cannot be read

Shown on: an unreadable progress row raises while a leader loads, so no node can lead. Its job is now logged and set aside: it counts as running, its tasks are not started, as they may have run, and it can be cancelled; all other jobs load.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -156,7 +156,24 @@
         """Add a job from the store when a term begins."""
         record = JobRecord(submission)
         if progress is not None:
-            record.restore(progress)
+            try:
+                record.restore(progress)
+            except (
+                AttributeError,
+                KeyError,
+                TypeError,
+                ValueError,
+                IndexError,
+            ):
+                # Its tasks may have run, so they are not started again.
+                logger.exception(
+                    "cannot read the progress of a job; it is set aside",
+                    extra={"job": record.name},
+                )
+                record = JobRecord(submission)
+                record.started = True
+                self.jobs[record.name] = record
+                return
         self.jobs[record.name] = record
         if record.ended is None:
             self.active[record.name] = record
@@ -221,6 +238,10 @@
                 if run.job == record.name:
                     worker.mark_stopping(task)
 
+    def set_aside(self, record: JobRecord) -> None:
+        """Exclude a job from planning for this term; its runs go on."""
+        self.active.pop(record.name, None)
+
     def forget_job(self, name: str) -> None:
         """Remove a job whose rows have been deleted from the store."""
         self.jobs.pop(name, None)
--- a/chestnutstair/tests/test_harmful_jobs.py
+++ b/chestnutstair/tests/test_harmful_jobs.py
@@ -24,6 +24,7 @@
 from chestnutstair.scheduling.specification import MAX_TASKS
 from chestnutstair.tests.scheduling_support import (
     CONFIGURATION,
+    TrackerHarness,
     build_submission,
 )
 from chestnutstair.tests.support import ManualClock
@@ -193,6 +194,34 @@
         self.assertEqual(split_batches([], 90), [[]])
 
 
+class StoredProgressTest(unittest.TestCase):
+    """A progress row that cannot be read concerns its job only."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.submission = build_submission("j", [replace_count(1)])
+
+    # Guards against each new leader failing to load.
+    def test_other_jobs_are_restored(self) -> None:
+        self.harness.tracker.restore_job(self.submission, b"{")
+        other = build_submission("k", [replace_count(1)])
+        self.harness.tracker.restore_job(other, None)
+        placed = self.harness.plan()
+        self.assertEqual([item.record.name for item in placed], ["k"])
+
+    # Guards against running again what the row said had run.
+    def test_its_tasks_are_not_started_again(self) -> None:
+        self.harness.tracker.restore_job(
+            self.submission, b'{"tasks":{"0":[]}}'
+        )
+        self.assertFalse(self.harness.tracker.admit(self.submission))
+        self.assertEqual(self.harness.plan(), [])
+
+    def test_its_row_is_not_overwritten(self) -> None:
+        self.harness.tracker.restore_job(self.submission, b"{")
+        self.assertEqual(self.harness.tracker.dirty, set())
+
+
 def replace_count(count: int) -> Any:
     """Return a step with the given number of small tasks."""
     return (
