Set a job aside whose planning fails

Shown on: an error in the planning of one job ended the whole round, so no job started, under this leader and the next, and the term was not renewed. Now the job is logged and set aside for the term, and the round goes on. It can be cancelled.

--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -120,9 +120,13 @@
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
         """Place the tasks that can start; return them, most urgent first."""
         by_service: dict[str, list[tuple[Urgency, str]]] = defaultdict(list)
-        for name, record in self._tracker.active.items():
-            queue = self._tracker.find_queue(record.submission)
-            urgency = self.compute_urgency(record, queue, wall_ms)
+        for name, record in list(self._tracker.active.items()):
+            try:
+                queue = self._tracker.find_queue(record.submission)
+                urgency = self.compute_urgency(record, queue, wall_ms)
+            except Exception:
+                self._set_aside(record)
+                continue
             by_service[queue.service].append((urgency, name))
         placements: list[Placement] = []
         for service, jobs in by_service.items():
@@ -134,9 +138,22 @@
             rejected = RejectedSizes()
             for _, name in sorted(jobs, key=_rank_job):
                 record = self._tracker.active[name]
-                placements += self._place_job(record, pool, rejected, wall_ms)
+                try:
+                    placements += self._place_job(
+                        record, pool, rejected, wall_ms
+                    )
+                except Exception:
+                    self._set_aside(record)
         return placements
 
+    def _set_aside(self, record: JobRecord) -> None:
+        # An error that comes back in each round would stall all other jobs,
+        # under this leader and under the next.
+        logger.exception(
+            "cannot plan a job; it is set aside", extra={"job": record.name}
+        )
+        self._tracker.set_aside(record)
+
     def _count_suspects(self, jobs: list[tuple[Urgency, str]]) -> int:
         active = self._tracker.active
         return sum(len(active[name].suspects) for _, name in jobs)
--- a/chestnutstair/tests/test_harmful_jobs.py
+++ b/chestnutstair/tests/test_harmful_jobs.py
@@ -17,6 +17,7 @@
 from chestnutstair.scheduling.ports import RowKey, RowWrite
 from chestnutstair.scheduling.progress import (
     JobRecord,
+    JobState,
     TaskKey,
     TaskState,
     TaskStatus,
@@ -194,6 +195,35 @@
         self.assertEqual(split_batches([], 90), [[]])
 
 
+class PlanningTest(unittest.TestCase):
+    """A job whose planning fails keeps no other job from running."""
+
+    # Guards against an error in each planning round of each leader.
+    def test_other_jobs_are_planned(self) -> None:
+        harness = TrackerHarness(("w1",))
+        broken = harness.admit("a", [replace_count(1)])
+        broken.submission = replace(
+            broken.submission,
+            queue=replace(broken.submission.queue, name="gone", stretch=None),  # type: ignore[arg-type]
+        )
+        other = harness.admit("b", [replace_count(1)])
+        for _ in range(2):
+            harness.start_all(harness.plan())
+        self.assertEqual(other.get_task(TaskKey(0, 0, 0)).run, 1)
+        self.assertIsNone(broken.ended)
+
+    def test_a_job_whose_planning_fails_can_be_cancelled(self) -> None:
+        harness = TrackerHarness(("w1",))
+        broken = harness.admit("a", [replace_count(1)])
+        broken.submission = replace(
+            broken.submission,
+            queue=replace(broken.submission.queue, name="gone", stretch=None),  # type: ignore[arg-type]
+        )
+        harness.plan()
+        harness.tracker.cancel("a")
+        self.assertIs(broken.ended, JobState.CANCELLED)
+
+
 class StoredProgressTest(unittest.TestCase):
     """A progress row that cannot be read concerns its job only."""
 
