Move the counting of crashes out of the job tracker

No change of behaviour, but for the counter of lost runs, which now also has runs of workers that a new leader never saw. The tracker had grown to 1,040 lines; it keeps when a worker counts as ended, and crashes.py what a crash says about tasks.

--- a/chestnutstair/scheduling/crashes.py
+++ b/chestnutstair/scheduling/crashes.py
@@ -7,23 +7,35 @@
 that a second crash has one cause.
 """
 
+import logging
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from chestnutstair.scheduling.progress import TaskKey, TaskState
+from chestnutstair.scheduling.metrics import JOBS_GIVEN_UP, WORKER_CRASHES
+from chestnutstair.scheduling.progress import (
+    JobRecord,
+    TaskKey,
+    TaskState,
+    TaskStatus,
+)
+from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = [
     "Blame",
+    "CrashRecorder",
     "CrashSettings",
     "LostRun",
     "LostWorker",
     "LostWorkers",
     "assign_blame",
-    "count_crash",
-    "list_lost_runs",
-    "must_give_up",
+    "describe_lost_worker",
+    "describe_unseen_worker",
+    "must_run_alone",
 ]
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class CrashSettings:
@@ -86,19 +98,55 @@
     lost_at: float
 
 
-def list_lost_runs(worker: WorkerState) -> list[LostRun]:
-    """Return the runs that are lost with a worker."""
-    return [
-        LostRun(
-            run.job,
-            run.key,
-            run.run,
-            run.step.lasting,
-            worker.has_proven(run),
-            run.on_probation,
+def must_run_alone(step: Step, state: TaskState) -> bool:
+    """Return whether nothing else may start beside a task's next run."""
+    # The tasks of a gang have to start together.
+    return state.suspected and not step.gang
+
+
+def describe_lost_worker(worker: WorkerState, now: float) -> LostWorker:
+    """Describe a worker that is lost now, in monotonic time.
+
+    One that was draining ended as planned, so no run is blamed.
+    """
+    runs = []
+    if not worker.entry.draining:
+        runs = [
+            LostRun(
+                run.job,
+                run.key,
+                run.run,
+                run.step.lasting,
+                worker.has_proven(run),
+                run.on_probation,
+            )
+            for run in worker.runs.values()
+        ]
+    entry = worker.entry
+    return LostWorker(
+        entry.name, entry.born_ms, entry.vm, assign_blame(runs), now
+    )
+
+
+def describe_unseen_worker(
+    incarnation: tuple[str, int],
+    placed: list[tuple[JobRecord, TaskKey]],
+    now: float,
+) -> LostWorker:
+    """Describe a lost worker that has never answered this leader.
+
+    - `incarnation`: its name and the start of its process.
+    - `placed`: the tasks that an earlier leader placed there.
+    """
+    states = [record.get_task(key) for record, key in placed]
+    runs = []
+    for (record, key), state in zip(placed, states, strict=True):
+        step = record.steps[key.step]
+        alone = must_run_alone(step, state)
+        runs.append(
+            LostRun(record.name, key, state.run, step.lasting, False, alone)
         )
-        for run in worker.runs.values()
-    ]
+    return LostWorker(*incarnation, states[0].vm, assign_blame(runs), now)
 
 
 def assign_blame(runs: list[LostRun]) -> tuple[Blame, ...]:
@@ -122,7 +170,7 @@
     return Blame(run.job, run.key, run.run, not run.proven, isolated)
 
 
-def count_crash(state: TaskState, blame: Blame) -> TaskState:
+def _count_crash(state: TaskState, blame: Blame) -> TaskState:
     """Return the state of a blamed task; each run counts once."""
     if blame.run in state.crashed_runs:
         return state
@@ -133,7 +181,7 @@
     )
 
 
-def must_give_up(
+def _must_give_up(
     state: TaskState, blame: Blame, settings: CrashSettings
 ) -> bool:
     """Return whether a task is not to be started again after a crash."""
@@ -143,6 +191,67 @@
     return crashes >= settings.max_crashes
 
 
+class CrashRecorder:
+    """Counts crashes against tasks, and fails the jobs that cause them.
+
+    - `jobs`: all jobs by name.
+    - `changed`: names of the jobs whose progress has to be stored.
+    - `fail_job`: ends a job as failed.
+    """
+
+    def __init__(
+        self,
+        jobs: dict[str, JobRecord],
+        changed: set[str],
+        fail_job: Callable[[JobRecord], None],
+        settings: CrashSettings,
+    ) -> None:
+        self._jobs = jobs
+        self._changed = changed
+        self._fail_job = fail_job
+        self._settings = settings
+
+    def record(self, lost: LostWorker) -> None:
+        """Count a worker's crash against the tasks that may have caused it."""
+        if lost.blames:
+            WORKER_CRASHES.inc()
+        for blame in lost.blames:
+            record = self._jobs.get(blame.job)
+            if record is not None and record.ended is None:
+                self._count(record, blame, lost)
+
+    def _count(
+        self, record: JobRecord, blame: Blame, lost: LostWorker
+    ) -> None:
+        before = record.get_task(blame.key)
+        state = _count_crash(before, blame)
+        if state is before or before.status is TaskStatus.DONE:
+            return
+        record.set_task(blame.key, state)
+        self._changed.add(record.name)
+        gives_up = _must_give_up(state, blame, self._settings)
+        logger.info(
+            "crash counted against a task",
+            extra={
+                "job": record.name,
+                "task": record.name_task(blame.key),
+                "run": blame.run,
+                "worker": lost.name,
+                "born_ms": lost.born_ms,
+                "vm": lost.vm,
+                "crashes": len(state.crashed_runs),
+                "suspected": blame.suspected,
+                "isolated": blame.isolated,
+                "gives_up": gives_up,
+            },
+        )
+        if gives_up:
+            JOBS_GIVEN_UP.inc()
+            failed = replace(state, status=TaskStatus.FAILED)
+            record.set_task(blame.key, failed)
+            self._fail_job(record)
+
+
 class LostWorkers:
     """Workers that were given up before it was known whether they crashed."""
 
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -10,21 +10,14 @@
 
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
 from chestnutstair.scheduling.crashes import (
+    CrashRecorder,
     CrashSettings,
-    LostRun,
-    LostWorker,
     LostWorkers,
-    assign_blame,
-    count_crash,
-    list_lost_runs,
-    must_give_up,
-)
-from chestnutstair.scheduling.metrics import (
-    JOBS_GIVEN_UP,
-    RUN_ENDS,
-    RUNS_LOST,
-    WORKER_CRASHES,
+    describe_lost_worker,
+    describe_unseen_worker,
+    must_run_alone,
 )
+from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
     RunEnd,
@@ -132,6 +125,9 @@
         ] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
+        self._crashes = CrashRecorder(
+            self.jobs, self.dirty, self._fail_job, settings.crashes
+        )
         self._lost_workers = LostWorkers(settings.crashes.remember_seconds)
         self._clock = clock
         self._settings = settings
@@ -238,6 +234,9 @@
                 if run.job == record.name:
                     worker.mark_stopping(task)
 
+    def _fail_job(self, record: JobRecord) -> None:
+        self._end_job(record, JobState.FAILED)
+
     def set_aside(self, record: JobRecord) -> None:
         """Exclude a job from planning for this term; its runs go on."""
         self.active.pop(record.name, None)
@@ -302,9 +301,7 @@
                 # term's epoch decides whether it still runs.
                 confirmed_at=now,
                 stopping=record.ended is not None,
-                on_probation=self._must_run_alone(
-                    record.steps[key.step], state
-                ),
+                on_probation=must_run_alone(record.steps[key.step], state),
             )
             worker.add_run(record.name_task(key), run)
 
@@ -316,7 +313,9 @@
             extra={"worker": worker.name, "runs": len(worker.runs)},
         )
         worker.gone = True
-        self._record_crash(self._build_lost(worker))
+        self._crashes.record(
+            describe_lost_worker(worker, self._clock.read_monotonic())
+        )
         for task, run in list(worker.runs.items()):
             if run.listing is None:
                 # Its start may have reached the successor, or still do so.
@@ -374,54 +373,6 @@
 
     # Crashed workers
 
-    def _build_lost(self, worker: WorkerState) -> LostWorker:
-        # A worker that drains ends as planned.
-        runs = [] if worker.entry.draining else list_lost_runs(worker)
-        return LostWorker(
-            worker.name,
-            worker.entry.born_ms,
-            worker.entry.vm,
-            assign_blame(runs),
-            self._clock.read_monotonic(),
-        )
-
-    def _record_crash(self, lost: LostWorker) -> None:
-        """Count a worker's crash against the tasks that may have caused it."""
-        if lost.blames:
-            WORKER_CRASHES.inc()
-        for blame in lost.blames:
-            record = self.jobs.get(blame.job)
-            if record is None or record.ended is not None:
-                continue
-            before = record.get_task(blame.key)
-            state = count_crash(before, blame)
-            if state is before or before.status is TaskStatus.DONE:
-                continue
-            record.set_task(blame.key, state)
-            self.dirty.add(record.name)
-            gives_up = must_give_up(state, blame, self._settings.crashes)
-            logger.info(
-                "crash counted against a task",
-                extra={
-                    "job": record.name,
-                    "task": record.name_task(blame.key),
-                    "run": blame.run,
-                    "worker": lost.name,
-                    "born_ms": lost.born_ms,
-                    "vm": lost.vm,
-                    "crashes": len(state.crashed_runs),
-                    "suspected": blame.suspected,
-                    "isolated": blame.isolated,
-                    "gives_up": gives_up,
-                },
-            )
-            if gives_up:
-                JOBS_GIVEN_UP.inc()
-                record.set_task(
-                    blame.key, replace(state, status=TaskStatus.FAILED)
-                )
-                self._end_job(record, JobState.FAILED)
-
     def _release_replaced(self) -> None:
         """Release the runs of workers that have a successor on their VM.
 
@@ -450,7 +401,7 @@
         }
         now = self._clock.read_monotonic()
         for lost in self._lost_workers.take_replaced(newest_born_ms, now):
-            self._record_crash(lost)
+            self._crashes.record(lost)
         self._release_unclaimed(newest_born_ms)
 
     def _end_replaced(
@@ -458,7 +409,7 @@
     ) -> None:
         contact = worker.contact
         now = self._clock.read_monotonic()
-        lost = self._build_lost(worker)
+        lost = describe_lost_worker(worker, now)
         logger.info(
             "worker replaced on its VM",
             extra={
@@ -473,11 +424,12 @@
                 "silent_seconds": now - contact.at if contact else None,
             },
         )
-        self._record_crash(lost)
+        self._crashes.record(lost)
         self._end_incarnation(worker, "replaced")
 
     def _release_unclaimed(self, newest_born_ms: dict[str, int]) -> None:
         """Release runs that an earlier leader placed on ended workers."""
+        now = self._clock.read_monotonic()
         for incarnation, items in list(self._unclaimed.items()):
             placed = [
                 (record, key)
@@ -487,13 +439,14 @@
             if not placed:
                 del self._unclaimed[incarnation]
                 continue
-            lost = self._build_lost_unseen(incarnation, placed)
+            lost = describe_unseen_worker(incarnation, placed, now)
             if lost.born_ms < newest_born_ms.get(lost.vm, 0):
                 del self._unclaimed[incarnation]
                 self._retired.add(incarnation)
-                self._record_crash(lost)
+                self._crashes.record(lost)
                 for record, key in placed:
                     if self._is_placed_on(record.get_task(key), incarnation):
+                        RUNS_LOST.labels("replaced").inc()
                         self._release(record, key, "replaced")
 
     @staticmethod
@@ -503,33 +456,6 @@
             and (state.worker, state.born_ms) == incarnation
         )
 
-    def _build_lost_unseen(
-        self,
-        incarnation: tuple[str, int],
-        placed: list[tuple[JobRecord, TaskKey]],
-    ) -> LostWorker:
-        """Describe a lost worker that has never answered this leader."""
-        states = [record.get_task(key) for record, key in placed]
-        runs = [
-            LostRun(
-                record.name,
-                key,
-                state.run,
-                record.steps[key.step].lasting,
-                proven=False,
-                on_probation=self._must_run_alone(
-                    record.steps[key.step], state
-                ),
-            )
-            for (record, key), state in zip(placed, states, strict=True)
-        ]
-        return LostWorker(
-            *incarnation,
-            states[0].vm,
-            assign_blame(runs),
-            self._clock.read_monotonic(),
-        )
-
     def release_expired(self) -> None:
         """Release the runs of workers that have ended, or whose lease has."""
         now = self._clock.read_monotonic()
@@ -551,7 +477,7 @@
             expiry = max(previous_expiry, expiry)
             if now <= expiry or worker.is_in_contact(now, 1.0):
                 continue
-            self._lost_workers.add(self._build_lost(worker))
+            self._lost_workers.add(describe_lost_worker(worker, now))
             self._release_all(worker, "lapsed")
             if worker.gone:
                 self.workers.pop(worker.name, None)
@@ -572,9 +498,10 @@
                     unregistered[incarnation].append((record, key))
         for incarnation, placed in unregistered.items():
             self._lost_workers.add(
-                self._build_lost_unseen(incarnation, placed)
+                describe_unseen_worker(incarnation, placed, now)
             )
             for record, key in placed:
+                RUNS_LOST.labels("unknown worker").inc()
                 self._release(record, key, "unknown worker")
 
     def _release_all(self, worker: WorkerState, reason: str) -> None:
@@ -893,16 +820,11 @@
             run,
             step,
             now,
-            on_probation=self._must_run_alone(step, record.get_task(key)),
+            on_probation=must_run_alone(step, record.get_task(key)),
         )
         worker.add_run(record.name_task(key), placed)
         self.dirty.add(record.name)
 
-    @staticmethod
-    def _must_run_alone(step: Step, state: TaskState) -> bool:
-        # The tasks of a gang have to start together.
-        return state.suspected and not step.gang
-
     def withdraw(
         self, worker: WorkerState, task: str, run: int, reason: str
     ) -> None:
