Reserve no workers for tasks that could not start there

Found by reading the change as a newcomer. A suspected task that no worker of its pool can take, for its size, its label or the lasting tasks there, or that is part of a gang and so never starts alone, kept up to half of the pool reserved for good, and all of a pool of one. Callers of the pool would have waited.

Now workers are reserved only for tasks that one of them could take beside its lasting runs; tasks of gangs do not count. What a policy service forbids is not looked at. Tests: both failed before.

--- a/chestnutstair/scheduling/crashes.py
+++ b/chestnutstair/scheduling/crashes.py
@@ -18,7 +18,6 @@
     TaskState,
     TaskStatus,
 )
-from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = [
@@ -31,7 +30,6 @@
     "assign_blame",
     "describe_lost_worker",
     "describe_unseen_worker",
-    "must_run_alone",
 ]
 
 logger = logging.getLogger(__name__)
@@ -98,12 +96,6 @@
     lost_at: float
 
 
-def must_run_alone(step: Step, state: TaskState) -> bool:
-    """Return whether nothing else may start beside a task's next run."""
-    # The tasks of a gang have to start together.
-    return state.suspected and not step.gang
-
-
 def describe_lost_worker(worker: WorkerState, now: float) -> LostWorker:
     """Describe a worker that is lost now, in monotonic time.
 
@@ -142,7 +134,7 @@
     runs = []
     for (record, key), state in zip(placed, states, strict=True):
         step = record.steps[key.step]
-        alone = must_run_alone(step, state)
+        alone = state.must_run_alone(step)
         runs.append(
             LostRun(record.name, key, state.run, step.lasting, False, alone)
         )
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -15,7 +15,6 @@
     LostWorkers,
     describe_lost_worker,
     describe_unseen_worker,
-    must_run_alone,
 )
 from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
 from chestnutstair.scheduling.ports import (
@@ -301,7 +300,7 @@
                 # term's epoch decides whether it still runs.
                 confirmed_at=now,
                 stopping=record.ended is not None,
-                on_probation=must_run_alone(record.steps[key.step], state),
+                on_probation=state.must_run_alone(record.steps[key.step]),
             )
             worker.add_run(record.name_task(key), run)
 
@@ -820,7 +819,7 @@
             run,
             step,
             now,
-            on_probation=must_run_alone(step, record.get_task(key)),
+            on_probation=record.get_task(key).must_run_alone(step),
         )
         worker.add_run(record.name_task(key), placed)
         self.dirty.add(record.name)
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -134,7 +134,7 @@
             if not workers:
                 continue
             pool = PoolIsolation(workers)
-            pool.reserve(self._count_suspects(jobs))
+            pool.reserve(self._count_suspects(jobs, workers))
             rejected = RejectedSizes()
             for _, name in sorted(jobs, key=_rank_job):
                 record = self._tracker.active[name]
@@ -154,9 +154,20 @@
         )
         self._tracker.set_aside(record)
 
-    def _count_suspects(self, jobs: list[tuple[Urgency, str]]) -> int:
-        active = self._tracker.active
-        return sum(len(active[name].suspects) for _, name in jobs)
+    def _count_suspects(
+        self, jobs: list[tuple[Urgency, str]], workers: list[WorkerState]
+    ) -> int:
+        """Return how many waiting tasks that start alone a worker could take.
+
+        Workers are not reserved for the others, which may never fit.
+        """
+        count = 0
+        for _, name in jobs:
+            record = self._tracker.active[name]
+            for key in record.suspects:
+                step = record.steps[key.step]
+                count += any(worker.could_take(step) for worker in workers)
+        return count
 
     def compute_urgency(
         self, record: JobRecord, queue: Queue, wall_ms: float
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -84,6 +84,11 @@
     # alone.
     suspected: bool = False
 
+    def must_run_alone(self, step: Step) -> bool:
+        """Return whether nothing else may start beside the next run."""
+        # The tasks of a gang have to start together.
+        return self.suspected and not step.gang
+
     @property
     def failures(self) -> int:
         """Return the number of failed runs."""
@@ -176,7 +181,8 @@
         self.started = False  # a task has been placed
         self.start_confirmed = False  # a worker has begun a task
         self.start_measured = False
-        # Waiting tasks that may crash their worker.
+        # Waiting tasks that have to start alone, as they may crash their
+        # worker.
         self.suspects: set[TaskKey] = set()
         # Tasks and workers on which they failed; a hint that is not stored.
         self.failed_on: set[tuple[TaskKey, str]] = set()
@@ -234,7 +240,8 @@
         self.tasks[key] = state
         if state.run:
             self.started = True
-        if state.suspected and state.status is TaskStatus.WAITING:
+        waits = state.status is TaskStatus.WAITING
+        if waits and state.must_run_alone(self.steps[key.step]):
             self.suspects.add(key)
         else:
             self.suspects.discard(key)
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -166,6 +166,24 @@
             <= entry.accelerators
         )
 
+    def could_take(self, step: Step) -> bool:
+        """Return whether a task would fit beside the lasting runs alone."""
+        lasting = [run.step for run in self.runs.values() if run.step.lasting]
+        entry = self.entry
+        millicores = sum(
+            item.millicores for item in (*lasting, step) if not item.filler
+        )
+        memory_mb = sum(item.memory_mb for item in (*lasting, step))
+        accelerators = sum(item.accelerators for item in (*lasting, step))
+        return (
+            millicores <= entry.millicores
+            and memory_mb <= entry.memory_mb
+            and accelerators <= entry.accelerators
+            and (
+                not step.required_label or step.required_label in entry.labels
+            )
+        )
+
     def record_contact(self, answer: HoldAnswer, now: float) -> None:
         """Record an answer and the worker's clock in it."""
         self.contact = Contact(answer.clock_ms, now)
--- a/chestnutstair/tests/test_crashes.py
+++ b/chestnutstair/tests/test_crashes.py
@@ -291,6 +291,38 @@
             harness.answer_all()
         self.assertEqual(record.get_task(FIRST).run, 2)
 
+    # Guards against keeping half of a pool, or all of a small one, free for a
+    # task that none of its workers can take.
+    def test_no_worker_is_reserved_for_a_task_that_fits_nowhere(self) -> None:
+        for step in (
+            Step(1, 100_000),
+            Step(1, 1000, required_label="none"),
+            Step(1, 62_000),
+        ):
+            with self.subTest(step=step):
+                harness = TrackerHarness(("w1",))
+                harness.admit("lasting", [Step(1, 4000, lasting=True)])
+                harness.start_all(harness.plan())
+                record = harness.admit("j", [step])
+                state = record.get_task(FIRST)
+                record.set_task(FIRST, replace(state, run=1, suspected=True))
+                harness.clock.now += 0.5
+                harness.answer_all()
+                harness.admit("k", [Step(1, 1000)])
+                names = [item.record.name for item in harness.plan()]
+                self.assertEqual(names, ["k"])
+
+    # Guards against keeping workers free for tasks that never start alone.
+    def test_no_worker_is_reserved_for_a_suspected_gang(self) -> None:
+        harness = TrackerHarness(("w1",))
+        record = harness.admit("gang", [Step(3, 1000, gang=True)])
+        for index in range(3):
+            key = TaskKey(0, 0, index)
+            state = record.get_task(key)
+            record.set_task(key, replace(state, run=1, suspected=True))
+        placed = harness.plan()
+        self.assertEqual([item.record.name for item in placed], ["gang"] * 3)
+
     def test_reserved_workers_are_opened_again(self) -> None:
         (placed,) = self.harness.plan()
         self.harness.start_all([placed])
