--- a/chestnutstair/tests/protocol_simulation.py
+++ b/chestnutstair/tests/protocol_simulation.py
@@ -101,7 +101,11 @@
 class Simulation(WorkerControl):
     """Drives leaders and workers with one random generator."""
 
-    def __init__(self, seed: int, workers: int = 4, jobs: int = 6) -> None:
+    def __init__(
+        self, seed: int, workers: int = 4, jobs: int = 6, renames: bool = False
+    ) -> None:
+        # Whether a restarted worker has another name, on the same VM.
+        self.renames = renames
         self.random = random.Random(seed)
         self.clock = ManualClock(1000.0)
         self.fault_free = False
@@ -126,17 +130,18 @@
         self.epoch = 0
         self.take_over()
 
-    def _spawn(self, name: str, born_ms: int) -> None:
-        entry = replace(build_entry(name), born_ms=born_ms)
+    def _spawn(self, name: str, born_ms: int, vm: str = "") -> None:
+        entry = build_entry(name)
+        entry = replace(entry, born_ms=born_ms, vm=vm or entry.vm)
         clock_rate = self.random.uniform(SLOWEST_CLOCK_RATE, 1.0)
         self.processes[name] = WorkerProcess(entry, clock_rate, self.clock.now)
 
     # Workers
 
-    def _find_process(self, entry: WorkerEntry) -> WorkerProcess:
-        # A restarted worker keeps its name and receives calls that were sent
-        # to its previous incarnation.
-        return self.processes[entry.name]
+    def _find_process(self, entry: WorkerEntry) -> WorkerProcess | None:
+        # A restarted worker that keeps its name receives calls that were sent
+        # to its previous incarnation. None if it has another name now.
+        return self.processes.get(entry.name)
 
     def _draw_loss(self) -> bool:
         """Return at random whether a message is lost."""
@@ -160,6 +165,8 @@
         self, worker: WorkerEntry, order: StartOrder
     ) -> Result[int, WorkerCallFailure]:
         process = self._find_process(worker)
+        if process is None:
+            return Err(UnavailableFailure("not reached"))
         clock_ms = process.read_clock_ms(self.clock.now)
         if order.fence < process.fence:
             return Err(StartRefusedFailure(RefusalReason.FENCE))
@@ -206,6 +213,8 @@
         if self._draw_loss():
             return Err(UnknownOutcomeFailure("no answer"))
         process = self._find_process(worker)
+        if process is None:
+            return Err(UnavailableFailure("not reached"))
         if fence < process.fence:
             return Err(StartRefusedFailure(RefusalReason.FENCE))
         process.fence = fence
@@ -228,6 +237,8 @@
     ) -> Result[HoldAnswer, WorkerCallFailure]:
         """Extend the lease; return current runs and unacknowledged ends."""
         process = self._find_process(worker)
+        if process is None:
+            return Err(UnavailableFailure("not reached"))
         if process.fails_next_hold or self._draw_loss():
             process.fails_next_hold = False
             return Err(UnavailableFailure("not reached"))
@@ -430,5 +441,8 @@
         # Orders that the process had received but not executed are lost.
         self.delayed = [item for item in self.delayed if item[1].name != name]
         # The leader learns of the restart some time later.
-        self._spawn(name, self.processes[name].entry.born_ms + 1)
-        self.processes[name].fails_next_hold = True
+        previous = self.processes.pop(name).entry
+        if self.renames:
+            name = f"{previous.vm}-{previous.born_ms + 1}"
+        self._spawn(name, previous.born_ms + 1, previous.vm)
+        self.processes[name].fails_next_hold = not self.renames
--- a/chestnutstair/tests/test_protocol.py
+++ b/chestnutstair/tests/test_protocol.py
@@ -21,6 +21,22 @@
             simulation.settle(FAULT_FREE_ROUNDS)
             self.assertEqual(simulation.violations, [], f"seed {seed}")
 
+    # Guards against two runs of a task when a VM's next worker, under another
+    # name, ends the one before.
+    def test_no_task_runs_twice_if_workers_return_under_other_names(
+        self,
+    ) -> None:
+        for seed in range(SEEDS):
+            simulation = Simulation(seed, renames=True)
+            self.addCleanup(simulation.orders.close)
+            simulation.run(EVENTS)
+            simulation.settle(FAULT_FREE_ROUNDS)
+            self.assertEqual(simulation.violations, [], f"seed {seed}")
+            active = [
+                record.name for record in simulation.tracker.active.values()
+            ]
+            self.assertEqual(active, [], f"seed {seed}")
+
     def test_every_job_ends_once_the_faults_are_over(self) -> None:
         for seed in range(SEEDS):
             simulation = Simulation(seed)
