--- a/chestnutstair/scheduling/crashes.py
+++ b/chestnutstair/scheduling/crashes.py
@@ -1,10 +1,9 @@
 """Finds the tasks that crash the workers that start them.
 
 A crash ends all runs of a worker, and nothing reports which of them caused
-it. A run that its worker still lists some time after the start has proven
-that it does not crash the worker by starting; the others are suspected. A
-suspected task runs again only on a worker without any other unproven run, so
-that a second crash has one cause.
+it. A run has proven itself once its worker has survived its start; the others
+are suspected. A suspected task starts again only on a worker without any other
+unproven run, so that a second crash has one cause.
 """
 
 import logging
