--- a/chestnutstair/scheduling/configuration.py
+++ b/chestnutstair/scheduling/configuration.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from chestnutstair.scheduling.organisations import Organisation
+
 __all__ = ["FleetConfiguration", "MaintenanceWave", "Queue", "Service"]
 
 
@@ -26,6 +28,8 @@
     # Workers may run a step of the queue only with a ticket from the policy
     # service, which is valid for this long; 0 if the queue needs no tickets.
     advice_seconds: float = 0.0
+    # Callers need no key; the queue's jobs belong to no organisation.
+    public: bool = False
 
     def compute_objective_ms(self, critical_path_ms: float) -> float:
         """Return the latency objective of a job with this critical path."""
@@ -50,6 +54,9 @@
     version: int
     queues: tuple[Queue, ...] = ()
     services: dict[str, Service] = field(default_factory=dict)
+    # Organisations by name; None if the deployment has none, so that callers
+    # need no keys.
+    organisations: dict[str, Organisation] | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest matching prefix, if any."""
--- a/chestnutstair/scheduling/intake.py
+++ b/chestnutstair/scheduling/intake.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import asdict, dataclass
+from dataclasses import fields as dataclass_fields
 
 from result import Err, Result
 
@@ -55,17 +56,25 @@
     return row.key.key.partition("/")[2]
 
 
-def encode_submission(queue: Queue, accepted_ms: int, body: bytes) -> bytes:
+def encode_submission(
+    queue: Queue, accepted_ms: int, body: bytes, organisation: str = ""
+) -> bytes:
     """Encode the value of a submission's row as JSON.
 
     It includes the queue's current settings, because the job may outlive
     its queue, and a leader may need them before it has read a configuration.
     """
+    queue_fields = asdict(queue)
+    if not queue.public:
+        # Nodes of the previous version cannot read queues with this field.
+        del queue_fields["public"]
     value = {
-        "queue": asdict(queue),
+        "queue": queue_fields,
         "accepted_ms": accepted_ms,
         "body": body.decode(),
     }
+    if organisation:
+        value["organisation"] = organisation
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -78,13 +87,18 @@
     """
     try:
         fields = json.loads(value)
-        queue = Queue(**fields["queue"])
+        known = {item.name for item in dataclass_fields(Queue)}
+        stored_queue = dict(fields["queue"])
+        queue = Queue(
+            **{key: stored_queue[key] for key in known & stored_queue.keys()}
+        )
         accepted_ms = int(fields["accepted_ms"])
         body = fields["body"].encode()
+        organisation = str(fields.get("organisation", ""))
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         return Err(MalformedRowFailure(repr(error)))
     return codec.read_job(body).map(
         lambda specification: Submission(
-            job, queue, accepted_ms, specification
+            job, queue, accepted_ms, specification, organisation
         )
     )
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -126,13 +126,15 @@
     """A job as it was accepted.
 
     `accepted_ms` is in ms since 1970, and `queue` is the queue's
-    configuration at that time.
+    configuration at that time. `organisation` is the name of the job's owner,
+    empty if it has none.
     """
 
     job: str
     queue: Queue
     accepted_ms: int
     specification: JobSpecification
+    organisation: str = ""
 
 
 def parse_task_name(name: str) -> tuple[str, TaskKey] | None:
