Read organisations and index their keys by digest

Nothing read the organisations of the operator's configuration yet.

The decoder reads tenants and public. A malformed organisation is left out and logged; a malformed weight counts as 1; a malformed list means that no key is accepted, not that none is required.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -1,5 +1,8 @@
 """Decoders of the platform's JSON documents."""
 
+import json
+import logging
+import math
 from typing import Any
 
 from result import Err, Result
@@ -10,6 +13,8 @@
     Queue,
     Service,
 )
+from chestnutstair.scheduling.organisations import Cap, Organisation
+from chestnutstair.scheduling.organisations.keys import compute_key_digest
 from chestnutstair.scheduling.ports import (
     SubmissionCodec,
     WireDecoder,
@@ -25,7 +30,13 @@
 
 __all__ = ["PlatformDecoder", "PlatformSubmissions", "read_submission"]
 
+logger = logging.getLogger(__name__)
+
 STATES = ("ready", "draining")
+# Field of an organisation in configurations that nodes pass on to each other:
+# the digests of its keys in hexadecimal, instead of the keys themselves.
+DIGESTS_FIELD = "apiKeyDigests"
+DEFAULT_WEIGHT = 1.0
 
 
 def _read_step(item: dict[str, Any]) -> Step:
@@ -99,9 +110,137 @@
         latency_objective_ms=int(item.get("targetLatencyMs") or 0),
         advice_seconds=float((item.get("advice") or {}).get("validMs", 0))
         / 1000,
+        # Any other value, such as the text "false", must not open the queue.
+        public=item.get("public") is True,
+    )
+
+
+class _OrganisationError(ValueError):
+    """An organisation is malformed; the message contains no values of it."""
+
+
+def _read_amount(fields: dict[str, Any], name: str) -> int:
+    value = fields.get(name)
+    if value is None:
+        return 0
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise _OrganisationError(f"cap.{name} is not a number")
+    if not math.isfinite(value) or value < 0:
+        raise _OrganisationError(f"cap.{name} is out of range")
+    # Rounded up, because 0 would mean that there is no limit.
+    return math.ceil(value)
+
+
+def _read_cap(item: dict[str, Any]) -> Cap:
+    fields = item.get("cap")
+    if fields is None:
+        return Cap()
+    if not isinstance(fields, dict):
+        raise _OrganisationError("cap is not an object")
+    return Cap(
+        _read_amount(fields, "cpu"),
+        _read_amount(fields, "memMb"),
+        _read_amount(fields, "gpu"),
+    )
+
+
+def _read_weight(item: dict[str, Any]) -> float | None:
+    """Return the weight, or None if it is malformed."""
+    value = item.get("weight", 1)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    try:
+        weight = float(value)
+    except OverflowError:
+        return None
+    return weight if 0 < weight < math.inf else None
+
+
+def _read_texts(item: dict[str, Any], field: str) -> list[str]:
+    texts = item.get(field)
+    if texts is None:
+        return []
+    if not isinstance(texts, list) or not all(
+        isinstance(text, str) for text in texts
+    ):
+        raise _OrganisationError(f"{field} is not a list of strings")
+    return texts
+
+
+def _read_key_digests(item: dict[str, Any]) -> frozenset[bytes]:
+    # No request can carry an empty key.
+    keys = [key for key in _read_texts(item, "apiKeys") if key]
+    try:
+        digests = {compute_key_digest(key.encode()) for key in keys}
+    except UnicodeEncodeError:
+        # The original error contains the key.
+        raise _OrganisationError("a key is not valid text") from None
+    try:
+        digests |= {
+            bytes.fromhex(text) for text in _read_texts(item, DIGESTS_FIELD)
+        }
+    except ValueError:
+        raise _OrganisationError("a digest is not hexadecimal") from None
+    return frozenset(digests)
+
+
+def _read_organisation(item: Any) -> Organisation:
+    if not isinstance(item, dict):
+        raise _OrganisationError("not an object")
+    name = item.get("name")
+    if not isinstance(name, str) or not name:
+        raise _OrganisationError("no name")
+    weight = _read_weight(item)
+    return Organisation(
+        name,
+        DEFAULT_WEIGHT if weight is None else weight,
+        _read_cap(item),
+        _read_key_digests(item),
     )
 
 
+class _OrganisationList:
+    """The well-formed organisations of a configuration.
+
+    `organisations` and `items` (their fields) are by name. `problems` says
+    why others were left out or a value was not used.
+    """
+
+    def __init__(self, items: Any) -> None:
+        self.organisations: dict[str, Organisation] = {}
+        self.items: dict[str, dict[str, Any]] = {}
+        self.problems: list[dict[str, Any]] = []
+        if not isinstance(items, list):
+            # Without organisations no key is accepted, which is safer than
+            # to require none.
+            self._add_problem(None, -1, "tenants is not a list")
+            return
+        for position, item in enumerate(items):
+            try:
+                self._add(item, position)
+            except (_OrganisationError, OverflowError) as error:
+                self._add_problem(item, position, f"left out: {error}")
+
+    def _add(self, item: Any, position: int) -> None:
+        organisation = _read_organisation(item)
+        if organisation.name in self.organisations:
+            raise _OrganisationError("the name is taken")
+        if _read_weight(item) is None:
+            self._add_problem(item, position, "malformed weight counts as 1")
+        self.organisations[organisation.name] = organisation
+        self.items[organisation.name] = item
+
+    def _add_problem(self, item: Any, position: int, reason: str) -> None:
+        name = item.get("name") if isinstance(item, dict) else None
+        self.problems.append(
+            {
+                "position": position,
+                "organisation": name if isinstance(name, str) else "",
+                "reason": reason,
+            }
+        )
+
+
 class PlatformDecoder(WireDecoder):
     """Decodes what the operator and the runners write into the store."""
 
@@ -120,9 +259,38 @@
                 for item in fields.get("services", ())
             }
             queues = tuple(_read_queue(item) for item in fields["routes"])
-            return FleetConfiguration(int(fields["version"]), queues, services)
+            version = int(fields["version"])
         except (KeyError, TypeError, ValueError, AttributeError):
             return None
+        organisations = None
+        if fields.get("tenants") is not None:
+            tenants = _OrganisationList(fields["tenants"])
+            for problem in tenants.problems:
+                logger.error("malformed organisation", extra=problem)
+            organisations = tenants.organisations
+        return FleetConfiguration(version, queues, services, organisations)
+
+    def remove_keys(self, value: bytes) -> bytes:
+        """Return an encoded configuration with digests instead of keys.
+
+        Malformed organisations are left out. A configuration without
+        organisations is returned unchanged.
+        """
+        fields = parse_json_object(value)
+        if fields is None or fields.get("tenants") is None:
+            return value
+        tenants = _OrganisationList(fields["tenants"])
+        fields["tenants"] = [
+            {
+                **{k: v for k, v in item.items() if k != "apiKeys"},
+                DIGESTS_FIELD: sorted(
+                    digest.hex()
+                    for digest in tenants.organisations[name].key_digests
+                ),
+            }
+            for name, item in tenants.items.items()
+        ]
+        return json.dumps(fields, separators=(",", ":")).encode()
 
     def read_wave(self, value: bytes) -> MaintenanceWave | None:
         """Return the wave, or None if it cannot be decoded."""
--- a/chestnutstair/scheduling/configuration.py
+++ b/chestnutstair/scheduling/configuration.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 
 from chestnutstair.scheduling.organisations import Organisation
+from chestnutstair.scheduling.organisations.keys import KeyIndex
 
 __all__ = ["FleetConfiguration", "MaintenanceWave", "Queue", "Service"]
 
@@ -71,6 +72,13 @@
         """Return the queue with the given name, if any."""
         return self._queues_by_name.get(name)
 
+    @cached_property
+    def key_index(self) -> KeyIndex | None:
+        """The index of all keys; None if callers need no keys."""
+        if self.organisations is None:
+            return None
+        return KeyIndex(self.organisations.values())
+
     @cached_property
     def _queues_by_name(self) -> dict[str, Queue]:
         # Reversed, so that of several queues with one name the first is used.
--- a/chestnutstair/scheduling/operator_watch.py
+++ b/chestnutstair/scheduling/operator_watch.py
@@ -85,9 +85,9 @@
 
     @property
     def encoded_configuration(self) -> bytes | None:
-        """The configuration in force as the operator wrote it.
+        """The configuration in force, for other nodes; None before the first.
 
-        None before the first.
+        As the operator wrote it, but with digests instead of keys.
         """
         return self._value
 
@@ -143,7 +143,7 @@
             if configuration.version <= self.configuration_version:
                 return
             previous_version = self.configuration_version
-            self._value = value
+            self._value = self._decoder.remove_keys(value)
             self._configuration = configuration
         logger.info(
             "configuration in force",
@@ -152,6 +152,7 @@
                 "before": previous_version,
                 "source": source,
                 "queues": len(configuration.queues),
+                "organisations": len(configuration.organisations or {}),
             },
         )
         self._on_change()
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -344,6 +344,10 @@
         """Return the configuration, or None if it is malformed."""
         ...
 
+    def remove_keys(self, value: bytes) -> bytes:
+        """Return an encoded configuration with digests instead of keys."""
+        ...
+
     def read_wave(self, value: bytes) -> MaintenanceWave | None:
         """Return the wave, or None if it is malformed."""
         ...
