Check the keys of callers and hide other organisations' jobs

Callers were served without a key, and every job was visible to all.

After the configuration and the queue, and before anything else, a request is checked by the configuration in force: 401 with WWW-Authenticate: Bearer if the queue isn't public and the key is missing, malformed or unknown. A new job belongs to the first organisation of its key. GET and DELETE find a job's owner at the leader (one call, then cached, as an owner never changes) or in the store, and answer 410 for one that the caller may not see, before anything is written or relayed. A public queue shows no jobs of queues that need a key. A gang that its cap never admits is refused with 400, unless the job was accepted before. Without organisations nothing changes, and no call is added.

SilentLink in test_job_requests has the new call of its interface.

--- a/chestnutstair/platform/requesters.py
+++ b/chestnutstair/platform/requesters.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers, which the platform calls requesters."""
 
 import json
+import logging
 import re
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -10,15 +11,26 @@
 
 from chestnutstair.coordination.platform import UnknownOutcomeFailure
 from chestnutstair.platform.decoding import read_submission
+from chestnutstair.scheduling.access import Access
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
 from chestnutstair.scheduling.job_requests import JobRequestHandler, Outcome
-from chestnutstair.scheduling.specification import check_limits
+from chestnutstair.scheduling.metrics import KEY_REFUSALS
+from chestnutstair.scheduling.organisations.gang_limits import check_gangs
+from chestnutstair.scheduling.organisations.keys import KeyFailure
+from chestnutstair.scheduling.specification import (
+    JobSpecification,
+    SubmissionFailure,
+    check_limits,
+)
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["build_ready_application", "build_requester_application"]
 
+logger = logging.getLogger(__name__)
+
 JOB_NAME = re.compile(r"[0-9a-f]{16}")
 TIMEOUT_HEADER_KEY = "HTTP_X_CHESTNUTSTAIR_TIMEOUT_MS"
+KEY_HEADER_KEY = "HTTP_AUTHORIZATION"
 READY_PATH = "/api/ready"
 # Timeout of a request without a timeout header.
 DEFAULT_TIMEOUT_SECONDS = 3.0
@@ -82,8 +94,9 @@
     ) -> list[bytes]:
         """Serve a request of the queue that matches its host and path.
 
-        The status is 503 until a configuration has been loaded, and 404 if no
-        queue matches.
+        The status is 503 until a configuration has been loaded, 404 if no
+        queue matches, and 401 if the queue needs a key that the request does
+        not carry.
         """
         headers: list[tuple[str, str]] = []
         if self._is_stopping():
@@ -96,8 +109,13 @@
         queue = configuration.find_queue(host, path)
         if queue is None:
             return _answer(start_response, HTTPStatus.NOT_FOUND, None, headers)
+        match _check_key(configuration, queue, environ):
+            case Err(failure):
+                return _refuse_key(start_response, headers, failure, environ)
+            case Ok(organisations):
+                access = Access(configuration, queue, organisations)
         job = path[len(queue.prefix) :]
-        return self._serve(environ, start_response, headers, queue, job)
+        return self._serve(environ, start_response, headers, access, job)
 
     @staticmethod
     def _answer_unavailable(
@@ -113,9 +131,10 @@
         environ: Environ,
         start_response: StartResponse,
         headers: list[tuple[str, str]],
-        queue: Queue,
+        access: Access,
         job: str,
     ) -> list[bytes]:
+        queue = access.queue
         method = environ["REQUEST_METHOD"]
         deadline = self._read_deadline(environ)
         fields: dict[str, Any] | None = None
@@ -125,21 +144,19 @@
         elif not JOB_NAME.fullmatch(job):
             return _answer(start_response, HTTPStatus.NOT_FOUND, None, headers)
         elif method == "GET":
-            outcome = self._handler.describe_job(job, deadline)
+            outcome = self._handler.describe_job(job, deadline, access)
             fields = {"state": outcome.state}
         elif method == "DELETE":
-            outcome = self._handler.cancel(job, deadline)
+            outcome = self._handler.cancel(job, deadline, access)
         elif method == "POST":
-            match self._read_submission(environ):
+            match self._submit(environ, access, job, deadline):
                 case Err((refusal, problem)):
                     # The body may not have been read to its end.
                     headers.append(("Connection", "close"))
                     reason = {"reason": problem}
                     return _answer(start_response, refusal, reason, headers)
-                case Ok(submission):
-                    outcome = self._handler.submit(
-                        queue, job, submission, deadline
-                    )
+                case Ok(outcome):
+                    pass
         else:
             return _answer(
                 start_response, HTTPStatus.METHOD_NOT_ALLOWED, None, headers
@@ -151,20 +168,51 @@
             fields = None
         return _answer(start_response, status, fields, headers)
 
-    @staticmethod
-    def _read_submission(
-        environ: Environ,
-    ) -> Result[bytes, tuple[HTTPStatus, str]]:
-        """Return a valid submission, or the status and reason of refusal."""
-        body = _read_body(environ)
-        if body is None:
-            status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-            return Err((status, f"the limit is {MAX_BODY_BYTES} bytes"))
-        answer = read_submission(body).and_then(check_limits)
-        return answer.map(lambda _: body).map_err(
-            lambda failure: (HTTPStatus.BAD_REQUEST, failure.problem)
+    def _submit(
+        self, environ: Environ, access: Access, job: str, deadline: Deadline
+    ) -> Result[Outcome, tuple[HTTPStatus, str]]:
+        """Store a job, or return the status and reason of its refusal."""
+        match _read_job(environ):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok((body, specification)):
+                organisation = next(iter(access.organisations), "")
+        match _check_cap(access, organisation, specification):
+            case Err(failure):
+                return self._refuse_gang(access, job, failure, deadline)
+        return Ok(
+            self._handler.submit(
+                access.queue, job, body, deadline, organisation
+            )
         )
 
+    def _refuse_gang(
+        self,
+        access: Access,
+        job: str,
+        failure: SubmissionFailure,
+        deadline: Deadline,
+    ) -> Result[Outcome, tuple[HTTPStatus, str]]:
+        """Refuse a job that its cap never admits, unless it was accepted.
+
+        The answer to its acceptance may have been lost, and the cap lowered
+        since.
+        """
+        stored = self._handler.describe_job(job, deadline, access)
+        if stored.known or stored.failure is not None:
+            return Ok(stored)
+        logger.info(
+            "submission refused: gang exceeds the cap",
+            extra={
+                "job": job,
+                "queue": access.queue.name,
+                "organisations": access.organisations,
+                "version": access.configuration.version,
+                "reason": failure.problem,
+            },
+        )
+        return Err((HTTPStatus.BAD_REQUEST, failure.problem))
+
     def _read_deadline(self, environ: Environ) -> Deadline:
         seconds = DEFAULT_TIMEOUT_SECONDS
         text = environ.get(TIMEOUT_HEADER_KEY, "")
@@ -185,6 +233,72 @@
     return data if len(data) <= MAX_BODY_BYTES else None
 
 
+def _read_job(
+    environ: Environ,
+) -> Result[tuple[bytes, JobSpecification], tuple[HTTPStatus, str]]:
+    """Return a valid submission, encoded and decoded.
+
+    On failure, return the status and reason of the refusal.
+    """
+    body = _read_body(environ)
+    if body is None:
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        return Err((status, f"the limit is {MAX_BODY_BYTES} bytes"))
+    read = read_submission(body)
+    checked = read.and_then(check_limits).and_then(lambda _: read)
+    return checked.map(lambda job: (body, job)).map_err(
+        lambda failure: (HTTPStatus.BAD_REQUEST, failure.problem)
+    )
+
+
+def _check_cap(
+    access: Access, organisation: str, specification: JobSpecification
+) -> Result[None, SubmissionFailure]:
+    known = (access.configuration.organisations or {}).get(organisation)
+    return Ok(None) if known is None else check_gangs(specification, known.cap)
+
+
+def _check_key(
+    configuration: FleetConfiguration, queue: Queue, environ: Environ
+) -> Result[tuple[str, ...], KeyFailure]:
+    """Return the organisations that a request acts for.
+
+    There are none if the request needs no key.
+    """
+    index = configuration.key_index
+    if index is None or queue.public:
+        return Ok(())
+    result = index.check_header(environ.get(KEY_HEADER_KEY, ""))
+    match result:
+        case Err(failure):
+            reason = failure.problem.value
+            KEY_REFUSALS.labels(reason).inc()
+            logger.info(
+                "key refused",
+                extra={
+                    "queue": queue.name,
+                    "method": environ["REQUEST_METHOD"],
+                    "reason": reason,
+                    "version": configuration.version,
+                },
+            )
+    return result
+
+
+def _refuse_key(
+    start_response: StartResponse,
+    headers: list[tuple[str, str]],
+    failure: KeyFailure,
+    environ: Environ,
+) -> list[bytes]:
+    headers.append(("WWW-Authenticate", "Bearer"))
+    if "HTTP_TRANSFER_ENCODING" in environ:
+        # The server does not skip the rest of a body in chunks.
+        headers.append(("Connection", "close"))
+    reason = {"reason": f"{failure.problem.value} key"}
+    return _answer(start_response, HTTPStatus.UNAUTHORIZED, reason, headers)
+
+
 def build_requester_application(
     handler: JobRequestHandler,
     get_configuration: Callable[[], FleetConfiguration | None],
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -14,6 +14,13 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.access import (
+    Access,
+    JobOwner,
+    OwnerCache,
+    build_owner,
+    read_owner,
+)
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake import (
     build_cancel_key,
@@ -73,6 +80,12 @@
         """Return a job's state, empty if the leader does not know the job."""
         ...
 
+    def ask_job_owner(
+        self, job: str, seconds: float
+    ) -> Result[JobOwner | None, PlatformFailure]:
+        """Return a job's owner, None if the leader does not know the job."""
+        ...
+
     def ask_pending_count(
         self, queue: str, seconds: float
     ) -> Result[int, PlatformFailure]:
@@ -153,15 +166,21 @@
         self._get_leader = get_leader
         self._clock = clock
         self._settings = settings
+        self._owners = OwnerCache()
         # The leader's last count of pending jobs and its time, by queue.
         self._pending: dict[str, tuple[int, float]] = {}
 
     # Submissions
 
     def submit(
-        self, queue: Queue, job: str, body: bytes, deadline: Deadline
+        self,
+        queue: Queue,
+        job: str,
+        body: bytes,
+        deadline: Deadline,
+        organisation: str = "",
     ) -> Outcome:
-        """Store a job.
+        """Store a job, which belongs to the organisation if there is one.
 
         A repeated submission under the same name changes nothing and
         succeeds. A node that is cut off refuses the job at once, so that the
@@ -171,7 +190,7 @@
             return self._refuse_cut_off(job)
         began = self._clock.read_monotonic()
         accepted_ms = int(self._clock.read_wall() * 1000)
-        value = encode_submission(queue, accepted_ms, body)
+        value = encode_submission(queue, accepted_ms, body, organisation)
         result = self.store_submission(
             job, value, self._limit_local_attempts(deadline)
         )
@@ -185,6 +204,7 @@
             extra={
                 "job": job,
                 "queue": queue.name,
+                "organisation": organisation,
                 "outcome": "stored" if result.is_ok() else str(result.err()),
             },
         )
@@ -263,10 +283,18 @@
 
     # Cancellations
 
-    def cancel(self, job: str, deadline: Deadline) -> Outcome:
-        """Cancel a job permanently."""
+    def cancel(
+        self, job: str, deadline: Deadline, access: Access | None = None
+    ) -> Outcome:
+        """Cancel a job permanently.
+
+        A job that `access` does not show is answered like an unknown one.
+        """
         if self._is_cut_off():
             return self._refuse_cut_off(job)
+        hidden = self._check_access(job, deadline, access)
+        if hidden is not None:
+            return hidden
         result = self.store_cancel(job, self._limit_local_attempts(deadline))
         if result.is_err() and self._get_leader() is None:
             relayed = self._link.relay_cancel(
@@ -321,16 +349,79 @@
             lambda changes: changes.rows[0].value if changes.rows else None
         )
 
+    # Access
+
+    def _check_access(
+        self, job: str, deadline: Deadline, access: Access | None
+    ) -> Outcome | None:
+        """Return None if the caller may see the job, else the answer."""
+        if access is None or not access.is_restricted:
+            return None
+        match self._find_owner(job, deadline):
+            case Err(failure):
+                return Outcome(failure=failure)
+            case Ok(owner):
+                if owner is None:
+                    return Outcome(known=False)
+                if access.may_see(owner):
+                    return None
+        logger.info(
+            "job of another organisation requested",
+            extra={
+                "job": job,
+                "queue": access.queue.name,
+                "organisations": access.organisations,
+            },
+        )
+        return Outcome(known=False)
+
+    def _find_owner(
+        self, job: str, deadline: Deadline
+    ) -> Result[JobOwner | None, PlatformFailure]:
+        """Return a job's owner, from the leader or else from the store."""
+        owner = self._owners.find(job)
+        if owner is not None:
+            return Ok(owner)
+        leader = self._get_leader()
+        if leader is not None:
+            owner = self.get_owner(leader, job)
+        else:
+            seconds = self._compute_relay_seconds(deadline)
+            owner = self._link.ask_job_owner(job, seconds).unwrap_or(None)
+        if owner is None:
+            match self._read_row(build_job_key(job), deadline):
+                case Err(failure):
+                    # Nothing was written, so the outcome is not unknown.
+                    return Err(UnavailableFailure(str(failure)))
+                case Ok(value) if value is not None:
+                    owner = read_owner(value)
+        if owner is not None:
+            self._owners.add(job, owner)
+        return Ok(owner)
+
+    @staticmethod
+    def get_owner(leader: Leader, job: str) -> JobOwner | None:
+        """Return a job's owner, None if the leader does not know the job."""
+        with leader.tracker.lock:
+            record = leader.tracker.jobs.get(job)
+            return None if record is None else build_owner(record.submission)
+
     # Queries
 
-    def describe_job(self, job: str, deadline: Deadline) -> Outcome:
+    def describe_job(
+        self, job: str, deadline: Deadline, access: Access | None = None
+    ) -> Outcome:
         """Return a job's state, from the leader or else from the store.
 
         The store is read if the leader does not answer or does not know the
-        job.
+        job. A job that `access` does not show is answered like an unknown
+        one.
         """
         if self._is_cut_off():
             return self._refuse_cut_off(job)
+        hidden = self._check_access(job, deadline, access)
+        if hidden is not None:
+            return hidden
         leader = self._get_leader()
         if leader is not None:
             state = self.get_stored_state(leader, job)
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -5,6 +5,7 @@
 __all__ = [
     "FIRST_START_SECONDS",
     "JOBS_GIVEN_UP",
+    "KEY_REFUSALS",
     "LEADING",
     "PLANNING_SECONDS",
     "RUNS_LOST",
@@ -33,6 +34,11 @@
     "Time from a job's acceptance to its first start.",
     buckets=SECONDS_BUCKETS,
 )
+KEY_REFUSALS = Counter(
+    "chestnutstair_key_refusals",
+    "Requests refused because of their key.",
+    ["reason"],
+)
 START_ORDERS = Counter(
     "chestnutstair_starts", "Start orders sent to workers.", ["outcome"]
 )
--- a/chestnutstair/tests/test_job_requests.py
+++ b/chestnutstair/tests/test_job_requests.py
@@ -10,6 +10,7 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.access import JobOwner
 from chestnutstair.scheduling.intake import build_job_key
 from chestnutstair.scheduling.job_requests import (
     JobRequestHandler,
@@ -39,6 +40,12 @@
         """Return the answer that the test set."""
         return self.state
 
+    def ask_job_owner(
+        self, job: str, seconds: float
+    ) -> Result[JobOwner | None, PlatformFailure]:
+        """Fail."""
+        return Err(UnavailableFailure("x"))
+
     def ask_pending_count(
         self, queue: str, seconds: float
     ) -> Result[int, PlatformFailure]:
--- a/chestnutstair/tests/test_organisation_keys.py
+++ b/chestnutstair/tests/test_organisation_keys.py
@@ -61,8 +61,9 @@
     def test_a_configuration_without_organisations_requires_no_keys(
         self,
     ) -> None:
-        for tenants in ({}, {"tenants": None}):
-            value = {"version": 3, "routes": [ROUTE], **tenants}
+        absent: tuple[dict[str, Any], ...] = ({}, {"tenants": None})
+        for fields in absent:
+            value = {"version": 3, "routes": [ROUTE], **fields}
             configuration = read(json.dumps(value).encode())
             self.assertIsNone(configuration.organisations)
             self.assertIsNone(configuration.key_index)
@@ -104,7 +105,8 @@
 
     # Guards against requiring no keys because the list is malformed.
     def test_a_malformed_list_accepts_no_key(self) -> None:
-        for tenants in ({}, "one", 7, False):
+        malformed: tuple[Any, ...] = ({}, "one", 7, False)
+        for tenants in malformed:
             with self.assertLogs(DECODING_LOGGER, "ERROR"):
                 configuration = read(encode(tenants))
             self.assertEqual(configuration.organisations, {})
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -20,6 +20,7 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.access import JobOwner
 from chestnutstair.scheduling.election import LeaderStatus, StatusSource
 from chestnutstair.scheduling.job_requests import JobRequestHandler, LeaderLink
 from chestnutstair.scheduling.leader import Leader
@@ -131,6 +132,16 @@
         answer = self._query_leader(JOB_PATH, seconds, job=job)
         return answer.map(lambda body: str(body["state"]))
 
+    def ask_job_owner(
+        self, job: str, seconds: float
+    ) -> Result[JobOwner | None, PlatformFailure]:
+        """Return a job's owner, None if the leader does not know the job.
+
+        A leader of a version without organisations fails.
+        """
+        answer = self._query_leader(JOB_PATH, seconds, job=job)
+        return answer.and_then(_read_job_owner)
+
     def ask_pending_count(
         self, queue: str, seconds: float
     ) -> Result[int, PlatformFailure]:
@@ -202,6 +213,24 @@
         return Err(UnavailableFailure(f"unreadable status: {error}"))
 
 
+def _read_job_owner(
+    body: dict[str, Any],
+) -> Result[JobOwner | None, PlatformFailure]:
+    try:
+        fields = body["owner"]
+        if fields is None:
+            return Ok(None)
+        return Ok(
+            JobOwner(
+                str(fields["organisation"]),
+                str(fields["queue"]),
+                fields["public"] is True,
+            )
+        )
+    except (KeyError, TypeError) as error:
+        return Err(UnavailableFailure(f"unreadable owner: {error!r}"))
+
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
 
@@ -258,10 +287,13 @@
         if leader is None:
             return HTTPStatus.SERVICE_UNAVAILABLE, {}
         if path == JOB_PATH:
-            state = self._request_handler.get_stored_state(
-                leader, query["job"][0]
-            )
-            return HTTPStatus.OK, {"state": state}
+            job = query["job"][0]
+            state = self._request_handler.get_stored_state(leader, job)
+            owner = self._request_handler.get_owner(leader, job)
+            return HTTPStatus.OK, {
+                "state": state,
+                "owner": None if owner is None else vars(owner),
+            }
         if path == PENDING_PATH:
             with leader.tracker.lock:
                 count = leader.tracker.count_pending(query["queue"][0])
