Learn of configurations from members while leader or store fails

A node learned of a configuration from the store or the leader only. If the store refused it and the leader, a withdrawn key was accepted there for as long as the outage lasted.

Status calls say who makes them. A status names the leader and up to 16 random nodes heard from in the last 10 s; a node keeps up to 32. While its own feed fails or its answer is overdue, or the leader does not answer, it asks two random members every 0.25 s, fetches newer configurations from them, and looks for the leader where they say, unless the leader's row can be read. A node answers at most 80 such calls a second. Nodes of the previous version get the four fields that they can read: they take a status with more for no answer.

Digests are passed on in Base64, which is a third shorter than hexadecimal.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -1,6 +1,7 @@
 """The composition root of a scheduler node."""
 
 import logging
+from dataclasses import replace
 
 from chestnutstair.fleet_settings import FleetSettings
 from chestnutstair.platform import (
@@ -28,6 +29,7 @@
 from chestnutstair.scheduling.job_tracker import JobTracker, JobTrackerSettings
 from chestnutstair.scheduling.leader import Leader, LeaderSettings
 from chestnutstair.scheduling.leadership import Leadership
+from chestnutstair.scheduling.members import MemberPoller, Members
 from chestnutstair.scheduling.operator_watch import OperatorWatch
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.pacing import Pacer, PacingSettings
@@ -63,6 +65,11 @@
 STORE_CONNECTIONS = 16
 VM_CONNECTIONS = 12  # one for each thread that sends orders
 BACKLOG = 512  # connections that arrive in a burst
+# Timeouts of fetching a configuration. From the leader, it delays the check of
+# the leader; from a member, nothing else. Over a link of 2 Mbit/s,
+# configurations with thousands of keys take half a second and more.
+LEADER_FETCH_SECONDS = 0.5
+MEMBER_FETCH_SECONDS = 1.5
 # Share of `grace_seconds` during which open connections are still served after
 # leadership was handed over.
 DRAIN_GRACE_SHARE = 0.5
@@ -107,7 +114,13 @@
         self._watch = OperatorWatch(
             self._store, self._decoder, clock, self._wake_leader
         )
-        self._link = HttpLeaderLink(clock, self._get_leader_address)
+        self._members = Members(settings.nodes_address, clock)
+        self._link = HttpLeaderLink(
+            clock,
+            self._get_leader_address,
+            settings.name,
+            settings.nodes_address,
+        )
         self._election = Election(
             settings.name,
             settings.zone,
@@ -115,12 +128,18 @@
             self._store,
             self._link,
             self._build_leader,
-            self._fetch_newer_configuration,
+            self._apply_leader_status,
             clock,
             ElectionSettings(),
             TermSettings(),
             settings.processor.available_cores,
         )
+        self._member_poller = MemberPoller(
+            self._members,
+            self._link.ask_member_status,
+            self._needs_members,
+            self._apply_member_status,
+        )
         self._job_requests = JobRequestHandler(
             self._store,
             self._link,
@@ -209,6 +228,7 @@
             lambda: self._watch.encoded_configuration,
             self._job_requests,
             self._clock,
+            self._members,
         )
         ready = build_ready_application(self.is_ready)
         self._servers = [
@@ -246,20 +266,36 @@
         return self._election.leader_address
 
     def _describe(self) -> LeaderStatus:
-        return self._election.describe(self._watch.configuration_version)
+        return replace(
+            self._election.describe(self._watch.configuration_version),
+            leader_address=self._election.leader_address,
+            members=self._members.sample_heard(),
+        )
 
     def _wake_leader(self) -> None:
         leader = self._get_leader()
         if leader is not None:
             leader.wake()
 
+    def _apply_leader_status(self, address: str, status: LeaderStatus) -> None:
+        self._members.learn((*status.members, address))
+        self._fetch_newer_configuration(address, status, LEADER_FETCH_SECONDS)
+
+    def _needs_members(self) -> bool:
+        return self._watch.is_feed_failing or not self._election.hears_leader
+
+    def _apply_member_status(self, address: str, status: LeaderStatus) -> None:
+        self._members.learn(status.members)
+        self._election.suggest_leader(status.leader_address)
+        self._fetch_newer_configuration(address, status, MEMBER_FETCH_SECONDS)
+
     def _fetch_newer_configuration(
-        self, address: str, status: LeaderStatus
+        self, address: str, status: LeaderStatus, seconds: float
     ) -> None:
         """Fetch the configuration from a node that has a newer version."""
         if status.configuration_version <= self._watch.configuration_version:
             return
-        answer = self._link.ask_configuration(address, 0.5)
+        answer = self._link.ask_configuration(address, seconds)
         if answer.is_ok():
             self._watch.apply_if_newer(answer.unwrap(), address)
 
@@ -285,6 +321,7 @@
             server.start()
         self._watch.start()
         self._election.start()
+        self._member_poller.start()
         self._serving = True
         logger.info("started", extra={"node": self._settings.name})
 
@@ -296,6 +333,7 @@
     def stop(self) -> None:
         """Hand over leadership, answer requests in flight and stop."""
         logger.info("stopping", extra={"node": self._settings.name})
+        self._member_poller.stop()
         self._election.stop()
         self._clock.sleep(self._settings.grace_seconds * DRAIN_GRACE_SHARE)
         self._watch.stop()
--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decoders of the platform's JSON documents."""
 
+import base64
 import json
 import logging
 import math
@@ -34,7 +35,7 @@
 
 STATES = ("ready", "draining")
 # Field of an organisation in configurations that nodes pass on to each other:
-# the digests of its keys in hexadecimal, instead of the keys themselves.
+# the digests of its keys in Base64, instead of the keys themselves.
 DIGESTS_FIELD = "apiKeyDigests"
 DEFAULT_WEIGHT = 1.0
 
@@ -177,10 +178,11 @@
         raise _OrganisationError("a key is not valid text") from None
     try:
         digests |= {
-            bytes.fromhex(text) for text in _read_texts(item, DIGESTS_FIELD)
+            base64.b64decode(text, validate=True)
+            for text in _read_texts(item, DIGESTS_FIELD)
         }
     except ValueError:
-        raise _OrganisationError("a digest is not hexadecimal") from None
+        raise _OrganisationError("a digest is not Base64") from None
     return frozenset(digests)
 
 
@@ -284,7 +286,7 @@
             {
                 **{k: v for k, v in item.items() if k != "apiKeys"},
                 DIGESTS_FIELD: sorted(
-                    digest.hex()
+                    base64.b64encode(digest).decode()
                     for digest in tenants.organisations[name].key_digests
                 ),
             }
--- a/chestnutstair/scheduling/change_feed.py
+++ b/chestnutstair/scheduling/change_feed.py
@@ -21,6 +21,10 @@
 # Duration of one long poll; a dead connection is detected after this and
 # `SLACK_SECONDS`.
 WAIT_SECONDS = 5.0
+# An answer to a long poll that is later than this means that the store is not
+# reached, although the call has not failed yet. A slow store answers within
+# a quarter of a second.
+LATE_SECONDS = 0.5
 SLACK_SECONDS = 1.5  # time for a slow answer beyond the long poll
 RETRY_SECONDS = 0.25
 READ_SECONDS = 2.0  # timeout of a read of the whole table
@@ -61,6 +65,16 @@
         self._wait = wait_seconds
         self._stopped = threading.Event()
         self._failing = False
+        self._asked_at: float | None = None
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last read failed or its answer is overdue."""
+        asked_at = self._asked_at
+        if self._failing or asked_at is None:
+            return self._failing
+        waited_seconds = self._clock.read_monotonic() - asked_at
+        return waited_seconds > self._wait + LATE_SECONDS
 
     def start(self) -> None:
         """Start following the table, on a thread of its own."""
@@ -86,6 +100,7 @@
 
     def _step(self) -> float:
         """Read once; return the seconds to wait before the next read."""
+        self._asked_at = self._clock.read_monotonic()
         if self._version is None:
             return self._read()
         wait = self._wait
@@ -125,11 +140,13 @@
         return RETRY_SECONDS
 
     def _record_success(self) -> None:
+        self._asked_at = None
         if self._failing:
             self._failing = False
             logger.info("store reachable again", extra={"table": self._table})
 
     def _record_failure(self, reason: str) -> None:
+        self._asked_at = None
         if not self._failing:
             self._failing = True
             logger.warning(
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -81,14 +81,20 @@
 class LeaderStatus:
     """A node's answer to a status call of another node.
 
-    `age_seconds` is the age of the leader's last write to the store, 0 on a
-    node that does not lead.
+    - `age_seconds`: the age of the leader's last write to the store, 0 on a
+      node that does not lead.
+    - `leader_address`: the address of the leader that the node knows.
+    - `members`: addresses of nodes that have called this one recently.
+
+    Nodes of the previous version send and read only the first four fields.
     """
 
     leading: bool
     epoch: int
     age_seconds: float
     configuration_version: int
+    leader_address: str = ""
+    members: tuple[str, ...] = ()
 
 
 class StatusSource(Protocol):
@@ -150,6 +156,10 @@
         self._cooldown_until = 0.0
         self._may_lead = True
         self._isolated_since: float | None = None
+        # Whether they answered when they were last asked.
+        self._leader_answers = False
+        self._store_answers = False
+        self._suggested_address = ""
         self.leader: Leader | None = None
         self.leader_address = ""
         self._thread = threading.Thread(
@@ -192,6 +202,31 @@
             self._clock.read_monotonic() - since >= max_seconds
         )
 
+    @property
+    def hears_leader(self) -> bool:
+        """Whether this node leads, or the leader has answered it."""
+        return self.is_leading or self._leader_answers
+
+    def suggest_leader(self, address: str) -> None:
+        """Have the leader looked for at an address that a member named.
+
+        Ignored while the leader that this node knows answers, and while the
+        store does, which says for certain who leads.
+        """
+        if address and address != self._address:
+            self._suggested_address = address
+
+    def _apply_suggestion(self) -> None:
+        address, self._suggested_address = self._suggested_address, ""
+        if self._leader_answers or self._store_answers:
+            return
+        if address and address != self.leader_address:
+            logger.info(
+                "leader named by a member",
+                extra={"address": address, "before": self.leader_address},
+            )
+            self.leader_address = address
+
     def _record_contact(self, reached: bool, began: float) -> None:
         if reached:
             if self._isolated_since is not None:
@@ -233,10 +268,13 @@
                 self._check_fitness(leader)
             return
         began = self._clock.read_monotonic()
+        self._apply_suggestion()
         health = self._check_leader()
         reached = health in (LeaderHealth.FRESH, LeaderHealth.CUT_OFF)
+        self._leader_answers = reached
         if health is not LeaderHealth.FRESH:
-            reached = self._check_row(health) or reached
+            self._store_answers = self._check_row(health)
+            reached = self._store_answers or reached
         self._record_contact(reached, began)
 
     def _check_fitness(self, leader: Leader) -> None:
--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -239,6 +239,51 @@
         leader.has_ended = True  # type: ignore[misc]
         self.assertTrue(self.election.is_cut_off())
 
+    # A node that the store refuses does not learn of the next leader from its
+    # row.
+    def test_a_leader_named_by_a_member_is_adopted_without_a_store(
+        self,
+    ) -> None:
+        self.run_for(1.0, other_leader_writes=True)
+        self.store.down = True
+        self.nodes.answer = REFUSED
+        self.run_for(STEP_SECONDS)
+        self.assertFalse(self.election.hears_leader)
+        self.election.suggest_leader("third:1")
+        self.nodes.answer = Ok(FRESH)
+        self.run_for(STEP_SECONDS)
+        self.assertEqual(self.election.leader_address, "third:1")
+        self.assertTrue(self.election.hears_leader)
+        self.assertFalse(self.election.is_cut_off())
+
+    def test_the_row_and_a_leader_that_answers_come_before_a_member(
+        self,
+    ) -> None:
+        self.run_for(1.0, other_leader_writes=True)
+        self.election.suggest_leader("third:1")
+        self.run_for(1.0, other_leader_writes=True)
+        self.assertEqual(self.election.leader_address, "other:1")
+        self.nodes.answer = SILENT
+        self.run_for(STEP_SECONDS, other_leader_writes=True)
+        self.election.suggest_leader("third:1")
+        self.run_for(STEP_SECONDS, other_leader_writes=True)
+        self.assertEqual(self.election.leader_address, "other:1")
+
+    # Guards against a takeover that is delayed or made early, because a
+    # member named a leader that has gone.
+    def test_a_wrong_suggestion_does_not_delay_a_takeover(self) -> None:
+        self.run_for(1.0, other_leader_writes=True)
+        self.nodes.answer = REFUSED
+        began = self.clock.now
+        while not self.election.is_leading:
+            self.election.suggest_leader("gone:1")
+            self.run_for(STEP_SECONDS)
+            self.assertLess(self.clock.now - began, TAKEOVER_LIMIT_SECONDS)
+        self.assertEqual(self.election.leader_address, "me:1")
+        self.election.suggest_leader("gone:1")
+        self.run_for(STEP_SECONDS)
+        self.assertEqual(self.election.leader_address, "me:1")
+
     def test_a_restarted_node_takes_its_own_term_over(self) -> None:
         self.write(TermRow("me", "me:1", 4, 0, self.clock.now))
         self.assertEqual(self.run_for(1.0), STEP_SECONDS)
--- a/chestnutstair/tests/test_leader_calls.py
+++ b/chestnutstair/tests/test_leader_calls.py
@@ -1,12 +1,21 @@
-"""Tests of calls between nodes that are answered by something unexpected."""
+"""Tests of calls between nodes, also with nodes of other versions."""
 
+import json
 import threading
 import unittest
 from http.server import BaseHTTPRequestHandler, HTTPServer
+from typing import Any
 
 from chestnutstair.coordination.platform import UnavailableFailure
+from chestnutstair.scheduling.access import JobOwner
+from chestnutstair.scheduling.election import LeaderStatus
+from chestnutstair.scheduling.members import MAX_CALLS_PER_SECOND, Members
 from chestnutstair.state.deadline import SystemClock
-from chestnutstair.transport.leader_calls import HttpLeaderLink
+from chestnutstair.tests.support import ManualClock
+from chestnutstair.transport.leader_calls import (
+    HttpLeaderLink,
+    build_node_application,
+)
 
 
 class _UnexpectedAnswer(BaseHTTPRequestHandler):
@@ -15,6 +24,7 @@
     def do_GET(self) -> None:
         """Answer a call."""
         body: bytes = self.server.body  # type: ignore[attr-defined]
+        self.server.path = self.path  # type: ignore[attr-defined]
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -48,3 +58,117 @@
         self.server.body = b"{}"  # type: ignore[attr-defined]
         answer = self.link.ask_status(self.address, 2.0)
         self.assertIsInstance(answer.err(), UnavailableFailure)
+
+    def set_answer(self, **fields: Any) -> None:
+        body = json.dumps(fields).encode()
+        self.server.body = body  # type: ignore[attr-defined]
+
+    # Nodes of other versions run beside this one.
+    def test_statuses_of_other_versions_are_read(self) -> None:
+        fields = {
+            "leading": True,
+            "epoch": 3,
+            "age_seconds": 0.1,
+            "configuration_version": 7,
+        }
+        self.set_answer(**fields)
+        answer = self.link.ask_status(self.address, 2.0)
+        self.assertEqual(answer.unwrap(), LeaderStatus(True, 3, 0.1, 7))
+        self.set_answer(
+            **fields, leader_address="a:1", members=["b:1", 7], later={}
+        )
+        answer = self.link.ask_status(self.address, 2.0)
+        expected = LeaderStatus(True, 3, 0.1, 7, "a:1", ("b:1",))
+        self.assertEqual(answer.unwrap(), expected)
+        self.set_answer(**fields, members=7)
+        self.assertTrue(self.link.ask_status(self.address, 2.0).is_err())
+
+    def test_a_call_says_who_makes_it(self) -> None:
+        self.server.body = b"{}"  # type: ignore[attr-defined]
+        link = HttpLeaderLink(SystemClock(), lambda: "", "me", "10.0.0.1:7")
+        link.ask_status(self.address, 2.0)
+        path = self.server.path  # type: ignore[attr-defined]
+        self.assertEqual(path, "/node/status?name=me&address=10.0.0.1%3A7")
+        link.ask_member_status(self.address, 2.0)
+        path = self.server.path  # type: ignore[attr-defined]
+        self.assertIn("member=1", path)
+
+    def test_owners(self) -> None:
+        owner = {"organisation": "one", "queue": "r-quick", "public": False}
+        self.set_answer(state="running", owner=owner)
+        answer = self.link.ask_job_owner("a", 2.0).unwrap()
+        self.assertEqual(answer, JobOwner("one", "r-quick", False))
+        self.set_answer(state="", owner=None)
+        self.assertIsNone(self.link.ask_job_owner("a", 2.0).unwrap())
+        # A leader of the previous version, which knows no organisations.
+        self.set_answer(state="running")
+        self.assertTrue(self.link.ask_job_owner("a", 2.0).is_err())
+
+
+class StatusAnswerTest(unittest.TestCase):
+    """A node answers status calls and remembers who made them."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.members = Members("me:1", self.clock)
+        handler: Any = None
+        status = LeaderStatus(True, 3, 0.1, 7, "me:1", ("b:1",))
+        self.application = build_node_application(
+            lambda: status,
+            lambda: None,
+            lambda: None,
+            handler,
+            self.clock,
+            self.members,
+        )
+
+    def ask(self, query: str) -> tuple[int, dict[str, Any]]:
+        statuses: list[str] = []
+        environ = {
+            "REQUEST_METHOD": "GET",
+            "PATH_INFO": "/node/status",
+            "QUERY_STRING": query,
+        }
+        body = b"".join(
+            self.application(
+                environ, lambda status, _: statuses.append(status)
+            )
+        )
+        return int(statuses[0].split()[0]), json.loads(body)
+
+    # Guards against nodes of the previous version taking the leader for lost:
+    # they accept no status with fields that they don't know.
+    def test_a_node_of_the_previous_version_gets_its_fields_only(self) -> None:
+        status, fields = self.ask("")
+        self.assertEqual(status, 200)
+        self.assertEqual(
+            fields,
+            {
+                "leading": True,
+                "epoch": 3,
+                "age_seconds": 0.1,
+                "configuration_version": 7,
+            },
+        )
+        self.assertEqual(self.members.choose(9), [])
+
+    def test_a_caller_is_remembered_and_told_of_others(self) -> None:
+        _, fields = self.ask("name=a&address=a%3A1")
+        self.assertEqual(fields["leader_address"], "me:1")
+        self.assertEqual(fields["members"], ["b:1"])
+        self.assertEqual(self.members.sample_heard(), ("a:1",))
+
+    def test_an_address_that_is_too_long_is_not_remembered(self) -> None:
+        self.ask(f"name=a&address={'a' * 300}")
+        self.assertEqual(self.members.sample_heard(), ())
+
+    # Guards against a node that is overloaded by the nodes which the store
+    # refuses; the leader's own polls are not limited here.
+    def test_the_calls_of_members_are_bounded(self) -> None:
+        query = "name=a&address=a%3A1&member=1"
+        for _ in range(MAX_CALLS_PER_SECOND):
+            self.assertEqual(self.ask(query)[0], 200)
+        self.assertEqual(self.ask(query)[0], 429)
+        self.assertEqual(self.ask("name=a&address=a%3A1")[0], 200)
+        self.clock.now += 1.0
+        self.assertEqual(self.ask(query)[0], 200)
--- a/chestnutstair/tests/test_organisation_keys.py
+++ b/chestnutstair/tests/test_organisation_keys.py
@@ -84,7 +84,7 @@
             {"name": "one", "apiKeys": [KEY, 7]},
             {"name": "one", "apiKeys": {"a": KEY}},
             {"name": "one", "apiKeys": ["\ud800" + KEY]},
-            {"name": "one", "apiKeyDigests": ["not hexadecimal"]},
+            {"name": "one", "apiKeyDigests": ["not Base64"]},
             {"name": "one", "cap": 7},
             {"name": "one", "cap": {"cpu": -1}},
             {"name": "one", "cap": {"cpu": "64"}},
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -6,7 +6,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
-from functools import cache
+from functools import lru_cache
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import parse_qs, urlencode
@@ -24,6 +24,7 @@
 from chestnutstair.scheduling.election import LeaderStatus, StatusSource
 from chestnutstair.scheduling.job_requests import JobRequestHandler, LeaderLink
 from chestnutstair.scheduling.leader import Leader
+from chestnutstair.scheduling.members import MAX_MEMBERS, Members
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.transport.json_calls import call_json, parse_json_object
 from chestnutstair.transport.platform_client import (
@@ -46,6 +47,11 @@
 METRICS_PATH = "/metrics"
 
 CONNECTIONS_PER_NODE = 8
+# The leader and the members, and as many that have been replaced.
+MAX_CLIENTS = 2 * MAX_MEMBERS
+# Most addresses that are read from a status, and their greatest length.
+MAX_STATUS_ADDRESSES = 64
+MAX_ADDRESS_LENGTH = 255
 # Losing a message is safe: the leader also reads the store's change feed.
 MESSAGE_TIMEOUT_SECONDS = 0.5
 # Messages queued while the leader does not answer; beyond that, the oldest
@@ -58,14 +64,23 @@
 class HttpLeaderLink(LeaderLink, StatusSource):
     """Client for calls to the leader's node and to other nodes.
 
-    `get_address` returns the leader's address, empty if none is known.
+    `get_address` returns the leader's address, empty if none is known. `name`
+    and `address` are this node's, which the nodes that it calls remember.
     Parameters called `seconds` are timeouts.
     """
 
-    def __init__(self, clock: Clock, get_address: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        get_address: Callable[[], str],
+        name: str = "",
+        address: str = "",
+    ) -> None:
         self._clock = clock
         self._get_address = get_address
-        self._connect = cache(self._build_client)
+        self._identity = {"name": name, "address": address}
+        # Bounded, because nodes that have been replaced are not called again.
+        self._connect = lru_cache(MAX_CLIENTS)(self._build_client)
         self._messages: deque[tuple[str, dict[str, Any]]] = deque(
             maxlen=MESSAGE_QUEUE_LENGTH
         )
@@ -115,7 +130,20 @@
         self, address: str, seconds: float
     ) -> Result[LeaderStatus, PlatformFailure]:
         """Return the status of the node at the address."""
-        answer = self._call(address, "GET", STATUS_PATH, None, seconds)
+        return self._ask_status(address, seconds, self._identity)
+
+    def ask_member_status(
+        self, address: str, seconds: float
+    ) -> Result[LeaderStatus, PlatformFailure]:
+        """Return the status of a member, which may refuse if it has many."""
+        query = {**self._identity, "member": "1"}
+        return self._ask_status(address, seconds, query)
+
+    def _ask_status(
+        self, address: str, seconds: float, query: dict[str, str]
+    ) -> Result[LeaderStatus, PlatformFailure]:
+        path = f"{STATUS_PATH}?{urlencode(query)}"
+        answer = self._call(address, "GET", path, None, seconds)
         return answer.and_then(_read_status)
 
     def ask_configuration(
@@ -206,11 +234,45 @@
 def _read_status(
     body: dict[str, Any],
 ) -> Result[LeaderStatus, PlatformFailure]:
+    """Decode a status; fields that this version does not know are ignored."""
     # A node of another version, or another program, may answer otherwise.
     try:
-        return Ok(LeaderStatus(**body))
-    except TypeError as error:
-        return Err(UnavailableFailure(f"unreadable status: {error}"))
+        return Ok(
+            LeaderStatus(
+                leading=body["leading"],
+                epoch=body["epoch"],
+                age_seconds=body["age_seconds"],
+                configuration_version=body["configuration_version"],
+                leader_address=str(body.get("leader_address", "")),
+                members=_read_addresses(body.get("members", ())),
+            )
+        )
+    except (KeyError, TypeError) as error:
+        return Err(UnavailableFailure(f"unreadable status: {error!r}"))
+
+
+def _read_addresses(items: Iterable[Any]) -> tuple[str, ...]:
+    return tuple(item for item in items if isinstance(item, str))[
+        :MAX_STATUS_ADDRESSES
+    ]
+
+
+def _encode_status(status: LeaderStatus, extended: bool) -> dict[str, Any]:
+    """Encode a status; nodes of the previous version read no more fields.
+
+    They treat a status with unknown fields as no answer, and then the leader
+    as lost.
+    """
+    fields: dict[str, Any] = {
+        "leading": status.leading,
+        "epoch": status.epoch,
+        "age_seconds": status.age_seconds,
+        "configuration_version": status.configuration_version,
+    }
+    if extended:
+        fields["leader_address"] = status.leader_address
+        fields["members"] = status.members
+    return fields
 
 
 def _read_job_owner(
@@ -245,7 +307,9 @@
         get_configuration: Callable[[], bytes | None],
         request_handler: JobRequestHandler,
         clock: Clock,
+        members: Members,
     ) -> None:
+        self._members = members
         self._get_status = get_status
         self._get_leader = get_leader
         self._get_configuration = get_configuration
@@ -277,7 +341,7 @@
         self, path: str, query: dict[str, list[str]]
     ) -> tuple[HTTPStatus, Any]:
         if path == STATUS_PATH:
-            return HTTPStatus.OK, vars(self._get_status())
+            return self._handle_status_query(query)
         if path == CONFIGURATION_PATH:
             value = self._get_configuration()
             if value is None:
@@ -300,6 +364,19 @@
             return HTTPStatus.OK, {"pending": count}
         return HTTPStatus.NOT_FOUND, {}
 
+    def _handle_status_query(
+        self, query: dict[str, list[str]]
+    ) -> tuple[HTTPStatus, Any]:
+        # Nodes of the previous version do not say who they are.
+        name = query.get("name", [""])[0][:MAX_ADDRESS_LENGTH]
+        address = query.get("address", [""])[0]
+        if address and len(address) <= MAX_ADDRESS_LENGTH:
+            self._members.record_call(name, address)
+        if "member" in query and not self._members.admit_call():
+            return HTTPStatus.TOO_MANY_REQUESTS, {}
+        status = self._get_status()
+        return HTTPStatus.OK, _encode_status(status, bool(address))
+
     def _handle_command(
         self, path: str, fields: dict[str, Any]
     ) -> tuple[HTTPStatus, Any]:
@@ -357,11 +434,17 @@
     get_configuration: Callable[[], bytes | None],
     request_handler: JobRequestHandler,
     clock: Clock,
+    members: Members,
 ) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
     """Return the WSGI application for calls from other nodes.
 
     `get_leader` returns None while this node does not lead.
     """
     return _NodeApplication(
-        get_status, get_leader, get_configuration, request_handler, clock
+        get_status,
+        get_leader,
+        get_configuration,
+        request_handler,
+        clock,
+        members,
     )
