--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -135,7 +135,11 @@
     `pools` maps worker names to pools; VMs of the pool `spare` are off.
     """
 
-    def __init__(self, pools: Mapping[str, str]) -> None:
+    def __init__(
+        self,
+        pools: Mapping[str, str],
+        settings: FleetControllerSettings | None = None,
+    ) -> None:
         on = {name: pool for name, pool in pools.items() if pool != "spare"}
         self.tracker_harness = TrackerHarness(())
         for name, pool in on.items():
@@ -154,7 +158,7 @@
             self.store,
             lambda: self.waves,
             self.tracker_harness.clock,
-            FleetControllerSettings(),
+            settings or FleetControllerSettings(),
         )
 
     def run_round(self, seconds: float = 0.1) -> None:
