--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -16,10 +16,16 @@
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.maintenance import WaveController
+from chestnutstair.scheduling.metrics import (
+    TURN_PREDICTIONS,
+    VMS_HANDED_OVER,
+    VMS_HELD,
+)
 from chestnutstair.scheduling.placement import Planner
 from chestnutstair.scheduling.pool_sizes import PoolSize, PoolSizer
 from chestnutstair.scheduling.ports import RowStore, VmControl
 from chestnutstair.scheduling.progress import Lateness
+from chestnutstair.scheduling.turns import NO_TURNS, TurnTracker
 from chestnutstair.scheduling.vm_order_history import VmOrder, VmOrderHistory
 from chestnutstair.scheduling.vm_orders import VmOrderDispatcher
 from chestnutstair.scheduling.wave_progress import WaveProgress
@@ -72,6 +78,8 @@
         self._wave_controller = WaveController(
             self._waves, self._orders, self._state, settings
         )
+        self._turns = TurnTracker()
+        self._outlook = NO_TURNS
         self._began_at = clock.read_monotonic()
         self._workers_registered = False
         self._thread = threading.Thread(
@@ -109,10 +117,13 @@
         with self._tracker.lock:
             loads = measure_loads(self._tracker, now)
             spare = self._state.find_spare_pool()
+            if self._settings.follow_turns:
+                self._update_outlook(now)
         if spare and self._are_workers_registered(now):
             self._replace_drains_by_idle_vms(spare)
             sized = [load for load in loads if load.service != spare]
-            self._resize_pools(self._sizer.measure(sized), spare, now)
+            sizes = self._sizer.measure(sized, self._outlook, now)
+            self._resize_pools(sizes, spare, now)
         self._finish_drains(now)
         for wave in self._get_waves():
             self._wave_controller.reconcile(wave, spare, now)
@@ -145,6 +156,41 @@
                 worker.cordoned = self._state.must_cordon(vm)
                 worker.maintenance_due = self._waves.is_due(vm)
 
+    # Turns
+
+    def _update_outlook(self, now: float) -> None:
+        """Predict the next turn; the caller must hold the tracker's lock."""
+        before = self._outlook
+        self._turns.observe(self._tracker.arrivals)
+        configuration = self._tracker.configuration
+        pools = frozenset(queue.service for queue in configuration.queues)
+        self._outlook = after = self._turns.predict(
+            pools, now, self._settings.shrink_delay_seconds
+        )
+        if (before.pool, before.next_pool) == (after.pool, after.next_pool):
+            return
+        outcome = "none"
+        if before.next_pool and after.pool == before.next_pool:
+            outcome = "right"
+        elif before.next_pool:
+            outcome = "wrong" if after.pool != before.pool else "overdue"
+        if before.next_pool:
+            TURN_PREDICTIONS.labels(outcome).inc()
+        logger.info(
+            "turn predicted",
+            extra={
+                "service": after.pool,
+                "rate": after.rate,
+                "next_service": after.next_pool,
+                "next_rate": after.next_rate,
+                "rises_in": round(after.rises_at - now, 2),
+                "method": after.method,
+                "before": before.next_pool,
+                "outcome": outcome,
+                "turns": [turn.pool for turn in self._turns.turns[-8:]],
+            },
+        )
+
     # Pools
 
     def _resize_pools(
@@ -156,22 +202,134 @@
         they are empty when the delay before their order is over.
         """
         drained: Counter[str] = Counter()
+        received: Counter[str] = Counter()
+        if self._settings.follow_turns:
+            received = self._hand_over(sizes, drained, spare, now)
         for size in sorted(sizes, key=lambda size: size.have - size.need):
-            missing = size.need - size.have
+            missing = size.need - size.have - received[size.service]
             if missing > 0:
                 missing = self._grow(size.service, spare, missing, True)
             if missing > 0:
                 self._drain_other_pools(sizes, drained, size.service, missing)
         for size in sizes:
-            extra = size.want - max(size.have, size.need)
+            have = size.have + received[size.service]
+            extra = size.want - max(have, size.need)
             if extra > 0:
                 self._grow(size.service, spare, extra, False)
             surplus = size.have - size.want - drained[size.service]
+            if self._settings.follow_turns:
+                surplus -= self._state.count_incoming()[size.service]
             if surplus > 0:
                 order_at = now + self._settings.shrink_delay_seconds
                 self._start_drains(
-                    size.service, Drain(spare, order_at=order_at), surplus
+                    size.service,
+                    Drain(spare, order_at=order_at, begun_at=now),
+                    surplus,
+                )
+
+    def _hand_over(
+        self,
+        sizes: list[PoolSize],
+        drained: Counter[str],
+        spare: str,
+        now: float,
+    ) -> Counter[str]:
+        """Send surplus VMs straight to the pools that lack some.
+
+        Empty VMs move at once and save a move through the spare pool. VMs
+        with tasks are sent only where idle VMs of the spare pool, which
+        arrive sooner, do not suffice. Returns how many VMs each pool got
+        or took back, and adds the surplus that was sent to `drained`.
+        """
+        received: Counter[str] = Counter()
+        idle = len(self._list_orderable_vms(spare))
+        for size in sorted(
+            sizes,
+            key=lambda size: (size.have - size.need, size.have - size.want),
+        ):
+            service = size.service
+            lack = max(size.want, size.need) - size.have
+            if lack <= 0:
+                continue
+            kept = self._cancel_drains(service, spare, lack, False)
+            empty = self._take_surplus(
+                sizes, drained, service, spare, lack - kept, True, now
+            )
+            left = lack - kept - empty
+            busy = self._take_surplus(
+                sizes, drained, service, spare, left - idle, False, now
+            )
+            idle = max(0, idle - (left - busy))
+            received[service] = kept + empty + busy
+            if kept or empty or busy:
+                VMS_HANDED_OVER.inc(empty + busy)
+                logger.info(
+                    "surplus VMs handed over",
+                    extra={
+                        "service": service,
+                        "have": size.have,
+                        "want": size.want,
+                        "need": size.need,
+                        "kept": kept,
+                        "empty": empty,
+                        "busy": busy,
+                        "idle": idle,
+                    },
+                )
+        return received
+
+    def _take_surplus(
+        self,
+        sizes: list[PoolSize],
+        drained: Counter[str],
+        service: str,
+        spare: str,
+        count: int,
+        empty: bool,
+        now: float,
+    ) -> int:
+        """Let up to `count` surplus VMs drain for a pool; return how many.
+
+        Takes VMs that drain for the spare pool first. With `empty`, only
+        VMs without tasks. VMs that have not drained for long are left out.
+        """
+        with self._tracker.lock:
+            workers = self._state.index_workers()
+            draining = [
+                (vm, drain)
+                for vm, drain in self._state.drains.items()
+                if drain.service == spare
+                and not drain.wave
+                and (worker := workers.get(vm)) is not None
+                and worker.entry.service != service
+                and (
+                    self._is_empty(worker)
+                    if empty
+                    else now - drain.begun_at < self._settings.drain_seconds
                 )
+            ][: max(0, count)]
+        for vm, drain in draining:
+            self._state.drains[vm] = Drain(service, begun_at=drain.begun_at)
+        taken = len(draining)
+        incoming = self._state.count_incoming()
+        for size in sorted(sizes, key=lambda size: size.want - size.have):
+            # VMs on their way do not replace those that would leave.
+            surplus = (
+                size.have
+                - incoming[size.service]
+                - max(size.want, size.need)
+                - drained[size.service]
+            )
+            if size.service != service and surplus > 0 and taken < count:
+                started = self._start_drains(
+                    size.service,
+                    Drain(service, begun_at=now),
+                    min(surplus, count - taken),
+                    empty,
+                )
+                drained[size.service] += started
+                taken += started
+        return taken
 
     def _replace_drains_by_idle_vms(self, spare: str) -> None:
         """Order idle VMs for pools that wait for VMs of others to drain.
@@ -287,9 +445,13 @@
                 drained[size.service] += started
                 missing -= started
 
-    def _start_drains(self, service: str, drain: Drain, count: int) -> int:
+    def _start_drains(
+        self, service: str, drain: Drain, count: int, empty: bool = False
+    ) -> int:
         """Start draining up to `count` VMs of a pool; return how many.
 
+        With `empty`, only VMs without tasks.
+
         Prefers VMs with few lasting runs and, if the drain is urgent, few
         runs that can be in time; then VMs due for maintenance, then those
         with little in use.
@@ -304,6 +466,7 @@
                 and worker.entry.vm in self._state.listed
                 and worker.entry.vm not in self._state.orders
                 and worker.entry.vm not in self._state.drains
+                and (not empty or self._is_empty(worker))
             ]
             candidates.sort(
                 key=lambda worker: (
@@ -328,6 +491,9 @@
         that drain urgently.
         """
         orders: list[VmOrder] = []
+        spare = self._state.find_spare_pool()
+        hold = self._count_vms_to_hold(now)
+        held = 0
         with self._tracker.lock:
             workers = self._state.index_workers()
             for vm, drain in list(self._state.drains.items()):
@@ -341,14 +507,56 @@
                 self._move_lasting_tasks(worker)
                 self._stop_delaying_runs(vm, drain, worker, now)
                 if not self._is_empty(worker):
+                    self._return_if_overdue(vm, drain, spare, now)
+                    continue
+                if not drain.wave and drain.service == spare and held < hold:
+                    held += 1
                     continue
                 if not drain.wave and self._must_be_maintained(vm, now):
                     del self._state.drains[vm]  # the wave drains it again
                 else:
                     orders.append(VmOrder(vm, drain.service, drain.wave))
+        VMS_HELD.set(held)
+        # Beyond the rate limit, pools that lack VMs go first.
+        orders.sort(key=lambda order: order.service == spare)
         for vm in self._orders.order_all(orders):
             del self._state.drains[vm]
 
+    def _count_vms_to_hold(self, now: float) -> int:
+        """Return how many surplus VMs to hold for the turn that is due.
+
+        They would have to come back from the spare pool. VMs for a known pool
+        are ordered ahead of its turn, others once the turn has begun. A turn
+        that does not come ends the hold when its prediction is withdrawn.
+        """
+        outlook = self._outlook
+        lead = self._settings.move_seconds if outlook.next_pool else 0.0
+        if now < outlook.rises_at - lead - self._settings.hold_seconds:
+            return 0
+        rate = outlook.next_rate if outlook.next_pool else outlook.rate
+        vm_millicores = self._state.compute_average_millicores()
+        return round(self._settings.headroom * rate / vm_millicores)
+
+    def _return_if_overdue(
+        self, vm: str, drain: Drain, spare: str, now: float
+    ) -> None:
+        """Let a pool get other VMs for a surplus VM that does not drain."""
+        if (
+            not drain.begun_at
+            or drain.service == spare
+            or now - drain.begun_at < self._settings.drain_seconds
+        ):
+            return
+        logger.info(
+            "surplus VM has not drained in time",
+            extra={
+                "vm": vm,
+                "service": drain.service,
+                "seconds": round(now - drain.begun_at, 2),
+            },
+        )
+        self._state.drains[vm] = Drain(spare, begun_at=drain.begun_at)
+
     def _stop_delaying_runs(
         self, vm: str, drain: Drain, worker: WorkerState, now: float
     ) -> None:
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -77,6 +77,15 @@
     registered_share: float = 0.8
     # Orders are sent only if the term was renewed no longer ago than this.
     term_fresh_seconds: float = 1.0
+    # Predict the turns of queues and move VMs straight from pool to pool.
+    follow_turns: bool = False
+    # How long before a turn surplus VMs are held for it: holding a VM for a
+    # second costs about as much as the move that it saves.
+    hold_seconds: float = 1.0
+    # Part of the running work of a pool whose turn is over that comes back as
+    # later steps. The rest ends where it runs, also on VMs that drain. With
+    # jobs of one to three steps, half of the tasks are of a last step.
+    fallen_share: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -88,12 +97,14 @@
     - `urgent`: the new pool needs the VM for work that can be in time.
     - `order_at`: monotonic time before which the VM is not ordered, and
       keeps its lasting tasks, even if it is empty otherwise.
+    - `begun_at`: monotonic time of its start, for VMs that move in surplus.
     """
 
     service: str
     wave: int = 0
     urgent: bool = False
     order_at: float = 0.0
+    begun_at: float = 0.0
 
 
 class FleetState:
@@ -134,6 +145,15 @@
         if listed is not None:
             self.listed[vm] = replace(listed, state=UP)
 
+    def count_incoming(self) -> Counter[str]:
+        """Return how many VMs are on their way to each pool."""
+        workers = self.index_workers()
+        return Counter(
+            order.service
+            for order in self.orders.values()
+            if not order.wave and order.vm not in workers
+        )
+
     def count_in_maintenance(self) -> Counter[str]:
         """Return how many VMs of each pool are under maintenance.
 
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -13,6 +13,9 @@
     "SUBMISSIONS",
     "SUBMISSION_SECONDS",
     "TERM_WRITE_SECONDS",
+    "TURN_PREDICTIONS",
+    "VMS_HANDED_OVER",
+    "VMS_HELD",
     "VM_ORDERS",
     "WORKER_CRASHES",
 ]
@@ -64,6 +67,18 @@
 VM_ORDERS = Counter(
     "chestnutstair_vm_orders", "Orders to move or maintain VMs.", ["kind"]
 )
+VMS_HANDED_OVER = Counter(
+    "chestnutstair_vms_handed_over",
+    "Surplus VMs sent straight to a pool that lacks VMs.",
+)
+VMS_HELD = Gauge(
+    "chestnutstair_vms_held", "Empty surplus VMs held for a queue's turn."
+)
+TURN_PREDICTIONS = Counter(
+    "chestnutstair_turn_predictions",
+    "Predictions of the pool whose turn comes next.",
+    ["outcome"],
+)
 LEADING = Gauge(
     "chestnutstair_leading", "1 while this node is the leader, else 0."
 )
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -1,7 +1,7 @@
 """Sizes of pools: how many VMs each has and needs for its work."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.fleet_state import (
     FleetControllerSettings,
@@ -10,6 +10,7 @@
 from chestnutstair.scheduling.isolation import RESERVED_SHARE
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.load import PoolLoad
+from chestnutstair.scheduling.turns import NO_TURNS, TurnOutlook
 from chestnutstair.scheduling.workers import PROVING_SECONDS
 
 __all__ = ["PoolSize", "PoolSizer"]
@@ -44,7 +45,12 @@
         self._state = state
         self._settings = settings
 
-    def measure(self, loads: list[PoolLoad]) -> list[PoolSize]:
+    def measure(
+        self,
+        loads: list[PoolLoad],
+        outlook: TurnOutlook = NO_TURNS,
+        now: float = 0.0,
+    ) -> list[PoolSize]:
         """Return the sizes of the pools, in the order of their loads."""
         changes = self._state.count_pending_changes()
         draining = self._state.count_maintenance_drains()
@@ -55,23 +61,58 @@
                 load.workers + changes[load.service],
                 draining[load.service],
                 away[load.service],
+                outlook,
+                now,
             )
             for load in loads
         ]
 
     def _measure_size(
-        self, load: PoolLoad, have: int, draining: int, away: int
+        self,
+        load: PoolLoad,
+        have: int,
+        draining: int,
+        away: int,
+        outlook: TurnOutlook,
+        now: float,
     ) -> PoolSize:
         work = load.batch + load.waiting
         timely = work - load.late_batch - load.late_waiting
-        want = self._measure_vms(load, work, draining, away)
+        # A VM that is ordered now is there after the move.
+        lead = self._settings.move_seconds + self._settings.tick_seconds
+        predicted = outlook.predict_demand(load.service, now, lead)
+        want = self._measure_vms(load, work, draining, away, predicted)
+        # A prediction for a turn that has not begun stops no other work.
+        if load.service != outlook.pool:
+            predicted = 0
+        need = self._measure_vms(load, timely, draining, away, predicted)
+        if load.service == outlook.fallen_pool:
+            want = self._measure_fallen(load, draining, away)
+            need = min(need, want)
+        elif outlook.is_ending(load.service, now, lead):
+            # What is ordered now would arrive after the turn.
+            want = min(want, max(have, self._measure_min_size(load, away)))
+            need = min(need, want)
         return PoolSize(
             load.service,
             have,
             max(want, self._measure_vms_for_suspects(load)),
-            self._measure_vms(load, timely, draining, away),
+            need,
         )
 
+    def _measure_fallen(self, load: PoolLoad, draining: int, away: int) -> int:
+        """Return how many VMs a pool needs whose turn is over."""
+        batch = round(self._settings.fallen_share * load.batch)
+        # Nothing is expected beyond what is there.
+        load = replace(load, batch=batch, coming=0, rate=0, path_seconds=0.0)
+        work = load.batch + load.waiting
+        return self._measure_vms(load, work, draining, away, 0)
+
+    def _measure_min_size(self, load: PoolLoad, away: int) -> int:
+        even_share = self._state.compute_even_share()
+        base = round(even_share * self._settings.base_share) - away
+        return max(1, load.widest, base)
+
     def _measure_vms_for_suspects(self, load: PoolLoad) -> int:
         """Return how many VMs a pool needs for tasks that start alone.
 
@@ -85,7 +126,12 @@
         return min(wanted, round(even_share * self._settings.max_share))
 
     def _measure_vms(
-        self, load: PoolLoad, work: int, draining: int, away: int
+        self,
+        load: PoolLoad,
+        work: int,
+        draining: int,
+        away: int,
+        predicted: int,
     ) -> int:
         """Return how many VMs a pool needs.
 
@@ -94,13 +140,20 @@
         their place. `away` VMs are under maintenance and come back soon, so
         the minimum size counts them. The maximum size limits the VMs for
         demand, but not those over which a lasting step must be spread.
+        `predicted` is the demand in millicores that a turn is known to bring.
         """
         settings = self._settings
         even_share = self._state.compute_even_share()
         vm_millicores = self._state.compute_average_millicores()
         present = work + settings.later_work_share * load.coming
-        expected = max(present, self._forecast(load, present))
-        demand = load.lasting + settings.headroom * expected
+        if predicted:
+            # The rate of a turn covers later steps and what arrives next.
+            expected = max(settings.headroom * predicted, work)
+        else:
+            expected = settings.headroom * max(
+                present, self._forecast(load, present)
+            )
+        demand = load.lasting + expected
         wanted = -int(-demand // vm_millicores)
         max_size = round(even_share * settings.max_share)
         min_size = round(even_share * settings.base_share)
--- a/chestnutstair/tests/turns_model.py
+++ b/chestnutstair/tests/turns_model.py
@@ -268,6 +268,17 @@
             self.vm_seconds - vm_seconds,
         )
 
+    def count_late(self) -> int:
+        """Return how many ended jobs have missed their objective."""
+        late = 0
+        for record in self.tracker.jobs.values():
+            queue = record.submission.queue
+            objective = queue.compute_objective_ms(record.critical_path_ms)
+            if record.ended is not None:
+                elapsed = record.ended_ms - record.submission.accepted_ms
+                late += elapsed > objective
+        return late
+
     def take_over(self) -> None:
         """Replace the fleet controller by that of a new leader."""
         fleet = self.fleet
