--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -204,6 +204,8 @@
         drained: Counter[str] = Counter()
         received: Counter[str] = Counter()
         if self._settings.follow_turns:
+            # A pool may not lose the VMs that it has for those on their way.
+            drained = self._state.count_incoming()
             received = self._hand_over(sizes, drained, spare, now)
         for size in sorted(sizes, key=lambda size: size.have - size.need):
             missing = size.need - size.have - received[size.service]
@@ -217,8 +219,6 @@
             if extra > 0:
                 self._grow(size.service, spare, extra, False)
             surplus = size.have - size.want - drained[size.service]
-            if self._settings.follow_turns:
-                surplus -= self._state.count_incoming()[size.service]
             if surplus > 0:
                 order_at = now + self._settings.shrink_delay_seconds
                 self._start_drains(
@@ -311,14 +311,9 @@
         for vm, drain in draining:
             self._state.drains[vm] = Drain(service, begun_at=drain.begun_at)
         taken = len(draining)
-        incoming = self._state.count_incoming()
         for size in sorted(sizes, key=lambda size: size.want - size.have):
-            # VMs on their way do not replace those that would leave.
             surplus = (
-                size.have
-                - incoming[size.service]
-                - max(size.want, size.need)
-                - drained[size.service]
+                size.have - max(size.want, size.need) - drained[size.service]
             )
             if size.service != service and surplus > 0 and taken < count:
                 started = self._start_drains(
@@ -525,17 +520,20 @@
     def _count_vms_to_hold(self, now: float) -> int:
         """Return how many surplus VMs to hold for the turn that is due.
 
-        They would have to come back from the spare pool. VMs for a known pool
-        are ordered ahead of its turn, others once the turn has begun. A turn
-        that does not come ends the hold when its prediction is withdrawn.
+        A VM on its way to the spare pool cannot be ordered back before the
+        move is over. VMs for a known pool are ordered ahead of its turn,
+        others once the turn has begun. A turn that does not come ends the
+        hold when its prediction is withdrawn.
         """
+        settings = self._settings
         outlook = self._outlook
-        lead = self._settings.move_seconds if outlook.next_pool else 0.0
-        if now < outlook.rises_at - lead - self._settings.hold_seconds:
+        lead = settings.move_seconds if outlook.next_pool else 0.0
+        move_seconds = settings.move_seconds + settings.settle_seconds
+        if now < outlook.rises_at - lead - move_seconds:
             return 0
         rate = outlook.next_rate if outlook.next_pool else outlook.rate
         vm_millicores = self._state.compute_average_millicores()
-        return round(self._settings.headroom * rate / vm_millicores)
+        return round(settings.headroom * rate / vm_millicores)
 
     def _return_if_overdue(
         self, vm: str, drain: Drain, spare: str, now: float
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -79,9 +79,6 @@
     term_fresh_seconds: float = 1.0
     # Predict the turns of queues and move VMs straight from pool to pool.
     follow_turns: bool = False
-    # How long before a turn surplus VMs are held for it: holding a VM for a
-    # second costs about as much as the move that it saves.
-    hold_seconds: float = 1.0
     # Part of the running work of a pool whose turn is over that comes back as
     # later steps. The rest ends where it runs, also on VMs that drain. With
     # jobs of one to three steps, half of the tasks are of a last step.
@@ -146,13 +143,17 @@
             self.listed[vm] = replace(listed, state=UP)
 
     def count_incoming(self) -> Counter[str]:
-        """Return how many VMs are on their way to each pool."""
+        """Return how many VMs drain for each pool or are on their way."""
         workers = self.index_workers()
-        return Counter(
+        incoming = Counter(
             order.service
             for order in self.orders.values()
             if not order.wave and order.vm not in workers
         )
+        incoming.update(
+            drain.service for drain in self.drains.values() if not drain.wave
+        )
+        return incoming
 
     def count_in_maintenance(self) -> Counter[str]:
         """Return how many VMs of each pool are under maintenance.
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -1,7 +1,7 @@
 """Sizes of pools: how many VMs each has and needs for its work."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from chestnutstair.scheduling.fleet_state import (
     FleetControllerSettings,
@@ -80,38 +80,76 @@
         timely = work - load.late_batch - load.late_waiting
         # A VM that is ordered now is there after the move.
         lead = self._settings.move_seconds + self._settings.tick_seconds
-        predicted = outlook.predict_demand(load.service, now, lead)
-        want = self._measure_vms(load, work, draining, away, predicted)
-        # A prediction for a turn that has not begun stops no other work.
-        if load.service != outlook.pool:
-            predicted = 0
-        need = self._measure_vms(load, timely, draining, away, predicted)
-        if load.service == outlook.fallen_pool:
-            want = self._measure_fallen(load, draining, away)
-            need = min(need, want)
-        elif outlook.is_ending(load.service, now, lead):
+        pool = load.service
+        expected = self._expect_demand(load, work)
+        timely_expected = self._expect_demand(load, timely)
+        rate = outlook.predict_demand(pool, now, lead)
+        if pool == outlook.fallen_pool:
+            expected = self._expect_after_turn(load, work)
+            timely_expected = min(timely_expected, expected)
+        elif outlook.is_ending(pool, now, lead):
+            expected = timely_expected = max(work, outlook.rate)
+        elif rate and pool == outlook.pool:
+            expected = self._expect_in_turn(rate, work)
+            timely_expected = self._expect_in_turn(rate, timely)
+        elif rate:
+            # Stops no other work, as this turn has not begun.
+            expected = max(expected, self._settings.headroom * rate)
+        min_size = self._measure_min_size(load, outlook) - away
+        want = self._measure_vms(load, expected, draining, min_size)
+        need = self._measure_vms(load, timely_expected, draining, min_size)
+        if outlook.is_ending(pool, now, lead) and pool == outlook.pool:
             # What is ordered now would arrive after the turn.
-            want = min(want, max(have, self._measure_min_size(load, away)))
-            need = min(need, want)
+            want = min(want, max(have, min_size))
         return PoolSize(
-            load.service,
+            pool,
             have,
             max(want, self._measure_vms_for_suspects(load)),
-            need,
+            min(need, want),
         )
 
-    def _measure_fallen(self, load: PoolLoad, draining: int, away: int) -> int:
-        """Return how many VMs a pool needs whose turn is over."""
-        batch = round(self._settings.fallen_share * load.batch)
-        # Nothing is expected beyond what is there.
-        load = replace(load, batch=batch, coming=0, rate=0, path_seconds=0.0)
-        work = load.batch + load.waiting
-        return self._measure_vms(load, work, draining, away, 0)
+    def _expect_demand(self, load: PoolLoad, work: int) -> float:
+        """Return the demand to size a pool for, without a known turn."""
+        settings = self._settings
+        present = work + settings.later_work_share * load.coming
+        return settings.headroom * max(present, self._forecast(load, present))
+
+    def _expect_in_turn(self, rate: int, work: int) -> float:
+        """Return the demand of a pool for the rest of its turn.
+
+        Its rate covers later steps and what arrives next. Work that waits
+        since before the first VMs arrived is done by the headroom, unless it
+        grows beyond what that does in some seconds, as with tasks that run
+        longer than estimated.
+        """
+        return max(self._settings.headroom * rate, work - rate / 2)
+
+    def _expect_after_turn(self, load: PoolLoad, work: int) -> float:
+        """Return the demand for new starts of a pool whose turn is over.
+
+        The running tasks end where they run, also on VMs that drain.
+        """
+        settings = self._settings
+        left = work - (1 - settings.fallen_share) * load.batch
+        return settings.headroom * left
 
-    def _measure_min_size(self, load: PoolLoad, away: int) -> int:
+    def _measure_min_size(self, load: PoolLoad, outlook: TurnOutlook) -> int:
+        """Return the minimum size of a pool.
+
+        It serves a queue while more VMs are on their way. A pool whose turn
+        is known not to come next needs room for one early job only.
+        """
+        settings = self._settings
         even_share = self._state.compute_even_share()
-        base = round(even_share * self._settings.base_share) - away
-        return max(1, load.widest, base)
+        base = round(even_share * settings.base_share)
+        if outlook.method != "order" or load.service in (
+            outlook.pool,
+            outlook.next_pool,
+        ):
+            return base
+        early = load.lasting + outlook.largest_jobs.get(load.service, 0)
+        vm_millicores = self._state.compute_average_millicores()
+        return min(base, max(1, -int(-early // vm_millicores)))
 
     def _measure_vms_for_suspects(self, load: PoolLoad) -> int:
         """Return how many VMs a pool needs for tasks that start alone.
@@ -126,39 +164,24 @@
         return min(wanted, round(even_share * self._settings.max_share))
 
     def _measure_vms(
-        self,
-        load: PoolLoad,
-        work: int,
-        draining: int,
-        away: int,
-        predicted: int,
+        self, load: PoolLoad, expected: float, draining: int, min_size: int
     ) -> int:
         """Return how many VMs a pool needs.
 
-        `work` is the running and waiting work in millicores. `draining` VMs
+        `expected` is the demand of batch work in millicores. `draining` VMs
         drain for maintenance and take no new tasks, so demand needs others in
-        their place. `away` VMs are under maintenance and come back soon, so
-        the minimum size counts them. The maximum size limits the VMs for
-        demand, but not those over which a lasting step must be spread.
-        `predicted` is the demand in millicores that a turn is known to bring.
+        their place. `min_size` is without the VMs under maintenance, which
+        come back soon. The maximum size limits the VMs for demand, but not
+        those over which a lasting step must be spread.
         """
         settings = self._settings
         even_share = self._state.compute_even_share()
         vm_millicores = self._state.compute_average_millicores()
-        present = work + settings.later_work_share * load.coming
-        if predicted:
-            # The rate of a turn covers later steps and what arrives next.
-            expected = max(settings.headroom * predicted, work)
-        else:
-            expected = settings.headroom * max(
-                present, self._forecast(load, present)
-            )
         demand = load.lasting + expected
         wanted = -int(-demand // vm_millicores)
         max_size = round(even_share * settings.max_share)
-        min_size = round(even_share * settings.base_share)
         needed = max(load.widest, min(wanted, max_size)) + draining
-        return max(1, min_size - away, needed)
+        return max(1, min_size, needed)
 
     def _forecast(self, load: PoolLoad, present: float) -> float:
         """Return the demand that VMs ordered now must meet, in millicores.
--- a/chestnutstair/scheduling/turns.py
+++ b/chestnutstair/scheduling/turns.py
@@ -9,9 +9,10 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from statistics import median
+from types import MappingProxyType
 
 from chestnutstair.scheduling.job_tracker import Arrival
 
@@ -83,6 +84,7 @@
       present one; infinite if unknown.
     - `next_pool`: pool predicted to rise then; empty if unknown.
     - `next_rate`: its expected demand.
+    - `largest_jobs`: demand of the largest recent job of each pool.
     - `method`: `order` if the pool's earlier turn is known, `elimination` if
       all other pools have had their turn, otherwise empty.
     """
@@ -94,6 +96,7 @@
     next_pool: str = ""
     next_rate: int = 0
     method: str = ""
+    largest_jobs: Mapping[str, int] = field(default_factory=dict)
 
     def is_ending(self, pool: str, now: float, lead: float) -> bool:
         """Return whether a pool's turn is over `lead` seconds from now."""
@@ -126,6 +129,7 @@
         self._turns: list[Turn] = []  # the last one is in progress
         self._recent: deque[Arrival] = deque(maxlen=START_MAX_JOBS)
         self._last: Arrival | None = None
+        self._largest_jobs: dict[str, int] = {}
 
     @property
     def turns(self) -> Sequence[Turn]:
@@ -146,6 +150,13 @@
             # Lasting jobs and those with set times count as no work.
             if arrival.work > 0:
                 self._add(arrival)
+                self._record_size(arrival)
+
+    def _record_size(self, arrival: Arrival) -> None:
+        seconds = max(arrival.path_seconds, MIN_RATE_SECONDS)
+        millicores = round(arrival.work / seconds)
+        largest = self._largest_jobs.get(arrival.service, 0)
+        self._largest_jobs[arrival.service] = max(largest, millicores)
 
     def _add(self, arrival: Arrival) -> None:
         recent = self._recent
@@ -205,7 +216,12 @@
         ):
             return NO_TURNS
         fallen = self._turns[-2].pool if len(self._turns) > 1 else ""
-        outlook = TurnOutlook(present.pool, self._estimate_rate(now), fallen)
+        outlook = TurnOutlook(
+            present.pool,
+            self._estimate_rate(now),
+            fallen,
+            largest_jobs=MappingProxyType(dict(self._largest_jobs)),
+        )
         seconds = self._predict_length()
         rises_at = present.began_at + seconds
         if now > rises_at + grace_seconds or math.isinf(seconds):
@@ -235,6 +251,9 @@
         """Return the expected length of the present turn, in seconds."""
         ended = self._turns[:-1]
         lengths = [turn.seconds for turn in ended if turn.whole]
+        if not lengths and ended and ended[0].seconds >= MIN_TURN_SECONDS:
+            # Its start was not observed, so it may have been longer.
+            return ended[0].seconds
         if not lengths:
             return math.inf
         expected = median(lengths)
