--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -533,7 +533,7 @@
             return 0
         rate = outlook.next_rate if outlook.next_pool else outlook.rate
         vm_millicores = self._state.compute_average_millicores()
-        return round(settings.headroom * rate / vm_millicores)
+        return round(settings.turn_headroom * rate / vm_millicores)
 
     def _return_if_overdue(
         self, vm: str, drain: Drain, spare: str, now: float
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -79,6 +79,9 @@
     term_fresh_seconds: float = 1.0
     # Predict the turns of queues and move VMs straight from pool to pool.
     follow_turns: bool = False
+    # The same as `headroom` for demand known from the rate of a turn, which
+    # many more jobs tell. What is not used is free for the next turn.
+    turn_headroom: float = 1.1
     # Part of the running work of a pool whose turn is over that comes back as
     # later steps. The rest ends where it runs, also on VMs that drain. With
     # jobs of one to three steps, half of the tasks are of a last step.
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -94,7 +94,7 @@
             timely_expected = self._expect_in_turn(rate, timely)
         elif rate:
             # Stops no other work, as this turn has not begun.
-            expected = max(expected, self._settings.headroom * rate)
+            expected = max(expected, self._settings.turn_headroom * rate)
         min_size = self._measure_min_size(load, outlook) - away
         want = self._measure_vms(load, expected, draining, min_size)
         need = self._measure_vms(load, timely_expected, draining, min_size)
@@ -122,7 +122,7 @@
         grows beyond what that does in some seconds, as with tasks that run
         longer than estimated.
         """
-        return max(self._settings.headroom * rate, work - rate / 2)
+        return max(self._settings.turn_headroom * rate, work - rate / 2)
 
     def _expect_after_turn(self, load: PoolLoad, work: int) -> float:
         """Return the demand for new starts of a pool whose turn is over.
--- a/chestnutstair/scheduling/turns.py
+++ b/chestnutstair/scheduling/turns.py
@@ -289,17 +289,18 @@
     def _estimate_rate(self, now: float) -> int:
         """Return the demand of the present turn.
 
-        Few jobs tell little, as their sizes differ: of what they show, one
-        standard error is left out.
+        Few jobs tell little, as their sizes differ: of what the first ones
+        show, one standard error is left out.
         """
         present = self._turns[-1]
         elapsed = max(now - present.began_at, MIN_RATE_SECONDS)
         error = 1 / math.sqrt(present.jobs)
-        rate = present.work * (1 - error) / elapsed
+        rate = present.work / elapsed
+        if elapsed >= PRIOR_SECONDS:
+            return round(rate)
         earlier = self._find_last_turn(present.pool)
-        if earlier is not None and elapsed < PRIOR_SECONDS:
-            rate = max(rate, _measure_rate(earlier))
-        return round(rate)
+        known = 0.0 if earlier is None else _measure_rate(earlier)
+        return round(max(rate * (1 - error), known))
 
 
 def _add_job(turn: Turn, arrival: Arrival) -> Turn:
--- a/chestnutstair/tests/turns_model.py
+++ b/chestnutstair/tests/turns_model.py
@@ -51,10 +51,10 @@
 class TurnFigures:
     """What was measured in one turn, in VMs and seconds.
 
-    - `needed`: VMs for the demand of the turn.
+    - `needed`: VMs that the jobs of the turn use, on average over the turn.
     - `ready`: VMs of the pool that serve 2.2 s after the start is visible.
-    - `full_after`: seconds from the start of the turn to nine tenths of
-      `needed`; 99 if that is not reached.
+    - `full_after`: seconds from the start of the turn to nine tenths of the
+      expected demand of a turn; 99 if that is not reached.
     - `moves`: orders sent during the turn.
     - `changed`: VMs whose pool at the end of the turn is another than at its
       start.
@@ -115,6 +115,7 @@
         self.job_count = 0
         # Jobs of each turn so far, and when the turn became visible.
         self.seen: Counter[int] = Counter()
+        self.work: Counter[int] = Counter()
         self.visible_at: dict[int, float] = {}
         self.ends: Counter[str] = Counter()
         self.durations: dict[tuple[str, int], float] = {}
@@ -180,6 +181,7 @@
                 turn = self.find_turn(at)
                 if turn >= 0 and self.turns[turn][1] == pool:
                     self.seen[turn] += 1
+                    self.work[turn] += len(steps) * 8 * 4000
                     if self.seen[turn] == VISIBLE_JOBS:
                         self.visible_at[turn] = self.now
                 self._draw_next(pool)
@@ -260,7 +262,7 @@
         after = self.fleet.vms.pools
         return TurnFigures(
             pool,
-            self.turn_vms,
+            round(self.work[turn] / VM_MILLICORES / seconds, 1),
             ready,
             full_after,
             len(self.fleet.vms.orders) - order_count,
