Spread the intake over partitions of the store

Cause: all submissions write to one partition, which runs 200 transactions a second one after another. Change: scheduling/intake is a package. The leader reads all partitions in parallel and follows the table. Lookups read the job's own partition and then partition 0, where jobs from before an upgrade are. The number comes from two rates that the platform renders; the default is the one existing partition.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -21,6 +21,7 @@
 )
 from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import FleetControllerSettings
+from chestnutstair.scheduling.intake import IntakeLayout
 from chestnutstair.scheduling.job_requests import (
     JobRequestHandler,
     JobRequestSettings,
@@ -96,6 +97,9 @@
         self._store = PlatformRowStore(
             self._build_client(settings.store_address, STORE_CONNECTIONS)
         )
+        self._intake_layout = IntakeLayout(
+            partitions=settings.intake.count_partitions()
+        )
         self._decoder = PlatformDecoder()
         self._workers = PlatformWorkerControl(
             clock, settings.policy_address, RunnerSettings()
@@ -128,6 +132,7 @@
             self._election.is_cut_off,
             clock,
             JobRequestSettings(),
+            self._find_intake_layout,
         )
 
     def _build_leader(self, term: Term, unchanged_seconds: float) -> Leader:
@@ -176,6 +181,7 @@
             lambda: self._watch.configuration,
             clock,
             LeaderSettings(),
+            self._intake_layout,
         )
         times = self._settings.pools
         fleet_controller = FleetController(
@@ -236,6 +242,10 @@
             ),
         )
 
+    def _find_intake_layout(self, job: str) -> IntakeLayout:
+        """Return where the rows of a job are stored."""
+        return self._intake_layout
+
     def _get_leader(self) -> Leader | None:
         leader = self._election.leader
         if leader is None or leader.has_ended:
--- a/chestnutstair/fleet_settings.py
+++ b/chestnutstair/fleet_settings.py
@@ -13,7 +13,13 @@
     decode_json,
 )
 
-__all__ = ["FleetSettings", "PoolTimes", "Processor", "read_fleet_settings"]
+__all__ = [
+    "FleetSettings",
+    "IntakeRates",
+    "PoolTimes",
+    "Processor",
+    "read_fleet_settings",
+]
 
 # Unknown fields are ignored, as later versions of the platform may add some.
 OPEN = ConfigDict(extra="ignore", allow_inf_nan=False)
@@ -59,6 +65,35 @@
         return self.share * self.cores
 
 
+# A load reads all partitions in parallel, with one connection for each of
+# them; a node has 16 connections to the store.
+MAX_INTAKE_PARTITIONS = 16
+
+
+@dataclass(frozen=True)
+class IntakeRates:
+    """Write rates of the store, which give the number of intake partitions.
+
+    - `store_writes_per_second`: of the store, for all nodes together; 0 if
+      it is not known.
+    - `partition_writes_per_second`: of one partition; 0 if it is not known.
+    """
+
+    __pydantic_config__ = OPEN
+
+    store_writes_per_second: float = 0.0
+    partition_writes_per_second: float = 0.0
+
+    def count_partitions(self, shards: int = 1) -> int:
+        """Return the number of intake partitions of a shard, at least 1."""
+        if self.partition_writes_per_second <= 0:
+            return 1
+        partitions = (
+            self.store_writes_per_second / self.partition_writes_per_second
+        )
+        return max(1, min(int(partitions / shards), MAX_INTAKE_PARTITIONS))
+
+
 @dataclass(frozen=True)
 class FleetSettings:
     """The settings of one scheduler node. Addresses are `IP:port`.
@@ -97,6 +132,7 @@
     grace_seconds: float = 6.0
     pools: PoolTimes = field(default_factory=PoolTimes)
     processor: Processor = field(default_factory=Processor)
+    intake: IntakeRates = field(default_factory=IntakeRates)
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
--- /dev/null
+++ b/chestnutstair/scheduling/intake/__init__.py
@@ -0,0 +1,35 @@
+"""Job intake: the rows that submit and cancel jobs, and their storage."""
+
+from chestnutstair.scheduling.intake.layout import (
+    INTAKE_PARTITION,
+    INTAKE_TABLE,
+    IntakeLayout,
+)
+from chestnutstair.scheduling.intake.reader import (
+    IntakeReader,
+    IntakeTable,
+)
+from chestnutstair.scheduling.intake.rows import (
+    MalformedRowFailure,
+    build_cancel_key,
+    build_job_key,
+    decode_submission,
+    encode_submission,
+    is_cancellation,
+    parse_job_name,
+)
+
+__all__ = [
+    "INTAKE_PARTITION",
+    "INTAKE_TABLE",
+    "IntakeLayout",
+    "IntakeReader",
+    "IntakeTable",
+    "MalformedRowFailure",
+    "build_cancel_key",
+    "build_job_key",
+    "decode_submission",
+    "encode_submission",
+    "is_cancellation",
+    "parse_job_name",
+]
--- a/chestnutstair/scheduling/intake.py
+++ b/chestnutstair/scheduling/intake/rows.py
@@ -7,13 +7,15 @@
 from result import Err, Result
 
 from chestnutstair.scheduling.configuration import Queue
+from chestnutstair.scheduling.intake.layout import (
+    CANCEL_PREFIX,
+    IntakeLayout,
+)
 from chestnutstair.scheduling.ports import Row, RowKey, SubmissionCodec
 from chestnutstair.scheduling.progress import Submission
 from chestnutstair.state.failure import Failure
 
 __all__ = [
-    "INTAKE_PARTITION",
-    "INTAKE_TABLE",
     "MalformedRowFailure",
     "build_cancel_key",
     "build_job_key",
@@ -23,10 +25,7 @@
     "parse_job_name",
 ]
 
-INTAKE_TABLE = "intake"
-INTAKE_PARTITION = "intake"
-JOB_PREFIX = "job/"
-CANCEL_PREFIX = "cancel/"
+DEFAULT_LAYOUT = IntakeLayout()
 
 
 @dataclass(frozen=True)
@@ -36,14 +35,16 @@
     reason: str
 
 
-def build_job_key(job: str) -> RowKey:
+def build_job_key(job: str, layout: IntakeLayout = DEFAULT_LAYOUT) -> RowKey:
     """Return the key of a job's submission row."""
-    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, JOB_PREFIX + job)
+    return layout.build_job_key(job)
 
 
-def build_cancel_key(job: str) -> RowKey:
+def build_cancel_key(
+    job: str, layout: IntakeLayout = DEFAULT_LAYOUT
+) -> RowKey:
     """Return the key of the row whose presence cancels a job."""
-    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, CANCEL_PREFIX + job)
+    return layout.build_cancel_key(job)
 
 
 def is_cancellation(row: Row) -> bool:
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -16,8 +16,8 @@
 )
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake import (
-    build_cancel_key,
-    build_job_key,
+    IntakeLayout,
+    IntakeReader,
     encode_submission,
 )
 from chestnutstair.scheduling.leader import PROGRESS_TABLE, Leader
@@ -121,6 +121,10 @@
     failure: PlatformFailure | None = None
 
 
+def _find_default_layout(job: str) -> IntakeLayout:
+    return IntakeLayout()
+
+
 def _combine_results(
     own: Result[T, PlatformFailure], relayed: Result[T, PlatformFailure]
 ) -> Result[T, PlatformFailure]:
@@ -146,8 +150,11 @@
         is_cut_off: Callable[[], bool],
         clock: Clock,
         settings: JobRequestSettings,
+        find_layout: Callable[[str], IntakeLayout] = _find_default_layout,
     ) -> None:
         self._store = store
+        self._find_layout = find_layout
+        self._reader = IntakeReader(store, clock, settings.attempt_seconds)
         self._is_cut_off = is_cut_off
         self._link = link
         self._get_leader = get_leader
@@ -216,7 +223,7 @@
 
         `value` is the encoded submission.
         """
-        key = build_job_key(job)
+        key = self._find_layout(job).build_job_key(job)
         result = self._write_once(
             [Expectation(key, 0)], [RowWrite(key, value)], deadline
         )
@@ -288,12 +295,13 @@
 
         Returns whether the job is known; an unknown one is not cancelled.
         """
-        match self._read_row(build_job_key(job), deadline):
+        layout = self._find_layout(job)
+        match self._reader.find_submission(layout, job, deadline):
             case Err(failure):
                 return Err(failure)
             case Ok(None):
                 return Ok(False)
-        write = RowWrite(build_cancel_key(job), b"{}")
+        write = RowWrite(layout.build_cancel_key(job), b"{}")
         stored = self._write_once([], [write], deadline)
         match stored:
             case Err(failure):
@@ -305,22 +313,6 @@
             self._link.notify_cancelled(job)
         return Ok(True)
 
-    def _read_row(
-        self, key: RowKey, deadline: Deadline
-    ) -> Result[bytes | None, PlatformFailure]:
-        remaining_seconds = deadline.get_remaining_seconds(self._clock)
-        seconds = min(remaining_seconds, self._settings.attempt_seconds)
-        answer = self._store.read(
-            key.table,
-            key.partition,
-            Deadline.after(self._clock, seconds),
-            key.key,
-            key.key + "\0",
-        )
-        return answer.map(
-            lambda changes: changes.rows[0].value if changes.rows else None
-        )
-
     # Queries
 
     def describe_job(self, job: str, deadline: Deadline) -> Outcome:
@@ -351,15 +343,16 @@
             return record.stored_state.value if record is not None else ""
 
     def _read_state(self, job: str, deadline: Deadline) -> Outcome:
-        stored = self._read_row(build_job_key(job), deadline)
+        layout = self._find_layout(job)
+        stored = self._reader.find_submission(layout, job, deadline)
         if stored.is_err():
             return Outcome(failure=stored.err())
         if stored.unwrap() is None:
             return Outcome(known=False)
-        progress = self._read_row(
+        progress = self._reader.read_key(
             RowKey(PROGRESS_TABLE, PARTITION, job), deadline
         )
-        cancelled = self._read_row(build_cancel_key(job), deadline)
+        cancelled = self._reader.find_cancellation(layout, job, deadline)
         if progress.is_err() or cancelled.is_err():
             return Outcome(failure=progress.err() or cancelled.err())
         value = progress.unwrap()
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -12,7 +12,8 @@
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.intake import (
     INTAKE_PARTITION,
-    INTAKE_TABLE,
+    IntakeLayout,
+    IntakeTable,
     build_cancel_key,
     build_job_key,
     decode_submission,
@@ -123,12 +124,15 @@
         get_configuration: Callable[[], FleetConfiguration | None],
         clock: Clock,
         settings: LeaderSettings,
+        layout: IntakeLayout = IntakeLayout(),
     ) -> None:
         self._leadership = leadership
         self.tracker = tracker
         self._planner = planner
         self._advice = advice
         self._store = store
+        self._layout = layout
+        self._intake = IntakeTable(store, layout)
         self._sessions = sessions
         self._orders = orders
         self._decoder = decoder
@@ -186,7 +190,9 @@
             self._clock, self._settings.store_timeout_seconds
         )
         progress = self._store.read(PROGRESS_TABLE, PARTITION, deadline)
-        intake = self._store.read(INTAKE_TABLE, INTAKE_PARTITION, deadline)
+        intake = self._intake.read(
+            self._layout.table, INTAKE_PARTITION, deadline
+        )
         registry = self._store.read(
             REGISTRY_TABLE, REGISTRY_PARTITION, deadline
         )
@@ -208,9 +214,9 @@
             self._apply_registry(registry.unwrap())
         self._feeds = [
             ChangeFeed(
-                self._store,
+                self._intake,
                 self._clock,
-                INTAKE_TABLE,
+                self._layout.table,
                 INTAKE_PARTITION,
                 intake.unwrap().version,
                 self._apply_intake,
@@ -234,6 +240,8 @@
         if is_cancellation(row) or row.value is None:
             return
         name = parse_job_name(row)
+        if name in self.tracker.jobs:
+            return  # also stored in partition 0, before an upgrade
         match decode_submission(name, row.value, self._submissions):
             case Ok(submission):
                 self.tracker.restore_job(submission, stored.get(name))
@@ -514,17 +522,33 @@
                 for name in old
             ]
         )
-        keys = [
-            build(name)
-            for name in old
-            for build in (build_job_key, build_cancel_key)
-        ]
-        removed = self._store.commit(
-            [],
-            [RowWrite(key, None) for key in keys],
-            Deadline.after(self._clock, self._settings.store_timeout_seconds),
-        )
+        stored = self._remove_intake_rows(old)
         logger.info(
             "old jobs removed",
-            extra={"count": len(old), "stored": removed.is_ok()},
+            extra={"count": len(old), "stored": stored},
+        )
+
+    def _remove_intake_rows(self, jobs: list[str]) -> bool:
+        """Remove the rows of jobs; return whether all were removed.
+
+        A transaction has one partition. At most half of `batch_rows` jobs
+        are passed, and each has two rows in each of its partitions.
+        """
+        removals: dict[str, list[RowWrite]] = {}
+        for job in jobs:
+            for partition in self._layout.list_lookup_partitions(job):
+                removals.setdefault(partition, []).extend(
+                    RowWrite(build(job, partition), None)
+                    for build in (
+                        self._layout.build_job_key,
+                        self._layout.build_cancel_key,
+                    )
+                )
+        deadline = Deadline.after(
+            self._clock, self._settings.store_timeout_seconds
         )
+        results = [
+            self._store.commit([], writes, deadline)
+            for writes in removals.values()
+        ]
+        return all(result.is_ok() for result in results)
