--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -22,6 +22,7 @@
 )
 from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import FleetControllerSettings
+from chestnutstair.scheduling.intake import IntakeLayout
 from chestnutstair.scheduling.job_requests import (
     JobRequestHandler,
     JobRequestSettings,
@@ -103,6 +104,9 @@
         self._store = PlatformRowStore(
             self._build_client(settings.store_address, STORE_CONNECTIONS)
         )
+        self._intake_layout = IntakeLayout(
+            partitions=settings.intake.count_partitions()
+        )
         self._decoder = PlatformDecoder()
         self._workers = PlatformWorkerControl(
             clock, settings.policy_address, RunnerSettings()
@@ -147,6 +151,7 @@
             self._election.is_cut_off,
             clock,
             JobRequestSettings(),
+            self._find_intake_layout,
         )
 
     def _build_leader(self, term: Term, unchanged_seconds: float) -> Leader:
@@ -195,6 +200,7 @@
             lambda: self._watch.configuration,
             clock,
             LeaderSettings(),
+            self._intake_layout,
         )
         times = self._settings.pools
         fleet_controller = FleetController(
@@ -256,6 +262,10 @@
             ),
         )
 
+    def _find_intake_layout(self, job: str) -> IntakeLayout:
+        """Return where the rows of a job are stored."""
+        return self._intake_layout
+
     def _get_leader(self) -> Leader | None:
         leader = self._election.leader
         if leader is None or leader.has_ended:
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -10,7 +10,6 @@
 
 from chestnutstair.coordination.platform import (
     PlatformFailure,
-    RefusedFailure,
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
@@ -23,8 +22,11 @@
 )
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake import (
-    build_cancel_key,
-    build_job_key,
+    DEFAULT_LAYOUT,
+    IntakeLayout,
+    IntakeReader,
+    IntakeStorage,
+    IntakeWrite,
     encode_submission,
 )
 from chestnutstair.scheduling.leader import PROGRESS_TABLE, Leader
@@ -33,11 +35,8 @@
     SUBMISSIONS,
 )
 from chestnutstair.scheduling.ports import (
-    ConditionFailure,
-    Expectation,
     RowKey,
     RowStore,
-    RowWrite,
 )
 from chestnutstair.scheduling.progress import JobState
 from chestnutstair.scheduling.term import PARTITION
@@ -54,8 +53,7 @@
 class JobRequestSettings:
     """Timeouts of answering callers."""
 
-    # Timeout of one read or write of the store; a write usually takes
-    # 0.012 s.
+    # Timeout of one read of the store.
     attempt_seconds: float = 0.8
     # How long this node tries to write before it relays to the leader's
     # node: enough for a second attempt, which resolves a lost answer. With
@@ -64,8 +62,6 @@
     local_write_seconds: float = 0.95
     # Timeout of a call to the leader's node.
     leader_call_seconds: float = 0.4
-    # Pause between two attempts to write.
-    pause_seconds: float = 0.05
     # How long a queue's last known count is served while the leader does
     # not answer.
     pending_cache_seconds: float = 1.5
@@ -124,6 +120,8 @@
     - `state`: the job's state, for a query about a job.
     - `pending`: how many jobs have started no task, for a query about a
       queue.
+    - `retry_after_seconds`: when a caller whose submission was refused
+      should return; 0 if it is not known.
     - `failure`: None on success. UnavailableFailure means that nothing was
       stored, UnknownOutcomeFailure that it may have been stored.
     """
@@ -131,9 +129,14 @@
     known: bool = True
     state: str = ""
     pending: int = 0
+    retry_after_seconds: int = 0
     failure: PlatformFailure | None = None
 
 
+def _find_default_layout(job: str) -> IntakeLayout:
+    return DEFAULT_LAYOUT
+
+
 def _combine_results(
     own: Result[T, PlatformFailure], relayed: Result[T, PlatformFailure]
 ) -> Result[T, PlatformFailure]:
@@ -159,8 +162,12 @@
         is_cut_off: Callable[[], bool],
         clock: Clock,
         settings: JobRequestSettings,
+        find_layout: Callable[[str], IntakeLayout] = _find_default_layout,
     ) -> None:
         self._store = store
+        self._find_layout = find_layout
+        self._reader = IntakeReader(store, clock, settings.attempt_seconds)
+        self._storage = IntakeStorage(store, self._reader, clock)
         self._is_cut_off = is_cut_off
         self._link = link
         self._get_leader = get_leader
@@ -194,10 +201,12 @@
         result = self.store_submission(
             job, value, self._limit_local_attempts(deadline)
         )
-        if result.is_err() and self._get_leader() is None:
+        if self._may_relay(result):
             relayed = self._link.relay_submission(
                 job, value, self._compute_relay_seconds(deadline)
             )
+            key = self._find_layout(job).build_job_key(job)
+            self._storage.record_relay(key, relayed)
             result = _combine_results(result, relayed)
         logger.info(
             "submission",
@@ -213,7 +222,22 @@
         failure = result.err()
         kind = "stored" if failure is None else type(failure).__name__
         SUBMISSIONS.labels(kind).inc()
-        return Outcome(failure=failure)
+        return self._describe_failure(failure)
+
+    def _describe_failure(self, failure: PlatformFailure | None) -> Outcome:
+        match failure:
+            case None | UnknownOutcomeFailure():
+                return Outcome(failure=failure)
+        seconds = self._storage.compute_retry_after()
+        return Outcome(failure=failure, retry_after_seconds=seconds)
+
+    def _may_relay(self, result: Result[T, PlatformFailure]) -> bool:
+        match result:
+            case Err(failure):
+                return self._get_leader() is None and self._storage.may_relay(
+                    failure
+                )
+        return False
 
     @staticmethod
     def _refuse_cut_off(job: str) -> Outcome:
@@ -236,10 +260,8 @@
 
         `value` is the encoded submission.
         """
-        key = build_job_key(job)
-        result = self._write_once(
-            [Expectation(key, 0)], [RowWrite(key, value)], deadline
-        )
+        key = self._find_layout(job).build_job_key(job)
+        result = self._storage.store(IntakeWrite(key, value, True), deadline)
         if result.is_ok():
             leader = self._get_leader()
             if leader is not None:
@@ -248,39 +270,6 @@
                 self._link.notify_stored(job, value)
         return result
 
-    def _write_once(
-        self,
-        expectations: list[Expectation],
-        writes: list[RowWrite],
-        deadline: Deadline,
-    ) -> Result[None, PlatformFailure]:
-        """Write until the outcome is known or the deadline has passed.
-
-        A failed condition counts as success: the rows are already stored.
-        """
-        in_doubt = False
-        while True:
-            remaining_seconds = deadline.get_remaining_seconds(self._clock)
-            if remaining_seconds <= 0:
-                return Err(
-                    UnknownOutcomeFailure("no answer in time")
-                    if in_doubt
-                    else UnavailableFailure("deadline exceeded")
-                )
-            seconds = min(remaining_seconds, self._settings.attempt_seconds)
-            answer = self._store.commit(
-                expectations, writes, Deadline.after(self._clock, seconds)
-            )
-            match answer:
-                case Ok(_) | Err(ConditionFailure()):
-                    return Ok(None)
-                case Err(UnknownOutcomeFailure()):
-                    in_doubt = True
-                case Err((UnavailableFailure() | RefusedFailure()) as failure):
-                    if not in_doubt:
-                        return Err(failure)
-            self._clock.sleep(self._settings.pause_seconds)
-
     # Cancellations
 
     def cancel(
@@ -296,17 +285,19 @@
         if hidden is not None:
             return hidden
         result = self.store_cancel(job, self._limit_local_attempts(deadline))
-        if result.is_err() and self._get_leader() is None:
+        if self._may_relay(result):
             relayed = self._link.relay_cancel(
                 job, self._compute_relay_seconds(deadline)
             )
+            key = self._find_layout(job).build_cancel_key(job)
+            self._storage.record_relay(key, relayed)
             result = _combine_results(result, relayed)
         logger.info("cancellation", extra={"job": job, "outcome": str(result)})
         match result:
             case Ok(known):
                 return Outcome(known=known)
             case Err(failure):
-                return Outcome(failure=failure)
+                return self._describe_failure(failure)
         raise AssertionError(result)
 
     def store_cancel(
@@ -316,13 +307,14 @@
 
         Returns whether the job is known; an unknown one is not cancelled.
         """
-        match self._read_row(build_job_key(job), deadline):
+        layout = self._find_layout(job)
+        match self._reader.find_submission(layout, job, deadline):
             case Err(failure):
                 return Err(failure)
             case Ok(None):
                 return Ok(False)
-        write = RowWrite(build_cancel_key(job), b"{}")
-        stored = self._write_once([], [write], deadline)
+        write = IntakeWrite(layout.build_cancel_key(job), b"{}", False)
+        stored = self._storage.store(write, deadline)
         match stored:
             case Err(failure):
                 return Err(failure)
@@ -333,22 +325,6 @@
             self._link.notify_cancelled(job)
         return Ok(True)
 
-    def _read_row(
-        self, key: RowKey, deadline: Deadline
-    ) -> Result[bytes | None, PlatformFailure]:
-        remaining_seconds = deadline.get_remaining_seconds(self._clock)
-        seconds = min(remaining_seconds, self._settings.attempt_seconds)
-        answer = self._store.read(
-            key.table,
-            key.partition,
-            Deadline.after(self._clock, seconds),
-            key.key,
-            key.key + "\0",
-        )
-        return answer.map(
-            lambda changes: changes.rows[0].value if changes.rows else None
-        )
-
     # Access
 
     def _check_access(
@@ -389,7 +365,8 @@
             seconds = self._compute_relay_seconds(deadline)
             owner = self._link.ask_job_owner(job, seconds).unwrap_or(None)
         if owner is None:
-            match self._read_row(build_job_key(job), deadline):
+            layout = self._find_layout(job)
+            match self._reader.find_submission(layout, job, deadline):
                 case Err(failure):
                     # Nothing was written, so the outcome is not unknown.
                     return Err(UnavailableFailure(str(failure)))
@@ -442,15 +419,16 @@
             return record.stored_state.value if record is not None else ""
 
     def _read_state(self, job: str, deadline: Deadline) -> Outcome:
-        stored = self._read_row(build_job_key(job), deadline)
+        layout = self._find_layout(job)
+        stored = self._reader.find_submission(layout, job, deadline)
         if stored.is_err():
             return Outcome(failure=stored.err())
         if stored.unwrap() is None:
             return Outcome(known=False)
-        progress = self._read_row(
+        progress = self._reader.read_key(
             RowKey(PROGRESS_TABLE, PARTITION, job), deadline
         )
-        cancelled = self._read_row(build_cancel_key(job), deadline)
+        cancelled = self._reader.find_cancellation(layout, job, deadline)
         if progress.is_err() or cancelled.is_err():
             return Outcome(failure=progress.err() or cancelled.err())
         value = progress.unwrap()
--- a/chestnutstair/scheduling/turns.py
+++ b/chestnutstair/scheduling/turns.py
@@ -171,9 +171,8 @@
             turns[-1] = _add_job(turns[-1], arrival)
             return
         own = [item for item in recent if item.service == arrival.service]
-        if (
-            len(own) >= START_MIN_JOBS
-            and len(own) >= START_SHARE * len(recent)
+        if len(own) >= START_MIN_JOBS and len(own) >= START_SHARE * len(
+            recent
         ):
             self._begin_turn(own)
         elif turns:
