Name the rows of a shard in one data class

Term, election, leader, VM order history and wave progress take the names of their tables and partitions from ShardNames instead of constants. Shard 0 has today's names.

--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -19,9 +19,8 @@
     RowStore,
     RowWrite,
 )
+from chestnutstair.scheduling.shards.names import ShardNames
 from chestnutstair.scheduling.term import (
-    PARTITION,
-    TERM_KEY,
     Term,
     TermRow,
     TermSettings,
@@ -129,7 +128,10 @@
         settings: ElectionSettings,
         term_settings: TermSettings,
         power: float = 1.0,
+        names: ShardNames = ShardNames(),
     ) -> None:
+        self._names = names
+        self._key = names.term_key
         self._name = name
         self._zone = zone
         self._address = address
@@ -296,11 +298,11 @@
         """
         deadline = Deadline.after(self._clock, self._settings.read_seconds)
         answer = self._store.read(
-            TERM_KEY.table,
-            PARTITION,
+            self._key.table,
+            self._key.partition,
             deadline,
-            TERM_KEY.key,
-            TERM_KEY.key + "\0",
+            self._key.key,
+            self._key.key + "\0",
         )
         if answer.is_err():
             return False
@@ -361,8 +363,8 @@
         new_row = TermRow(self._name, self._address, epoch, 0, wall)
         deadline = Deadline.after(self._clock, self._settings.store_seconds)
         answer = self._store.commit(
-            [Expectation(TERM_KEY, version)],
-            [RowWrite(TERM_KEY, new_row.encode())],
+            [Expectation(self._key, version)],
+            [RowWrite(self._key, new_row.encode())],
             deadline,
         )
         if answer.is_err():
@@ -381,6 +383,7 @@
             new_row,
             answer.unwrap(),
             self._term_settings,
+            self._names,
         )
         leader = self._build_leader(term, unchanged_seconds)
         if not leader.load():
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -20,6 +20,7 @@
 from chestnutstair.scheduling.pool_sizes import PoolSize, PoolSizer
 from chestnutstair.scheduling.ports import RowStore, VmControl
 from chestnutstair.scheduling.progress import Lateness
+from chestnutstair.scheduling.shards.shard import Shard
 from chestnutstair.scheduling.vm_order_history import VmOrder, VmOrderHistory
 from chestnutstair.scheduling.vm_orders import VmOrderDispatcher
 from chestnutstair.scheduling.wave_progress import WaveProgress
@@ -43,6 +44,7 @@
         get_waves: Callable[[], list[MaintenanceWave]],
         clock: Clock,
         settings: FleetControllerSettings,
+        shard: Shard = Shard(),
     ) -> None:
         self._leader = leader
         self._tracker: JobTracker = leader.tracker
@@ -50,13 +52,14 @@
         self._get_waves = get_waves
         self._clock = clock
         self._settings = settings
-        self._waves = WaveProgress(leader, store, clock)
+        self._waves = WaveProgress(leader, store, clock, shard.names)
         self._order_history = VmOrderHistory(
             leader,
             store,
             clock,
             settings.min_order_interval_seconds,
             settings.maintenance_seconds + settings.settle_seconds,
+            shard.names,
         )
         self._state = FleetState(self._tracker)
         self._orders = VmOrderDispatcher(
--- a/chestnutstair/scheduling/intake.py
+++ b/chestnutstair/scheduling/intake.py
@@ -36,14 +36,17 @@
     reason: str
 
 
-def build_job_key(job: str) -> RowKey:
-    """Return the key of a job's submission row."""
-    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, JOB_PREFIX + job)
+def build_job_key(job: str, table: str = INTAKE_TABLE) -> RowKey:
+    """Return the key of a job's submission row in its shard's table."""
+    return RowKey(table, INTAKE_PARTITION, JOB_PREFIX + job)
 
 
-def build_cancel_key(job: str) -> RowKey:
-    """Return the key of the row whose presence cancels a job."""
-    return RowKey(INTAKE_TABLE, INTAKE_PARTITION, CANCEL_PREFIX + job)
+def build_cancel_key(job: str, table: str = INTAKE_TABLE) -> RowKey:
+    """Return the key of the row whose presence cancels a job.
+
+    `table` is the intake table of the job's shard.
+    """
+    return RowKey(table, INTAKE_PARTITION, CANCEL_PREFIX + job)
 
 
 def is_cancellation(row: Row) -> bool:
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -20,7 +20,7 @@
     build_job_key,
     encode_submission,
 )
-from chestnutstair.scheduling.leader import PROGRESS_TABLE, Leader
+from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.metrics import (
     SUBMISSION_SECONDS,
     SUBMISSIONS,
@@ -33,7 +33,7 @@
     RowWrite,
 )
 from chestnutstair.scheduling.progress import JobState
-from chestnutstair.scheduling.term import PARTITION
+from chestnutstair.scheduling.shards.names import ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["JobRequestHandler", "JobRequestSettings", "LeaderLink", "Outcome"]
@@ -357,7 +357,7 @@
         if stored.unwrap() is None:
             return Outcome(known=False)
         progress = self._read_row(
-            RowKey(PROGRESS_TABLE, PARTITION, job), deadline
+            ShardNames().build_progress_key(job), deadline
         )
         cancelled = self._read_row(build_cancel_key(job), deadline)
         if progress.is_err() or cancelled.is_err():
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -12,7 +12,6 @@
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.intake import (
     INTAKE_PARTITION,
-    INTAKE_TABLE,
     build_cancel_key,
     build_job_key,
     decode_submission,
@@ -31,7 +30,6 @@
 from chestnutstair.scheduling.ports import (
     Changes,
     Row,
-    RowKey,
     RowStore,
     RowWrite,
     SubmissionCodec,
@@ -39,7 +37,10 @@
 )
 from chestnutstair.scheduling.progress import JobState
 from chestnutstair.scheduling.sessions import WorkerSessions
-from chestnutstair.scheduling.term import PARTITION, Term, WriteOutcome
+from chestnutstair.scheduling.shards.names import PROGRESS_TABLE
+from chestnutstair.scheduling.shards.registry import RegistryFilter
+from chestnutstair.scheduling.shards.shard import Shard
+from chestnutstair.scheduling.term import Term, WriteOutcome
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
@@ -48,7 +49,6 @@
 
 logger = logging.getLogger(__name__)
 
-PROGRESS_TABLE = "progress"
 REGISTRY_TABLE = "servers"
 REGISTRY_PARTITION = ""
 
@@ -123,7 +123,10 @@
         get_configuration: Callable[[], FleetConfiguration | None],
         clock: Clock,
         settings: LeaderSettings,
+        shard: Shard = Shard(),
     ) -> None:
+        self._names = shard.names
+        self._registry = RegistryFilter(shard, decoder)
         self._leadership = leadership
         self.tracker = tracker
         self._planner = planner
@@ -131,7 +134,6 @@
         self._store = store
         self._sessions = sessions
         self._orders = orders
-        self._decoder = decoder
         self._submissions = submissions
         self._get_configuration = get_configuration
         self._clock = clock
@@ -185,8 +187,12 @@
         deadline = Deadline.after(
             self._clock, self._settings.store_timeout_seconds
         )
-        progress = self._store.read(PROGRESS_TABLE, PARTITION, deadline)
-        intake = self._store.read(INTAKE_TABLE, INTAKE_PARTITION, deadline)
+        progress = self._store.read(
+            PROGRESS_TABLE, self._names.partition, deadline
+        )
+        intake = self._store.read(
+            self._names.intake_table, INTAKE_PARTITION, deadline
+        )
         registry = self._store.read(
             REGISTRY_TABLE, REGISTRY_PARTITION, deadline
         )
@@ -210,7 +216,7 @@
             ChangeFeed(
                 self._store,
                 self._clock,
-                INTAKE_TABLE,
+                self._names.intake_table,
                 INTAKE_PARTITION,
                 intake.unwrap().version,
                 self._apply_intake,
@@ -358,12 +364,12 @@
 
     def apply_submission(self, job: str, value: bytes) -> None:
         """Apply a submission that another node has just stored."""
-        key = build_job_key(job)
+        key = build_job_key(job, self._names.intake_table)
         self._apply_intake(Changes((Row(key, value, 0),), 0))
 
     def apply_cancellation(self, job: str) -> None:
         """Apply a cancellation that another node has just stored."""
-        key = build_cancel_key(job)
+        key = build_cancel_key(job, self._names.intake_table)
         self._apply_intake(Changes((Row(key, b"{}", 0),), 0))
 
     def _apply_registry(self, changes: Changes) -> None:
@@ -373,12 +379,15 @@
         self.wake()
 
     def _apply_entry(self, row: Row) -> None:
+        name = row.key.key
         if row.value is None:
-            self.tracker.mark_worker_gone(row.key.key)
+            if not self._registry.is_foreign(name):
+                self.tracker.mark_worker_gone(name)
+            self._registry.forget(name)
             return
-        entry = self._decoder.read_worker(row.key.key, row.value)
+        entry = self._registry.read_worker(name, row.value)
         if entry is None:
-            return  # not a worker entry
+            return  # not a worker entry, or one of another shard
         worker = self.tracker.apply_worker_entry(entry)
         if worker is not None:
             self._sessions.start_session(worker)
@@ -387,6 +396,7 @@
         self._apply_registry(changes)
         names = {row.key.key for row in changes.rows}
         with self.tracker.lock:
+            self._registry.retain(names)
             for name in list(self.tracker.workers):
                 if name not in names:
                     self.tracker.mark_worker_gone(name)
@@ -460,7 +470,7 @@
         states = {}
         for name in self.tracker.dirty:
             record = self.tracker.jobs[name]
-            key = RowKey(PROGRESS_TABLE, PARTITION, name)
+            key = self._names.build_progress_key(name)
             writes.append(RowWrite(key, record.encode()))
             states[name] = record.state
         self.tracker.dirty.clear()
@@ -510,12 +520,12 @@
             return
         self.term.write(
             [
-                RowWrite(RowKey(PROGRESS_TABLE, PARTITION, name), None)
+                RowWrite(self._names.build_progress_key(name), None)
                 for name in old
             ]
         )
         keys = [
-            build(name)
+            build(name, self._names.intake_table)
             for name in old
             for build in (build_job_key, build_cancel_key)
         ]
--- /dev/null
+++ b/chestnutstair/scheduling/shards/registry.py
@@ -0,0 +1,48 @@
+"""Filter of registry rows for one shard."""
+
+from chestnutstair.scheduling.ports import WireDecoder, WorkerEntry
+from chestnutstair.scheduling.shards.shard import Shard
+
+__all__ = ["RegistryFilter"]
+
+
+class RegistryFilter:
+    """Decodes the registry entries of one shard's workers.
+
+    Remembers the workers of other shards, so that their later rows are not
+    decoded: with 16 shards these are fifteen of sixteen rows. A worker is
+    one lifetime of a VM and so never changes its shard. The owner must lock
+    access.
+    """
+
+    def __init__(self, shard: Shard, decoder: WireDecoder) -> None:
+        self._shard = shard
+        self._decoder = decoder
+        self._foreign: set[str] = set()
+
+    def is_foreign(self, name: str) -> bool:
+        """Return whether a worker is known to belong to another shard."""
+        return name in self._foreign
+
+    def forget(self, name: str) -> None:
+        """Forget a worker whose entry was removed."""
+        self._foreign.discard(name)
+
+    def retain(self, names: set[str]) -> None:
+        """Forget the workers that are not named."""
+        self._foreign &= names
+
+    def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
+        """Return a worker of this shard.
+
+        None for an entry that is not usable and for other shards' workers.
+        """
+        if name in self._foreign:
+            return None
+        entry = self._decoder.read_worker(name, value)
+        if entry is None or self._shard.is_only:
+            return entry
+        if self._shard.owns_worker(entry):
+            return entry
+        self._foreign.add(name)
+        return None
--- a/chestnutstair/scheduling/term.py
+++ b/chestnutstair/scheduling/term.py
@@ -16,10 +16,10 @@
     ConditionFailure,
     Expectation,
     Row,
-    RowKey,
     RowStore,
     RowWrite,
 )
+from chestnutstair.scheduling.shards.names import ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = [
@@ -34,8 +34,9 @@
 
 logger = logging.getLogger(__name__)
 
-PARTITION = "scheduler"
-TERM_KEY = RowKey("term", PARTITION, "leader")
+# The names of shard 0.
+PARTITION = ShardNames().partition
+TERM_KEY = ShardNames().term_key
 
 
 @dataclass(frozen=True)
@@ -116,8 +117,10 @@
         row: TermRow,
         version: int,
         settings: TermSettings,
+        names: ShardNames = ShardNames(),
     ) -> None:
         self._store = store
+        self._key = names.term_key
         self._clock = clock
         self._row = row
         self._version = version
@@ -177,8 +180,8 @@
         self, row: TermRow, writes: list[RowWrite], sent: float
     ) -> WriteOutcome | None:
         answer = self._store.commit(
-            [Expectation(TERM_KEY, self._version)],
-            [RowWrite(TERM_KEY, row.encode()), *writes],
+            [Expectation(self._key, self._version)],
+            [RowWrite(self._key, row.encode()), *writes],
             Deadline.after(self._clock, self._settings.attempt_seconds),
         )
         match answer:
@@ -210,7 +213,7 @@
     ) -> WriteOutcome:
         # An earlier attempt without an answer may have been applied.
         for stored in rows:
-            if stored.key.key == TERM_KEY.key and (
+            if stored.key.key == self._key.key and (
                 read_term(stored.value) == row
             ):
                 return self._record_success(row, stored.version, sent)
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -5,7 +5,7 @@
 
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
-from chestnutstair.scheduling.term import PARTITION
+from chestnutstair.scheduling.shards.names import ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["VmOrder", "VmOrderHistory"]
@@ -47,7 +47,9 @@
         clock: Clock,
         min_order_interval_seconds: float,
         maintenance_seconds: float,
+        names: ShardNames = ShardNames(),
     ) -> None:
+        self._partition = names.partition
         self._leader = leader
         self._store = store
         self._clock = clock
@@ -61,7 +63,7 @@
     def load(self) -> bool:
         """Load earlier leaders' orders; return whether the store answered."""
         deadline = Deadline.after(self._clock, CALL_SECONDS)
-        answer = self._store.read(ORDER_TABLE, PARTITION, deadline)
+        answer = self._store.read(ORDER_TABLE, self._partition, deadline)
         if answer.is_err():
             return False
         wall_time = self._clock.read_wall()
@@ -104,6 +106,6 @@
         for order in orders:
             fields = {"at": at, "service": order.service, "wave": order.wave}
             value = json.dumps(fields).encode()
-            key = RowKey(ORDER_TABLE, PARTITION, order.vm)
+            key = RowKey(ORDER_TABLE, self._partition, order.vm)
             writes.append(RowWrite(key, value))
         return self._leader.store(writes, CALL_SECONDS)
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -6,7 +6,7 @@
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
-from chestnutstair.scheduling.term import PARTITION
+from chestnutstair.scheduling.shards.names import ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["WaveProgress"]
@@ -27,7 +27,14 @@
     The records outlast a change of leader.
     """
 
-    def __init__(self, leader: Leader, store: RowStore, clock: Clock) -> None:
+    def __init__(
+        self,
+        leader: Leader,
+        store: RowStore,
+        clock: Clock,
+        names: ShardNames = ShardNames(),
+    ) -> None:
+        self._partition = names.partition
         self._leader = leader
         self._store = store
         self._clock = clock
@@ -39,7 +46,7 @@
     def load(self) -> bool:
         """Load earlier leaders' records; return whether the store answered."""
         deadline = Deadline.after(self._clock, CALL_SECONDS)
-        answer = self._store.read(MAINTENANCE_TABLE, PARTITION, deadline)
+        answer = self._store.read(MAINTENANCE_TABLE, self._partition, deadline)
         if answer.is_err():
             return False
         now = self._clock.read_monotonic()
@@ -62,7 +69,7 @@
         if wave.number not in self._first_seen_at:
             self._first_seen_at[wave.number] = now
             value = json.dumps({"known_at": self._clock.read_wall()})
-            key = RowKey(MAINTENANCE_TABLE, PARTITION, f"{wave.number}/")
+            key = RowKey(MAINTENANCE_TABLE, self._partition, f"{wave.number}/")
             self._leader.queue_write(RowWrite(key, value.encode()))
 
     def measure_age(self, wave: MaintenanceWave, now: float) -> float:
@@ -99,7 +106,7 @@
     def mark_begun(self, number: int, vm: str) -> None:
         """Record that the VM's maintenance in a wave has begun."""
         self._begun.add((number, vm))
-        key = RowKey(MAINTENANCE_TABLE, PARTITION, f"{number}/{vm}")
+        key = RowKey(MAINTENANCE_TABLE, self._partition, f"{number}/{vm}")
         self._leader.queue_write(RowWrite(key, b"{}"))
 
     def report_running(self, wave: MaintenanceWave) -> None:
