Divide the fleet into shards with a leader each

The layout row, decided once from the VM list, gives the number of shards. Each node runs an election for each shard on one thread; submissions, cancellations, queries, relays and notices go to the leader of the job's shard, and the count of a queue is the sum over shards. Leaders filter registry entries and VMs, and get their part of the rate limit on orders. A leader tells its pollers how long to wait, so that it gets 80 status calls a second; nodes learn leaders from the answers, and a budget bounds their reads of terms.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -1,6 +1,8 @@
 """The composition root of a scheduler node."""
 
 import logging
+from collections.abc import Callable
+from functools import partial
 
 from chestnutstair.fleet_settings import FleetSettings
 from chestnutstair.platform import (
@@ -18,6 +20,7 @@
     Election,
     ElectionSettings,
     LeaderStatus,
+    NodeContact,
 )
 from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import FleetControllerSettings
@@ -36,10 +39,17 @@
     SessionSettings,
     WorkerSessions,
 )
+from chestnutstair.scheduling.shards import Shard
+from chestnutstair.scheduling.shards.elections import ShardElections
+from chestnutstair.scheduling.shards.layout_source import (
+    LayoutSettings,
+    LayoutSource,
+)
 from chestnutstair.scheduling.term import Term, TermSettings
 from chestnutstair.state.deadline import Clock
 from chestnutstair.transport.leader_calls import (
     HttpLeaderLink,
+    ShardStatusSource,
     build_node_application,
 )
 from chestnutstair.transport.platform_client import (
@@ -105,21 +115,30 @@
             clock,
         )
         self._watch = OperatorWatch(
-            self._store, self._decoder, clock, self._wake_leader
+            self._store, self._decoder, clock, self._wake_leaders
         )
-        self._link = HttpLeaderLink(clock, self._get_leader_address)
-        self._election = Election(
+        self._link = HttpLeaderLink(
+            clock,
+            self._get_leader_address,
+            self._find_shard,
+            self._report_failure,
+            settings.name,
+        )
+        self._election_settings = ElectionSettings()
+        layout_source = LayoutSource(
             settings.name,
-            settings.zone,
-            settings.nodes_address,
             self._store,
-            self._link,
-            self._build_leader,
-            self._fetch_newer_configuration,
+            self._vms,
+            settings.vms_per_shard,
             clock,
-            ElectionSettings(),
-            TermSettings(),
-            settings.processor.available_cores,
+            LayoutSettings(),
+        )
+        self._election = ShardElections(
+            layout_source,
+            self._build_election,
+            lambda: self._watch.is_failing,
+            clock,
+            self._election_settings.cut_off_seconds,
         )
         self._job_requests = JobRequestHandler(
             self._store,
@@ -128,9 +147,40 @@
             self._election.is_cut_off,
             clock,
             JobRequestSettings(),
+            lambda: self._election.layout,
+        )
+
+    def _build_election(
+        self,
+        shard: Shard,
+        contact: NodeContact,
+        count_led: Callable[[], int],
+        may_check: Callable[[], bool],
+        run_load: Callable[[Callable[[], None]], None],
+    ) -> Election:
+        settings = self._settings
+        return Election(
+            settings.name,
+            settings.zone,
+            settings.nodes_address,
+            self._store,
+            ShardStatusSource(self._link, shard.number),
+            partial(self._build_leader, shard),
+            self._apply_status,
+            self._clock,
+            self._election_settings,
+            TermSettings(),
+            settings.processor.available_cores,
+            shard,
+            contact,
+            count_led,
+            may_check,
+            run_load,
         )
 
-    def _build_leader(self, term: Term, unchanged_seconds: float) -> Leader:
+    def _build_leader(
+        self, shard: Shard, term: Term, unchanged_seconds: float
+    ) -> Leader:
         clock = self._clock
         settings = OrderSettings(
             lease_seconds=min(
@@ -176,6 +226,7 @@
             lambda: self._watch.configuration,
             clock,
             LeaderSettings(),
+            shard,
         )
         times = self._settings.pools
         fleet_controller = FleetController(
@@ -189,8 +240,9 @@
                 min_order_interval_seconds=times.turn_seconds,
                 move_seconds=times.move_seconds,
                 maintenance_seconds=times.maintenance_seconds,
-                orders_per_second=times.orders_per_second,
+                orders_per_second=times.orders_per_second * shard.share,
             ),
+            shard,
         )
         leader.add_start_callback(fleet_controller.start)
         return leader
@@ -236,23 +288,31 @@
             ),
         )
 
-    def _get_leader(self) -> Leader | None:
-        leader = self._election.leader
-        if leader is None or leader.has_ended:
-            return None
-        return leader
+    def _get_leader(self, shard: int) -> Leader | None:
+        return self._election.get_leader(shard)
 
-    def _get_leader_address(self) -> str:
-        return self._election.leader_address
+    def _get_leader_address(self, shard: int) -> str:
+        return self._election.get_leader_address(shard)
 
-    def _describe(self) -> LeaderStatus:
-        return self._election.describe(self._watch.configuration_version)
+    def _report_failure(self, shard: int) -> None:
+        self._election.report_failure(shard)
 
-    def _wake_leader(self) -> None:
-        leader = self._get_leader()
-        if leader is not None:
+    def _find_shard(self, job: str) -> int:
+        layout = self._election.layout
+        return layout.find_shard_of_job(job) if layout is not None else 0
+
+    def _describe(self, shard: int, poller: str) -> LeaderStatus:
+        version = self._watch.configuration_version
+        return self._election.describe(shard, poller, version)
+
+    def _wake_leaders(self) -> None:
+        for leader in self._election.list_leaders():
             leader.wake()
 
+    def _apply_status(self, address: str, status: LeaderStatus) -> None:
+        self._election.apply_leaders(status.leaders)
+        self._fetch_newer_configuration(address, status)
+
     def _fetch_newer_configuration(
         self, address: str, status: LeaderStatus
     ) -> None:
--- a/chestnutstair/fleet_settings.py
+++ b/chestnutstair/fleet_settings.py
@@ -17,6 +17,7 @@
 
 # Unknown fields are ignored, as later versions of the platform may add some.
 OPEN = ConfigDict(extra="ignore", allow_inf_nan=False)
+VmCount = Annotated[int, Field(gt=0)]
 Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 
 
@@ -75,6 +76,8 @@
     - `longest_lease_seconds`: longest lease that workers grant.
     - `longest_stop_seconds`: longest time in which a worker stops a run.
     - `grace_seconds`: how long a stop may take.
+    - `vms_per_shard`: most VMs of one shard when the number of shards is
+      decided, at the first start of the deployment.
     - `log_level`: lowest level of the records that are logged.
 
     The capacity of `processor` determines how soon the node takes over as
@@ -95,6 +98,7 @@
     longest_lease_seconds: float = 6.0
     longest_stop_seconds: float = 1.0
     grace_seconds: float = 6.0
+    vms_per_shard: VmCount = 300
     pools: PoolTimes = field(default_factory=PoolTimes)
     processor: Processor = field(default_factory=Processor)
     log_level: Literal["debug", "info", "warning", "error"] = "info"
--- a/chestnutstair/scheduling/change_feed.py
+++ b/chestnutstair/scheduling/change_feed.py
@@ -72,6 +72,11 @@
         """Stop following, without waiting for a read in progress."""
         self._stopped.set()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last read failed."""
+        return self._failing
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -19,7 +19,9 @@
     RowStore,
     RowWrite,
 )
-from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
+from chestnutstair.scheduling.shards.spread import compute_fraction
+from chestnutstair.scheduling.shards.status_pacing import CALLS_PER_SECOND
 from chestnutstair.scheduling.term import (
     Term,
     TermRow,
@@ -28,7 +30,13 @@
 )
 from chestnutstair.state.deadline import Clock, Deadline
 
-__all__ = ["Election", "ElectionSettings", "LeaderStatus", "StatusSource"]
+__all__ = [
+    "Election",
+    "ElectionSettings",
+    "LeaderStatus",
+    "NodeContact",
+    "StatusSource",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -74,6 +82,17 @@
     # which is two or three checks, counts as cut off: it cannot serve
     # callers.
     cut_off_seconds: float = 0.8
+    # With several shards, a node waits this much longer before it takes a
+    # term for each one that it leads, which is two checks of other nodes.
+    led_wait_seconds: float = 0.5
+    # With several shards, nodes take terms spread over this time, so that
+    # hundreds of them do not write the same row at once.
+    spread_seconds: float = 0.3
+    # Number of nodes that watch the row of a leader which does not answer;
+    # 160 reads a second of one partition. The other nodes wait for one of
+    # them to take over, at first for `bystander_seconds`.
+    watchers: int = 40
+    bystander_seconds: float = 2.5
 
 
 @dataclass(frozen=True)
@@ -81,13 +100,17 @@
     """A node's answer to a status call of another node.
 
     `age_seconds` is the age of the leader's last write to the store, 0 on a
-    node that does not lead.
+    node that does not lead. `poll_seconds` is how long the caller should
+    wait until its next call. `leaders` are the addresses of the leaders by
+    shard, as far as the node knows them, if there are several shards.
     """
 
     leading: bool
     epoch: int
     age_seconds: float
     configuration_version: int
+    poll_seconds: float = 0.0
+    leaders: tuple[str, ...] = ()
 
 
 class StatusSource(Protocol):
@@ -112,8 +135,53 @@
     DEAD = "dead"  # its address refuses connections
 
 
+class NodeContact:
+    """Whether this node reaches any leader or the store.
+
+    Shared by the elections of all shards.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._isolated_since: float | None = None
+
+    def record(self, reached: bool, began: float) -> None:
+        """Record whether a leader or the store answered a call.
+
+        `began` is the monotonic time of the call.
+        """
+        if reached:
+            if self._isolated_since is not None:
+                logger.info("leader or store reachable again")
+            self._isolated_since = None
+        elif self._isolated_since is None:
+            self._isolated_since = began
+            logger.warning("neither leader nor store reached")
+
+    def is_isolated(self, seconds: float) -> bool:
+        """Return whether nothing has answered for the given seconds."""
+        since = self._isolated_since
+        return since is not None and (
+            self._clock.read_monotonic() - since >= seconds
+        )
+
+
+def _run_inline(task: Callable[[], None]) -> None:
+    task()
+
+
 class Election:
-    """Monitors the leader and takes over when its term has expired."""
+    """Monitors a shard's leader and takes over when its term has expired.
+
+    Its rounds are run by one thread, with those of the other shards.
+
+    - `count_led`: returns how many shards this node leads.
+    - `may_check`: returns whether a leader that did not answer last time, or
+      that is not known, may be checked now by a status call and a read of
+      its row.
+    - `run_load`: runs the loading of a leader's state, which takes seconds;
+      with several shards on a thread of its own.
+    """
 
     def __init__(
         self,
@@ -128,10 +196,18 @@
         settings: ElectionSettings,
         term_settings: TermSettings,
         power: float = 1.0,
-        names: ShardNames = ShardNames(),
+        shard: Shard = ONLY_SHARD,
+        contact: NodeContact | None = None,
+        count_led: Callable[[], int] | None = None,
+        may_check: Callable[[], bool] = lambda: True,
+        run_load: Callable[[Callable[[], None]], None] = _run_inline,
     ) -> None:
-        self._names = names
-        self._key = names.term_key
+        self._shard = shard
+        self._key = shard.names.term_key
+        self._contact = contact or NodeContact(clock)
+        self._count_led = count_led or self._count_self
+        self._may_check = may_check
+        self._run_load = run_load
         self._name = name
         self._zone = zone
         self._address = address
@@ -145,31 +221,35 @@
         missing_share = max(0.0, 1.0 - power / settings.required_power)
         self._yield_seconds = missing_share * settings.yield_seconds
         self._expired_since: float | None = None
-        self._stopped = threading.Event()
+        self._take_over_at = math.inf
+        self._lock = threading.Lock()
+        self._loading: Leader | None = None
         self._row_version = -1
         self._row_changed_at = 0.0
         self._unfit_since: float | None = None
         self._cooldown_until = 0.0
         self._may_lead = True
-        self._isolated_since: float | None = None
+        # State of the leader in the last round, and when it last answered.
+        self._health = LeaderHealth.STALE
+        self._fresh_at = -math.inf
+        # The interval that the leader asked for, 0 before its first answer.
+        self._told_seconds = 0.0
         self.leader: Leader | None = None
         self.leader_address = ""
-        self._thread = threading.Thread(
-            target=self._run, name="election", daemon=True
-        )
-
-    def start(self) -> None:
-        """Start the election loop on a thread of its own."""
-        self._thread.start()
 
     def stop(self) -> None:
-        """Stop; release the term if leading, for an immediate takeover."""
-        self._may_lead = False
-        self._stopped.set()
-        self._thread.join()
-        if self.leader is not None:
-            self.leader.end(release=not self.leader.has_ended)
-            self.leader = None
+        """Release the term if leading, so that another node takes over.
+
+        The thread that runs the rounds must have stopped.
+        """
+        with self._lock:
+            self._may_lead = False
+            leader, self.leader = self.leader, None
+        if leader is not None:
+            leader.end(release=not leader.has_ended)
+
+    def _count_self(self) -> int:
+        return int(self.is_leading)
 
     @property
     def is_leading(self) -> bool:
@@ -188,20 +268,7 @@
             # Other nodes replace a leader that cannot write.
             age = self._clock.read_boottime() - leader.term.renewed_at
             return age > self._settings.expiry_seconds
-        max_seconds = self._settings.cut_off_seconds
-        since = self._isolated_since
-        return since is not None and (
-            self._clock.read_monotonic() - since >= max_seconds
-        )
-
-    def _record_contact(self, reached: bool, began: float) -> None:
-        if reached:
-            if self._isolated_since is not None:
-                logger.info("leader or store reachable again")
-            self._isolated_since = None
-        elif self._isolated_since is None:
-            self._isolated_since = began
-            logger.warning("neither leader nor store reached")
+        return self._contact.is_isolated(self._settings.cut_off_seconds)
 
     def describe(self, configuration_version: int) -> LeaderStatus:
         """Return this node's status."""
@@ -213,33 +280,93 @@
             True, leader.term.epoch, age, configuration_version
         )
 
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            try:
-                self._step()
-            except Exception:
-                # If this loop ended, no node would replace a failed leader.
-                logger.exception("election round failed")
-            pause = self._settings.poll_seconds * random.uniform(0.8, 1.2)
-            self._stopped.wait(pause)
+    def run_round(self) -> float:
+        """Check the leader once; return the seconds until the next round."""
+        try:
+            self._step()
+        except Exception:
+            # If the rounds ended, no node would replace a failed leader.
+            logger.exception("election round failed")
+        return self._choose_pause()
+
+    def _choose_pause(self) -> float:
+        pause = self._settings.poll_seconds
+        if self.leader is None and self._loading is None:
+            if self._health is LeaderHealth.FRESH or self._is_bystander():
+                pause = max(pause, self._told_seconds)
+            until = self._take_over_at - self._clock.read_monotonic()
+            if until > 0 and not self._shard.is_only:
+                return min(pause, until)
+        return pause * random.uniform(0.8, 1.2)
+
+    def suggest_leader(self, address: str) -> bool:
+        """Note the address of the leader that another node knows.
+
+        It is checked in the next round. Returns whether it is news: not
+        while the known leader answers, or this node leads.
+        """
+        if (
+            self._health is LeaderHealth.FRESH
+            or self.leader is not None
+            or address in ("", self.leader_address)
+        ):
+            return False
+        self.leader_address = address
+        return True
+
+    def _is_bystander(self) -> bool:
+        """Return whether this node leaves the takeover to others for now.
+
+        Each leader has some nodes that watch its row, chosen by a hash. The
+        others watch it too if those have not replaced the leader in time.
+        """
+        pollers = self._told_seconds * CALLS_PER_SECOND
+        if self._shard.is_only or pollers <= self._settings.watchers:
+            return False
+        age = self._clock.read_monotonic() - self._fresh_at
+        if age > self._settings.bystander_seconds + self._told_seconds:
+            return False
+        fraction = compute_fraction(self._name, self._shard.number)
+        return fraction >= self._settings.watchers / pollers
 
     def _step(self) -> None:
-        LEADING.set(int(self.is_leading))
+        LEADING.set(self._count_led())
+        if self._loading is not None:
+            return
         leader = self.leader
         if leader is not None:
             if leader.has_ended:
                 leader.end(release=False)
                 self.leader = None
                 self.leader_address = ""
+                self._health = LeaderHealth.STALE
             else:
+                self._record_own_writes(leader)
                 self._check_fitness(leader)
             return
         began = self._clock.read_monotonic()
-        health = self._check_leader()
+        was_fresh = self._health is LeaderHealth.FRESH
+        if not was_fresh and not self._may_check():
+            return
+        health = self._health = self._check_leader()
         reached = health in (LeaderHealth.FRESH, LeaderHealth.CUT_OFF)
-        if health is not LeaderHealth.FRESH:
+        if health is LeaderHealth.FRESH:
+            self._fresh_at = began
+            self._take_over_at = math.inf
+        elif self._is_bystander() or (was_fresh and not self._may_check()):
+            if reached:
+                self._contact.record(True, began)
+            return
+        else:
             reached = self._check_row(health) or reached
-        self._record_contact(reached, began)
+        self._contact.record(reached, began)
+
+    def _record_own_writes(self, leader: Leader) -> None:
+        """Record whether the store takes the writes of this node's leader."""
+        if not self._shard.is_only:
+            age = self._clock.read_boottime() - leader.term.renewed_at
+            now = self._clock.read_monotonic()
+            self._contact.record(age <= self._settings.expiry_seconds, now)
 
     def _check_fitness(self, leader: Leader) -> None:
         """Step down after reaching too few workers for `unfit_seconds`."""
@@ -284,6 +411,7 @@
                 self._on_status(self.leader_address, status)
                 if not status.leading:
                     return LeaderHealth.STALE
+                self._told_seconds = status.poll_seconds
                 fresh = status.age_seconds <= self._settings.fresh_seconds
                 return LeaderHealth.FRESH if fresh else LeaderHealth.CUT_OFF
             case Err(failure):
@@ -314,20 +442,31 @@
             self._row_version = version
             self._row_changed_at = now
             self._expired_since = None
+            self._take_over_at = math.inf
         if row is not None and row.address != self.leader_address:
             health = LeaderHealth.STALE  # the status call went to another node
         if row and not row.released and row.holder != self._name:
             self.leader_address = row.address
         if not self._is_expired(row, health, now):
             self._expired_since = None
+            self._take_over_at = math.inf
             return True
         if self._expired_since is None:
             self._expired_since = now
-        waits = now - self._expired_since < self._yield_seconds
-        if now >= self._cooldown_until and not waits:
+        self._take_over_at = self._expired_since + self._compute_wait()
+        if now >= self._cooldown_until and now >= self._take_over_at:
             self._take_over(row, version)
         return True
 
+    def _compute_wait(self) -> float:
+        """Return how long this node leaves an expired term to others."""
+        wait = self._yield_seconds
+        if not self._shard.is_only:
+            wait += self._count_led() * self._settings.led_wait_seconds
+            fraction = compute_fraction(self._name, self._shard.number)
+            wait += fraction * self._settings.spread_seconds
+        return wait
+
     def _is_expired(
         self, row: TermRow | None, health: LeaderHealth, now: float
     ) -> bool:
@@ -383,11 +522,30 @@
             new_row,
             answer.unwrap(),
             self._term_settings,
-            self._names,
+            self._shard.names,
         )
         leader = self._build_leader(term, unchanged_seconds)
-        if not leader.load():
-            return
-        self.leader = leader
-        self.leader_address = self._address
-        leader.start()
+        self._loading = leader
+        self._run_load(lambda: self._load(leader))
+
+    @property
+    def is_loading(self) -> bool:
+        """Whether this node has taken the term and its leader loads."""
+        return self._loading is not None
+
+    def _load(self, leader: Leader) -> None:
+        try:
+            if not leader.load():
+                return
+            with self._lock:
+                may_lead = self._may_lead
+                if may_lead:
+                    self.leader = leader
+                    self.leader_address = self._address
+            if may_lead:
+                leader.start()
+            else:
+                leader.end(release=True)
+        finally:
+            self._take_over_at = math.inf
+            self._loading = None
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -20,7 +20,7 @@
 from chestnutstair.scheduling.pool_sizes import PoolSize, PoolSizer
 from chestnutstair.scheduling.ports import RowStore, VmControl
 from chestnutstair.scheduling.progress import Lateness
-from chestnutstair.scheduling.shards.shard import Shard
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.vm_order_history import VmOrder, VmOrderHistory
 from chestnutstair.scheduling.vm_orders import VmOrderDispatcher
 from chestnutstair.scheduling.wave_progress import WaveProgress
@@ -44,7 +44,7 @@
         get_waves: Callable[[], list[MaintenanceWave]],
         clock: Clock,
         settings: FleetControllerSettings,
-        shard: Shard = Shard(),
+        shard: Shard = ONLY_SHARD,
     ) -> None:
         self._leader = leader
         self._tracker: JobTracker = leader.tracker
@@ -70,6 +70,7 @@
             self._state,
             clock,
             settings,
+            shard,
         )
         self._sizer = PoolSizer(self._tracker, self._state, settings)
         self._wave_controller = WaveController(
@@ -105,7 +106,7 @@
 
     def _step(self) -> None:
         self._orders.refresh_list()
-        if not self._state.listed or not self._orders.may_order():
+        if not self._state.shards or not self._orders.may_order():
             return
         now = self._clock.read_monotonic()
         self._orders.update_orders(now)
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -27,6 +27,11 @@
     list_seconds: float = 0.5
     list_factor: float = 20.0
     list_max_seconds: float = 2.0
+    # With several shards, their leaders read at most this many pages of the
+    # VM list a second in all. A leader knows the outcome of its own orders
+    # without the list.
+    list_pages_per_second: float = 40.0
+    list_page_vms: int = 200
     # Minimum time between the orders of two leaders for the same VM.
     min_order_interval_seconds: float = 3.0
     # How long a VM is away for a move, and for maintenance.
@@ -99,12 +104,16 @@
 class FleetState:
     """The VMs as last listed, unfinished orders, and drains, by VM name.
 
+    They are the VMs of one shard.
+
     Used only by the thread of the fleet controller.
     """
 
     def __init__(self, tracker: JobTracker) -> None:
         self._tracker = tracker
         self.listed: dict[str, Vm] = {}
+        # The shard of every listed VM, also of those of other shards.
+        self.shards: dict[str, int] = {}
         self.orders: dict[str, VmOrder] = {}
         self.drains: dict[str, Drain] = {}
 
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -33,7 +33,12 @@
     RowWrite,
 )
 from chestnutstair.scheduling.progress import JobState
+from chestnutstair.scheduling.shards.layout import ONE_SHARD, ShardLayout
 from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.queue_counts import (
+    QueueCounts,
+    QueueCountsSettings,
+)
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["JobRequestHandler", "JobRequestSettings", "LeaderLink", "Outcome"]
@@ -65,7 +70,10 @@
 
 
 class LeaderLink(Protocol):
-    """Client for calls to the leader's node; `seconds` are timeouts."""
+    """Client for calls to the leaders' nodes; `seconds` are timeouts.
+
+    A call about a job goes to the leader of the job's shard.
+    """
 
     def ask_job_state(
         self, job: str, seconds: float
@@ -79,6 +87,12 @@
         """Return how many jobs of a queue have started no task."""
         ...
 
+    def ask_pending_counts(
+        self, shard: int, seconds: float
+    ) -> Result[dict[str, int], PlatformFailure]:
+        """Return a shard's counts of jobs without a started task, by queue."""
+        ...
+
     def notify_stored(self, job: str, value: bytes) -> None:
         """Notify the leader of a stored submission, without waiting."""
         ...
@@ -136,17 +150,27 @@
 
 
 class JobRequestHandler:
-    """Stores submissions and cancellations; answers queries about jobs."""
+    """Stores submissions and cancellations; answers queries about jobs.
+
+    - `get_leader`: returns the leader of a shard if this node leads it.
+    - `get_layout`: returns the layout, None while it is not known. The node
+      counts as cut off until then.
+    """
 
     def __init__(
         self,
         store: RowStore,
         link: LeaderLink,
-        get_leader: Callable[[], Leader | None],
+        get_leader: Callable[[int], Leader | None],
         is_cut_off: Callable[[], bool],
         clock: Clock,
         settings: JobRequestSettings,
+        get_layout: Callable[[], ShardLayout | None] = lambda: ONE_SHARD,
     ) -> None:
+        self._get_layout = get_layout
+        self._counts = QueueCounts(
+            self._ask_pending_counts, clock, QueueCountsSettings()
+        )
         self._store = store
         self._is_cut_off = is_cut_off
         self._link = link
@@ -156,6 +180,25 @@
         # The leader's last count of pending jobs and its time, by queue.
         self._pending: dict[str, tuple[int, float]] = {}
 
+    # Shards
+
+    def _find_names(self, job: str) -> ShardNames:
+        layout = self._get_layout() or ONE_SHARD
+        return ShardNames(layout.find_shard_of_job(job))
+
+    def _get_job_leader(self, job: str) -> Leader | None:
+        """Return the leader of the job's shard if this node leads it."""
+        return self._get_leader(self._find_names(job).shard)
+
+    def _ask_pending_counts(
+        self, shard: int
+    ) -> Result[dict[str, int], PlatformFailure]:
+        leader = self._get_leader(shard)
+        if leader is not None:
+            return Ok(leader.count_pending_by_queue())
+        seconds = self._settings.leader_call_seconds
+        return self._link.ask_pending_counts(shard, seconds)
+
     # Submissions
 
     def submit(
@@ -175,7 +218,7 @@
         result = self.store_submission(
             job, value, self._limit_local_attempts(deadline)
         )
-        if result.is_err() and self._get_leader() is None:
+        if result.is_err() and self._get_job_leader(job) is None:
             relayed = self._link.relay_submission(
                 job, value, self._compute_relay_seconds(deadline)
             )
@@ -216,12 +259,12 @@
 
         `value` is the encoded submission.
         """
-        key = build_job_key(job)
+        key = build_job_key(job, self._find_names(job).intake_table)
         result = self._write_once(
             [Expectation(key, 0)], [RowWrite(key, value)], deadline
         )
         if result.is_ok():
-            leader = self._get_leader()
+            leader = self._get_job_leader(job)
             if leader is not None:
                 leader.apply_submission(job, value)
             else:
@@ -268,7 +311,7 @@
         if self._is_cut_off():
             return self._refuse_cut_off(job)
         result = self.store_cancel(job, self._limit_local_attempts(deadline))
-        if result.is_err() and self._get_leader() is None:
+        if result.is_err() and self._get_job_leader(job) is None:
             relayed = self._link.relay_cancel(
                 job, self._compute_relay_seconds(deadline)
             )
@@ -288,17 +331,18 @@
 
         Returns whether the job is known; an unknown one is not cancelled.
         """
-        match self._read_row(build_job_key(job), deadline):
+        table = self._find_names(job).intake_table
+        match self._read_row(build_job_key(job, table), deadline):
             case Err(failure):
                 return Err(failure)
             case Ok(None):
                 return Ok(False)
-        write = RowWrite(build_cancel_key(job), b"{}")
+        write = RowWrite(build_cancel_key(job, table), b"{}")
         stored = self._write_once([], [write], deadline)
         match stored:
             case Err(failure):
                 return Err(failure)
-        leader = self._get_leader()
+        leader = self._get_job_leader(job)
         if leader is not None:
             leader.apply_cancellation(job)
         else:
@@ -331,7 +375,7 @@
         """
         if self._is_cut_off():
             return self._refuse_cut_off(job)
-        leader = self._get_leader()
+        leader = self._get_job_leader(job)
         if leader is not None:
             state = self.get_stored_state(leader, job)
         else:
@@ -351,15 +395,15 @@
             return record.stored_state.value if record is not None else ""
 
     def _read_state(self, job: str, deadline: Deadline) -> Outcome:
-        stored = self._read_row(build_job_key(job), deadline)
+        names = self._find_names(job)
+        table = names.intake_table
+        stored = self._read_row(build_job_key(job, table), deadline)
         if stored.is_err():
             return Outcome(failure=stored.err())
         if stored.unwrap() is None:
             return Outcome(known=False)
-        progress = self._read_row(
-            ShardNames().build_progress_key(job), deadline
-        )
-        cancelled = self._read_row(build_cancel_key(job), deadline)
+        progress = self._read_row(names.build_progress_key(job), deadline)
+        cancelled = self._read_row(build_cancel_key(job, table), deadline)
         if progress.is_err() or cancelled.is_err():
             return Outcome(failure=progress.err() or cancelled.err())
         value = progress.unwrap()
@@ -371,14 +415,27 @@
         started = any(task[1] for task in fields.get("tasks", {}).values())
         return Outcome(state=JobState.RUNNING if started else JobState.QUEUED)
 
+    def _count_in_all(self, queue: Queue, shards: int) -> Outcome:
+        match self._counts.count(queue.name, shards):
+            case Ok(count):
+                return Outcome(pending=count)
+            case Err(failure):
+                return Outcome(failure=failure)
+        raise AssertionError(queue)
+
     def count_pending(self, queue: Queue) -> Outcome:
         """Return how many jobs of a queue have started no task.
 
         While the leader does not answer, its last count is returned for
         `pending_cache_seconds`.
         """
+        layout = self._get_layout()
+        if layout is None:
+            return Outcome(failure=UnavailableFailure("layout not known"))
+        if layout.shards > 1:
+            return self._count_in_all(queue, layout.shards)
         now = self._clock.read_monotonic()
-        leader = self._get_leader()
+        leader = self._get_leader(0)
         if leader is not None:
             with leader.tracker.lock:
                 return Outcome(
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -39,7 +40,7 @@
 from chestnutstair.scheduling.sessions import WorkerSessions
 from chestnutstair.scheduling.shards.names import PROGRESS_TABLE
 from chestnutstair.scheduling.shards.registry import RegistryFilter
-from chestnutstair.scheduling.shards.shard import Shard
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.term import Term, WriteOutcome
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock, Deadline
@@ -99,6 +100,9 @@
     retention_seconds: float = 150.0
     # Deadline of reads from the store and of removals of old rows.
     store_timeout_seconds: float = 3.0
+    # Deadline of reading the registry where there are several shards: it has
+    # the workers of all, 3,000 of which take 5 s over a link of 2 Mbit/s.
+    registry_load_seconds: float = 7.0
     # Time between log records of the load of each pool.
     pool_log_interval_seconds: float = 1.0
     # How long end() waits for a write in progress; slightly longer than one
@@ -123,9 +127,10 @@
         get_configuration: Callable[[], FleetConfiguration | None],
         clock: Clock,
         settings: LeaderSettings,
-        shard: Shard = Shard(),
+        shard: Shard = ONLY_SHARD,
     ) -> None:
         self._names = shard.names
+        self._is_only_shard = shard.is_only
         self._registry = RegistryFilter(shard, decoder)
         self._leadership = leadership
         self.tracker = tracker
@@ -193,6 +198,10 @@
         intake = self._store.read(
             self._names.intake_table, INTAKE_PARTITION, deadline
         )
+        if not self._is_only_shard:
+            deadline = Deadline.after(
+                self._clock, self._settings.registry_load_seconds
+            )
         registry = self._store.read(
             REGISTRY_TABLE, REGISTRY_PARTITION, deadline
         )
@@ -401,6 +410,17 @@
                 if name not in names:
                     self.tracker.mark_worker_gone(name)
 
+    def count_pending_by_queue(self) -> dict[str, int]:
+        """Return how many jobs of each queue wait for their first task."""
+        with self.tracker.lock:
+            return dict(
+                Counter(
+                    record.submission.queue.name
+                    for record in self.tracker.active.values()
+                    if not record.start_confirmed
+                )
+            )
+
     # Planning and storing
 
     def _run(self) -> None:
--- a/chestnutstair/scheduling/operator_watch.py
+++ b/chestnutstair/scheduling/operator_watch.py
@@ -72,6 +72,11 @@
         """Stop following the operator's table."""
         self._feed.stop()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store does not answer this node."""
+        return self._feed.is_failing
+
     @property
     def configuration(self) -> FleetConfiguration | None:
         """The configuration in force, None before the first."""
--- a/chestnutstair/scheduling/shards/names.py
+++ b/chestnutstair/scheduling/shards/names.py
@@ -4,7 +4,7 @@
 
 from chestnutstair.scheduling.ports import RowKey
 
-__all__ = ["PROGRESS_TABLE", "ShardNames"]
+__all__ = ["FIRST_NAMES", "PROGRESS_TABLE", "ShardNames"]
 
 INTAKE_TABLE = "intake"
 PARTITION = "scheduler"
@@ -45,3 +45,7 @@
     def build_progress_key(self, job: str) -> RowKey:
         """Return the key of the row with a job's progress."""
         return RowKey(PROGRESS_TABLE, self.partition, job)
+
+
+# The names of shard 0, which is the only one of most deployments.
+FIRST_NAMES = ShardNames()
--- a/chestnutstair/scheduling/shards/shard.py
+++ b/chestnutstair/scheduling/shards/shard.py
@@ -6,7 +6,7 @@
 from chestnutstair.scheduling.shards.layout import ONE_SHARD, ShardLayout
 from chestnutstair.scheduling.shards.names import ShardNames
 
-__all__ = ["Shard", "find_rack"]
+__all__ = ["ONLY_SHARD", "Shard", "find_rack"]
 
 
 def find_rack(labels: tuple[str, ...]) -> str:
@@ -45,3 +45,6 @@
         """Return whether the worker's VM belongs to this shard."""
         vm = entry.vm or entry.name
         return self.layout.find_shard_of_vm(entry.rack, vm) == self.number
+
+
+ONLY_SHARD = Shard()
--- a/chestnutstair/scheduling/term.py
+++ b/chestnutstair/scheduling/term.py
@@ -19,7 +19,7 @@
     RowStore,
     RowWrite,
 )
-from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = [
@@ -35,8 +35,8 @@
 logger = logging.getLogger(__name__)
 
 # The names of shard 0.
-PARTITION = ShardNames().partition
-TERM_KEY = ShardNames().term_key
+PARTITION = FIRST_NAMES.partition
+TERM_KEY = FIRST_NAMES.term_key
 
 
 @dataclass(frozen=True)
@@ -117,7 +117,7 @@
         row: TermRow,
         version: int,
         settings: TermSettings,
-        names: ShardNames = ShardNames(),
+        names: ShardNames = FIRST_NAMES,
     ) -> None:
         self._store = store
         self._key = names.term_key
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -5,7 +5,7 @@
 
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
-from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["VmOrder", "VmOrderHistory"]
@@ -47,7 +47,7 @@
         clock: Clock,
         min_order_interval_seconds: float,
         maintenance_seconds: float,
-        names: ShardNames = ShardNames(),
+        names: ShardNames = FIRST_NAMES,
     ) -> None:
         self._partition = names.partition
         self._leader = leader
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -18,6 +18,7 @@
     VmControl,
     WorkerCallFailure,
 )
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.vm_order_history import VmOrder, VmOrderHistory
 from chestnutstair.scheduling.wave_progress import WaveProgress
 from chestnutstair.state.deadline import Clock
@@ -42,7 +43,9 @@
         state: FleetState,
         clock: Clock,
         settings: FleetControllerSettings,
+        shard: Shard = ONLY_SHARD,
     ) -> None:
+        self._shard = shard
         self._leader = leader
         self._vms = vms
         self._order_history = history
@@ -75,10 +78,18 @@
         settings = self._settings
         elapsed = self._clock.read_monotonic() - now
         pause = max(settings.list_seconds, settings.list_factor * elapsed)
-        self._next_list_at = now + min(pause, settings.list_max_seconds)
+        pause = min(pause, settings.list_max_seconds)
         match answer:
             case Ok(vms):
-                self._state.listed = {vm.name: vm for vm in vms}
+                pause = max(pause, self._compute_list_interval(len(vms)))
+                self._state.shards = {
+                    vm.name: self._shard.find_shard_of_vm(vm) for vm in vms
+                }
+                self._state.listed = {
+                    vm.name: vm
+                    for vm in vms
+                    if self._state.shards[vm.name] == self._shard.number
+                }
                 for order in self._state.orders.values():
                     if order.answered and not order.wave:
                         self._state.set_service(order.vm, order.service)
@@ -87,6 +98,16 @@
                     "listing VMs failed",
                     extra={"reason": describe_failure(failure)},
                 )
+        self._next_list_at = now + pause
+
+    def _compute_list_interval(self, vms: int) -> float:
+        """Return how often this leader may list the VMs, 0 if it is alone."""
+        if self._shard.is_only:
+            return 0.0
+        settings = self._settings
+        pages = -(-vms // settings.list_page_vms)
+        shards = self._shard.layout.shards
+        return pages * shards / settings.list_pages_per_second
 
     def order_all(self, orders: list[VmOrder]) -> set[str]:
         """Store and send orders; return the names of the VMs ordered.
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -6,7 +6,7 @@
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
-from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["WaveProgress"]
@@ -32,7 +32,7 @@
         leader: Leader,
         store: RowStore,
         clock: Clock,
-        names: ShardNames = ShardNames(),
+        names: ShardNames = FIRST_NAMES,
     ) -> None:
         self._partition = names.partition
         self._leader = leader
--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -76,6 +76,7 @@
     ends: list[list[Any]] = field(default_factory=list)
     started: list[tuple[str, int]] = field(default_factory=list)
     observer: RunObserver = field(default_factory=RunObserver)
+    rack: str = "r1-1"
 
     def read_clock(self) -> int:
         """Return the runner's own clock in ms."""
@@ -228,10 +229,14 @@
         )
 
     def add_runner(
-        self, name: str, service: str = "boxes", born: int = 1
+        self,
+        name: str,
+        service: str = "boxes",
+        born: int = 1,
+        rack: str = "r1-1",
     ) -> EmulatedRunner:
         """Register a runner on a machine of its own."""
-        runner = EmulatedRunner(name, f"m-{name}", service, born)
+        runner = EmulatedRunner(name, f"m-{name}", service, born, rack=rack)
         runner.observer = self.observer
         self.runners[name] = runner
         self.put(
@@ -244,7 +249,7 @@
                 "state": "ready",
                 "born": runner.born,
                 "capacity": {"cpu": 64000, "memMb": 262144, "gpu": 0},
-                "labels": ["a", "r1-1"],
+                "labels": ["a", rack],
                 "machine": runner.machine,
                 "seq": 1,
             },
@@ -258,7 +263,7 @@
             if old is None:
                 return
             self.observer.on_lease_expired(old)
-            new = self.add_runner(name, old.service, old.born + 1)
+            new = self.add_runner(name, old.service, old.born + 1, old.rack)
             new.machine = old.machine
             new.work_seconds = old.work_seconds
 
@@ -373,7 +378,7 @@
                 "pool": runner.service,
                 "state": "up",
                 "zone": "zone-a",
-                "labels": ["a", "r1-1"],
+                "labels": ["a", runner.rack],
                 "capacity": {"cpu": 64000, "memMb": 262144, "gpu": 0},
                 "id": runner.name,
             }
@@ -415,7 +420,8 @@
                 return answer_json({})
             self.spare.remove(machine)
         successor = f"{machine[2:]}x"
-        self.add_runner(successor).machine = machine
+        rack = found[0].rack if found else "r1-1"
+        self.add_runner(successor, rack=rack).machine = machine
         return answer_json({})
 
     # Runners
--- a/chestnutstair/tests/test_fleet_node.py
+++ b/chestnutstair/tests/test_fleet_node.py
@@ -161,7 +161,7 @@
             self.start_node(NODES, wait=False)
             node = self.nodes[-1]
             wait_until(lambda: node._election.is_leading)
-        leader = node._election.leader
+        leader = node._election.get_leader(0)
         assert leader is not None
         wait_until(lambda: leader.tracker.configuration.version == 3)
 
--- a/chestnutstair/tests/test_job_requests.py
+++ b/chestnutstair/tests/test_job_requests.py
@@ -45,6 +45,12 @@
         """Fail."""
         return Err(UnavailableFailure("x"))
 
+    def ask_pending_counts(
+        self, shard: int, seconds: float
+    ) -> Result[dict[str, int], PlatformFailure]:
+        """Fail."""
+        return Err(UnavailableFailure("x"))
+
     def notify_stored(self, job: str, value: bytes) -> None:
         """Ignore the message."""
 
@@ -81,7 +87,7 @@
         return JobRequestHandler(
             self.store,
             self.link,
-            lambda: None,
+            lambda shard: None,
             lambda: self.cut_off,
             self.clock,
             JobRequestSettings(),
--- a/chestnutstair/tests/test_leader_calls.py
+++ b/chestnutstair/tests/test_leader_calls.py
@@ -33,7 +33,7 @@
         self.addCleanup(self.server.server_close)
         self.addCleanup(self.server.shutdown)
         self.address = f"127.0.0.1:{self.server.server_port}"
-        self.link = HttpLeaderLink(SystemClock(), lambda: self.address)
+        self.link = HttpLeaderLink(SystemClock(), lambda shard: self.address)
 
     def test_unexpected_answers_are_failures(self) -> None:
         # The address may belong to a node of another version, or have gone
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -6,6 +6,8 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
+from dataclasses import asdict, replace
+from dataclasses import fields as dataclass_fields
 from functools import cache
 from http import HTTPStatus
 from typing import Any
@@ -30,7 +32,7 @@
     PlatformClientSettings,
 )
 
-__all__ = ["HttpLeaderLink", "build_node_application"]
+__all__ = ["HttpLeaderLink", "ShardStatusSource", "build_node_application"]
 
 logger = logging.getLogger(__name__)
 
@@ -54,24 +56,70 @@
 RELAY_TIMEOUT_SECONDS = 0.8
 
 
-class HttpLeaderLink(LeaderLink, StatusSource):
-    """Client for calls to the leader's node and to other nodes.
+class _Messages:
+    """Messages to one shard's leader that wait to be sent."""
+
+    def __init__(self) -> None:
+        self.queue: deque[tuple[str, dict[str, Any]]] = deque(
+            maxlen=MESSAGE_QUEUE_LENGTH
+        )
+        self.count = threading.Semaphore(0)
+
+
+class ShardStatusSource(StatusSource):
+    """Status calls to other nodes about one shard."""
+
+    def __init__(self, link: "HttpLeaderLink", shard: int) -> None:
+        self._link = link
+        self._shard = shard
+
+    def ask_status(
+        self, address: str, seconds: float
+    ) -> Result[LeaderStatus, PlatformFailure]:
+        """Return the status of the node at the address in the shard."""
+        return self._link.ask_status(address, seconds, self._shard)
+
+
+class HttpLeaderLink(LeaderLink):
+    """Client for calls to the leaders' nodes and to other nodes.
 
-    `get_address` returns the leader's address, empty if none is known.
     Parameters called `seconds` are timeouts.
+
+    - `get_address`: returns the address of a shard's leader, empty if none
+      is known.
+    - `find_shard`: returns the shard of a job.
+    - `on_failure`: called with a shard whose leader did not answer.
+    - `name`: the name of this node, by which leaders count their pollers.
     """
 
-    def __init__(self, clock: Clock, get_address: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        get_address: Callable[[int], str],
+        find_shard: Callable[[str], int] = lambda job: 0,
+        on_failure: Callable[[int], None] = lambda shard: None,
+        name: str = "",
+    ) -> None:
         self._clock = clock
         self._get_address = get_address
+        self._find_shard = find_shard
+        self._on_failure = on_failure
+        self._name = name
         self._connect = cache(self._build_client)
-        self._messages: deque[tuple[str, dict[str, Any]]] = deque(
-            maxlen=MESSAGE_QUEUE_LENGTH
-        )
-        self._queued_count = threading.Semaphore(0)
+        # One queue for each shard, so that a leader that does not answer
+        # delays no messages to the others.
+        self._get_messages = cache(self._start_messages)
+        self._messages_lock = threading.Lock()
+
+    def _start_messages(self, shard: int) -> "_Messages":
+        messages = _Messages()
         threading.Thread(
-            target=self._send_messages, name="messages", daemon=True
+            target=self._send_messages,
+            args=(shard, messages),
+            name=f"messages {shard}",
+            daemon=True,
         ).start()
+        return messages
 
     def _build_client(self, address: str) -> PlatformClient:
         settings = PlatformClientSettings(CONNECTIONS_PER_NODE)
@@ -102,19 +150,33 @@
                 return Err(failure)
         raise AssertionError(answer)
 
+    def _call_leader(
+        self,
+        shard: int,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        seconds: float,
+    ) -> Result[dict[str, Any], PlatformFailure]:
+        address = self._get_address(shard)
+        answer = self._call(address, method, path, body, seconds)
+        if answer.is_err():
+            self._on_failure(shard)
+        return answer
+
     def _query_leader(
-        self, path: str, seconds: float, **query: str
+        self, shard: int, path: str, seconds: float, **query: str
     ) -> Result[dict[str, Any], PlatformFailure]:
-        path_and_query = f"{path}?{urlencode(query)}"
-        return self._call(
-            self._get_address(), "GET", path_and_query, None, seconds
-        )
+        path_and_query = f"{path}?{urlencode({**query, 'shard': shard})}"
+        return self._call_leader(shard, "GET", path_and_query, None, seconds)
 
     def ask_status(
-        self, address: str, seconds: float
+        self, address: str, seconds: float, shard: int = 0
     ) -> Result[LeaderStatus, PlatformFailure]:
-        """Return the status of the node at the address."""
-        answer = self._call(address, "GET", STATUS_PATH, None, seconds)
+        """Return the status of the node at the address in a shard."""
+        query = urlencode({"name": self._name, "shard": shard})
+        path = f"{STATUS_PATH}?{query}"
+        answer = self._call(address, "GET", path, None, seconds)
         return answer.and_then(_read_status)
 
     def ask_configuration(
@@ -128,23 +190,40 @@
         self, job: str, seconds: float
     ) -> Result[str, PlatformFailure]:
         """Return a job's state, empty if the leader does not know the job."""
-        answer = self._query_leader(JOB_PATH, seconds, job=job)
+        shard = self._find_shard(job)
+        answer = self._query_leader(shard, JOB_PATH, seconds, job=job)
         return answer.map(lambda body: str(body["state"]))
 
     def ask_pending_count(
         self, queue: str, seconds: float
     ) -> Result[int, PlatformFailure]:
         """Return how many jobs of a queue have not started any task."""
-        answer = self._query_leader(PENDING_PATH, seconds, queue=queue)
+        answer = self._query_leader(0, PENDING_PATH, seconds, queue=queue)
         return answer.map(lambda body: int(body["pending"]))
 
+    def ask_pending_counts(
+        self, shard: int, seconds: float
+    ) -> Result[dict[str, int], PlatformFailure]:
+        """Return a shard's counts of jobs without a started task, by queue."""
+        answer = self._query_leader(shard, PENDING_PATH, seconds)
+        return answer.map(
+            lambda body: {
+                str(queue): int(count)
+                for queue, count in body["counts"].items()
+            }
+        )
+
     def relay_submission(
         self, job: str, value: bytes, seconds: float
     ) -> Result[None, PlatformFailure]:
         """Store a submission through the leader's node."""
-        body = {"job": job, "value": base64.b64encode(value).decode()}
-        address = self._get_address()
-        answer = self._call(address, "POST", SUBMIT_PATH, body, seconds)
+        shard = self._find_shard(job)
+        body = {
+            "job": job,
+            "value": base64.b64encode(value).decode(),
+            "shard": shard,
+        }
+        answer = self._call_leader(shard, "POST", SUBMIT_PATH, body, seconds)
         return answer.map(lambda _: None)
 
     def relay_cancel(
@@ -154,10 +233,9 @@
 
         Returns whether the job exists.
         """
-        address = self._get_address()
-        answer = self._call(
-            address, "POST", CANCEL_PATH, {"job": job}, seconds
-        )
+        shard = self._find_shard(job)
+        body = {"job": job, "shard": shard}
+        answer = self._call_leader(shard, "POST", CANCEL_PATH, body, seconds)
         return answer.map(lambda body: bool(body["known"]))
 
     def notify_stored(self, job: str, value: bytes) -> None:
@@ -170,19 +248,21 @@
         self._queue_message(CANCELLED_PATH, {"job": job})
 
     def _queue_message(self, path: str, body: dict[str, Any]) -> None:
-        self._messages.append((path, body))
-        self._queued_count.release()
+        shard = self._find_shard(body["job"])
+        with self._messages_lock:
+            messages = self._get_messages(shard)
+        messages.queue.append((path, {**body, "shard": shard}))
+        messages.count.release()
 
-    def _send_messages(self) -> None:
+    def _send_messages(self, shard: int, messages: "_Messages") -> None:
         while True:
-            self._queued_count.acquire()
+            messages.count.acquire()
             try:
-                path, body = self._messages.popleft()
+                path, body = messages.queue.popleft()
             except IndexError:
                 continue  # the deque dropped it when it was full
-            address = self._get_address()
-            answer = self._call(
-                address, "POST", path, body, MESSAGE_TIMEOUT_SECONDS
+            answer = self._call_leader(
+                shard, "POST", path, body, MESSAGE_TIMEOUT_SECONDS
             )
             if answer.is_err():
                 logger.info(
@@ -196,12 +276,33 @@
     body: dict[str, Any],
 ) -> Result[LeaderStatus, PlatformFailure]:
     # A node of another version, or another program, may answer otherwise.
+    known = {field.name for field in dataclass_fields(LeaderStatus)}
     try:
-        return Ok(LeaderStatus(**body))
+        status = LeaderStatus(
+            **{key: body[key] for key in known & body.keys()}
+        )
+        return Ok(replace(status, leaders=tuple(status.leaders)))
     except TypeError as error:
         return Err(UnavailableFailure(f"unreadable status: {error}"))
 
 
+# Fields of a status since the first version of this program. It rejects a
+# status with others, and its calls do not name the caller.
+FIRST_STATUS_FIELDS = (
+    "leading",
+    "epoch",
+    "age_seconds",
+    "configuration_version",
+)
+
+
+def _encode_status(status: LeaderStatus, poller: str) -> dict[str, Any]:
+    body = asdict(status)
+    if poller:
+        return body
+    return {name: body[name] for name in FIRST_STATUS_FIELDS}
+
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Environ = dict[str, Any]
 
@@ -211,8 +312,8 @@
 
     def __init__(
         self,
-        get_status: Callable[[], LeaderStatus],
-        get_leader: Callable[[], Leader | None],
+        get_status: Callable[[int, str], LeaderStatus],
+        get_leader: Callable[[int], Leader | None],
         get_configuration: Callable[[], bytes | None],
         request_handler: JobRequestHandler,
         clock: Clock,
@@ -247,14 +348,17 @@
     def _handle_query(
         self, path: str, query: dict[str, list[str]]
     ) -> tuple[HTTPStatus, Any]:
+        shard = _read_shard(query.get("shard", ["0"])[0])
         if path == STATUS_PATH:
-            return HTTPStatus.OK, vars(self._get_status())
+            poller = query.get("name", [""])[0]
+            status = self._get_status(shard, poller)
+            return HTTPStatus.OK, _encode_status(status, poller)
         if path == CONFIGURATION_PATH:
             value = self._get_configuration()
             if value is None:
                 return HTTPStatus.SERVICE_UNAVAILABLE, {}
             return HTTPStatus.OK, value
-        leader = self._get_leader()
+        leader = self._get_leader(shard)
         if leader is None:
             return HTTPStatus.SERVICE_UNAVAILABLE, {}
         if path == JOB_PATH:
@@ -262,6 +366,8 @@
                 leader, query["job"][0]
             )
             return HTTPStatus.OK, {"state": state}
+        if path == PENDING_PATH and "queue" not in query:
+            return HTTPStatus.OK, {"counts": leader.count_pending_by_queue()}
         if path == PENDING_PATH:
             with leader.tracker.lock:
                 count = leader.tracker.count_pending(query["queue"][0])
@@ -271,7 +377,7 @@
     def _handle_command(
         self, path: str, fields: dict[str, Any]
     ) -> tuple[HTTPStatus, Any]:
-        leader = self._get_leader()
+        leader = self._get_leader(_read_shard(fields.get("shard", 0)))
         job = str(fields.get("job", ""))
         value = base64.b64decode(fields.get("value", ""))
         deadline = Deadline.after(self._clock, RELAY_TIMEOUT_SECONDS)
@@ -296,6 +402,12 @@
         return HTTPStatus.NOT_FOUND, {}
 
 
+def _read_shard(value: object) -> int:
+    """Return the number of a shard, -1 for none."""
+    text = str(value)
+    return int(text) if text.isdecimal() else -1
+
+
 def _choose_status(result: Result[Any, PlatformFailure]) -> HTTPStatus:
     match result:
         case Ok(_):
@@ -320,15 +432,17 @@
 
 
 def build_node_application(
-    get_status: Callable[[], LeaderStatus],
-    get_leader: Callable[[], Leader | None],
+    get_status: Callable[[int, str], LeaderStatus],
+    get_leader: Callable[[int], Leader | None],
     get_configuration: Callable[[], bytes | None],
     request_handler: JobRequestHandler,
     clock: Clock,
 ) -> Callable[[Environ, StartResponse], Iterable[bytes]]:
     """Return the WSGI application for calls from other nodes.
 
-    `get_leader` returns None while this node does not lead.
+    `get_status` is called with a shard and the name of the node that asks,
+    empty for one of the first version of this program. `get_leader` returns
+    None while this node does not lead the shard.
     """
     return _NodeApplication(
         get_status, get_leader, get_configuration, request_handler, clock
