Divide the cap of a maintenance wave among the shards

Each shard took the whole cap. The first leader that knows of a wave stores how many of its VMs each shard has; the caps of the shards follow from that row and from which shards are done, and stay within the wave's whatever each leader knows. A shard that is done passes its part on. Shard 0 reports.

A wave with a cap of 1 over four shards of two nodes: never two VMs down.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -52,7 +52,7 @@
         self._get_waves = get_waves
         self._clock = clock
         self._settings = settings
-        self._waves = WaveProgress(leader, store, clock, shard.names)
+        self._waves = WaveProgress(leader, store, clock, shard)
         self._order_history = VmOrderHistory(
             leader,
             store,
--- a/chestnutstair/scheduling/maintenance.py
+++ b/chestnutstair/scheduling/maintenance.py
@@ -42,6 +42,9 @@
         if self._waves.is_completed(wave):
             return
         self._waves.report_running(wave)
+        cap = self._waves.find_cap(wave, self._state.shards, now)
+        if cap is None:
+            return
         due = [
             vm
             for vm in wave.vms
@@ -67,7 +70,7 @@
             key=lambda vm: -workers[vm].lasting_runs if vm in workers else 0
         )
         for vm in due:
-            if in_progress >= wave.cap:
+            if in_progress >= cap:
                 break
             if vm in self._state.orders or vm in self._state.drains:
                 continue
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -2,11 +2,13 @@
 
 import json
 import logging
+from collections.abc import Mapping
 
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
-from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
+from chestnutstair.scheduling.shards.wave_shards import WaveShards
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["WaveProgress"]
@@ -24,7 +26,8 @@
 class WaveProgress:
     """Records which VMs of each wave have begun maintenance.
 
-    The records outlast a change of leader.
+    The records outlast a change of leader. With several shards, each records
+    its own VMs, and shard 0 reports to the operator.
     """
 
     def __init__(
@@ -32,9 +35,14 @@
         leader: Leader,
         store: RowStore,
         clock: Clock,
-        names: ShardNames = FIRST_NAMES,
+        shard: Shard = ONLY_SHARD,
     ) -> None:
-        self._partition = names.partition
+        self._partition = shard.names.partition
+        self._reports = shard.number == 0
+        # With several shards: how they share the waves.
+        self._shards: WaveShards | None = None
+        if not shard.is_only:
+            self._shards = WaveShards(shard, store, clock)
         self._leader = leader
         self._store = store
         self._clock = clock
@@ -72,6 +80,21 @@
             key = RowKey(MAINTENANCE_TABLE, self._partition, f"{wave.number}/")
             self._leader.queue_write(RowWrite(key, value.encode()))
 
+    def find_cap(
+        self, wave: MaintenanceWave, vm_shards: Mapping[str, int], now: float
+    ) -> int | None:
+        """Return how many VMs of this shard may be down at a time.
+
+        None while the cap has not been divided among the shards, whose VMs
+        are `vm_shards`. `now` is a monotonic time.
+        """
+        if self._shards is None:
+            return wave.cap
+        self._shards.refresh(wave, vm_shards, now)
+        if not self._shards.is_divided(wave):
+            return None
+        return self._shards.compute_cap(wave)
+
     def measure_age(self, wave: MaintenanceWave, now: float) -> float:
         """Return the seconds since the first leader learned of the wave."""
         return now - self._first_seen_at[wave.number]
@@ -111,15 +134,23 @@
 
     def report_running(self, wave: MaintenanceWave) -> None:
         """Report to the operator that the wave is running, once."""
-        if wave.number not in self._reported:
+        if self._reports and wave.number not in self._reported:
             self._report(wave, RUNNING)
 
     def report_completed(self, wave: MaintenanceWave) -> None:
         """Report to the operator that the wave is completed.
 
         The maintenance of every VM of the wave that still exists has begun.
+        With several shards this holds for this one; the report is made when
+        it holds for all.
         """
-        self._report(wave, COMPLETED)
+        if self._shards is None:
+            self._report(wave, COMPLETED)
+        elif self._shards.mark_done(wave):
+            if not self._reports:
+                self._reported[wave.number] = COMPLETED
+            elif self._shards.is_completed(wave):
+                self._report(wave, COMPLETED)
 
     def _report(self, wave: MaintenanceWave, state: str) -> None:
         value = json.dumps({"wave": wave.number, "state": state}).encode()
--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -173,6 +173,7 @@
         self.removed_runners: list[EmulatedRunner] = []
         self.spare: list[str] = []
         self.maintained: list[tuple[str, int]] = []
+        self.maintained_at: list[float] = []  # monotonic times
         self._lock = threading.RLock()
         self._server = WebServer(self, settings=WebServerSettings(threads=96))
 
@@ -407,6 +408,7 @@
         ]
         if name == "machine-upkeep":
             self.maintained.append((machine, call["wave"]))
+            self.maintained_at.append(time.monotonic())
         if found:
             old = found[0]
             self.removed_runners.append(self.runners.pop(old.name))
--- a/chestnutstair/tests/test_shard_nodes.py
+++ b/chestnutstair/tests/test_shard_nodes.py
@@ -1,5 +1,6 @@
 """Tests of complete nodes whose fleet is divided into several shards."""
 
+import itertools
 import json
 import unittest
 from functools import partial
@@ -7,7 +8,7 @@
 import urllib3
 
 from chestnutstair.fleet_node import FleetNode
-from chestnutstair.fleet_settings import FleetSettings
+from chestnutstair.fleet_settings import FleetSettings, PoolTimes
 from chestnutstair.scheduling.ports import RowKey, RowWrite
 from chestnutstair.scheduling.shards import ShardLayout
 from chestnutstair.scheduling.term import TERM_KEY, TermRow
@@ -237,3 +238,25 @@
         self.assertEqual(self.call(0, "GET", "/quick/")[0], 503)
         self.platform.add_runner("late")
         wait_until(lambda: node._election.is_leading)
+
+    def test_a_wave_over_all_shards_stays_within_a_cap_of_one(self) -> None:
+        self.start_nodes(2)
+        vms = [f"m-w{shard}" for shard in range(SHARDS)]
+        self.platform.put(
+            "op",
+            "wave/1",
+            {"wave": 1, "machines": vms, "durationS": 60, "cap": 1},
+        )
+        wait_until(
+            lambda: (
+                (self.platform.find("status", "wave/1") or {}).get("state")
+                == "completed"
+            )
+        )
+        self.assertEqual(
+            sorted(self.platform.maintained), [(vm, 1) for vm in vms]
+        )
+        # The settings say how long a VM is away for maintenance.
+        away = PoolTimes().maintenance_seconds
+        for before, after in itertools.pairwise(self.platform.maintained_at):
+            self.assertGreaterEqual(after - before, away)
