--- a/chestnutstair/scheduling/maintenance.py
+++ b/chestnutstair/scheduling/maintenance.py
@@ -54,8 +54,7 @@
             order.wave == wave.number for order in self._state.orders.values()
         )
         if not due:
-            if not in_progress:
-                self._waves.report_completed(wave)
+            self._complete_if_back(wave, in_progress)
             return
         in_progress += sum(
             drain.wave == wave.number for drain in self._state.drains.values()
@@ -89,6 +88,12 @@
             in_progress += 1
         self._orders.order_all(idle)
 
+    def _complete_if_back(
+        self, wave: MaintenanceWave, in_progress: int
+    ) -> None:
+        if not in_progress:
+            self._waves.report_completed(wave)
+
     def _count_available_idle(self, spare: str) -> int:
         """Return how many more VMs of the spare pool may be unavailable."""
         idle = sum(vm.service == spare for vm in self._state.listed.values())
--- a/chestnutstair/scheduling/shards/status_pacing.py
+++ b/chestnutstair/scheduling/shards/status_pacing.py
@@ -32,8 +32,8 @@
         now = self._clock.read_monotonic()
         with self._lock:
             self._heard_at[poller] = now
-            interval = len(self._heard_at) / CALLS_PER_SECOND
-            memory_seconds = max(MEMORY_SECONDS, 3 * interval)
+            longest = 3 * len(self._heard_at) / CALLS_PER_SECOND
+            memory_seconds = max(MEMORY_SECONDS, longest)
             if now - self._pruned_at >= memory_seconds / 10:
                 self._pruned_at = now
                 self._heard_at = {
@@ -41,4 +41,5 @@
                     for name, at in self._heard_at.items()
                     if now - at <= memory_seconds
                 }
+            interval = len(self._heard_at) / CALLS_PER_SECOND
             return max(POLL_SECONDS, interval)
