--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -1,7 +1,9 @@
 """The composition root of a scheduler node."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 from chestnutstair.fleet_settings import FleetSettings
 from chestnutstair.platform import (
@@ -19,6 +21,7 @@
     Election,
     ElectionSettings,
     LeaderStatus,
+    NodeContact,
 )
 from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import FleetControllerSettings
@@ -39,10 +42,18 @@
     SessionSettings,
     WorkerSessions,
 )
+from chestnutstair.scheduling.shards import Shard
+from chestnutstair.scheduling.shards.elections import ShardElections
+from chestnutstair.scheduling.shards.layout import ONE_SHARD
+from chestnutstair.scheduling.shards.layout_source import (
+    LayoutSettings,
+    LayoutSource,
+)
 from chestnutstair.scheduling.term import Term, TermSettings
 from chestnutstair.state.deadline import Clock
 from chestnutstair.transport.leader_calls import (
     HttpLeaderLink,
+    ShardStatusSource,
     build_node_application,
 )
 from chestnutstair.transport.platform_client import (
@@ -104,9 +115,6 @@
         self._store = PlatformRowStore(
             self._build_client(settings.store_address, STORE_CONNECTIONS)
         )
-        self._intake_layout = IntakeLayout(
-            partitions=settings.intake.count_partitions()
-        )
         self._decoder = PlatformDecoder()
         self._workers = PlatformWorkerControl(
             clock, settings.policy_address, RunnerSettings()
@@ -116,27 +124,32 @@
             clock,
         )
         self._watch = OperatorWatch(
-            self._store, self._decoder, clock, self._wake_leader
+            self._store, self._decoder, clock, self._wake_leaders
         )
         self._members = Members(settings.nodes_address, clock)
         self._link = HttpLeaderLink(
             clock,
             self._get_leader_address,
+            self._find_shard,
+            self._report_failure,
             settings.name,
             settings.nodes_address,
         )
-        self._election = Election(
+        self._election_settings = ElectionSettings()
+        layout_source = LayoutSource(
             settings.name,
-            settings.zone,
-            settings.nodes_address,
             self._store,
-            self._link,
-            self._build_leader,
-            self._apply_leader_status,
+            self._vms,
+            settings.vms_per_shard,
             clock,
-            ElectionSettings(),
-            TermSettings(),
-            settings.processor.available_cores,
+            LayoutSettings(),
+        )
+        self._election = ShardElections(
+            layout_source,
+            self._build_election,
+            lambda: self._watch.is_feed_failing,
+            clock,
+            self._election_settings.cut_off_seconds,
         )
         self._member_poller = MemberPoller(
             self._members,
@@ -152,9 +165,40 @@
             clock,
             JobRequestSettings(),
             self._find_intake_layout,
+            lambda: self._election.layout,
+        )
+
+    def _build_election(
+        self,
+        shard: Shard,
+        contact: NodeContact,
+        count_led: Callable[[], int],
+        may_check: Callable[[], bool],
+        run_load: Callable[[Callable[[], None]], None],
+    ) -> Election:
+        settings = self._settings
+        return Election(
+            settings.name,
+            settings.zone,
+            settings.nodes_address,
+            self._store,
+            ShardStatusSource(self._link, shard.number),
+            partial(self._build_leader, shard),
+            self._apply_leader_status,
+            self._clock,
+            self._election_settings,
+            TermSettings(),
+            settings.processor.available_cores,
+            shard,
+            contact,
+            count_led,
+            may_check,
+            run_load,
         )
 
-    def _build_leader(self, term: Term, unchanged_seconds: float) -> Leader:
+    def _build_leader(
+        self, shard: Shard, term: Term, unchanged_seconds: float
+    ) -> Leader:
         clock = self._clock
         settings = OrderSettings(
             lease_seconds=min(
@@ -200,7 +244,8 @@
             lambda: self._watch.configuration,
             clock,
             LeaderSettings(),
-            self._intake_layout,
+            self._build_intake_layout(shard),
+            shard,
         )
         times = self._settings.pools
         fleet_controller = FleetController(
@@ -214,8 +259,9 @@
                 min_order_interval_seconds=times.turn_seconds,
                 move_seconds=times.move_seconds,
                 maintenance_seconds=times.maintenance_seconds,
-                orders_per_second=times.orders_per_second,
+                orders_per_second=times.orders_per_second * shard.share,
             ),
+            shard,
         )
         leader.add_start_callback(fleet_controller.start)
         return leader
@@ -262,33 +308,51 @@
             ),
         )
 
+    def _build_intake_layout(self, shard: Shard) -> IntakeLayout:
+        """Return where the rows of a shard's jobs are stored.
+
+        The shards share the writes a second that the store accepts.
+        """
+        partitions = self._settings.intake.count_partitions()
+        return IntakeLayout(
+            shard.names.intake_table,
+            max(1, partitions // shard.layout.shards),
+        )
+
     def _find_intake_layout(self, job: str) -> IntakeLayout:
         """Return where the rows of a job are stored."""
-        return self._intake_layout
+        layout = self._election.layout or ONE_SHARD
+        return self._build_intake_layout(
+            Shard(layout.find_shard_of_job(job), layout)
+        )
 
-    def _get_leader(self) -> Leader | None:
-        leader = self._election.leader
-        if leader is None or leader.has_ended:
-            return None
-        return leader
+    def _get_leader(self, shard: int) -> Leader | None:
+        return self._election.get_leader(shard)
+
+    def _get_leader_address(self, shard: int) -> str:
+        return self._election.get_leader_address(shard)
+
+    def _report_failure(self, shard: int) -> None:
+        self._election.report_failure(shard)
 
-    def _get_leader_address(self) -> str:
-        return self._election.leader_address
+    def _find_shard(self, job: str) -> int:
+        layout = self._election.layout
+        return layout.find_shard_of_job(job) if layout is not None else 0
 
-    def _describe(self) -> LeaderStatus:
+    def _describe(self, shard: int, poller: str) -> LeaderStatus:
+        version = self._watch.configuration_version
         return replace(
-            self._election.describe(self._watch.configuration_version),
-            leader_address=self._election.leader_address,
+            self._election.describe(shard, poller, version),
             members=self._members.sample_heard(),
         )
 
-    def _wake_leader(self) -> None:
-        leader = self._get_leader()
-        if leader is not None:
+    def _wake_leaders(self) -> None:
+        for leader in self._election.list_leaders():
             leader.wake()
 
     def _apply_leader_status(self, address: str, status: LeaderStatus) -> None:
         self._members.learn((*status.members, address))
+        self._election.apply_leaders(status.leaders)
         self._fetch_newer_configuration(address, status, LEADER_FETCH_SECONDS)
 
     def _needs_members(self) -> bool:
@@ -297,6 +361,7 @@
     def _apply_member_status(self, address: str, status: LeaderStatus) -> None:
         self._members.learn(status.members)
         self._election.suggest_leader(status.leader_address)
+        self._election.apply_leaders(status.leaders)
         self._fetch_newer_configuration(address, status, MEMBER_FETCH_SECONDS)
 
     def _fetch_newer_configuration(
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -25,6 +25,7 @@
 from chestnutstair.scheduling.pool_sizes import PoolSize, PoolSizer
 from chestnutstair.scheduling.ports import RowStore, VmControl
 from chestnutstair.scheduling.progress import Lateness
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.turns import NO_TURNS, TurnTracker
 from chestnutstair.scheduling.vm_order_history import VmOrder, VmOrderHistory
 from chestnutstair.scheduling.vm_orders import VmOrderDispatcher
@@ -49,6 +50,7 @@
         get_waves: Callable[[], list[MaintenanceWave]],
         clock: Clock,
         settings: FleetControllerSettings,
+        shard: Shard = ONLY_SHARD,
     ) -> None:
         self._leader = leader
         self._tracker: JobTracker = leader.tracker
@@ -56,13 +58,14 @@
         self._get_waves = get_waves
         self._clock = clock
         self._settings = settings
-        self._waves = WaveProgress(leader, store, clock)
+        self._waves = WaveProgress(leader, store, clock, shard)
         self._order_history = VmOrderHistory(
             leader,
             store,
             clock,
             settings.min_order_interval_seconds,
             settings.maintenance_seconds + settings.settle_seconds,
+            shard.names,
         )
         self._state = FleetState(self._tracker)
         self._orders = VmOrderDispatcher(
@@ -73,6 +76,7 @@
             self._state,
             clock,
             settings,
+            shard,
         )
         self._sizer = PoolSizer(self._tracker, self._state, settings)
         self._wave_controller = WaveController(
@@ -110,7 +114,7 @@
 
     def _step(self) -> None:
         self._orders.refresh_list()
-        if not self._state.listed or not self._orders.may_order():
+        if not self._state.shards or not self._orders.may_order():
             return
         now = self._clock.read_monotonic()
         self._orders.update_orders(now)
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -29,17 +29,21 @@
     IntakeWrite,
     encode_submission,
 )
-from chestnutstair.scheduling.leader import PROGRESS_TABLE, Leader
+from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.metrics import (
     SUBMISSION_SECONDS,
     SUBMISSIONS,
 )
 from chestnutstair.scheduling.ports import (
-    RowKey,
     RowStore,
 )
 from chestnutstair.scheduling.progress import JobState
-from chestnutstair.scheduling.term import PARTITION
+from chestnutstair.scheduling.shards.layout import ONE_SHARD, ShardLayout
+from chestnutstair.scheduling.shards.names import ShardNames
+from chestnutstair.scheduling.shards.queue_counts import (
+    QueueCounts,
+    QueueCountsSettings,
+)
 from chestnutstair.state.deadline import Clock, Deadline
 
 __all__ = ["JobRequestHandler", "JobRequestSettings", "LeaderLink", "Outcome"]
@@ -68,7 +72,10 @@
 
 
 class LeaderLink(Protocol):
-    """Client for calls to the leader's node; `seconds` are timeouts."""
+    """Client for calls to the leaders' nodes; `seconds` are timeouts.
+
+    A call about a job goes to the leader of the job's shard.
+    """
 
     def ask_job_state(
         self, job: str, seconds: float
@@ -88,6 +95,12 @@
         """Return how many jobs of a queue have started no task."""
         ...
 
+    def ask_pending_counts(
+        self, shard: int, seconds: float
+    ) -> Result[dict[str, int], PlatformFailure]:
+        """Return a shard's counts of jobs without a started task, by queue."""
+        ...
+
     def notify_stored(self, job: str, value: bytes) -> None:
         """Notify the leader of a stored submission, without waiting."""
         ...
@@ -152,18 +165,28 @@
 
 
 class JobRequestHandler:
-    """Stores submissions and cancellations; answers queries about jobs."""
+    """Stores submissions and cancellations; answers queries about jobs.
+
+    - `get_leader`: returns the leader of a shard if this node leads it.
+    - `get_layout`: returns the layout, None while it is not known. The node
+      counts as cut off until then.
+    """
 
     def __init__(
         self,
         store: RowStore,
         link: LeaderLink,
-        get_leader: Callable[[], Leader | None],
+        get_leader: Callable[[int], Leader | None],
         is_cut_off: Callable[[], bool],
         clock: Clock,
         settings: JobRequestSettings,
         find_layout: Callable[[str], IntakeLayout] = _find_default_layout,
+        get_layout: Callable[[], ShardLayout | None] = lambda: ONE_SHARD,
     ) -> None:
+        self._get_layout = get_layout
+        self._counts = QueueCounts(
+            self._ask_pending_counts, clock, QueueCountsSettings()
+        )
         self._store = store
         self._find_layout = find_layout
         self._reader = IntakeReader(store, clock, settings.attempt_seconds)
@@ -177,6 +200,25 @@
         # The leader's last count of pending jobs and its time, by queue.
         self._pending: dict[str, tuple[int, float]] = {}
 
+    # Shards
+
+    def _find_names(self, job: str) -> ShardNames:
+        layout = self._get_layout() or ONE_SHARD
+        return ShardNames(layout.find_shard_of_job(job))
+
+    def _get_job_leader(self, job: str) -> Leader | None:
+        """Return the leader of the job's shard if this node leads it."""
+        return self._get_leader(self._find_names(job).shard)
+
+    def _ask_pending_counts(
+        self, shard: int
+    ) -> Result[dict[str, int], PlatformFailure]:
+        leader = self._get_leader(shard)
+        if leader is not None:
+            return Ok(leader.count_pending_by_queue())
+        seconds = self._settings.leader_call_seconds
+        return self._link.ask_pending_counts(shard, seconds)
+
     # Submissions
 
     def submit(
@@ -201,7 +243,7 @@
         result = self.store_submission(
             job, value, self._limit_local_attempts(deadline)
         )
-        if self._may_relay(result):
+        if self._may_relay(job, result):
             relayed = self._link.relay_submission(
                 job, value, self._compute_relay_seconds(deadline)
             )
@@ -231,12 +273,12 @@
         seconds = self._storage.compute_retry_after()
         return Outcome(failure=failure, retry_after_seconds=seconds)
 
-    def _may_relay(self, result: Result[T, PlatformFailure]) -> bool:
+    def _may_relay(self, job: str, result: Result[T, PlatformFailure]) -> bool:
         match result:
             case Err(failure):
-                return self._get_leader() is None and self._storage.may_relay(
-                    failure
-                )
+                return self._get_job_leader(
+                    job
+                ) is None and self._storage.may_relay(failure)
         return False
 
     @staticmethod
@@ -263,7 +305,7 @@
         key = self._find_layout(job).build_job_key(job)
         result = self._storage.store(IntakeWrite(key, value, True), deadline)
         if result.is_ok():
-            leader = self._get_leader()
+            leader = self._get_job_leader(job)
             if leader is not None:
                 leader.apply_submission(job, value)
             else:
@@ -285,7 +327,7 @@
         if hidden is not None:
             return hidden
         result = self.store_cancel(job, self._limit_local_attempts(deadline))
-        if self._may_relay(result):
+        if self._may_relay(job, result):
             relayed = self._link.relay_cancel(
                 job, self._compute_relay_seconds(deadline)
             )
@@ -318,7 +360,7 @@
         match stored:
             case Err(failure):
                 return Err(failure)
-        leader = self._get_leader()
+        leader = self._get_job_leader(job)
         if leader is not None:
             leader.apply_cancellation(job)
         else:
@@ -358,7 +400,7 @@
         owner = self._owners.find(job)
         if owner is not None:
             return Ok(owner)
-        leader = self._get_leader()
+        leader = self._get_job_leader(job)
         if leader is not None:
             owner = self.get_owner(leader, job)
         else:
@@ -399,7 +441,7 @@
         hidden = self._check_access(job, deadline, access)
         if hidden is not None:
             return hidden
-        leader = self._get_leader()
+        leader = self._get_job_leader(job)
         if leader is not None:
             state = self.get_stored_state(leader, job)
         else:
@@ -426,7 +468,7 @@
         if stored.unwrap() is None:
             return Outcome(known=False)
         progress = self._reader.read_key(
-            RowKey(PROGRESS_TABLE, PARTITION, job), deadline
+            self._find_names(job).build_progress_key(job), deadline
         )
         cancelled = self._reader.find_cancellation(layout, job, deadline)
         if progress.is_err() or cancelled.is_err():
@@ -440,14 +482,27 @@
         started = any(task[1] for task in fields.get("tasks", {}).values())
         return Outcome(state=JobState.RUNNING if started else JobState.QUEUED)
 
+    def _count_in_all(self, queue: Queue, shards: int) -> Outcome:
+        match self._counts.count(queue.name, shards):
+            case Ok(count):
+                return Outcome(pending=count)
+            case Err(failure):
+                return Outcome(failure=failure)
+        raise AssertionError(queue)
+
     def count_pending(self, queue: Queue) -> Outcome:
         """Return how many jobs of a queue have started no task.
 
         While the leader does not answer, its last count is returned for
         `pending_cache_seconds`.
         """
+        layout = self._get_layout()
+        if layout is None:
+            return Outcome(failure=UnavailableFailure("layout not known"))
+        if layout.shards > 1:
+            return self._count_in_all(queue, layout.shards)
         now = self._clock.read_monotonic()
-        leader = self._get_leader()
+        leader = self._get_leader(0)
         if leader is not None:
             with leader.tracker.lock:
                 return Outcome(
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -2,6 +2,7 @@
 
 import logging
 import threading
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -33,7 +34,6 @@
 from chestnutstair.scheduling.ports import (
     Changes,
     Row,
-    RowKey,
     RowStore,
     RowWrite,
     SubmissionCodec,
@@ -41,7 +41,10 @@
 )
 from chestnutstair.scheduling.progress import JobState
 from chestnutstair.scheduling.sessions import WorkerSessions
-from chestnutstair.scheduling.term import PARTITION, Term, WriteOutcome
+from chestnutstair.scheduling.shards.names import PROGRESS_TABLE
+from chestnutstair.scheduling.shards.registry import RegistryFilter
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
+from chestnutstair.scheduling.term import Term, WriteOutcome
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock, Deadline
 from chestnutstair.state.failure import describe_failure
@@ -50,7 +53,6 @@
 
 logger = logging.getLogger(__name__)
 
-PROGRESS_TABLE = "progress"
 REGISTRY_TABLE = "servers"
 REGISTRY_PARTITION = ""
 
@@ -101,6 +103,9 @@
     retention_seconds: float = 150.0
     # Deadline of reads from the store and of removals of old rows.
     store_timeout_seconds: float = 3.0
+    # Deadline of reading the registry where there are several shards: it has
+    # the workers of all, 3,000 of which take 5 s over a link of 2 Mbit/s.
+    registry_load_seconds: float = 7.0
     # Time between log records of the load of each pool.
     pool_log_interval_seconds: float = 1.0
     # How long end() waits for a write in progress; slightly longer than one
@@ -126,7 +131,11 @@
         clock: Clock,
         settings: LeaderSettings,
         layout: IntakeLayout = DEFAULT_LAYOUT,
+        shard: Shard = ONLY_SHARD,
     ) -> None:
+        self._names = shard.names
+        self._is_only_shard = shard.is_only
+        self._registry = RegistryFilter(shard, decoder)
         self._leadership = leadership
         self.tracker = tracker
         self._planner = planner
@@ -136,7 +145,6 @@
         self._intake = IntakeTable(store, layout)
         self._sessions = sessions
         self._orders = orders
-        self._decoder = decoder
         self._submissions = submissions
         self._get_configuration = get_configuration
         self._clock = clock
@@ -190,10 +198,16 @@
         deadline = Deadline.after(
             self._clock, self._settings.store_timeout_seconds
         )
-        progress = self._store.read(PROGRESS_TABLE, PARTITION, deadline)
+        progress = self._store.read(
+            PROGRESS_TABLE, self._names.partition, deadline
+        )
         intake = self._intake.read(
             self._layout.table, INTAKE_PARTITION, deadline
         )
+        if not self._is_only_shard:
+            deadline = Deadline.after(
+                self._clock, self._settings.registry_load_seconds
+            )
         registry = self._store.read(
             REGISTRY_TABLE, REGISTRY_PARTITION, deadline
         )
@@ -367,12 +381,12 @@
 
     def apply_submission(self, job: str, value: bytes) -> None:
         """Apply a submission that another node has just stored."""
-        key = build_job_key(job)
+        key = build_job_key(job, self._layout)
         self._apply_intake(Changes((Row(key, value, 0),), 0))
 
     def apply_cancellation(self, job: str) -> None:
         """Apply a cancellation that another node has just stored."""
-        key = build_cancel_key(job)
+        key = build_cancel_key(job, self._layout)
         self._apply_intake(Changes((Row(key, b"{}", 0),), 0))
 
     def _apply_registry(self, changes: Changes) -> None:
@@ -382,12 +396,15 @@
         self.wake()
 
     def _apply_entry(self, row: Row) -> None:
+        name = row.key.key
         if row.value is None:
-            self.tracker.mark_worker_gone(row.key.key)
+            if not self._registry.is_foreign(name):
+                self.tracker.mark_worker_gone(name)
+            self._registry.forget(name)
             return
-        entry = self._decoder.read_worker(row.key.key, row.value)
+        entry = self._registry.read_worker(name, row.value)
         if entry is None:
-            return  # not a worker entry
+            return  # not a worker entry, or one of another shard
         worker = self.tracker.apply_worker_entry(entry)
         if worker is not None:
             self._sessions.start_session(worker)
@@ -396,10 +413,22 @@
         self._apply_registry(changes)
         names = {row.key.key for row in changes.rows}
         with self.tracker.lock:
+            self._registry.retain(names)
             for name in list(self.tracker.workers):
                 if name not in names:
                     self.tracker.mark_worker_gone(name)
 
+    def count_pending_by_queue(self) -> dict[str, int]:
+        """Return how many jobs of each queue wait for their first task."""
+        with self.tracker.lock:
+            return dict(
+                Counter(
+                    record.submission.queue.name
+                    for record in self.tracker.active.values()
+                    if not record.start_confirmed
+                )
+            )
+
     # Planning and storing
 
     def _run(self) -> None:
@@ -469,7 +498,7 @@
         states = {}
         for name in self.tracker.dirty:
             record = self.tracker.jobs[name]
-            key = RowKey(PROGRESS_TABLE, PARTITION, name)
+            key = self._names.build_progress_key(name)
             writes.append(RowWrite(key, record.encode()))
             states[name] = record.state
         self.tracker.dirty.clear()
@@ -519,7 +548,7 @@
             return
         self.term.write(
             [
-                RowWrite(RowKey(PROGRESS_TABLE, PARTITION, name), None)
+                RowWrite(self._names.build_progress_key(name), None)
                 for name in old
             ]
         )
--- a/chestnutstair/scheduling/maintenance.py
+++ b/chestnutstair/scheduling/maintenance.py
@@ -42,6 +42,9 @@
         if self._waves.is_completed(wave):
             return
         self._waves.report_running(wave)
+        cap = self._waves.find_cap(wave, self._state.shards, now)
+        if cap is None:
+            return
         due = [
             vm
             for vm in wave.vms
@@ -51,8 +54,7 @@
             order.wave == wave.number for order in self._state.orders.values()
         )
         if not due:
-            if not in_progress:
-                self._waves.report_completed(wave)
+            self._complete_if_back(wave, in_progress)
             return
         in_progress += sum(
             drain.wave == wave.number for drain in self._state.drains.values()
@@ -67,7 +69,7 @@
             key=lambda vm: -workers[vm].lasting_runs if vm in workers else 0
         )
         for vm in due:
-            if in_progress >= wave.cap:
+            if in_progress >= cap:
                 break
             if vm in self._state.orders or vm in self._state.drains:
                 continue
@@ -86,6 +88,12 @@
             in_progress += 1
         self._orders.order_all(idle)
 
+    def _complete_if_back(
+        self, wave: MaintenanceWave, in_progress: int
+    ) -> None:
+        if not in_progress:
+            self._waves.report_completed(wave)
+
     def _count_available_idle(self, spare: str) -> int:
         """Return how many more VMs of the spare pool may be unavailable."""
         idle = sum(vm.service == spare for vm in self._state.listed.values())
--- a/chestnutstair/tests/test_caller_keys.py
+++ b/chestnutstair/tests/test_caller_keys.py
@@ -93,7 +93,7 @@
         handler = JobRequestHandler(
             self.store,
             self.link,
-            lambda: None,
+            lambda shard: None,
             lambda: False,
             self.clock,
             JobRequestSettings(),
--- a/chestnutstair/tests/test_intake_partitions.py
+++ b/chestnutstair/tests/test_intake_partitions.py
@@ -106,7 +106,7 @@
         return JobRequestHandler(
             self.store,
             SilentLink(),
-            lambda: None,
+            lambda shard: None,
             lambda: False,
             self.clock,
             JobRequestSettings(),
--- a/chestnutstair/tests/test_key_withdrawal.py
+++ b/chestnutstair/tests/test_key_withdrawal.py
@@ -152,7 +152,7 @@
         address = successor._settings.nodes_address
         wait_until(
             lambda: (
-                refused._election.leader_address == address
+                refused._election.get_leader_address(0) == address
                 and refused._election.hears_leader
             )
         )
--- a/chestnutstair/tests/test_leader_calls.py
+++ b/chestnutstair/tests/test_leader_calls.py
@@ -43,7 +43,7 @@
         self.addCleanup(self.server.server_close)
         self.addCleanup(self.server.shutdown)
         self.address = f"127.0.0.1:{self.server.server_port}"
-        self.link = HttpLeaderLink(SystemClock(), lambda: self.address)
+        self.link = HttpLeaderLink(SystemClock(), lambda shard: self.address)
 
     def test_unexpected_answers_are_failures(self) -> None:
         # The address may belong to a node of another version, or have gone
@@ -85,10 +85,14 @@
 
     def test_a_call_says_who_makes_it(self) -> None:
         self.server.body = b"{}"  # type: ignore[attr-defined]
-        link = HttpLeaderLink(SystemClock(), lambda: "", "me", "10.0.0.1:7")
+        link = HttpLeaderLink(
+            SystemClock(), lambda shard: "", name="me", address="10.0.0.1:7"
+        )
         link.ask_status(self.address, 2.0)
         path = self.server.path  # type: ignore[attr-defined]
-        self.assertEqual(path, "/node/status?name=me&address=10.0.0.1%3A7")
+        self.assertEqual(
+            path, "/node/status?name=me&address=10.0.0.1%3A7&shard=0"
+        )
         link.ask_member_status(self.address, 2.0)
         path = self.server.path  # type: ignore[attr-defined]
         self.assertIn("member=1", path)
@@ -114,8 +118,8 @@
         handler: Any = None
         status = LeaderStatus(True, 3, 0.1, 7, "me:1", ("b:1",))
         self.application = build_node_application(
-            lambda: status,
-            lambda: None,
+            lambda shard, poller: status,
+            lambda shard: None,
             lambda: None,
             handler,
             self.clock,
