--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -325,7 +325,7 @@
         leader is named by the store while that answers.
         """
         if (
-            self.hears_leader
+            self._health is LeaderHealth.FRESH
             or self.leader is not None
             or (self._shard.is_only and self._store_answers)
             or address in ("", self._address, self.leader_address)
--- a/chestnutstair/tests/test_key_withdrawal.py
+++ b/chestnutstair/tests/test_key_withdrawal.py
@@ -31,6 +31,8 @@
         self.platform.start()
         self.addCleanup(self.platform.stop)
         self.platform.configure(2, ["quick"])
+        # Without VMs no node decides the layout, and none leads.
+        self.platform.add_runner("one")
         self.configure(3, "k-old")
         self.http = urllib3.PoolManager(retries=False, timeout=10.0)
         self.nodes: list[FleetNode] = []
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -330,7 +330,7 @@
 
 
 def _read_addresses(items: Iterable[Any], limit: int) -> tuple[str, ...]:
-    return tuple(str(item) for item in items)[:limit]
+    return tuple(item for item in items if isinstance(item, str))[:limit]
 
 
 # Fields of a status since the first version of this program. It rejects a
