Choose no intake table before the layout is known

Between the start of the elections and the layout a node could have stored a job in the table of shard 0, and a relayed one at any time before. The term of a leader that loads the registry of several shards is renewed for as long as that may take.

Tests of requests, elections and the leader pass.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -77,6 +77,9 @@
 # the others are submissions. With up to 8 shards each leader writes as often
 # as one alone.
 LEADER_WRITES_PER_SECOND = 400
+# How long a leader of one of several shards may load: 3 s for its own rows and
+# 7 s for the registry, which has the workers of all shards.
+SHARD_LOAD_SECONDS = 10.5
 # Shards that a node leads at most while others can. The process uses little
 # more than one core, however many the VM has.
 MOST_LED = 2
@@ -243,7 +246,12 @@
                 min_write_interval_seconds=max(
                     LeaderSettings.min_write_interval_seconds,
                     shard.layout.shards / LEADER_WRITES_PER_SECOND,
-                )
+                ),
+                max_load_seconds=(
+                    LeaderSettings.max_load_seconds
+                    if shard.is_only
+                    else SHARD_LOAD_SECONDS
+                ),
             ),
             shard,
         )
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -259,6 +259,8 @@
 
         `value` is the encoded submission.
         """
+        if self._get_layout() is None:
+            return Err(UnavailableFailure("layout not known"))
         key = build_job_key(job, self._find_names(job).intake_table)
         result = self._write_once(
             [Expectation(key, 0)], [RowWrite(key, value)], deadline
@@ -331,6 +333,8 @@
 
         Returns whether the job is known; an unknown one is not cancelled.
         """
+        if self._get_layout() is None:
+            return Err(UnavailableFailure("layout not known"))
         table = self._find_names(job).intake_table
         match self._read_row(build_job_key(job, table), deadline):
             case Err(failure):
--- a/chestnutstair/scheduling/shards/elections.py
+++ b/chestnutstair/scheduling/shards/elections.py
@@ -203,7 +203,7 @@
             self._wakeup.set()
 
     def _run(self) -> None:
-        while self._layout is None:
+        while not self._elections:
             if self._stopped:
                 return
             try:
@@ -228,6 +228,8 @@
             now + random.uniform(0, spread) for _ in range(layout.shards)
         ]
         self._run_at = [0.0] * layout.shards
+        # Known before the elections, as from then on the node serves callers.
+        self._layout = layout
         self._elections = tuple(
             self._build_election(
                 Shard(number, layout),
@@ -238,7 +240,6 @@
             )
             for number in range(layout.shards)
         )
-        self._layout = layout
         logger.info("layout known", extra={"shards": layout.shards})
 
     def _count_led(self) -> int:
--- a/chestnutstair/tests/test_job_requests.py
+++ b/chestnutstair/tests/test_job_requests.py
@@ -131,9 +131,16 @@
         self.assertEqual(
             handler.describe_job(job, self.deadline()).state, "cancelled"
         )
+        # A node that does not know the layout must not choose a table, not
+        # even for a submission that another node relays to it.
         layout = None
         outcome = handler.submit(QUEUE, job, BODY, self.deadline())
         self.assertIsInstance(outcome.failure, UnavailableFailure)
+        before = self.store.version
+        relayed = handler.store_submission(job, BODY, self.deadline())
+        self.assertIsInstance(relayed.err(), UnavailableFailure)
+        self.assertTrue(handler.store_cancel(job, self.deadline()).is_err())
+        self.assertEqual(self.store.version, before)
 
     def test_an_accepted_job_is_stored_once(self) -> None:
         self.assertIsNone(self.submit())
