--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -82,6 +82,16 @@
 # configurations with thousands of keys take half a second and more.
 LEADER_FETCH_SECONDS = 0.5
 MEMBER_FETCH_SECONDS = 1.5
+# Writes of all leaders together: a third of what the store takes, as most of
+# the others are submissions. With up to 8 shards each leader writes as often
+# as one alone.
+LEADER_WRITES_PER_SECOND = 400
+# How long a leader of one of several shards may load: 3 s for its own rows and
+# 7 s for the registry, which has the workers of all shards.
+SHARD_LOAD_SECONDS = 10.5
+# Shards that a node leads at most while others can. The process uses little
+# more than one core, however many the VM has.
+MOST_LED = 2
 # Share of `grace_seconds` during which open connections are still served after
 # leadership was handed over.
 DRAIN_GRACE_SHARE = 0.5
@@ -150,6 +160,7 @@
             lambda: self._watch.is_feed_failing,
             clock,
             self._election_settings.cut_off_seconds,
+            self._count_most_led(),
         )
         self._member_poller = MemberPoller(
             self._members,
@@ -168,6 +179,12 @@
             lambda: self._election.layout,
         )
 
+    def _count_most_led(self) -> int:
+        """Return how many shards this node has the power to lead."""
+        power = self._settings.processor.available_cores
+        needed = self._election_settings.required_power
+        return MOST_LED if power >= needed else 1
+
     def _build_election(
         self,
         shard: Shard,
@@ -243,7 +260,17 @@
             PlatformSubmissions(),
             lambda: self._watch.configuration,
             clock,
-            LeaderSettings(),
+            LeaderSettings(
+                min_write_interval_seconds=max(
+                    LeaderSettings.min_write_interval_seconds,
+                    shard.layout.shards / LEADER_WRITES_PER_SECOND,
+                ),
+                max_load_seconds=(
+                    LeaderSettings.max_load_seconds
+                    if shard.is_only
+                    else SHARD_LOAD_SECONDS
+                ),
+            ),
             self._build_intake_layout(shard),
             shard,
         )
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -317,6 +317,15 @@
                 return min(pause, until)
         return pause * random.uniform(0.8, 1.2)
 
+    @property
+    def shortest_interval(self) -> float:
+        """Seconds between two checks that failed calls to the leader cause.
+
+        Half of what the leader asks for, so that hundreds of nodes whose
+        callers ask for its jobs do not flood it.
+        """
+        return max(self._settings.poll_seconds, self._told_seconds / 2)
+
     def suggest_leader(self, address: str) -> bool:
         """Note the address of the leader that another node knows.
 
@@ -420,10 +429,25 @@
             extra={"reached": reached, "known": len(workers)},
         )
         self._unfit_since = None
+        self._step_down(leader, now, self._zone)
+
+    def _step_down(self, leader: Leader, now: float, avoided: str) -> None:
+        """Release the term to a node outside the avoided zone, if any."""
         self._cooldown_until = now + self._settings.cooldown_seconds
-        leader.end(release=True, avoided_zone=self._zone)
+        leader.end(release=True, avoided_zone=avoided)
         self.leader = None
         self.leader_address = ""
+        self._health = LeaderHealth.STALE
+
+    def hand_over(self) -> None:
+        """Release the term, if this node leads, to any other node."""
+        leader = self.leader
+        if leader is not None and not leader.has_ended:
+            logger.info(
+                "term handed over: this node leads too many shards",
+                extra={"shard": self._shard.number},
+            )
+            self._step_down(leader, self._clock.read_monotonic(), "")
 
     def _check_leader(self) -> LeaderHealth:
         if not self.leader_address:
@@ -536,6 +560,7 @@
         logger.info(
             "term begun",
             extra={
+                "shard": self._shard.number,
                 "epoch": epoch,
                 "before": row.holder if row is not None else None,
                 "released": row is not None and row.released,
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -302,6 +302,8 @@
 
         `value` is the encoded submission.
         """
+        if self._get_layout() is None:
+            return Err(UnavailableFailure("layout not known"))
         key = self._find_layout(job).build_job_key(job)
         result = self._storage.store(IntakeWrite(key, value, True), deadline)
         if result.is_ok():
@@ -349,6 +351,8 @@
 
         Returns whether the job is known; an unknown one is not cancelled.
         """
+        if self._get_layout() is None:
+            return Err(UnavailableFailure("layout not known"))
         layout = self._find_layout(job)
         match self._reader.find_submission(layout, job, deadline):
             case Err(failure):
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -124,5 +124,5 @@
     ["outcome"],
 )
 LEADING = Gauge(
-    "chestnutstair_leading", "1 while this node is the leader, else 0."
+    "chestnutstair_leading", "Number of shards that this node leads."
 )
--- a/chestnutstair/scheduling/shards/elections.py
+++ b/chestnutstair/scheduling/shards/elections.py
@@ -34,8 +34,13 @@
 # Interval of a node's status calls, over all shards, while its own feed of
 # the store fails.
 FEED_FAILING_SECONDS = 0.25
-# A failed call to a leader causes a status call, but not again within this.
-REPORT_SECONDS = 0.25
+# A node that leads more shards than it has power for hands one over if this
+# many nodes for each shard poll it: some of them have the power and lead none.
+# Otherwise the first nodes to start after a power loss would lead all shards
+# for good.
+NODES_PER_SHARD = 4
+# Time for the new leader of one shard to load before the next is handed over.
+HAND_OVER_SECONDS = 8.0
 
 
 class ElectionBuilder(Protocol):
@@ -57,6 +62,7 @@
     """The elections of a node, from when the layout is known.
 
     - `is_feed_failing`: returns whether this node cannot follow the store.
+    - `most_led`: number of shards that this node has the power to lead.
     """
 
     def __init__(
@@ -66,7 +72,10 @@
         is_feed_failing: Callable[[], bool],
         clock: Clock,
         cut_off_seconds: float,
+        most_led: int = 1,
     ) -> None:
+        self._most_led = most_led
+        self._hand_over_at = 0.0
         self._source = source
         self._build_election = build_election
         self._is_feed_failing = is_feed_failing
@@ -169,7 +178,7 @@
         return replace(
             status,
             leader_address=self._elections[shard].leader_address,
-            poll_seconds=self._pacer.record(f"{poller}/{shard}"),
+            poll_seconds=self._pacer.record(poller, shard),
             leaders=leaders,
         )
 
@@ -198,13 +207,14 @@
         now = self._clock.read_monotonic()
         if (
             0 <= shard < len(self._elections)
-            and now - self._run_at[shard] >= REPORT_SECONDS
+            and now - self._run_at[shard]
+            >= self._elections[shard].shortest_interval
         ):
             self._next_at[shard] = 0.0
             self._wakeup.set()
 
     def _run(self) -> None:
-        while self._layout is None:
+        while not self._elections:
             if self._stopped:
                 return
             try:
@@ -229,6 +239,8 @@
             now + random.uniform(0, spread) for _ in range(layout.shards)
         ]
         self._run_at = [0.0] * layout.shards
+        # Known before the elections, as from then on the node serves callers.
+        self._layout = layout
         self._elections = tuple(
             self._build_election(
                 Shard(number, layout),
@@ -239,7 +251,6 @@
             )
             for number in range(layout.shards)
         )
-        self._layout = layout
         logger.info("layout known", extra={"shards": layout.shards})
 
     def _count_led(self) -> int:
@@ -248,6 +259,17 @@
             for election in self._elections
         )
 
+    def _hand_over_if_too_many(self) -> None:
+        now = self._clock.read_monotonic()
+        if self._count_led() <= self._most_led:
+            self._hand_over_at = now + HAND_OVER_SECONDS
+        elif now >= self._hand_over_at:
+            self._hand_over_at = now + HAND_OVER_SECONDS
+            led = [n for n, e in enumerate(self._elections) if e.is_leading]
+            needed = NODES_PER_SHARD * len(self._elections)
+            if led and self._pacer.count_nodes(led[-1]) >= needed:
+                self._elections[led[-1]].hand_over()
+
     def _run_load(self, task: Callable[[], None]) -> None:
         threading.Thread(target=task, name="load", daemon=True).start()
 
@@ -266,5 +288,6 @@
                 pause = min(pause, longest)
             now = self._run_at[number] = self._clock.read_monotonic()
             self._next_at[number] = min(self._next_at[number], now + pause)
+        self._hand_over_if_too_many()
         now = self._clock.read_monotonic()
         return max(0.0, min(self._next_at) - now)
--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -14,6 +14,7 @@
     VmControl,
     WorkerCallFailure,
 )
+from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.term import Term, TermRow, TermSettings
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.state.deadline import Deadline
@@ -139,6 +140,7 @@
         self,
         pools: Mapping[str, str],
         settings: FleetControllerSettings | None = None,
+        shard: Shard = ONLY_SHARD,
     ) -> None:
         on = {name: pool for name, pool in pools.items() if pool != "spare"}
         self.tracker_harness = TrackerHarness(())
@@ -159,6 +161,7 @@
             lambda: self.waves,
             self.tracker_harness.clock,
             settings or FleetControllerSettings(),
+            shard,
         )
 
     def run_round(self, seconds: float = 0.1) -> None:
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -458,7 +458,7 @@
         if "member" in query and not self._members.admit_call():
             return HTTPStatus.TOO_MANY_REQUESTS, {}
         status = self._get_status(shard, name)
-        return HTTPStatus.OK, _encode_status(status, bool(address))
+        return HTTPStatus.OK, _encode_status(status, bool(name))
 
     def _handle_command(
         self, path: str, fields: dict[str, Any]
