--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -528,8 +528,9 @@
         settings = self._settings
         outlook = self._outlook
         lead = settings.move_seconds if outlook.next_pool else 0.0
-        move_seconds = settings.move_seconds + settings.settle_seconds
-        if now < outlook.rises_at - lead - move_seconds:
+        order_seconds = settings.move_seconds + settings.settle_seconds
+        lead += order_seconds + settings.hold_seconds
+        if now < outlook.rises_at - lead:
             return 0
         rate = outlook.next_rate if outlook.next_pool else outlook.rate
         vm_millicores = self._state.compute_average_millicores()
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -82,6 +82,9 @@
     # The same as `headroom` for demand known from the rate of a turn, which
     # many more jobs tell. What is not used is free for the next turn.
     turn_headroom: float = 1.1
+    # How much longer than a move takes surplus VMs are held before a turn:
+    # holding a VM for a second costs about as much as the move that it saves.
+    hold_seconds: float = 1.0
     # Part of the running work of a pool whose turn is over that comes back as
     # later steps. The rest ends where it runs, also on VMs that drain. With
     # jobs of one to three steps, half of the tasks are of a last step.
