Bound how long a pool counts on surplus VMs that do not drain

A VM whose tasks went on was counted for the pool that lacks VMs for as long as they ran. Now it returns to its pool after drain_seconds, and others are sent.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -80,6 +80,8 @@
         )
         self._turns = TurnTracker()
         self._outlook = NO_TURNS
+        # Until when VMs that did not drain are not chosen again.
+        self._left_out_until: dict[str, float] = {}
         self._began_at = clock.read_monotonic()
         self._workers_registered = False
         self._thread = threading.Thread(
@@ -305,7 +307,7 @@
                 and (
                     self._is_empty(worker)
                     if empty
-                    else now - drain.begun_at < self._settings.drain_seconds
+                    else not self._is_overdue(drain, now)
                 )
             ][: max(0, count)]
         for vm, drain in draining:
@@ -406,10 +408,13 @@
 
         Redirects up to `count` VMs; returns how many.
         """
+        now = self._clock.read_monotonic()
         candidates = [
             vm
             for vm, drain in self._state.drains.items()
-            if not drain.wave and drain.service == spare
+            if not drain.wave
+            and drain.service == spare
+            and not self._is_overdue(drain, now)
         ]
         redirected = candidates[: max(0, count)]
         for vm in redirected:
@@ -462,6 +467,11 @@
                 and worker.entry.vm not in self._state.orders
                 and worker.entry.vm not in self._state.drains
                 and (not empty or self._is_empty(worker))
+                and not (
+                    drain.begun_at
+                    < self._left_out_until.get(worker.entry.vm, 0.0)
+                    and not drain.urgent
+                )
             ]
             candidates.sort(
                 key=lambda worker: (
@@ -502,7 +512,7 @@
                 self._move_lasting_tasks(worker)
                 self._stop_delaying_runs(vm, drain, worker, now)
                 if not self._is_empty(worker):
-                    self._return_if_overdue(vm, drain, spare, now)
+                    self._end_overdue_drain(vm, drain, spare, now)
                     continue
                 if not drain.wave and drain.service == spare and held < hold:
                     held += 1
@@ -512,8 +522,9 @@
                 else:
                     orders.append(VmOrder(vm, drain.service, drain.wave))
         VMS_HELD.set(held)
-        # Beyond the rate limit, pools that lack VMs go first.
-        orders.sort(key=lambda order: order.service == spare)
+        if self._settings.follow_turns:
+            # Beyond the rate limit, pools that lack VMs go first.
+            orders.sort(key=lambda order: order.service == spare)
         for vm in self._orders.order_all(orders):
             del self._state.drains[vm]
 
@@ -536,15 +547,14 @@
         vm_millicores = self._state.compute_average_millicores()
         return round(settings.turn_headroom * rate / vm_millicores)
 
-    def _return_if_overdue(
+    def _end_overdue_drain(
         self, vm: str, drain: Drain, spare: str, now: float
     ) -> None:
-        """Let a pool get other VMs for a surplus VM that does not drain."""
-        if (
-            not drain.begun_at
-            or drain.service == spare
-            or now - drain.begun_at < self._settings.drain_seconds
-        ):
+        """Return a surplus VM that does not drain to its pool.
+
+        Others are sent in its place, as it is left out for as long again.
+        """
+        if drain.service == spare or not self._is_overdue(drain, now):
             return
         logger.info(
             "surplus VM has not drained in time",
@@ -554,7 +564,16 @@
                 "seconds": round(now - drain.begun_at, 2),
             },
         )
-        self._state.drains[vm] = Drain(spare, begun_at=drain.begun_at)
+        del self._state.drains[vm]
+        self._left_out_until[vm] = now + self._settings.drain_seconds
+
+    def _is_overdue(self, drain: Drain, now: float) -> bool:
+        """Return whether a VM in surplus has not drained in time."""
+        return (
+            self._settings.follow_turns
+            and drain.begun_at > 0
+            and now - drain.begun_at >= self._settings.drain_seconds
+        )
 
     def _stop_delaying_runs(
         self, vm: str, drain: Drain, worker: WorkerState, now: float
--- a/chestnutstair/scheduling/turns.py
+++ b/chestnutstair/scheduling/turns.py
@@ -244,12 +244,12 @@
                 next_rate=round(_measure_rate(earlier)),
                 method="order",
             )
-        # The smallest demand seen so far bounds what a wrong guess costs.
-        lowest = min(_measure_rate(turn) for turn in self._turns[:-1])
+        # The pool has had no turn yet; those of the others tell its size.
+        rates = [_measure_rate(turn) for turn in self._turns[:-1]]
         return replace(
             outlook,
             next_pool=next_pool,
-            next_rate=round(min(lowest, outlook.rate)),
+            next_rate=round(sum(rates) / len(rates)),
             method="elimination",
         )
 
