--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -287,6 +287,7 @@
                 move_seconds=times.move_seconds,
                 maintenance_seconds=times.maintenance_seconds,
                 orders_per_second=times.orders_per_second * shard.share,
+                follow_turns=times.follow_turns,
             ),
             shard,
         )
