--- a/tools/bench.py
+++ b/tools/bench.py
@@ -7,6 +7,7 @@
 
 MEASUREMENTS = (
     "requests",
+    "keys",
     "configuration",
     "idle",
     "maintenance",
