--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 
 from chestnutstair.fleet_settings import FleetSettings
@@ -369,10 +368,7 @@
 
     def _describe(self, shard: int, poller: str) -> LeaderStatus:
         version = self._watch.configuration_version
-        return replace(
-            self._election.describe(shard, poller, version),
-            members=self._members.sample_heard(),
-        )
+        return self._election.describe(shard, poller, version)
 
     def _wake_leaders(self) -> None:
         for leader in self._election.list_leaders():
