Hold organisations to their caps

Organisations had a cap in their data class, but nothing enforced it.

Each worker now adds its runs, also those that it lists although they were given up, to a count by organisation; runs restored from an earlier leader count until their worker registers or the previous leases are over. A task starts only while the count is below the cap in each capped dimension, a gang only if all of its tasks but one fit, and later work of its organisation waits for it. Organisations at their cap reserve no workers for suspects.

Two gaps in what a new leader knew are closed. A task that is done before its latest run has ended (a gang, or a late success of an earlier run) keeps its worker until that run has ended, so that the run is counted and stopped after a takeover.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -17,6 +17,8 @@
     describe_unseen_worker,
 )
 from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
+from chestnutstair.scheduling.organisations.caps import Caps
+from chestnutstair.scheduling.organisations.usage import OrganisationUsage
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
     RunEnd,
@@ -32,8 +34,11 @@
     TaskStatus,
     parse_task_name,
 )
-from chestnutstair.scheduling.specification import Step
-from chestnutstair.scheduling.workers import PlacedRun, WorkerState
+from chestnutstair.scheduling.workers import (
+    OrphanRun,
+    PlacedRun,
+    WorkerState,
+)
 from chestnutstair.state.deadline import Clock
 
 __all__ = ["Arrival", "JobTracker", "JobTrackerSettings", "StopRequest"]
@@ -76,6 +81,8 @@
     # Interval of the checks for expired and for stuck runs.
     check_interval_seconds: float = 0.1
     crashes: CrashSettings = field(default_factory=CrashSettings)
+    # Part of each organisation's cap that this leader may use.
+    cap_share: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -111,6 +118,8 @@
         self.jobs: dict[str, JobRecord] = {}
         self.active: dict[str, JobRecord] = {}  # jobs that have not ended
         self.workers: dict[str, WorkerState] = {}
+        self.usage = OrganisationUsage()
+        self.caps = Caps(self.usage, settings.cap_share)
         # Names of jobs with changes that are not stored yet.
         self.dirty: set[str] = set()
         # Runs that a worker lists although they are not placed there, by
@@ -168,19 +177,32 @@
                 record = JobRecord(submission)
                 record.started = True
                 self.jobs[record.name] = record
+                self._count_unreadable(record)
                 return
         self.jobs[record.name] = record
         if record.ended is None:
             self.active[record.name] = record
         for key, state in record.tasks.items():
-            if state.status is TaskStatus.PLACED:
+            if state.may_run:
                 incarnation = (state.worker, state.born_ms)
                 self._unclaimed.setdefault(incarnation, []).append(
                     (record, key)
                 )
+                self.usage.add_unregistered(
+                    incarnation,
+                    submission.organisation,
+                    record.steps[key.step],
+                )
         age = self._clock.read_wall() - submission.accepted_ms / 1000
         self._record_arrival(record, max(0.0, age))
 
+    def _count_unreadable(self, record: JobRecord) -> None:
+        """Count all tasks of a job until the previous leases have expired."""
+        organisation = record.submission.organisation
+        for step in record.steps:
+            for _ in range(step.count):
+                self.usage.add_unregistered(("", 0), organisation, step)
+
     def sort_arrivals(self) -> None:
         """Sort the arrivals of restored jobs by time."""
         ordered = sorted(self.arrivals, key=lambda arrival: arrival.at)
@@ -262,7 +284,7 @@
                 return None
             if entry.born_ms < current.entry.born_ms:
                 return None  # a stale entry from before its restart
-        worker = WorkerState(entry, self._clock.read_monotonic())
+        worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -283,27 +305,39 @@
         """Add the runs that an earlier leader placed on the incarnation."""
         now = self._clock.read_monotonic()
         incarnation = (worker.name, worker.entry.born_ms)
+        self.usage.remove_unregistered(incarnation)
         for record, key in self._unclaimed.pop(incarnation, []):
             state = record.get_task(key)
             if (
-                state.status is not TaskStatus.PLACED
+                not state.may_run
                 or (state.worker, state.born_ms) != incarnation
             ):
                 continue  # released in the meantime
-            run = PlacedRun(
-                record.name,
-                key,
-                state.run,
-                record.steps[key.step],
-                now,
-                # Counts as confirmed, so that the first listing under this
-                # term's epoch decides whether it still runs.
-                confirmed_at=now,
-                stopping=record.ended is not None,
-                on_probation=state.must_run_alone(record.steps[key.step]),
-            )
+            run = self._build_restored_run(record, key, state, now)
             worker.add_run(record.name_task(key), run)
 
+    @staticmethod
+    def _build_restored_run(
+        record: JobRecord, key: TaskKey, state: TaskState, now: float
+    ) -> PlacedRun:
+        step = record.steps[key.step]
+        return PlacedRun(
+            record.name,
+            key,
+            state.run,
+            step,
+            now,
+            # Counts as confirmed, so that the first listing under this
+            # term's epoch decides whether it still runs.
+            confirmed_at=now,
+            stopping=(
+                record.ended is not None
+                or state.status is not TaskStatus.PLACED
+            ),
+            on_probation=state.must_run_alone(step),
+            organisation=record.submission.organisation,
+        )
+
     def _replace_incarnation(
         self, worker: WorkerState, successor: WorkerState
     ) -> None:
@@ -339,14 +373,14 @@
         if record is None:
             return
         state = record.get_task(run.key)
-        if state.status is TaskStatus.PLACED and state.run == run.run:
-            record.place_task(
-                run.key,
-                run.run,
-                successor.name,
-                successor.entry.born_ms,
-                successor.entry.vm,
+        if state.may_run and state.run == run.run:
+            moved = replace(
+                state,
+                worker=successor.name,
+                born_ms=successor.entry.born_ms,
+                vm=successor.entry.vm,
             )
+            record.set_task(run.key, moved)
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
@@ -430,30 +464,54 @@
         """Release runs that an earlier leader placed on ended workers."""
         now = self._clock.read_monotonic()
         for incarnation, items in list(self._unclaimed.items()):
-            placed = [
+            present = [
                 (record, key)
                 for record, key in items
-                if self._is_placed_on(record.get_task(key), incarnation)
+                if self._may_run_on(record.get_task(key), incarnation)
             ]
-            if not placed:
+            if not present:
                 del self._unclaimed[incarnation]
+                self.usage.remove_unregistered(incarnation)
                 continue
-            lost = describe_unseen_worker(incarnation, placed, now)
+            placed = [
+                (record, key)
+                for record, key in present
+                if record.get_task(key).status is TaskStatus.PLACED
+            ]
+            lost = describe_unseen_worker(incarnation, placed or present, now)
             if lost.born_ms < newest_born_ms.get(lost.vm, 0):
                 del self._unclaimed[incarnation]
+                self.usage.remove_unregistered(incarnation)
                 self._retired.add(incarnation)
-                self._crashes.record(lost)
-                for record, key in placed:
-                    if self._is_placed_on(record.get_task(key), incarnation):
-                        RUNS_LOST.labels("replaced").inc()
-                        self._release(record, key, "replaced")
+                if placed:
+                    self._crashes.record(lost)
+                self._release_replaced_runs(present, incarnation)
+
+    def _release_replaced_runs(
+        self,
+        present: list[tuple[JobRecord, TaskKey]],
+        incarnation: tuple[str, int],
+    ) -> None:
+        now = self._clock.read_monotonic()
+        successor = self.workers.get(incarnation[0])
+        for record, key in present:
+            state = record.get_task(key)
+            if not self._may_run_on(state, incarnation):
+                continue
+            if successor is not None:
+                # It has the same name, so a start may have reached it.
+                run = self._build_restored_run(record, key, state, now)
+                task = record.name_task(key)
+                self._reassign_unconfirmed(task, run, successor)
+                continue
+            if state.status is TaskStatus.PLACED:
+                RUNS_LOST.labels("replaced").inc()
+                self._release(record, key, "replaced")
+            self._forget_worker(record, key, state.run)
 
     @staticmethod
-    def _is_placed_on(state: TaskState, incarnation: tuple[str, int]) -> bool:
-        return (
-            state.status is TaskStatus.PLACED
-            and (state.worker, state.born_ms) == incarnation
-        )
+    def _may_run_on(state: TaskState, incarnation: tuple[str, int]) -> bool:
+        return state.may_run and (state.worker, state.born_ms) == incarnation
 
     def release_expired(self) -> None:
         """Release the runs of workers that have ended, or whose lease has."""
@@ -486,6 +544,9 @@
         # Releases runs on incarnations that are not in the registry.
         if now <= self._began_at + self._settings.takeover_wait_seconds:
             return
+        # The leases of the previous leader have expired.
+        self._unclaimed.clear()
+        self.usage.remove_all_unregistered()
         unregistered = defaultdict(list)
         for record in self.active.values():
             for key, state in record.tasks.items():
@@ -504,14 +565,11 @@
                 self._release(record, key, "unknown worker")
 
     def _release_all(self, worker: WorkerState, reason: str) -> None:
+        worker.reserve_for_orphans([])
         for task, run in list(worker.runs.items()):
             worker.remove_run(task)
             RUNS_LOST.labels(reason).inc()
-            record = self.jobs.get(run.job)
-            if record is not None:
-                state = record.get_task(run.key)
-                if state.status is TaskStatus.PLACED and state.run == run.run:
-                    self._release(record, run.key, reason)
+            self._release_if_current(run, reason)
 
     def _release(self, record: JobRecord, key: TaskKey, reason: str) -> None:
         state = record.get_task(key)
@@ -551,11 +609,11 @@
                 self._apply_end(worker, end)
                 worker.applied_end = end.number
         listed = {listing.task for listing in answer.runs}
-        orphan_steps = []
+        orphans = []
         for listing in answer.runs:
             if not self._apply_listing(worker, listing, now):
-                orphan_steps += self._find_steps(listing)
-        worker.reserve_for_orphans(orphan_steps)
+                orphans += self._find_orphan(listing)
+        worker.reserve_for_orphans(orphans)
         for task, run in list(worker.runs.items()):
             if task not in listed:
                 self._apply_absence(worker, task, run, sent_at)
@@ -610,6 +668,17 @@
         state = record.get_task(run.key)
         if state.status is TaskStatus.PLACED and state.run == run.run:
             self._release(record, run.key, reason)
+        self._forget_worker(record, run.key, run.run)
+
+    def _forget_worker(
+        self, record: JobRecord, key: TaskKey, run: int
+    ) -> None:
+        """Record that a run has ended whose task had ended before."""
+        state = record.get_task(key)
+        ended = state.status in (TaskStatus.DONE, TaskStatus.FAILED)
+        if ended and state.run == run and state.worker:
+            record.set_task(key, replace(state, worker="", vm=""))
+            self.dirty.add(record.name)
 
     def _apply_listing(
         self, worker: WorkerState, listing: RunListing, now: float
@@ -625,15 +694,16 @@
         self.orphans[(worker.name, listing.task)] = listing.run
         return False
 
-    def _find_steps(self, listing: RunListing) -> list[Step]:
-        """Return the step of a listed run; empty if its job is not known."""
+    def _find_orphan(self, listing: RunListing) -> list[OrphanRun]:
+        """Return a listed run; empty if its job is not known."""
         parsed_name = parse_task_name(listing.task)
         record = self.jobs.get(parsed_name[0]) if parsed_name else None
         if parsed_name is None or record is None:
             return []
         if not record.has_task(parsed_name[1]):
             return []
-        return [record.steps[parsed_name[1].step]]
+        step = record.steps[parsed_name[1].step]
+        return [OrphanRun(record.submission.organisation, step)]
 
     def _record_checkpoint(self, placed: PlacedRun, checkpoint: str) -> None:
         # Not written at once: stored with the next change of the task.
@@ -670,6 +740,7 @@
             return
         record.start_confirmed = True
         self._update_failure_streak(worker, end.outcome)
+        self._forget_worker(record, parsed_name[1], end.run)
         state = record.get_task(parsed_name[1])
         if end.run > state.run or state.status is TaskStatus.DONE:
             return
@@ -685,7 +756,7 @@
         is_current = state.run == end.run and state.status is TaskStatus.PLACED
         self.dirty.add(record.name)
         if end.outcome == DONE and not step.lasting:
-            self._finish_task(record, key)
+            self._finish_task(record, key, end.run)
             return
         if end.outcome == FAILED and not step.lasting:
             if end.run in state.failed_runs:
@@ -705,12 +776,14 @@
                     },
                 )
                 record.set_task(key, replace(state, status=TaskStatus.FAILED))
+                self._forget_worker(record, key, end.run)
                 self._end_job(record, JobState.FAILED)
                 return
         if is_current:
             record.release_task(key, end.checkpoint)
 
-    def _finish_task(self, record: JobRecord, key: TaskKey) -> None:
+    def _finish_task(self, record: JobRecord, key: TaskKey, run: int) -> None:
+        """Mark a task, or its gang, as done by the end of the given run."""
         keys = [key]
         if record.steps[key.step].gang:
             # The tasks of a gang finish together, so one end covers all.
@@ -721,16 +794,10 @@
         for item in keys:
             state = record.get_task(item)
             record.set_task(
-                item,
-                replace(
-                    state,
-                    status=TaskStatus.DONE,
-                    worker="",
-                    vm="",
-                    checkpoint="",
-                ),
+                item, replace(state, status=TaskStatus.DONE, checkpoint="")
             )
             self._stop_task(record.name_task(item), state.worker)
+        self._forget_worker(record, key, run)
         if record.is_complete() and record.ended is None:
             logger.info("job completed", extra={"job": record.name})
             self._end_job(record, JobState.COMPLETED)
@@ -820,6 +887,7 @@
             step,
             now,
             on_probation=record.get_task(key).must_run_alone(step),
+            organisation=record.submission.organisation,
         )
         worker.add_run(record.name_task(key), placed)
         self.dirty.add(record.name)
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -9,14 +9,20 @@
     "PLANNING_SECONDS",
     "RUNS_LOST",
     "RUN_ENDS",
+    "STARTS_HELD_BACK",
     "START_ORDERS",
     "SUBMISSIONS",
     "SUBMISSION_SECONDS",
     "TERM_WRITE_SECONDS",
     "VM_ORDERS",
     "WORKER_CRASHES",
+    "label_organisation",
 ]
 
+# Labels for organisations, one of which is for all others.
+MAX_ORGANISATION_LABELS = 50
+OTHER_ORGANISATIONS = "other"
+
 # Buckets cover a fast store and one that is a hundred times slower.
 SECONDS_BUCKETS = (0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 
@@ -67,3 +73,23 @@
 LEADING = Gauge(
     "chestnutstair_leading", "1 while this node is the leader, else 0."
 )
+STARTS_HELD_BACK = Counter(
+    "chestnutstair_organisation_held_back",
+    "Decisions of planning rounds not to start work because of a cap.",
+    ["organisation"],
+)
+
+_organisation_labels: set[str] = set()
+
+
+def label_organisation(name: str) -> str:
+    """Return the label of an organisation, or the one for all others.
+
+    The first organisations that are seen keep their label for the life of the
+    process, so that the number of time series is bounded.
+    """
+    if name not in _organisation_labels:
+        if len(_organisation_labels) >= MAX_ORGANISATION_LABELS - 1:
+            return OTHER_ORGANISATIONS
+        _organisation_labels.add(name)
+    return name
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -8,6 +8,7 @@
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.isolation import PoolIsolation
 from chestnutstair.scheduling.job_tracker import JobTracker
+from chestnutstair.scheduling.organisations.held import CapHolds, JobRank
 from chestnutstair.scheduling.progress import (
     JobRecord,
     Lateness,
@@ -87,7 +88,7 @@
     due_ms: float
 
 
-def _rank_job(job: tuple[Urgency, str]) -> tuple[int, int, float, str]:
+def _rank_job(job: tuple[Urgency, str]) -> JobRank:
     # Compares faster than the data class: a round sorts all active jobs.
     urgency, name = job
     return urgency.lateness, urgency.priority, urgency.due_ms, name
@@ -116,9 +117,12 @@
         self._advice = advice
         self._clock = clock
         self._settings = settings
+        self._holds = CapHolds(tracker.caps)
 
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
         """Place the tasks that can start; return them, most urgent first."""
+        self._tracker.caps.apply_configuration(self._tracker.configuration)
+        self._holds.begin_round(now)
         by_service: dict[str, list[tuple[Urgency, str]]] = defaultdict(list)
         for name, record in list(self._tracker.active.items()):
             try:
@@ -136,16 +140,33 @@
             pool = PoolIsolation(workers)
             pool.reserve(self._count_suspects(jobs, workers))
             rejected = RejectedSizes()
-            for _, name in sorted(jobs, key=_rank_job):
-                record = self._tracker.active[name]
+            for job in sorted(jobs, key=_rank_job):
+                record = self._tracker.active[job[1]]
+                if self._is_held(record, job):
+                    continue
                 try:
                     placements += self._place_job(
                         record, pool, rejected, wall_ms
                     )
                 except Exception:
                     self._set_aside(record)
+        self._holds.end_round()
         return placements
 
+    # Caps of organisations
+
+    def _is_held(self, record: JobRecord, job: tuple[Urgency, str]) -> bool:
+        """Return whether the job waits for a gang or a cap to be known."""
+        organisation = record.submission.organisation
+        return bool(organisation) and self._holds.begin_job(
+            organisation, _rank_job(job)
+        )
+
+    def _admits(self, record: JobRecord, step: Step) -> bool:
+        """Return whether the owner's cap lets a task or gang start now."""
+        organisation = record.submission.organisation
+        return not organisation or self._holds.admits(organisation, step)
+
     def _set_aside(self, record: JobRecord) -> None:
         # An error that comes back in each round would stall all other jobs,
         # under this leader and under the next.
@@ -159,13 +180,17 @@
     ) -> int:
         """Return how many waiting tasks that start alone a worker could take.
 
-        Workers are not reserved for the others, which may never fit.
+        Workers are not reserved for the others, which may never fit, or are
+        held back by their organisation's cap.
         """
         count = 0
         for _, name in jobs:
             record = self._tracker.active[name]
             for key in record.suspects:
                 step = record.steps[key.step]
+                organisation = record.submission.organisation
+                if not self._tracker.caps.may_start(organisation, step):
+                    continue
                 count += any(worker.could_take(step) for worker in workers)
         return count
 
@@ -305,6 +330,8 @@
         placements: list[Placement] = []
         worker: WorkerState | None = None
         for key in waiting:
+            if not self._admits(record, step):
+                break
             if worker is None or not self._remains_best(record, step, worker):
                 worker = self._choose_worker(record, step, key, workers)
             if worker is None:
@@ -330,7 +357,7 @@
         fitting = self._list_fitting(
             record, record.steps[key.step], key, quiet
         )
-        if not fitting:
+        if not fitting or not self._admits(record, record.steps[key.step]):
             return []
         worker = min(
             fitting,
@@ -371,13 +398,20 @@
     def find_worker(
         self, record: JobRecord, key: TaskKey
     ) -> WorkerState | None:
-        """Return the worker that the task would be placed on now, if any."""
+        """Return another worker that could take a running task now, if any.
+
+        There is none while its organisation's cap would keep the task from
+        starting again.
+        """
         service = self._tracker.find_queue(record.submission).service
+        step = record.steps[key.step]
+        if not self._tracker.caps.may_restart(
+            record.submission.organisation, step
+        ):
+            return None
         now = self._clock.read_monotonic()
         pool = PoolIsolation(self._list_usable_workers(service, now))
-        return self._choose_worker(
-            record, record.steps[key.step], key, pool.open_workers
-        )
+        return self._choose_worker(record, step, key, pool.open_workers)
 
     def _choose_worker(
         self,
@@ -460,6 +494,8 @@
     ) -> list[Placement]:
         if len(waiting) < step.count:
             return []  # tasks of the previous run have not all ended
+        if not self._admits(record, step):
+            return []
         groups = [workers]
         if step.same_rack:
             racks: dict[str, list[WorkerState]] = defaultdict(list)
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -89,6 +89,18 @@
         # The tasks of a gang have to start together.
         return self.suspected and not step.gang
 
+    @property
+    def may_run(self) -> bool:
+        """Return whether the latest run may still be on its worker.
+
+        A task can be done or failed before its latest run has ended: by the
+        end of an earlier run, or of another task of its gang. The worker is
+        then kept, so that the next leader stops and counts the run as well.
+        """
+        return self.status is TaskStatus.PLACED or (
+            self.status is not TaskStatus.WAITING and bool(self.worker)
+        )
+
     @property
     def failures(self) -> int:
         """Return the number of failed runs."""
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 
+from chestnutstair.scheduling.organisations.usage import OrganisationUsage
 from chestnutstair.scheduling.ports import HoldAnswer, RunListing, WorkerEntry
 from chestnutstair.scheduling.progress import TaskKey
 from chestnutstair.scheduling.specification import Step
@@ -10,6 +11,7 @@
     "PROVING_SECONDS",
     "SLOWEST_CLOCK_RATE",
     "Contact",
+    "OrphanRun",
     "PlacedRun",
     "WorkerState",
 ]
@@ -63,6 +65,8 @@
     on_probation: bool = False
     # The latest listing of the run; None before the first.
     listing: RunListing | None = None
+    # The job's owner; "" for none.
+    organisation: str = ""
 
     @property
     def is_ready(self) -> bool:
@@ -70,11 +74,30 @@
         return self.listing is not None and self.listing.percent >= 100
 
 
+@dataclass(frozen=True)
+class OrphanRun:
+    """A run that a worker lists although it is not placed there."""
+
+    organisation: str
+    step: Step
+
+
 class WorkerState:
-    """One incarnation of a worker; the owner must lock access."""
+    """One incarnation of a worker; the owner must lock access.
+
+    It adds its runs to the usage of their organisations.
+    """
 
-    def __init__(self, entry: WorkerEntry, first_seen_at: float) -> None:
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        first_seen_at: float,
+        usage: OrganisationUsage,
+    ) -> None:
         self.entry = entry
+        self._usage = usage
+        # The pool in which its runs are counted, also if the entry changes.
+        self._service = entry.service
         self.first_seen_at = first_seen_at
         self.contact: Contact | None = None
         # When its process was last known to run; monotonic.
@@ -92,9 +115,9 @@
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.lasting_runs = 0
-        # Steps of the runs that it listed last although they are not placed
-        # there. These still use its room.
-        self._orphan_steps: list[Step] = []
+        # Runs that it listed last although they are not placed there. These
+        # still use its room.
+        self._orphan_runs: list[OrphanRun] = []
         self.cordoned = False  # gets no new tasks
         self.maintenance_due = False  # its VM is due for maintenance soon
         self.gone = False  # left the registry, retired or restarted
@@ -119,7 +142,7 @@
         self.runs[task] = run
         if run.on_probation:
             self.probation.add(task)
-        self._adjust_usage(run.step, 1)
+        self._adjust_usage(run, 1)
 
     def replace_run(self, task: str, run: PlacedRun) -> None:
         """Replace the state of a run without changing its reserved room."""
@@ -134,22 +157,28 @@
         run = self.runs.pop(task, None)
         self.probation.discard(task)
         if run is not None:
-            self._adjust_usage(run.step, -1)
+            self._adjust_usage(run, -1)
         return run
 
-    def _adjust_usage(self, step: Step, sign: int) -> None:
-        self.lasting_runs += sign * step.lasting
-        self._adjust_resources(step, sign)
+    def _adjust_usage(self, run: PlacedRun, sign: int) -> None:
+        self.lasting_runs += sign * run.step.lasting
+        self._adjust_resources(run.organisation, run.step, sign)
 
-    def reserve_for_orphans(self, steps: list[Step]) -> None:
+    def reserve_for_orphans(self, runs: list[OrphanRun]) -> None:
         """Reserve the room of the listed runs that are not placed there."""
-        for step in self._orphan_steps:
-            self._adjust_resources(step, -1)
-        self._orphan_steps = steps
-        for step in steps:
-            self._adjust_resources(step, 1)
-
-    def _adjust_resources(self, step: Step, sign: int) -> None:
+        for run in self._orphan_runs:
+            self._adjust_resources(run.organisation, run.step, -1)
+        self._orphan_runs = runs
+        for run in runs:
+            self._adjust_resources(run.organisation, run.step, 1)
+
+    def _adjust_resources(
+        self, organisation: str, step: Step, sign: int
+    ) -> None:
+        if sign > 0:
+            self._usage.add(organisation, self._service, step)
+        else:
+            self._usage.remove(organisation, self._service, step)
         if not step.filler:
             self.used_millicores += sign * step.millicores
         self.used_memory_mb += sign * step.memory_mb
--- a/chestnutstair/tests/protocol_simulation.py
+++ b/chestnutstair/tests/protocol_simulation.py
@@ -50,7 +50,7 @@
 )
 from chestnutstair.tests.support import ManualClock
 
-__all__ = ["Simulation"]
+__all__ = ["ATTEMPTS", "Simulation", "WorkerProcess"]
 
 ATTEMPTS = 2  # max_attempts of the jobs' queue
 LOSS_PROBABILITY = 0.1  # of each request, and of each answer
@@ -127,6 +127,7 @@
             submission = build_submission(name, STEPS)
             self.submissions[name] = submission
         self.stored: dict[str, bytes] = {}
+        self.configuration = CONFIGURATION
         self.epoch = 0
         self.take_over()
 
@@ -198,8 +199,9 @@
             self.violations.append(f"{task} runs again after it was done")
         if len(self.acknowledged_failures[task]) >= ATTEMPTS:
             self.violations.append(f"{task} runs again after its last attempt")
-        for dependency in STEPS[key.step].after:
-            for index in range(STEPS[dependency].count):
+        steps = self.submissions[job].specification.steps
+        for dependency in steps[key.step].after:
+            for index in range(steps[dependency].count):
                 if not self.done[f"{job}.0.{dependency}.{index}"]:
                     self.violations.append(
                         f"{task} starts before its dependencies"
@@ -305,7 +307,7 @@
         takeover_wait = ORDER_SETTINGS.compute_takeover_wait(0.0)
         settings = JobTrackerSettings(takeover_wait_seconds=takeover_wait)
         self.tracker = JobTracker(self.clock, settings)
-        self.tracker.configuration = CONFIGURATION
+        self.tracker.configuration = self.configuration
         for name, submission in self.submissions.items():
             self.tracker.restore_job(submission, self.stored.get(name))
         advice = AdviceCache(FakePolicy(), self.clock)
