--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -18,6 +18,7 @@
 )
 from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
 from chestnutstair.scheduling.organisations.caps import Caps
+from chestnutstair.scheduling.organisations.excess import ExcessJobs
 from chestnutstair.scheduling.organisations.usage import OrganisationUsage
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
@@ -120,6 +121,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.usage = OrganisationUsage()
         self.caps = Caps(self.usage, settings.cap_share)
+        self.excess = ExcessJobs()
         # Names of jobs with changes that are not stored yet.
         self.dirty: set[str] = set()
         # Runs that a worker lists although they are not placed there, by
@@ -158,6 +160,7 @@
         self, submission: Submission, progress: bytes | None
     ) -> None:
         """Add a job from the store when a term begins."""
+        self.excess.add(submission)
         record = JobRecord(submission)
         if progress is not None:
             try:
@@ -231,6 +234,7 @@
         record = JobRecord(submission)
         self.jobs[record.name] = record
         self.active[record.name] = record
+        self.excess.add(submission)
         self._record_arrival(record, 0.0)
         logger.info(
             "job admitted",
@@ -264,7 +268,9 @@
 
     def forget_job(self, name: str) -> None:
         """Remove a job whose rows have been deleted from the store."""
-        self.jobs.pop(name, None)
+        record = self.jobs.pop(name, None)
+        if record is not None:
+            self.excess.remove(record.submission)
         self.dirty.discard(name)
 
     # Workers
--- a/chestnutstair/scheduling/organisations/caps.py
+++ b/chestnutstair/scheduling/organisations/caps.py
@@ -1,5 +1,6 @@
 """Decides whether a task or gang may start below its organisation's cap."""
 
+from collections.abc import Sequence
 from math import ceil
 
 from result import Err, Ok, Result
@@ -38,9 +39,17 @@
 
 
 def _is_below(cap: Cap, share: float, usage: Amounts) -> bool:
-    return all(
-        used < limit
-        for limit, used, _ in _list_limits(cap, share, usage, usage)
+    counts = (usage.millicores, usage.memory_mb, usage.accelerators)
+    return _are_below(cap, share, counts)
+
+
+def _are_below(cap: Cap, share: float, counts: Sequence[int]) -> bool:
+    # Called for each task that starts, so without a loop.
+    millicores, memory_mb, accelerators = counts
+    return (
+        (not cap.millicores or millicores < cap.millicores * share)
+        and (not cap.memory_mb or memory_mb < cap.memory_mb * share)
+        and (not cap.accelerators or accelerators < cap.accelerators * share)
     )
 
 
@@ -109,11 +118,11 @@
         if not self.version:
             return False  # the cap is not known yet
         cap = self.get_cap(organisation)
-        if cap == NO_CAP:
-            return True
+        if not step.gang:
+            counts = self.usage.get_counts(organisation)
+            return _are_below(cap, self.share, counts)
         usage = self.usage.get_total(organisation)
-        if step.gang:
-            usage = usage.add(Amounts.measure(step, step.count - 1))
+        usage = usage.add(Amounts.measure(step, step.count - 1))
         return _is_below(cap, self.share, usage)
 
     def may_restart(self, organisation: str, step: Step) -> bool:
--- a/chestnutstair/scheduling/organisations/held.py
+++ b/chestnutstair/scheduling/organisations/held.py
@@ -63,6 +63,19 @@
                 return True
         return False
 
+    def is_closed(self, organisation: str, steps: tuple[Step, ...]) -> bool:
+        """Return whether nothing of a job may start; count it as held.
+
+        Jobs with gangs are planned nevertheless, as these hold back others.
+        """
+        if any(step.gang for step in steps):
+            return False
+        # The step does not matter: only the usage has to be below the cap.
+        if self._caps.may_start(organisation, steps[0]):
+            return False
+        self._held[organisation] += 1
+        return True
+
     def admits(self, organisation: str, step: Step) -> bool:
         """Return whether a task of the current job, or its gang, may start."""
         gang = self._gangs.get(organisation)
--- a/chestnutstair/scheduling/organisations/usage.py
+++ b/chestnutstair/scheduling/organisations/usage.py
@@ -3,7 +3,7 @@
 Updated with each run, so that planning does not iterate over all runs.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.specification import Step
@@ -44,6 +44,11 @@
 
 
 NOTHING = Amounts()
+NO_COUNTS = (0, 0, 0)
+
+
+def _build_amounts(counts: list[int] | None) -> Amounts:
+    return Amounts(*counts) if counts else NOTHING
 
 
 class OrganisationUsage:
@@ -53,9 +58,11 @@
     """
 
     def __init__(self) -> None:
-        self._totals: dict[str, Amounts] = {}
-        self._lasting: dict[str, Amounts] = {}
-        self._pools: dict[tuple[str, str], Amounts] = {}
+        # Lists of the amounts in the order of the fields of `Amounts`, which
+        # are updated in place: a round changes them thousands of times.
+        self._totals: dict[str, list[int]] = {}
+        self._lasting: dict[str, list[int]] = {}
+        self._pools: dict[tuple[str, str], list[int]] = {}
         # Runs that an earlier leader placed on workers that have not
         # registered, by worker.
         self._unregistered: dict[Incarnation, list[tuple[str, Step]]] = {}
@@ -71,14 +78,20 @@
     def _adjust(
         self, organisation: str, service: str, step: Step, sign: int
     ) -> None:
-        change = Amounts.measure(step)
-        total = self.get_total(organisation)
-        self._totals[organisation] = total.add(change, sign)
-        in_pool = self.get_in_pool(organisation, service)
-        self._pools[organisation, service] = in_pool.add(change, sign)
+        millicores = 0 if step.filler else sign * step.millicores
+        total = self._totals.get(organisation)
+        if total is None:
+            total = self._totals[organisation] = [0, 0, 0]
+        pool = self._pools.get((organisation, service))
+        if pool is None:
+            pool = self._pools[organisation, service] = [0, 0, 0]
+        counts = [total, pool]
         if step.lasting:
-            lasting = self.get_lasting(organisation)
-            self._lasting[organisation] = lasting.add(change, sign)
+            counts.append(self._lasting.setdefault(organisation, [0, 0, 0]))
+        for count in counts:
+            count[0] += millicores
+            count[1] += sign * step.memory_mb
+            count[2] += sign * step.accelerators
 
     def add_unregistered(
         self, incarnation: Incarnation, organisation: str, step: Step
@@ -98,17 +111,21 @@
         for incarnation in list(self._unregistered):
             self.remove_unregistered(incarnation)
 
+    def get_counts(self, organisation: str) -> Sequence[int]:
+        """Return the total in the order of the fields of `Amounts`."""
+        return self._totals.get(organisation, NO_COUNTS)
+
     def get_total(self, organisation: str) -> Amounts:
         """Return what an organisation has running over all pools."""
-        return self._totals.get(organisation, NOTHING)
+        return _build_amounts(self._totals.get(organisation))
 
     def get_lasting(self, organisation: str) -> Amounts:
         """Return the part of the total that lasting tasks use."""
-        return self._lasting.get(organisation, NOTHING)
+        return _build_amounts(self._lasting.get(organisation))
 
     def get_in_pool(self, organisation: str, service: str) -> Amounts:
         """Return what an organisation has running in a pool."""
-        return self._pools.get((organisation, service), NOTHING)
+        return _build_amounts(self._pools.get((organisation, service)))
 
     def list_organisations(self) -> Iterable[str]:
         """Return the organisations that have had runs in this term."""
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -1,14 +1,24 @@
 """Chooses the waiting tasks to start now, and a worker for each."""
 
 import logging
+import sys
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.isolation import PoolIsolation
 from chestnutstair.scheduling.job_tracker import JobTracker
+from chestnutstair.scheduling.organisations.excess import read_weights
 from chestnutstair.scheduling.organisations.held import CapHolds, JobRank
+from chestnutstair.scheduling.organisations.shares import (
+    ExcessCredit,
+    FairJob,
+    FairOrder,
+    classify_job,
+)
+from chestnutstair.scheduling.organisations.usage import Amounts
 from chestnutstair.scheduling.progress import (
     JobRecord,
     Lateness,
@@ -79,6 +89,29 @@
         )
 
 
+class PoolSizes:
+    """Task sizes for which a worker of a pool has room as a round begins."""
+
+    def __init__(self, pool: PoolIsolation, rejected: RejectedSizes) -> None:
+        self._pool = pool
+        self._rejected = rejected
+        self._known: dict[tuple[int, int, int], bool] = {}
+
+    def fits(self, step: Step) -> bool:
+        """Return whether a worker has room for a task of the step."""
+        millicores = 0 if step.filler else step.millicores
+        size = (millicores, step.memory_mb, step.accelerators)
+        known = self._known.get(size)
+        if known is None:
+            known = not self._rejected.covers(step) and any(
+                worker.has_room(step) for worker in self._pool.open_workers
+            )
+            if not known:
+                self._rejected.add(step)
+            self._known[size] = known
+        return known
+
+
 @dataclass(frozen=True)
 class Urgency:
     """Sort key of the order in which jobs get room, smallest first."""
@@ -94,6 +127,24 @@
     return urgency.lateness, urgency.priority, urgency.due_ms, name
 
 
+def _choose_waiting(
+    record: JobRecord, waiting: list[TaskKey], limit: int
+) -> list[TaskKey]:
+    """Return up to `limit` waiting tasks, and the suspects among all."""
+    if len(waiting) <= limit:
+        return waiting
+    chosen = [key for key in waiting if key not in record.suspects][:limit]
+    return [*chosen, *(key for key in waiting if key in record.suspects)]
+
+
+def _sum_capacity(workers: list[WorkerState]) -> Amounts:
+    return Amounts(
+        sum(worker.entry.millicores for worker in workers),
+        sum(worker.entry.memory_mb for worker in workers),
+        sum(worker.entry.accelerators for worker in workers),
+    )
+
+
 def _filter_allowed(
     workers: list[WorkerState], allowed: set[str] | None
 ) -> list[WorkerState]:
@@ -118,11 +169,14 @@
         self._clock = clock
         self._settings = settings
         self._holds = CapHolds(tracker.caps)
+        self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
 
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
         """Place the tasks that can start; return them, most urgent first."""
         self._tracker.caps.apply_configuration(self._tracker.configuration)
         self._holds.begin_round(now)
+        organisations = self._tracker.configuration.organisations
+        weights = read_weights(organisations) if organisations else None
         by_service: dict[str, list[tuple[Urgency, str]]] = defaultdict(list)
         for name, record in list(self._tracker.active.items()):
             try:
@@ -139,34 +193,160 @@
                 continue
             pool = PoolIsolation(workers)
             pool.reserve(self._count_suspects(jobs, workers))
-            rejected = RejectedSizes()
-            for job in sorted(jobs, key=_rank_job):
-                record = self._tracker.active[job[1]]
-                if self._is_held(record, job):
-                    continue
-                try:
-                    placements += self._place_job(
-                        record, pool, rejected, wall_ms
-                    )
-                except Exception:
-                    self._set_aside(record)
+            if weights is None:
+                placements += self._place_in_order(jobs, pool, wall_ms)
+            else:
+                placements += self._place_by_shares(
+                    service, jobs, pool, wall_ms, weights
+                )
         self._holds.end_round()
         return placements
 
+    def _place_in_order(
+        self,
+        jobs: list[tuple[Urgency, str]],
+        pool: PoolIsolation,
+        wall_ms: float,
+    ) -> list[Placement]:
+        """Place a pool's jobs in the order of their urgency."""
+        placements: list[Placement] = []
+        rejected = RejectedSizes()
+        for job in sorted(jobs, key=_rank_job):
+            placements += self._try_job(
+                job[1], _rank_job(job), pool, rejected, wall_ms
+            )
+        return placements
+
+    # Shares of organisations
+
+    def _place_by_shares(
+        self,
+        service: str,
+        jobs: list[tuple[Urgency, str]],
+        pool: PoolIsolation,
+        wall_ms: float,
+        weights: Mapping[str, float],
+    ) -> list[Placement]:
+        """Place a pool's jobs by the shares of their organisations."""
+        placements: list[Placement] = []
+        rejected = RejectedSizes()
+        usage = self._tracker.usage
+        credit = self._excess_credits.setdefault(service, ExcessCredit())
+        order = FairOrder(
+            self._classify_jobs(jobs, pool, rejected, weights),
+            _sum_capacity(pool.workers),
+            lambda organisation: usage.get_in_pool(organisation, service),
+            weights,
+            credit,
+        )
+        while (turn := order.choose()) is not None:
+            job = turn.job
+            placed = self._try_job(
+                job.name, job.rank, pool, rejected, wall_ms, turn.limit
+            )
+            record = self._tracker.active.get(job.name)
+            order.record(
+                turn,
+                len(placed),
+                record is not None and self._has_startable(record),
+            )
+            placements += placed
+        return placements
+
+    @staticmethod
+    def _has_startable(record: JobRecord) -> bool:
+        # Jobs with set times may have several occurrences that are due.
+        occurrences = record.submission.specification.occurrences
+        return bool(occurrences or record.outlook.startable)
+
+    def _classify_jobs(
+        self,
+        jobs: list[tuple[Urgency, str]],
+        pool: PoolIsolation,
+        rejected: RejectedSizes,
+        weights: Mapping[str, float],
+    ) -> list[FairJob]:
+        """Return the jobs that might place a task.
+
+        In a full pool there are none, so that its rounds cost no more than
+        those without organisations.
+        """
+        candidates = self._list_candidates(jobs, pool, rejected)
+        if not candidates:
+            return []
+        beyond = self._tracker.excess.find_beyond(weights)
+        classified = []
+        for job in candidates:
+            urgency, name = job
+            record = self._tracker.active[name]
+            job_class = classify_job(
+                record.is_lasting, urgency.lateness, name in beyond
+            )
+            organisation = record.submission.organisation
+            classified.append(FairJob(organisation, job_class, _rank_job(job)))
+        return classified
+
+    def _list_candidates(
+        self,
+        jobs: list[tuple[Urgency, str]],
+        pool: PoolIsolation,
+        rejected: RejectedSizes,
+    ) -> list[tuple[Urgency, str]]:
+        """Return the jobs with tasks that some worker has room for."""
+        sizes = PoolSizes(pool, rejected)
+        active = self._tracker.active
+        candidates = []
+        for job in jobs:
+            record = active[job[1]]
+            if (
+                record.suspects
+                or record.submission.specification.occurrences
+                or any(
+                    sizes.fits(record.steps[number])
+                    for number in record.outlook.startable
+                )
+            ):
+                organisation = record.submission.organisation
+                if not organisation or not self._holds.is_closed(
+                    organisation, record.steps
+                ):
+                    candidates.append(job)
+        return candidates
+
     # Caps of organisations
 
-    def _is_held(self, record: JobRecord, job: tuple[Urgency, str]) -> bool:
-        """Return whether the job waits for a gang or a cap to be known."""
+    def _is_held(self, record: JobRecord, rank: JobRank) -> bool:
+        """Return whether a gang of the owner that waits goes before a job."""
         organisation = record.submission.organisation
-        return bool(organisation) and self._holds.begin_job(
-            organisation, _rank_job(job)
-        )
+        return bool(organisation) and self._holds.begin_job(organisation, rank)
 
     def _admits(self, record: JobRecord, step: Step) -> bool:
         """Return whether the owner's cap lets a task or gang start now."""
         organisation = record.submission.organisation
         return not organisation or self._holds.admits(organisation, step)
 
+    def _try_job(
+        self,
+        name: str,
+        rank: JobRank,
+        pool: PoolIsolation,
+        rejected: RejectedSizes,
+        wall_ms: float,
+        limit: int = sys.maxsize,
+    ) -> list[Placement]:
+        """Place up to `limit` tasks of a job; set it aside after an error.
+
+        Gangs are placed as a whole.
+        """
+        record = self._tracker.active.get(name)
+        if record is None or self._is_held(record, rank):
+            return []
+        try:
+            return self._place_job(record, pool, rejected, wall_ms, limit)
+        except Exception:
+            self._set_aside(record)
+            return []
+
     def _set_aside(self, record: JobRecord) -> None:
         # An error that comes back in each round would stall all other jobs,
         # under this leader and under the next.
@@ -255,12 +435,15 @@
         pool: PoolIsolation,
         rejected: RejectedSizes,
         wall_ms: float,
+        limit: int,
     ) -> list[Placement]:
         placements: list[Placement] = []
         due_ms = wall_ms - self._settings.due_margin_ms
         if not record.submission.specification.occurrences:
             due_ms = wall_ms
         for occurrence, number in record.list_startable_steps(due_ms):
+            if len(placements) >= limit:
+                break
             step = record.steps[number]
             is_rejected = rejected.covers(step)
             if not is_rejected and not any(
@@ -274,6 +457,10 @@
             waiting = [
                 TaskKey(occurrence, number, index) for index in sorted(indexes)
             ]
+            if not step.gang:
+                waiting = _choose_waiting(
+                    record, waiting, limit - len(placements)
+                )
             placements += self._place_step(record, step, waiting, pool)
         return placements
 
@@ -423,11 +610,14 @@
         fitting = self._list_fitting(record, step, key, workers)
         if not fitting:
             return None
+        if not record.failed_on:
+            return min(
+                fitting, key=lambda worker: self._rank_worker(step, worker)
+            )
         return min(
             fitting,
             key=lambda worker: (
-                bool(record.failed_on)
-                and (key, worker.name) in record.failed_on,
+                (key, worker.name) in record.failed_on,
                 self._rank_worker(step, worker),
             ),
         )
@@ -439,7 +629,7 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> list[WorkerState]:
-        return [
+        fitting = [
             worker
             for worker in workers
             if worker.has_room(step)
@@ -447,7 +637,13 @@
                 not step.required_label
                 or step.required_label in worker.entry.labels
             )
-            and self._is_within_spread_limit(record, step, key, worker)
+        ]
+        if not step.spread_limit:
+            return fitting
+        return [
+            worker
+            for worker in fitting
+            if self._count_siblings(record, key, worker) < step.spread_limit
         ]
 
     @staticmethod
@@ -462,13 +658,6 @@
             and run.key.occurrence == key.occurrence
         )
 
-    def _is_within_spread_limit(
-        self, record: JobRecord, step: Step, key: TaskKey, worker: WorkerState
-    ) -> bool:
-        if not step.spread_limit:
-            return True
-        return self._count_siblings(record, key, worker) < step.spread_limit
-
     @staticmethod
     def _rank_worker(
         step: Step, worker: WorkerState
