Request no VMs for work that caps hold back

Waiting work beyond an organisation's cap counted as demand of its pool, so pools would grow for tasks that may not start. It counts now up to the last task that the cap admits, and arrivals of organisations that are held back do not count as a rate. Suspects at the cap reserve nothing.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -108,6 +108,7 @@
     work: float
     path_seconds: float = 0.0
     slack_seconds: float = 0.0
+    organisation: str = ""
 
 
 class JobTracker:
@@ -224,6 +225,7 @@
                 record.estimate_work(),
                 path_ms / 1000,
                 slack_ms / 1000,
+                record.submission.organisation,
             )
         )
 
--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.job_tracker import Arrival, JobTracker
-from chestnutstair.scheduling.progress import Lateness
+from chestnutstair.scheduling.organisations.caps import Caps
+from chestnutstair.scheduling.organisations.usage import NOTHING, Amounts
+from chestnutstair.scheduling.progress import JobRecord, Lateness
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = ["PoolLoad", "measure_loads"]
@@ -63,7 +65,8 @@
 
 def measure_loads(tracker: JobTracker, now: float) -> list[PoolLoad]:
     """Return each pool's load; the caller must hold the tracker's lock."""
-    rates = _measure_rates(tracker, now)
+    tracker.caps.apply_configuration(tracker.configuration)
+    demand = _CappedDemand(tracker.caps)
     waiting: dict[str, int] = {}
     coming: dict[str, int] = {}
     late: dict[str, int] = {}
@@ -73,8 +76,8 @@
         service = tracker.find_queue(record.submission).service
         if record.is_due:
             weight = LATENESS_WEIGHTS[record.lateness]
-            ready = round(weight * record.outlook.waiting_millicores)
-            later = round(weight * record.outlook.later_millicores)
+            needs = demand.measure(record)
+            ready, later = (round(weight * need) for need in needs)
             waiting[service] = waiting.get(service, 0) + ready
             coming[service] = coming.get(service, 0) + later
             if record.lateness is not Lateness.IN_TIME:
@@ -85,6 +88,7 @@
             if step.lasting and step.spread_limit:
                 width = -(-step.count // step.spread_limit)
                 widest[service] = max(widest.get(service, 0), width)
+    rates = _measure_rates(tracker, now, demand.held)
     loads = []
     pools: dict[str, list[WorkerState]] = {}
     for worker in tracker.workers.values():
@@ -130,12 +134,55 @@
     return loads
 
 
+class _CappedDemand:
+    """What the jobs of organisations need, as far as their caps admit it.
+
+    What a cap holds back requests no VMs, as these would have no use.
+    """
+
+    def __init__(self, caps: Caps) -> None:
+        self._caps = caps
+        # What starts next, by organisation, in addition to what runs.
+        self._planned: dict[str, Amounts] = {}
+        # Organisations with work that is held back.
+        self.held: set[str] = set()
+
+    def measure(self, record: JobRecord) -> tuple[float, float]:
+        """Return the millicores that a job needs now and later."""
+        outlook = record.outlook
+        organisation = record.submission.organisation
+        if not self._caps.has_limit(organisation):
+            return outlook.waiting_millicores, outlook.later_millicores
+        planned = self._planned.get(organisation, NOTHING)
+        room = self._caps.measure_room(organisation, planned)
+        if not room or not self._caps.version:
+            self.held.add(organisation)
+            return 0.0, 0.0
+        before = planned
+        for number in outlook.startable:
+            step = record.steps[number]
+            progress = record.get_step_progress(
+                record.current_occurrence, number
+            )
+            waiting = len(progress.waiting)
+            count = self._caps.count_admitted(organisation, step, planned)
+            if count < waiting:
+                self.held.add(organisation)
+            planned = planned.add(Amounts.measure(step, min(count, waiting)))
+        self._planned[organisation] = planned
+        ready = planned.millicores - before.millicores
+        room = self._caps.measure_room(organisation, planned)
+        return ready, min(outlook.later_millicores, room)
+
+
 def _count_suspects(tracker: JobTracker) -> Counter[str]:
     suspects: Counter[str] = Counter()
     for record in tracker.active.values():
-        if record.suspects:
-            service = tracker.find_queue(record.submission).service
-            suspects[service] += len(record.suspects)
+        organisation = record.submission.organisation
+        for key in record.suspects:
+            if tracker.caps.may_start(organisation, record.steps[key.step]):
+                service = tracker.find_queue(record.submission).service
+                suspects[service] += 1
     return suspects
 
 
@@ -156,14 +203,18 @@
 NO_ARRIVALS = _ArrivalRate(0.0, 0.0, 0.0)
 
 
-def _measure_rates(tracker: JobTracker, now: float) -> dict[str, _ArrivalRate]:
+def _measure_rates(
+    tracker: JobTracker, now: float, held: set[str]
+) -> dict[str, _ArrivalRate]:
+    """Return the rate of each pool, without the organisations in `held`."""
     rates: dict[str, _ArrivalRate] = {}
     for seconds, min_jobs in RATE_WINDOWS:
         arrivals: dict[str, list[Arrival]] = {}
         for arrival in reversed(tracker.arrivals):
             if now - arrival.at > seconds:
                 break
-            arrivals.setdefault(arrival.service, []).append(arrival)
+            if arrival.organisation not in held:
+                arrivals.setdefault(arrival.service, []).append(arrival)
         for service, items in arrivals.items():
             if len(items) < min_jobs:
                 continue
--- a/chestnutstair/scheduling/organisations/caps.py
+++ b/chestnutstair/scheduling/organisations/caps.py
@@ -1,7 +1,7 @@
 """Decides whether a task or gang may start below its organisation's cap."""
 
 from collections.abc import Sequence
-from math import ceil
+from math import ceil, inf
 
 from result import Err, Ok, Result
 
@@ -142,6 +142,19 @@
         usage = usage.add(Amounts.measure(step, step.count - 1))
         return _is_below(self.get_cap(organisation), self.share, usage)
 
+    def measure_room(self, organisation: str, planned: Amounts) -> float:
+        """Return the millicores below the cap, infinite without one.
+
+        `planned` is what starts in addition to what runs.
+        """
+        usage = self.usage.get_total(organisation).add(planned)
+        cap = self.get_cap(organisation)
+        if not _is_below(cap, self.share, usage):
+            return 0.0
+        if not cap.millicores:
+            return inf
+        return cap.millicores * self.share - usage.millicores
+
     def count_admitted(
         self, organisation: str, step: Step, planned: Amounts
     ) -> int:
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from functools import partial
 
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.configuration import Queue
@@ -611,9 +612,7 @@
         if not fitting:
             return None
         if not record.failed_on:
-            return min(
-                fitting, key=lambda worker: self._rank_worker(step, worker)
-            )
+            return min(fitting, key=partial(self._rank_worker, step))
         return min(
             fitting,
             key=lambda worker: (
--- a/chestnutstair/tests/test_caps.py
+++ b/chestnutstair/tests/test_caps.py
@@ -10,6 +10,7 @@
 from chestnutstair.coordination.platform import UnknownOutcomeFailure
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.job_tracker import JobTrackerSettings
+from chestnutstair.scheduling.load import PoolLoad, measure_loads
 from chestnutstair.scheduling.organisations import Cap, Organisation
 from chestnutstair.scheduling.organisations.caps import check_gangs
 from chestnutstair.scheduling.organisations.usage import (
@@ -549,6 +550,75 @@
         )
 
 
+class LoadTest(unittest.TestCase):
+    """What a cap holds back requests no VMs."""
+
+    def measure(self, harness: CapHarness) -> PoolLoad:
+        loads = measure_loads(harness.tracker, harness.clock.now)
+        return next(load for load in loads if load.service == "boxes")
+
+    def test_waiting_work_counts_up_to_the_last_task(self) -> None:
+        # Load: 20 jobs of an organisation, as a burst in a small pool.
+        harness = CapHarness(Cap(10 * CORE), ("w1",))
+        for number in range(20):
+            harness.admit_for(
+                "acme",
+                f"j{number}",
+                [
+                    Step(2, 4 * CORE, estimate_ms=1000),
+                    Step(9, CORE, after=(0,)),
+                ],
+            )
+        load = self.measure(harness)
+        self.assertEqual(load.waiting, 12 * CORE)
+        self.assertEqual(load.rate, 0)
+        harness.plan()
+        load = self.measure(harness)
+        self.assertEqual((load.waiting, load.coming), (0, 0))
+
+    def test_what_fits_below_the_cap_requests_as_before(self) -> None:
+        capped = CapHarness(Cap(900 * CORE), ("w1",))
+        free = CapHarness(Cap(), ("w1",))
+        steps = [
+            Step(2, 4 * CORE, estimate_ms=1000),
+            Step(9, CORE, after=(0,)),
+        ]
+        for harness in (capped, free):
+            for number in range(20):
+                harness.admit_for("acme", f"j{number}", steps)
+        self.assertEqual(self.measure(capped), self.measure(free))
+        self.assertGreater(self.measure(capped).rate, 0)
+
+    def test_the_work_of_others_counts_in_full(self) -> None:
+        harness = CapHarness(Cap(CORE), ("w1",))
+        harness.admit_for("acme", "a", [Step(50, 4 * CORE)])
+        harness.admit_for("birch", "b", [Step(50, 4 * CORE)])
+        self.assertEqual(self.measure(harness).waiting, 51 * 4 * CORE)
+
+    def test_a_gang_that_waits_for_its_cap_requests_nothing(self) -> None:
+        harness = CapHarness(Cap(10 * CORE), ("w1",))
+        harness.admit_for("acme", "j", [Step(1, 4 * CORE)])
+        harness.plan()
+        harness.admit_for("acme", "g", [Step(4, 3 * CORE, gang=True)])
+        self.assertEqual(self.measure(harness).waiting, 0)
+
+    def test_other_dimensions_hold_back_as_well(self) -> None:
+        harness = CapHarness(Cap(memory_mb=4096), ("w1",))
+        harness.admit_for("acme", "j", [Step(50, 4 * CORE, 1024)])
+        self.assertEqual(self.measure(harness).waiting, 16 * CORE)
+
+    def test_suspects_at_the_cap_request_nothing(self) -> None:
+        harness = CapHarness(Cap(4 * CORE), ("w1",))
+        harness.admit_for("acme", "r", [Step(1, 4 * CORE)])
+        harness.plan()
+        record = harness.admit_for("acme", "s", [Step(1, 4 * CORE)])
+        suspected = replace(
+            record.get_task(FIRST), suspected=True, crashed_runs=(1,), run=1
+        )
+        record.set_task(FIRST, suspected)
+        self.assertEqual(self.measure(harness).suspects, 0)
+
+
 class LogTest(unittest.TestCase):
     """What a cap holds back is logged, at most once a second."""
 
