Publish usage, cap and waiting jobs of organisations

Nothing showed whether an organisation waits for its cap. Three gauges and a counter do, with at most 50 labels. Tests that a paused leader sends no start after 2 s without a renewal.

--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -6,6 +6,11 @@
     "FIRST_START_SECONDS",
     "JOBS_GIVEN_UP",
     "LEADING",
+    "MAX_ORGANISATION_LABELS",
+    "ORGANISATION_CAP",
+    "ORGANISATION_JOBS_WAITING",
+    "ORGANISATION_RUNNING",
+    "OTHER_ORGANISATIONS",
     "PLANNING_SECONDS",
     "RUNS_LOST",
     "RUN_ENDS",
@@ -73,6 +78,21 @@
 LEADING = Gauge(
     "chestnutstair_leading", "1 while this node is the leader, else 0."
 )
+ORGANISATION_RUNNING = Gauge(
+    "chestnutstair_organisation_running_millicores",
+    "Millicores that count against an organisation's cap.",
+    ["organisation"],
+)
+ORGANISATION_CAP = Gauge(
+    "chestnutstair_organisation_cap_millicores",
+    "This leader's part of an organisation's cap; 0 for no limit.",
+    ["organisation"],
+)
+ORGANISATION_JOBS_WAITING = Gauge(
+    "chestnutstair_organisation_jobs_waiting",
+    "Jobs with tasks that could start if there were room.",
+    ["organisation"],
+)
 STARTS_HELD_BACK = Counter(
     "chestnutstair_organisation_held_back",
     "Decisions of planning rounds not to start work because of a cap.",
--- a/chestnutstair/scheduling/organisations/caps.py
+++ b/chestnutstair/scheduling/organisations/caps.py
@@ -105,6 +105,10 @@
         """Return the last known cap of an organisation."""
         return self._caps.get(organisation, NO_CAP)
 
+    def list_organisations(self) -> list[str]:
+        """Return the organisations that have been configured in this term."""
+        return list(self._caps)
+
     def has_limit(self, organisation: str) -> bool:
         """Return whether starts of the organisation can be held back."""
         if not organisation:
--- a/chestnutstair/scheduling/organisations/usage.py
+++ b/chestnutstair/scheduling/organisations/usage.py
@@ -3,7 +3,7 @@
 Updated with each run, so that planning does not iterate over all runs.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.specification import Step
@@ -126,7 +126,3 @@
     def get_in_pool(self, organisation: str, service: str) -> Amounts:
         """Return what an organisation has running in a pool."""
         return _build_amounts(self._pools.get((organisation, service)))
-
-    def list_organisations(self) -> Iterable[str]:
-        """Return the organisations that have had runs in this term."""
-        return self._totals.keys()
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -13,6 +13,7 @@
 from chestnutstair.scheduling.job_tracker import JobTracker
 from chestnutstair.scheduling.organisations.excess import read_weights
 from chestnutstair.scheduling.organisations.held import CapHolds, JobRank
+from chestnutstair.scheduling.organisations.reports import UsageReport
 from chestnutstair.scheduling.organisations.shares import (
     ExcessCredit,
     FairJob,
@@ -170,6 +171,7 @@
         self._clock = clock
         self._settings = settings
         self._holds = CapHolds(tracker.caps)
+        self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
 
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
@@ -201,6 +203,7 @@
                     service, jobs, pool, wall_ms, weights
                 )
         self._holds.end_round()
+        self._report.publish(self._tracker.active.values(), now)
         return placements
 
     def _place_in_order(
--- a/chestnutstair/tests/test_caps.py
+++ b/chestnutstair/tests/test_caps.py
@@ -6,25 +6,39 @@
 import unittest
 from collections.abc import Sequence
 from dataclasses import replace
+from typing import cast
+from unittest import mock
 
-from chestnutstair.coordination.platform import UnknownOutcomeFailure
+from prometheus_client import REGISTRY
+from result import Ok
+
+from chestnutstair.scheduling import metrics
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.job_tracker import JobTrackerSettings
+from chestnutstair.scheduling.leadership import Leadership
 from chestnutstair.scheduling.load import PoolLoad, measure_loads
+from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.organisations import Cap, Organisation
 from chestnutstair.scheduling.organisations.caps import check_gangs
 from chestnutstair.scheduling.organisations.usage import (
     Amounts,
     OrganisationUsage,
 )
+from chestnutstair.scheduling.pacing import Pacer, PacingSettings
 from chestnutstair.scheduling.placement import Placement
-from chestnutstair.scheduling.ports import RunListing
+from chestnutstair.scheduling.ports import (
+    RunListing,
+    StartOrder,
+    WorkerControl,
+)
 from chestnutstair.scheduling.progress import (
     JobRecord,
     TaskKey,
     TaskStatus,
 )
 from chestnutstair.scheduling.specification import JobSpecification, Step
+from chestnutstair.scheduling.term import Term, TermRow, TermSettings
+from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.tests.scheduling_support import (
     CONFIGURATION,
     TrackerHarness,
@@ -35,7 +49,6 @@
 CORE = 1000
 FIRST = TaskKey(0, 0, 0)
 WORKERS = ("w1", "w2", "w3", "w4")
-UNKNOWN_OUTCOME = UnknownOutcomeFailure("no answer")
 
 
 def build_configuration(
@@ -467,7 +480,8 @@
     def test_all_tasks_of_a_job_with_unreadable_progress_count(self) -> None:
         self.harness.plan()
         leader = CapHarness(Cap(4 * CORE), ())
-        leader.tracker.restore_job(self.record.submission, b"[]")
+        with self.assertLogs("chestnutstair", "ERROR"):
+            leader.tracker.restore_job(self.record.submission, b"[]")
         self.assertEqual(leader.measure().millicores, 5 * CORE)
         leader.clock.now += leader.settings.takeover_wait_seconds + 0.1
         leader.tracker.release_expired()
@@ -529,6 +543,58 @@
         self.assertIsNone(harness.planner.find_worker(record, FIRST))
 
 
+class RecordingWorkers:
+    """Workers that accept each start; records their tasks."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+
+    def start(self, worker: object, order: StartOrder) -> Ok[int]:
+        """Accept a start."""
+        self.started.append(order.task)
+        return Ok(0)
+
+
+class PausedLeaderTest(unittest.TestCase):
+    """A leader is paused between storing its starts and sending them."""
+
+    def setUp(self) -> None:
+        self.harness = CapHarness(Cap(8 * CORE))
+        self.harness.admit_for("acme", "j", [Step(1, 2 * CORE)])
+        clock = self.harness.clock
+        row = TermRow("n", "n:1", 1, 0)
+        term = Term(MemoryRowStore(), clock, row, 0, TermSettings())
+        term.renewed_at = clock.now
+        self.workers = RecordingWorkers()
+        self.orders = OrderSender(
+            Leadership(term),
+            self.harness.tracker,
+            cast(WorkerControl, self.workers),
+            self.harness.advice,
+            Pacer(clock, PacingSettings()),
+            clock,
+            OrderSettings(),
+        )
+        self.addCleanup(self.orders.close)
+
+    def pause(self, seconds: float) -> list[str]:
+        """Return the starts that are sent after a pause."""
+        (placed,) = self.harness.plan()
+        self.harness.clock.now += seconds
+        self.harness.answer_all()
+        self.harness.set_cap(Cap(CORE), 2)
+        self.orders._start(placed)
+        return self.workers.started
+
+    # A cap may have been lowered meanwhile, and the next leader acts by it.
+    def test_no_start_is_sent_2_s_after_the_last_renewal(self) -> None:
+        self.assertEqual(self.pause(2.1), [])
+        self.assertEqual(self.harness.measure().millicores, 0)
+
+    def test_a_start_is_sent_before_that(self) -> None:
+        self.assertEqual(self.pause(1.0), ["j.0.0.0"])
+
+
 class IsolationTest(unittest.TestCase):
     """An organisation at its cap does not delay the work of others."""
 
@@ -619,6 +685,43 @@
         self.assertEqual(self.measure(harness).suspects, 0)
 
 
+class MetricsTest(unittest.TestCase):
+    """Usage, cap and waiting jobs by organisation."""
+
+    @staticmethod
+    def read(name: str, organisation: str) -> float | None:
+        return REGISTRY.get_sample_value(
+            f"chestnutstair_organisation_{name}",
+            {"organisation": organisation},
+        )
+
+    def test_the_gauges_of_an_organisation(self) -> None:
+        harness = CapHarness(Cap(4 * CORE))
+        before = self.read("held_back_total", "acme") or 0
+        harness.admit_for("acme", "j", [Step(3, 4 * CORE)])
+        harness.plan()
+        self.assertEqual(self.read("running_millicores", "acme"), 4 * CORE)
+        self.assertEqual(self.read("cap_millicores", "acme"), 4 * CORE)
+        self.assertEqual(self.read("jobs_waiting", "acme"), 1)
+        self.assertEqual(self.read("jobs_waiting", "birch"), 0)
+        self.assertGreater(self.read("held_back_total", "acme") or 0, before)
+        harness.tracker.cancel("j")
+        harness.clock.now += 1.0
+        harness.plan()
+        self.assertEqual(self.read("jobs_waiting", "acme"), 0)
+
+    # Guards against a time series for each of thousands of organisations.
+    def test_there_are_at_most_50_labels(self) -> None:
+        with mock.patch.object(metrics, "_organisation_labels", set()):
+            labels = {
+                metrics.label_organisation(f"o{number}")
+                for number in range(500)
+            }
+            self.assertEqual(metrics.label_organisation("o3"), "o3")
+        self.assertEqual(len(labels), 50)
+        self.assertIn("other", labels)
+
+
 class LogTest(unittest.TestCase):
     """What a cap holds back is logged, at most once a second."""
 
--- a/chestnutstair/tests/test_shares.py
+++ b/chestnutstair/tests/test_shares.py
@@ -226,7 +226,6 @@
         # Load: one job of each class, and room for one task at a time.
         harness = ShareHarness({"acme": 1.0, "birch": 1.0}, workers=1)
         step = replace(TASK, millicores=40 * CORE)
-        ages = {"useless": 60_000, "late": 2000, "late_beyond": 2000}
         harness.admit_for("acme", "useless", step, age_ms=60_000)
         harness.admit_for("acme", "late", step, age_ms=2000)
         harness.admit_for("acme", "late_beyond", step, age_ms=1999)
@@ -235,7 +234,6 @@
         harness.admit_for("birch", "beyond", step)
         lasting = replace(step, lasting=True)
         harness.admit_for("birch", "lasting", lasting)
-        self.assertEqual(len(ages), 3)
         order = []
         for _ in range(7):
             (placed,) = harness.plan()
