Divide weights and the check of gangs by the number of shards

Each shard's leader sees its own jobs only, so an organisation's jobs a second are its weight divided by the shards there, and a gang is checked against the shard's part of the cap at the node that receives it. Tests of the changed modules pass.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -229,6 +229,7 @@
                     unchanged_seconds
                 ),
                 longest_stop_seconds=self._settings.longest_stop_seconds,
+                cap_share=shard.share,
             ),
         )
         leadership = Leadership(term)
@@ -300,6 +301,7 @@
             lambda: self._watch.configuration,
             self.is_stopping,
             self._clock,
+            self._get_cap_share,
         )
         nodes = build_node_application(
             self._describe,
@@ -340,12 +342,15 @@
 
         The shards share the writes a second that the store accepts.
         """
-        partitions = self._settings.intake.count_partitions()
         return IntakeLayout(
             shard.names.intake_table,
-            max(1, partitions // shard.layout.shards),
+            self._settings.intake.count_partitions(shard.layout.shards),
         )
 
+    def _get_cap_share(self) -> float:
+        """Return the part of an organisation's cap that a shard may use."""
+        return Shard(0, self._election.layout or ONE_SHARD).share
+
     def _find_intake_layout(self, job: str) -> IntakeLayout:
         """Return where the rows of a job are stored."""
         layout = self._election.layout or ONE_SHARD
--- a/chestnutstair/platform/requesters.py
+++ b/chestnutstair/platform/requesters.py
@@ -83,7 +83,9 @@
         get_configuration: Callable[[], FleetConfiguration | None],
         is_stopping: Callable[[], bool],
         clock: Clock,
+        get_cap_share: Callable[[], float],
     ) -> None:
+        self._get_cap_share = get_cap_share
         self._handler = handler
         self._get_configuration = get_configuration
         self._is_stopping = is_stopping
@@ -181,7 +183,9 @@
                 return Err(refusal)
             case Ok((body, specification)):
                 organisation = next(iter(access.organisations), "")
-        match _check_cap(access, organisation, specification):
+        match _check_cap(
+            access, organisation, specification, self._get_cap_share()
+        ):
             case Err(failure):
                 return self._refuse_gang(access, job, failure, deadline)
         return Ok(
@@ -256,10 +260,15 @@
 
 
 def _check_cap(
-    access: Access, organisation: str, specification: JobSpecification
+    access: Access,
+    organisation: str,
+    specification: JobSpecification,
+    share: float,
 ) -> Result[None, SubmissionFailure]:
     known = (access.configuration.organisations or {}).get(organisation)
-    return Ok(None) if known is None else check_gangs(specification, known.cap)
+    if known is None:
+        return Ok(None)
+    return check_gangs(specification, known.cap, share)
 
 
 def _check_key(
@@ -308,13 +317,15 @@
     get_configuration: Callable[[], FleetConfiguration | None],
     is_stopping: Callable[[], bool],
     clock: Clock,
+    get_cap_share: Callable[[], float] = lambda: 1.0,
 ) -> Callable[[Environ, StartResponse], list[bytes]]:
     """Return the WSGI application that serves callers.
 
     While `is_stopping`, answers ask callers to close their connections.
+    `get_cap_share` returns the part of a cap that a job's shard may use.
     """
     return _RequesterApplication(
-        handler, get_configuration, is_stopping, clock
+        handler, get_configuration, is_stopping, clock, get_cap_share
     )
 
 
--- a/chestnutstair/scheduling/organisations/caps.py
+++ b/chestnutstair/scheduling/organisations/caps.py
@@ -3,8 +3,6 @@
 from collections.abc import Sequence
 from math import ceil, inf
 
-from result import Err, Ok, Result
-
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.organisations.organisation import Cap
 from chestnutstair.scheduling.organisations.usage import (
@@ -12,12 +10,10 @@
     OrganisationUsage,
 )
 from chestnutstair.scheduling.specification import (
-    JobSpecification,
     Step,
-    SubmissionFailure,
 )
 
-__all__ = ["NO_CAP", "Caps", "check_gangs"]
+__all__ = ["NO_CAP", "Caps"]
 
 NO_CAP = Cap()
 
@@ -53,24 +49,6 @@
     )
 
 
-def check_gangs(
-    specification: JobSpecification, cap: Cap, share: float = 1.0
-) -> Result[None, SubmissionFailure]:
-    """Reject a job with a gang that its organisation's cap never admits.
-
-    `share` is the part of the cap that the job's shard may use.
-    """
-    for number, step in enumerate(specification.steps):
-        all_but_one = Amounts.measure(step, step.count - 1)
-        if step.gang and not _is_below(cap, share, all_but_one):
-            problem = (
-                f"the gang of step {number} never fits below the cap of its "
-                "organisation"
-            )
-            return Err(SubmissionFailure(problem))
-    return Ok(None)
-
-
 class Caps:
     """Compares the usage of organisations with their caps.
 
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -278,7 +278,11 @@
         candidates = self._list_candidates(jobs, pool, rejected)
         if not candidates:
             return []
-        beyond = self._tracker.excess.find_beyond(weights)
+        # This leader sees the jobs of its shard only.
+        part = self._tracker.caps.share
+        beyond = self._tracker.excess.find_beyond(
+            {name: part * weight for name, weight in weights.items()}
+        )
         classified = []
         for job in candidates:
             urgency, name = job
--- a/chestnutstair/tests/test_caps.py
+++ b/chestnutstair/tests/test_caps.py
@@ -19,7 +19,7 @@
 from chestnutstair.scheduling.load import PoolLoad, measure_loads
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.organisations import Cap, Organisation
-from chestnutstair.scheduling.organisations.caps import check_gangs
+from chestnutstair.scheduling.organisations.gang_limits import check_gangs
 from chestnutstair.scheduling.organisations.usage import (
     Amounts,
     OrganisationUsage,
--- a/chestnutstair/tests/test_intake_writer.py
+++ b/chestnutstair/tests/test_intake_writer.py
@@ -13,6 +13,7 @@
     UnknownOutcomeFailure,
 )
 from chestnutstair.platform.requesters import build_requester_application
+from chestnutstair.scheduling.access import Access
 from chestnutstair.scheduling.intake import IntakeLayout
 from chestnutstair.scheduling.intake.write_planner import WritePlanner
 from chestnutstair.scheduling.intake.writer import IntakeWriter
@@ -193,7 +194,7 @@
         return JobRequestHandler(
             store,
             link or SilentLink(),
-            lambda: None,
+            lambda shard: None,
             lambda: False,
             self.clock,
             JobRequestSettings(),
@@ -280,7 +281,9 @@
 
     def read_headers(self, outcome: Outcome) -> tuple[str, dict[str, str]]:
         class Handler:
-            def cancel(self, job: str, deadline: Deadline) -> Outcome:
+            def cancel(
+                self, job: str, deadline: Deadline, access: Access
+            ) -> Outcome:
                 return outcome
 
         application = build_requester_application(
--- a/chestnutstair/tests/test_lookahead.py
+++ b/chestnutstair/tests/test_lookahead.py
@@ -10,6 +10,7 @@
     ReservationSettings,
     classify_step,
 )
+from chestnutstair.scheduling.organisations.usage import OrganisationUsage
 from chestnutstair.scheduling.progress import TaskKey
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import PlacedRun, WorkerState
@@ -24,7 +25,7 @@
     name: str, ends: tuple[float, ...], step: Step
 ) -> WorkerState:
     """Return a worker of 64 cores whose runs began to end at `ends`."""
-    worker = WorkerState(build_entry(name), NOW)
+    worker = WorkerState(build_entry(name), NOW, OrganisationUsage())
     for number, end in enumerate(ends):
         run = PlacedRun("j", TaskKey(0, 0, number), 1, step, end - 1.0)
         worker.add_run(f"{name}-{number}", run)
