Log a job's organisation, and compare others with and without a full cap

The line of an admitted job did not name its owner, which the page for operators needs. A test compares what one organisation gets beside 200 jobs that another one's cap holds back: the same tasks on the same workers.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -240,7 +240,11 @@
         self._record_arrival(record, 0.0)
         logger.info(
             "job admitted",
-            extra={"job": record.name, "queue": submission.queue.name},
+            extra={
+                "job": record.name,
+                "queue": submission.queue.name,
+                "organisation": submission.organisation,
+            },
         )
         return True
 
--- a/chestnutstair/tests/test_caps.py
+++ b/chestnutstair/tests/test_caps.py
@@ -598,6 +598,29 @@
 class IsolationTest(unittest.TestCase):
     """An organisation at its cap does not delay the work of others."""
 
+    def place_others(self, capped_jobs: int) -> set[tuple[str, str]]:
+        """Return what another organisation gets, by task and worker."""
+        harness = CapHarness(Cap(4 * CORE), ("w1", "w2"))
+        harness.admit_for("acme", "r", [Step(1, 4 * CORE)])
+        harness.start_all(harness.plan())
+        for number in range(capped_jobs):
+            steps = [Step(8, 4 * CORE, gang=number % 10 == 0)]
+            harness.admit_for("acme", f"a{number}", steps)
+        for number in range(10):
+            harness.admit_for("birch", f"b{number}", [Step(8, 4 * CORE)])
+        return {
+            (item.record.name_task(item.key), item.worker.name)
+            for item in harness.plan()
+        }
+
+    def test_others_get_the_same_beside_jobs_that_the_cap_holds_back(
+        self,
+    ) -> None:
+        # Load: 200 jobs of an organisation at its cap, some with a gang.
+        alone = self.place_others(0)
+        self.assertEqual(len(alone), 31)
+        self.assertEqual(self.place_others(200), alone)
+
     def test_suspects_at_the_cap_reserve_no_workers(self) -> None:
         # Load: an organisation at its cap whose tasks crash their workers.
         # Up to half of a pool is kept free for suspects that wait.
