Check the cap once for the tasks of a turn

Each task of a turn asked for the cap, and each turn computed what its job still needs. It now asks once for a step and looks at its waiting tasks only.

--- a/chestnutstair/scheduling/organisations/held.py
+++ b/chestnutstair/scheduling/organisations/held.py
@@ -9,6 +9,7 @@
     label_organisation,
 )
 from chestnutstair.scheduling.organisations.caps import Caps
+from chestnutstair.scheduling.organisations.usage import NOTHING
 from chestnutstair.scheduling.progress import Lateness
 from chestnutstair.scheduling.specification import Step
 
@@ -89,6 +90,15 @@
                 self._hold_for_gang(organisation, step)
         return admitted
 
+    def count_admitted(self, organisation: str, step: Step, tasks: int) -> int:
+        """Return how many of the current job's tasks may start."""
+        if not self.admits(organisation, step):
+            return 0
+        admitted = self._caps.count_admitted(organisation, step, NOTHING)
+        if admitted < tasks:
+            self._held[organisation] += 1
+        return min(admitted, tasks)
+
     def _hold_for_gang(self, organisation: str, step: Step) -> None:
         """Hold back later work, unless it makes no room or is worth more."""
         is_useless = self._rank[0] >= Lateness.USELESS
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -252,16 +252,19 @@
             order.record(
                 turn,
                 len(placed),
-                record is not None and self._has_startable(record),
+                record is not None and self._has_waiting(record),
             )
             placements += placed
         return placements
 
     @staticmethod
-    def _has_startable(record: JobRecord) -> bool:
+    def _has_waiting(record: JobRecord) -> bool:
+        # Does not read the outlook, which each placement makes out of date.
         # Jobs with set times may have several occurrences that are due.
-        occurrences = record.submission.specification.occurrences
-        return bool(occurrences or record.outlook.startable)
+        return bool(record.submission.specification.occurrences) or any(
+            record.get_step_progress(0, number).waiting
+            for number in range(len(record.steps))
+        )
 
     def _classify_jobs(
         self,
@@ -328,6 +331,15 @@
         organisation = record.submission.organisation
         return bool(organisation) and self._holds.begin_job(organisation, rank)
 
+    def _count_admitted(
+        self, record: JobRecord, step: Step, tasks: int
+    ) -> int:
+        """Return how many of a step's tasks the owner's cap lets start."""
+        organisation = record.submission.organisation
+        if not organisation:
+            return tasks
+        return self._holds.count_admitted(organisation, step, tasks)
+
     def _admits(self, record: JobRecord, step: Step) -> bool:
         """Return whether the owner's cap lets a task or gang start now."""
         organisation = record.submission.organisation
@@ -524,9 +536,8 @@
     ) -> list[Placement]:
         placements: list[Placement] = []
         worker: WorkerState | None = None
-        for key in waiting:
-            if not self._admits(record, step):
-                break
+        admitted = self._count_admitted(record, step, len(waiting))
+        for key in waiting[:admitted]:
             if worker is None or not self._remains_best(record, step, worker):
                 worker = self._choose_worker(record, step, key, workers)
             if worker is None:
