Reserve room for tasks that do not fit yet

A task that fits on no worker, or a gang, waited until nothing smaller was left to fill each gap. With the new setting lookahead (off by default) the planner reserves room where it is free first, for the most urgent jobs that can be in time, and others start beside it only while they end before or fit beside. Ends are forecast from earlier runs of the same queue and size; VMs on their way count with their time.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -32,6 +32,7 @@
 from chestnutstair.scheduling.job_tracker import JobTracker, JobTrackerSettings
 from chestnutstair.scheduling.leader import Leader, LeaderSettings
 from chestnutstair.scheduling.leadership import Leadership
+from chestnutstair.scheduling.lookahead import ReservationSettings
 from chestnutstair.scheduling.members import MemberPoller, Members
 from chestnutstair.scheduling.operator_watch import OperatorWatch
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
@@ -235,7 +236,12 @@
         leadership = Leadership(term)
         advice = AdviceCache(self._workers, clock)
         pacer = Pacer(clock, PacingSettings())
-        planner = Planner(tracker, clock, PlacementSettings(), advice)
+        placement = PlacementSettings(
+            lookahead=ReservationSettings()
+            if self._settings.lookahead
+            else None
+        )
+        planner = Planner(tracker, clock, placement, advice)
         orders = OrderSender(
             leadership, tracker, self._workers, advice, pacer, clock, settings
         )
--- a/chestnutstair/fleet_settings.py
+++ b/chestnutstair/fleet_settings.py
@@ -116,6 +116,8 @@
     - `grace_seconds`: how long a stop may take.
     - `vms_per_shard`: most VMs of one shard when the number of shards is
       decided, at the first start of the deployment.
+    - `lookahead`: whether room that becomes free soon is reserved for tasks
+      that do not fit yet.
     - `log_level`: lowest level of the records that are logged.
 
     The capacity of `processor` determines how soon the node takes over as
@@ -140,6 +142,7 @@
     pools: PoolTimes = field(default_factory=PoolTimes)
     processor: Processor = field(default_factory=Processor)
     intake: IntakeRates = field(default_factory=IntakeRates)
+    lookahead: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -125,6 +125,7 @@
             spare = self._state.find_spare_pool()
             if self._settings.follow_turns:
                 self._update_outlook(now)
+        self._expect_arrivals()
         if spare and self._are_workers_registered(now):
             self._replace_drains_by_idle_vms(spare)
             sized = [load for load in loads if load.service != spare]
@@ -135,6 +136,18 @@
             self._wave_controller.reconcile(wave, spare, now)
         self._set_cordons()
 
+    def _expect_arrivals(self) -> None:
+        """Tell the planner when VMs that are on their way arrive."""
+        if self._planner.lookahead is None:
+            return
+        arrivals: dict[str, tuple[float, ...]] = {}
+        for order in self._state.orders.values():
+            if order.answered and not order.wave:
+                before = arrivals.get(order.service, ())
+                arrivals[order.service] = (*before, order.back_at)
+        with self._tracker.lock:
+            self._planner.lookahead.set_arrivals(arrivals)
+
     def _are_workers_registered(self, now: float) -> bool:
         """Return whether enough workers have registered, or had time to."""
         if self._workers_registered:
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -16,6 +16,10 @@
     describe_lost_worker,
     describe_unseen_worker,
 )
+from chestnutstair.scheduling.lookahead.durations import (
+    DurationForecast,
+    classify_step,
+)
 from chestnutstair.scheduling.metrics import RUN_ENDS, RUNS_LOST
 from chestnutstair.scheduling.organisations.caps import Caps
 from chestnutstair.scheduling.organisations.excess import ExcessJobs
@@ -123,6 +127,7 @@
         self.usage = OrganisationUsage()
         self.caps = Caps(self.usage, settings.cap_share)
         self.excess = ExcessJobs()
+        self.durations = DurationForecast()
         # Names of jobs with changes that are not stored yet.
         self.dirty: set[str] = set()
         # Runs that a worker lists although they are not placed there, by
@@ -730,6 +735,7 @@
         placed = worker.runs.get(end.task)
         if placed is not None and placed.run == end.run:
             worker.remove_run(end.task)
+            self._record_duration(placed, end)
         RUN_ENDS.labels(end.outcome).inc()
         parsed_name = parse_task_name(end.task)
         record = self.jobs.get(parsed_name[0]) if parsed_name else None
@@ -760,6 +766,16 @@
             record.failed_on.add((parsed_name[1], worker.name))
         self._apply_task_end(record, parsed_name[1], end)
 
+    def _record_duration(self, run: PlacedRun, end: RunEnd) -> None:
+        record = self.jobs.get(run.job)
+        if end.outcome != DONE or not run.confirmed_at or record is None:
+            return
+        self.durations.record(
+            classify_step(record.submission.queue.name, run.step),
+            run.step,
+            self._clock.read_monotonic() - run.confirmed_at,
+        )
+
     def _apply_task_end(
         self, record: JobRecord, key: TaskKey, end: RunEnd
     ) -> None:
--- a/chestnutstair/scheduling/lookahead/__init__.py
+++ b/chestnutstair/scheduling/lookahead/__init__.py
@@ -10,6 +10,7 @@
     SizeClass,
     classify_step,
 )
+from chestnutstair.scheduling.lookahead.planner import LookAhead
 from chestnutstair.scheduling.lookahead.reservations import (
     PoolOutlook,
     Reservation,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "DurationForecast",
+    "LookAhead",
     "PoolOutlook",
     "Reservation",
     "ReservationBook",
--- a/chestnutstair/scheduling/lookahead/reservations.py
+++ b/chestnutstair/scheduling/lookahead/reservations.py
@@ -137,6 +137,11 @@
         for job in [job for job in self._closes_at if job not in jobs]:
             self.release(job)
 
+    def drop_workers(self, usable: set[str]) -> None:
+        """Drop the reservations on workers that are not usable."""
+        for name in self._by_worker.keys() - usable:
+            del self._by_worker[name]
+
     def release(self, job: str) -> None:
         """Drop the reservations of a job."""
         self._closes_at.pop(job, None)
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -20,6 +20,8 @@
     "ORGANISATION_RUNNING",
     "OTHER_ORGANISATIONS",
     "PLANNING_SECONDS",
+    "RESERVATIONS",
+    "RESERVED_WORKERS",
     "RUNS_LOST",
     "RUN_ENDS",
     "STARTS_HELD_BACK",
@@ -158,6 +160,17 @@
     ["organisation"],
 )
 
+RESERVATIONS = Counter(
+    "chestnutstair_reservations",
+    "Searches for room that a waiting task can have soon.",
+    ["outcome"],
+)
+RESERVED_WORKERS = Gauge(
+    "chestnutstair_reserved_workers",
+    "Workers with room reserved for a waiting task.",
+    ["service"],
+)
+
 _organisation_labels: set[str] = set()
 
 
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -11,6 +11,10 @@
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.isolation import PoolIsolation
 from chestnutstair.scheduling.job_tracker import JobTracker
+from chestnutstair.scheduling.lookahead import (
+    LookAhead,
+    ReservationSettings,
+)
 from chestnutstair.scheduling.organisations.excess import read_weights
 from chestnutstair.scheduling.organisations.held import CapHolds, JobRank
 from chestnutstair.scheduling.organisations.reports import UsageReport
@@ -50,6 +54,8 @@
     # Part of the slack between the estimated work and the objective that is
     # reserved for tasks that run longer, as estimates are up to half off.
     margin_share: float = 0.5
+    # Limits of look-ahead placement; None switches it off.
+    lookahead: ReservationSettings | None = None
 
 
 @dataclass(frozen=True)
@@ -173,6 +179,9 @@
         self._holds = CapHolds(tracker.caps)
         self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
+        self.lookahead: LookAhead | None = None
+        if settings.lookahead is not None:
+            self.lookahead = LookAhead(tracker.durations, settings.lookahead)
 
     def plan(self, now: float, wall_ms: float) -> list[Placement]:
         """Place the tasks that can start; return them, most urgent first."""
@@ -196,6 +205,8 @@
                 continue
             pool = PoolIsolation(workers)
             pool.reserve(self._count_suspects(jobs, workers))
+            if self.lookahead is not None:
+                self._reserve_room(self.lookahead, service, jobs, pool, now)
             if weights is None:
                 placements += self._place_in_order(jobs, pool, wall_ms)
             else:
@@ -221,6 +232,59 @@
             )
         return placements
 
+    # Look-ahead
+
+    def _reserve_room(
+        self,
+        lookahead: LookAhead,
+        service: str,
+        jobs: list[tuple[Urgency, str]],
+        pool: PoolIsolation,
+        now: float,
+    ) -> None:
+        """Reserve room for the most urgent tasks that fit on no worker."""
+        records = {name: self._tracker.active[name] for _, name in jobs}
+        lookahead.begin_pool(service, records, pool.open_workers, now)
+        rejected = RejectedSizes()
+        for _, name in sorted(jobs, key=_rank_job):
+            if not lookahead.may_reserve():
+                return
+            record = records[name]
+            if not lookahead.is_entitled(record):
+                continue
+            for number in record.outlook.startable:
+                self._reserve_step(lookahead, record, number, pool, rejected)
+
+    def _reserve_step(
+        self,
+        lookahead: LookAhead,
+        record: JobRecord,
+        number: int,
+        pool: PoolIsolation,
+        rejected: RejectedSizes,
+    ) -> None:
+        step = record.steps[number]
+        occurrence = record.current_occurrence
+        waiting = record.get_step_progress(occurrence, number).waiting
+        if step.gang and len(waiting) < step.count:
+            return  # tasks of the previous run have not all ended
+        fits = not rejected.covers(step) and any(
+            worker.has_room(step) for worker in pool.open_workers
+        )
+        if not fits:
+            rejected.add(step)
+        if fits and not step.gang:
+            lookahead.release(record)
+        elif self._admits(record, step):
+            lookahead.reserve(record, step, len(waiting), pool.open_workers)
+
+    def _allows_beside_reservations(
+        self, record: JobRecord, step: Step, worker: WorkerState
+    ) -> bool:
+        return self.lookahead is None or self.lookahead.allows(
+            record, step, worker
+        )
+
     # Shares of organisations
 
     def _place_by_shares(
@@ -577,13 +641,16 @@
         pool.close_worker(worker)
         return [Placement(record, key, worker, run)]
 
-    @staticmethod
     def _remains_best(
-        record: JobRecord, step: Step, worker: WorkerState
+        self, record: JobRecord, step: Step, worker: WorkerState
     ) -> bool:
         # The fullest worker that has room remains so with one more task.
         plain = not step.spread_limit and not record.failed_on
-        return plain and worker.has_room(step)
+        return (
+            plain
+            and worker.has_room(step)
+            and self._allows_beside_reservations(record, step, worker)
+        )
 
     def evict_from_draining(self) -> None:
         """Stop lasting tasks on draining workers if another has room."""
@@ -654,6 +721,7 @@
                 not step.required_label
                 or step.required_label in worker.entry.labels
             )
+            and self._allows_beside_reservations(record, step, worker)
         ]
         if not step.spread_limit:
             return fitting
