Keep the election thread alive after an error between rounds

An error while a shard is handed over would have ended the thread, and the node would have watched no leader.

--- a/chestnutstair/scheduling/shards/elections.py
+++ b/chestnutstair/scheduling/shards/elections.py
@@ -26,7 +26,7 @@
 
 logger = logging.getLogger(__name__)
 
-LAYOUT_RETRY_SECONDS = 0.25
+RETRY_SECONDS = 0.25
 # With several shards a node begins its elections spread over this time, so
 # that it learns most leaders from the first one that answers.
 START_SPREAD_SECONDS = 1.0
@@ -213,9 +213,14 @@
                     break
             except Exception:
                 logger.exception("finding the layout failed")
-            self._clock.sleep(LAYOUT_RETRY_SECONDS)
+            self._clock.sleep(RETRY_SECONDS)
         while not self._stopped:
-            pause = self._run_due()
+            try:
+                pause = self._run_due()
+            except Exception:
+                # If the thread ended, this node would watch no leader.
+                logger.exception("election rounds failed")
+                pause = RETRY_SECONDS
             self._wakeup.wait(pause)
             self._wakeup.clear()
 
