Log a request that is refused because its job's owner is not known

A query or cancellation was answered with 503 without a line if neither the leader nor the store said whose job it is.

test_caller_keys (28) and test_job_requests (12) pass.

--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -359,6 +359,10 @@
             return None
         match self._find_owner(job, deadline):
             case Err(failure):
+                logger.info(
+                    "request refused: owner of the job not known",
+                    extra={"job": job, "reason": str(failure)},
+                )
                 return Outcome(failure=failure)
             case Ok(owner):
                 if owner is None:
--- a/chestnutstair/tests/test_caller_keys.py
+++ b/chestnutstair/tests/test_caller_keys.py
@@ -399,8 +399,11 @@
         self.link.answers = False
         self.store.down = True
         for method in ("GET", "DELETE"):
-            status = self.call(method, f"/quick/{JOB}", ONE)
+            with self.assertLogs(level=logging.INFO) as logs:
+                status = self.call(method, f"/quick/{JOB}", ONE)
             self.assertEqual(status, 503)
+            message = logs.records[0].getMessage()
+            self.assertIn("owner of the job not known", message)
 
     def test_the_cache_is_bounded(self) -> None:
         cache = OwnerCache(2)
