--- a/chestnutstair/scheduling/turns.py
+++ b/chestnutstair/scheduling/turns.py
@@ -36,8 +36,8 @@
 # arrive together.
 MIN_RATE_SECONDS = 0.3
 # How many standard errors are left out of the rate of a turn that has just
-# begun. With one, 9 of 54 turns of the model had less than nine tenths of
-# their VMs in time, with 0.4 there were 4.
+# begun. In a trial on the model, 9 of 54 turns had less than nine tenths of
+# their VMs in time with 1, and 4 with 0.4.
 STANDARD_ERRORS = 0.4
 # After this part of a turn its own rate is better known than the pool's rate
 # in its turn before.
