--- a/chestnutstair/scheduling/lookahead/planner.py
+++ b/chestnutstair/scheduling/lookahead/planner.py
@@ -24,9 +24,6 @@
 # Time between two searches for the same job's reservation. Runs end every
 # few milliseconds in a busy pool, and their forecasts change little.
 SEARCH_SECONDS = 0.1
-# Searches of a pool in one round, so that its cost does not grow with what
-# waits.
-MAX_SEARCHES = 8
 
 
 class LookAhead:
@@ -44,7 +41,6 @@
         self._arrivals: Mapping[str, tuple[float, ...]] = {}
         # When each job's room was last searched for; monotonic.
         self._searched_at: dict[str, float] = {}
-        self._searches = 0
         self._now = 0.0
         self._outlook = PoolOutlook(self._predict_end)
         self._book = ReservationBook(settings)
@@ -67,7 +63,6 @@
         usable any more, are dropped.
         """
         self._now = now
-        self._searches = 0
         self._records = records
         self._book = self._books.setdefault(
             service, ReservationBook(self._settings)
@@ -76,9 +71,9 @@
         self._outlook = PoolOutlook(
             self._predict_end, tuple(at for at in arrivals if at > now)
         )
-        self._book.keep_only(
-            {name for name in records if name in self._searched_at}
-        )
+        for name in [job for job in self._searched_at if job not in records]:
+            del self._searched_at[name]
+        self._book.keep_only(set(self._searched_at))
         self._book.drop_workers({worker.name for worker in workers})
         RESERVED_WORKERS.labels(service).set(
             len(self._book.list_reservations())
@@ -106,10 +101,6 @@
             record.name, step, worker, ends_at, self._outlook, self._now
         )
 
-    def may_reserve(self) -> bool:
-        """Return whether the pool may have more reservations this round."""
-        return self._searches < MAX_SEARCHES
-
     @staticmethod
     def is_entitled(record: JobRecord) -> bool:
         """Return whether a job may have room reserved.
@@ -131,7 +122,6 @@
         if self._now - searched_at < SEARCH_SECONDS:
             return
         self._searched_at[record.name] = self._now
-        self._searches += 1
         made = self._book.reserve(
             record.name, step, tasks, workers, self._outlook, self._now
         )
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Chooses the waiting tasks to start now, and a worker for each."""
 
+import heapq
 import logging
 import sys
 from collections import defaultdict
@@ -38,6 +39,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Jobs of a pool for which a round looks for room, so that its cost does not
+# grow with what waits. A pool reserves an eighth of its workers at most.
+MAX_RESERVING = 16
+
 
 @dataclass(frozen=True)
 class PlacementSettings:
@@ -243,12 +248,10 @@
         now: float,
     ) -> None:
         """Reserve room for the most urgent tasks that fit on no worker."""
-        records = {name: self._tracker.active[name] for _, name in jobs}
+        records = self._tracker.active
         lookahead.begin_pool(service, records, pool.open_workers, now)
         rejected = RejectedSizes()
-        for _, name in sorted(jobs, key=_rank_job):
-            if not lookahead.may_reserve():
-                return
+        for _, name in heapq.nsmallest(MAX_RESERVING, jobs, _rank_job):
             record = records[name]
             if not lookahead.is_entitled(record):
                 continue
