Catch stop signals before a stand-in prints its address

test_serves_and_ends failed in one whole check and in one of three repetitions on a busy machine: the process got SIGTERM between printing its address and installing the handler, and ended with -15. The handlers come first now; four repetitions on the busy machine pass.

--- a/chestnutstair/standins/platformd.py
+++ b/chestnutstair/standins/platformd.py
@@ -2,7 +2,7 @@
 
 from chestnutstair.standins.platform import Platform, PlatformSettings
 from chestnutstair.standins.process import print_addresses, read_arguments
-from chestnutstair.standins.webserver import wait_for_stop_signal
+from chestnutstair.standins.webserver import catch_stop_signals
 
 __all__ = ["main"]
 
@@ -12,8 +12,9 @@
     port, settings = read_arguments(PlatformSettings)
     platform = Platform(settings, port)
     platform.start()
+    stopped = catch_stop_signals()
     print_addresses(address=platform.address)
-    wait_for_stop_signal()
+    stopped.wait()
     platform.stop()
 
 
--- a/chestnutstair/standins/targetd.py
+++ b/chestnutstair/standins/targetd.py
@@ -2,7 +2,7 @@
 
 from chestnutstair.standins.process import print_addresses, read_arguments
 from chestnutstair.standins.target import Target, TargetSettings
-from chestnutstair.standins.webserver import wait_for_stop_signal
+from chestnutstair.standins.webserver import catch_stop_signals
 
 __all__ = ["main"]
 
@@ -12,10 +12,11 @@
     port, settings = read_arguments(TargetSettings)
     target = Target(settings, port)
     target.start()
+    stopped = catch_stop_signals()
     print_addresses(
         address=target.address, control_address=target.control_address
     )
-    wait_for_stop_signal()
+    stopped.wait()
     target.stop()
 
 
--- a/chestnutstair/standins/webserver.py
+++ b/chestnutstair/standins/webserver.py
@@ -26,8 +26,8 @@
     "WebServerSettings",
     "answer_json",
     "break_connection",
+    "catch_stop_signals",
     "reserve_port",
-    "wait_for_stop_signal",
 ]
 
 logger = logging.getLogger(__name__)
@@ -103,12 +103,16 @@
     return reservation
 
 
-def wait_for_stop_signal() -> None:
-    """Block until SIGTERM or SIGINT arrives."""
+def catch_stop_signals() -> threading.Event:
+    """Return an event that SIGTERM and SIGINT set.
+
+    Called before the address is printed: whoever reads it may send a signal
+    at once, whose default action would end the process with an error.
+    """
     stopped = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stopped.set())
-    stopped.wait()
+    return stopped
 
 
 class _CountedConnection(HTTPConnection):
