--- a/tools/bench.py
+++ b/tools/bench.py
@@ -12,6 +12,7 @@
     "idle",
     "maintenance",
     "placement",
+    "lookahead",
 )
 
 
