Follow turns where the platform says that room is scarce

The node now reads the platform's contracts, and turns are followed only where callers compete for too little room; elsewhere pools are sized as before, unless the setting asks for it.

--- a/chestnutstair/fleet_node.py
+++ b/chestnutstair/fleet_node.py
@@ -14,6 +14,7 @@
     RunnerSettings,
     build_ready_application,
     build_requester_application,
+    calls_for_turns,
 )
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.election import (
@@ -293,7 +294,8 @@
                 move_seconds=times.move_seconds,
                 maintenance_seconds=times.maintenance_seconds,
                 orders_per_second=times.orders_per_second * shard.share,
-                follow_turns=times.follow_turns,
+                follow_turns=times.follow_turns
+                or calls_for_turns(self._settings.contracts),
             ),
             shard,
         )
--- a/chestnutstair/fleet_settings.py
+++ b/chestnutstair/fleet_settings.py
@@ -116,6 +116,9 @@
     - `grace_seconds`: how long a stop may take.
     - `vms_per_shard`: most VMs of one shard when the number of shards is
       decided, at the first start of the deployment.
+    - `contracts`: the parts of the platform's rules that are in force, by the
+      platform's names. Where callers compete for too little room, VMs follow
+      the turns of the queues as with `follow_turns`.
     - `lookahead`: whether room that becomes free soon is reserved for tasks
       that do not fit yet.
     - `log_level`: lowest level of the records that are logged.
@@ -142,6 +145,7 @@
     pools: PoolTimes = field(default_factory=PoolTimes)
     processor: Processor = field(default_factory=Processor)
     intake: IntakeRates = field(default_factory=IntakeRates)
+    contracts: tuple[str, ...] = ()
     lookahead: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
--- a/chestnutstair/platform/__init__.py
+++ b/chestnutstair/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the users' platform: names, formats and calls; no decisions."""
 
+from chestnutstair.platform.contracts import calls_for_turns
 from chestnutstair.platform.decoding import (
     PlatformDecoder,
     PlatformSubmissions,
@@ -24,4 +25,5 @@
     "RunnerSettings",
     "build_ready_application",
     "build_requester_application",
+    "calls_for_turns",
 ]
