--- a/chestnutstair/tests/test_turns.py
+++ b/chestnutstair/tests/test_turns.py
@@ -244,7 +244,7 @@
             # The third pool got VMs ahead; the fourth rises instead.
             missed = day.run_turn(6)
             self.assertGreater(day.fleet.count_vms("p4"), 12)
-            self.assertLessEqual(missed.moves, 2 * missed.changed)
+            self.assertLessEqual(missed.moves, MOVES_SHARE * missed.changed)
             on_time = [day.run_turn(number) for number in range(7, 10)]
             self.check_moves(on_time)
 
