--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -63,8 +63,13 @@
     def move(
         self, vm: str, service: str, holder: str, fence: int
     ) -> Result[None, WorkerCallFailure]:
-        """Record a move of a VM, and carry it out."""
+        """Record a move of a VM, and carry it out.
+
+        A VM that has joined the pool before is left as it is.
+        """
         self.orders.append((vm, service))
+        if self.pools[vm] == service:
+            return self._answer()
         self.pools[vm] = service
         self.back_at[vm] = self._harness.clock.now + MOVE_SECONDS
         return self._answer()
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -108,6 +108,29 @@
         self.run_round(1.1)
         self.assertEqual(self.vms.orders.count(first), 2)
 
+    def test_a_repeated_order_does_not_end_the_next_worker_of_its_vm(
+        self,
+    ) -> None:
+        # Guards against a task that runs twice (TWICE): the answer to a
+        # repeated order freed the runs of the worker that had registered
+        # after the first attempt, which went on.
+        self.admit_burst()
+        self.vms.lose_answers = 1
+        self.run_round()
+        vm, _ = self.vms.orders[0]
+        self.harness.clock.now += MOVE_SECONDS
+        self.harness.answer_all()
+        self.vms.bring_workers_back()
+        self.harness.start_all(self.harness.plan())
+        workers = self.harness.tracker.workers
+        (worker,) = (item for item in workers.values() if item.entry.vm == vm)
+        runs = set(worker.runs)
+        self.assertTrue(runs, "the test needs runs on the next worker")
+        for _ in range(12):
+            self.run_round()
+        self.assertIs(workers.get(worker.name), worker)
+        self.assertEqual(set(worker.runs), runs)
+
     def test_a_vm_can_return_to_a_pool_right_after_leaving_it(self) -> None:
         # VMs that had just moved to the spare pool stayed idle there for up
         # to 3.5 s while another pool lacked VMs.
