Give VMs to tasks that fit on no VM of their pool

Pools were sized by processors only, and work whose result is useless by now requested no VM at all. Where lasting tasks leave every VM of a small pool too little memory, no end of a batch task helps, so such a job waits forever. Tasks that fit on no usable VM of their pool beside its lasting tasks now request further VMs, at least one, within the maximum size of a pool otherwise.

Both tests failed before (the job had not started after 4 and 8 s).

--- a/chestnutstair/scheduling/load.py
+++ b/chestnutstair/scheduling/load.py
@@ -1,5 +1,6 @@
 """Measures the load of each pool against its capacity."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,6 +9,7 @@
 from chestnutstair.scheduling.organisations.caps import Caps
 from chestnutstair.scheduling.organisations.usage import NOTHING, Amounts
 from chestnutstair.scheduling.progress import JobRecord, Lateness
+from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = ["PoolLoad", "measure_loads"]
@@ -61,6 +63,11 @@
     widest: int
     # Waiting tasks that may crash their worker and so have to start alone.
     suspects: int = 0
+    # Workers that take new tasks.
+    usable: int = 0
+    # VMs needed in addition for waiting tasks that fit on no usable worker,
+    # even once its batch tasks have ended.
+    stranded: int = 0
 
 
 def measure_loads(tracker: JobTracker, now: float) -> list[PoolLoad]:
@@ -72,9 +79,11 @@
     late: dict[str, int] = {}
     widest: dict[str, int] = {}
     suspects = _count_suspects(tracker)
+    stranded = _StrandedTasks(tracker)
     for record in tracker.active.values():
         service = tracker.find_queue(record.submission).service
         if record.is_due:
+            stranded.add(record, service)
             weight = LATENESS_WEIGHTS[record.lateness]
             needs = demand.measure(record)
             ready, later = (round(weight * need) for need in needs)
@@ -129,6 +138,8 @@
                 filler_tasks=sum(run.step.filler for run in runs),
                 widest=widest.get(service, 0),
                 suspects=suspects[service],
+                usable=len(stranded.usable.get(service, ())),
+                stranded=stranded.vms[service],
             )
         )
     return loads
@@ -175,6 +186,91 @@
         return ready, min(outlook.later_millicores, room)
 
 
+@dataclass(frozen=True)
+class _FreeRoom:
+    """Room of a worker beside its lasting tasks."""
+
+    millicores: int
+    memory_mb: int
+    accelerators: int
+
+    def fits(self, step: Step) -> bool:
+        """Return whether a task of the step fits."""
+        return (
+            (step.filler or step.millicores <= self.millicores)
+            and step.memory_mb <= self.memory_mb
+            and step.accelerators <= self.accelerators
+        )
+
+
+def _measure_free_room(worker: WorkerState) -> _FreeRoom:
+    entry = worker.entry
+    millicores = entry.millicores
+    memory_mb = entry.memory_mb
+    accelerators = entry.accelerators
+    if worker.lasting_runs:
+        for run in worker.runs.values():
+            step = run.step
+            if step.lasting:
+                millicores -= 0 if step.filler else step.millicores
+                memory_mb -= step.memory_mb
+                accelerators -= step.accelerators
+    return _FreeRoom(millicores, memory_mb, accelerators)
+
+
+class _StrandedTasks:
+    """Waiting tasks that no end of a batch task gives room.
+
+    Only further VMs can, whatever the demand for processors is and however
+    late the tasks are: without these they would wait forever.
+    """
+
+    def __init__(self, tracker: JobTracker) -> None:
+        self._tracker = tracker
+        self.usable: dict[str, list[_FreeRoom]] = {}
+        self.vms: Counter[str] = Counter()
+        sizes = set()
+        for worker in tracker.workers.values():
+            entry = worker.entry
+            if worker.gone:
+                continue
+            sizes.add((entry.millicores, entry.memory_mb, entry.accelerators))
+            if not worker.cordoned and not entry.draining:
+                rooms = self.usable.setdefault(entry.service, [])
+                rooms.append(_measure_free_room(worker))
+        self._empty = [_FreeRoom(*size) for size in sizes]
+
+    def add(self, record: JobRecord, service: str) -> None:
+        """Add the VMs that a job needs for tasks that are stranded."""
+        rooms = self.usable.get(service, ())
+        organisation = record.submission.organisation
+        for number in record.outlook.startable:
+            step = record.steps[number]
+            if (
+                any(room.fits(step) for room in rooms)
+                or step.required_label  # another VM may not have it either
+                or not any(room.fits(step) for room in self._empty)
+                or not self._tracker.caps.may_start(organisation, step)
+            ):
+                continue
+            self.vms[service] += self._count_vms(record, step, number)
+
+    def _count_vms(self, record: JobRecord, step: Step, number: int) -> int:
+        """Return how many VMs the waiting tasks of a step need, at least 1."""
+        progress = record.get_step_progress(record.current_occurrence, number)
+        share_of_vm = min(
+            max(
+                step.millicores / max(1, room.millicores),
+                step.memory_mb / max(1, room.memory_mb),
+                step.accelerators / max(1, room.accelerators),
+            )
+            for room in self._empty
+            if room.fits(step)
+        )
+        tasks = LATENESS_WEIGHTS[record.lateness] * len(progress.waiting)
+        return max(1, math.ceil(tasks * share_of_vm))
+
+
 def _count_suspects(tracker: JobTracker) -> Counter[str]:
     suspects: Counter[str] = Counter()
     for record in tracker.active.values():
--- a/chestnutstair/scheduling/pool_sizes.py
+++ b/chestnutstair/scheduling/pool_sizes.py
@@ -104,7 +104,11 @@
         return PoolSize(
             pool,
             have,
-            max(want, self._measure_vms_for_suspects(load)),
+            max(
+                want,
+                self._measure_vms_for_suspects(load),
+                self._measure_vms_for_stranded(load),
+            ),
             min(need, want),
         )
 
@@ -163,6 +167,15 @@
         even_share = self._state.compute_even_share()
         return min(wanted, round(even_share * self._settings.max_share))
 
+    def _measure_vms_for_stranded(self, load: PoolLoad) -> int:
+        """Return how many VMs a pool needs for tasks that fit on none."""
+        if not load.stranded:
+            return 0
+        even_share = self._state.compute_even_share()
+        max_size = round(even_share * self._settings.max_share)
+        # At least one more, as each of these tasks fits on an empty VM.
+        return load.usable + max(1, min(load.stranded, max_size - load.usable))
+
     def _measure_vms(
         self, load: PoolLoad, expected: float, draining: int, min_size: int
     ) -> int:
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -131,6 +131,38 @@
         self.assertIs(workers.get(worker.name), worker)
         self.assertEqual(set(worker.runs), runs)
 
+    def start_what_fits(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.run_round()
+            self.vms.bring_workers_back()
+            self.harness.start_all(self.harness.plan())
+
+    def fill_memory(self) -> None:
+        lasting = Step(
+            4, 1000, memory_mb=150_000, lasting=True, spread_limit=1
+        )
+        self.harness.admit("lasting", [lasting])
+        self.harness.start_all(self.harness.plan())
+
+    def test_tasks_that_lack_memory_only_get_vms(self) -> None:
+        # Guards against a job that waits to the end of the day (LOST) in a
+        # pool that has enough processors but no VM with enough memory.
+        self.fill_memory()
+        job = self.harness.admit("j", [Step(2, 1000, memory_mb=150_000)])
+        self.start_what_fits(4.0)
+        self.assertTrue(job.start_confirmed)
+
+    def test_a_late_job_that_fits_on_no_vm_of_its_pool_gets_one(self) -> None:
+        # Guards against the same for a job whose result is useless by now:
+        # it requested no VMs, although spare ones were idle.
+        self.fill_memory()
+        accepted_ms = int(self.harness.clock.now * 1000) - 600_000
+        steps = [Step(2, 1000, memory_mb=150_000, estimate_ms=1000)]
+        late = build_submission("late", steps, at_ms=accepted_ms)
+        self.harness.tracker.admit(late)
+        self.start_what_fits(8.0)
+        self.assertTrue(self.harness.tracker.jobs["late"].start_confirmed)
+
     def test_a_vm_can_return_to_a_pool_right_after_leaving_it(self) -> None:
         # VMs that had just moved to the spare pool stayed idle there for up
         # to 3.5 s while another pool lacked VMs.
