Place jobs that have begun and those with slack first

Within a lateness and a priority, jobs were placed by due time. Where more is due than fits, each then starts at the last moment: half of the tasks take longer than estimated, the job ends late, and its room served nobody in time. Jobs that have begun now go first, then those that are in time even if they use the whole stretch of their objective, then the others; by due time among each. What has room at once is placed as before.

The order expected by test_shares.DefaultTest.test_the_order_is_that_of_urgency gets the new key in its place and stays exact.

--- a/chestnutstair/scheduling/organisations/held.py
+++ b/chestnutstair/scheduling/organisations/held.py
@@ -18,7 +18,7 @@
 logger = logging.getLogger(__name__)
 
 # Sort key of a job in the order of its organisation, smallest first.
-JobRank = tuple[int, int, float, str]
+JobRank = tuple[int, int, int, float, str]
 
 # Shortest time between log lines on what an organisation's cap holds back.
 LOG_INTERVAL_SECONDS = 1.0
@@ -40,7 +40,7 @@
         # otherwise a gang that becomes late would wait for all work in time.
         self._earlier_gangs: dict[str, JobRank] = {}
         self._gangs: dict[str, JobRank] = {}
-        self._rank: JobRank = (0, 0, 0.0, "")
+        self._rank: JobRank = (0, 0, 0, 0.0, "")
         # Checks that failed in this round, by organisation.
         self._held: Counter[str] = Counter()
         self._logged_at: dict[str, float] = {}
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from enum import IntEnum
 from functools import partial
 
 from chestnutstair.scheduling.advice import AdviceCache
@@ -35,7 +36,7 @@
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock
 
-__all__ = ["Placement", "PlacementSettings", "Planner", "Urgency"]
+__all__ = ["Placement", "PlacementSettings", "Planner", "Prospect", "Urgency"]
 
 logger = logging.getLogger(__name__)
 
@@ -125,6 +126,20 @@
         return known
 
 
+class Prospect(IntEnum):
+    """How likely a job is to be in time, apart from how late it is.
+
+    Where more is due than there is room for, jobs that start at the last
+    moment end late as soon as a task takes longer than estimated, and room
+    that they used is lost to others. So jobs that have begun go first, then
+    those with slack left, whatever their due times are.
+    """
+
+    BEGUN = 0
+    SAFE = 1  # in time even if tasks use all of the objective's stretch
+    TIGHT = 2
+
+
 @dataclass(frozen=True)
 class Urgency:
     """Sort key of the order in which jobs get room, smallest first."""
@@ -132,12 +147,19 @@
     lateness: Lateness
     priority: int
     due_ms: float
+    prospect: Prospect = Prospect.BEGUN
 
 
 def _rank_job(job: tuple[Urgency, str]) -> JobRank:
     # Compares faster than the data class: a round sorts all active jobs.
     urgency, name = job
-    return urgency.lateness, urgency.priority, urgency.due_ms, name
+    return (
+        urgency.lateness,
+        urgency.priority,
+        urgency.prospect,
+        urgency.due_ms,
+        name,
+    )
 
 
 def _choose_waiting(
@@ -474,9 +496,25 @@
             record, queue, wall_ms - due_since_ms, objective_ms
         )
         return Urgency(
-            record.lateness, queue.priority, due_since_ms + objective_ms
+            record.lateness,
+            queue.priority,
+            due_since_ms + objective_ms,
+            self._judge_prospect(
+                record, queue, wall_ms - due_since_ms, objective_ms
+            ),
         )
 
+    @staticmethod
+    def _judge_prospect(
+        record: JobRecord, queue: Queue, age_ms: float, objective_ms: float
+    ) -> Prospect:
+        if record.start_confirmed:
+            return Prospect.BEGUN
+        remaining_ms = record.outlook.remaining_ms
+        if age_ms + queue.stretch * remaining_ms <= objective_ms:
+            return Prospect.SAFE
+        return Prospect.TIGHT
+
     def _judge_lateness(
         self,
         record: JobRecord,
--- a/chestnutstair/tests/test_shares.py
+++ b/chestnutstair/tests/test_shares.py
@@ -409,6 +409,7 @@
                 key=lambda name: (
                     ranks[name].lateness,
                     ranks[name].priority,
+                    ranks[name].prospect,
                     ranks[name].due_ms,
                     name,
                 ),
@@ -433,7 +434,7 @@
                 FairJob(
                     rng.choice("abc"),
                     rng.choice(list(JobClass)),
-                    (Lateness.IN_TIME, 0, float(number), f"j{number}"),
+                    (Lateness.IN_TIME, 0, 0, float(number), f"j{number}"),
                 )
                 for number in range(60)
             ]
