End only the incarnation that a VM had when its order was sent

An order for a VM named no worker, and its answer ended whichever worker the VM had when it arrived. When the order had been carried out and its answer lost or late, that was the VM's next worker: its runs were freed while they went on, and it was never used again.

An order now keeps the worker name and born_ms that the VM had when it was first sent, over all repeats, and its answer ends that incarnation only. A worker with runs is not ended by an answer at all: a VM is ordered once its worker has none, so such a worker is not the one that the order has ended, or its silence shows it within its lease. Where several workers name one VM, one that answers is taken for the VM's worker. A worker that registers in the order's pool after the order was sent gets tasks.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -171,9 +171,8 @@
     def _set_cordons(self) -> None:
         with self._tracker.lock:
             for worker in self._tracker.workers.values():
-                vm = worker.entry.vm
-                worker.cordoned = self._state.must_cordon(vm)
-                worker.maintenance_due = self._waves.is_due(vm)
+                worker.cordoned = self._state.must_cordon(worker)
+                worker.maintenance_due = self._waves.is_due(worker.entry.vm)
 
     # Turns
 
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -8,7 +8,12 @@
 from chestnutstair.scheduling.vm_order_history import VmOrder
 from chestnutstair.scheduling.workers import WorkerState
 
-__all__ = ["UP", "Drain", "FleetControllerSettings", "FleetState"]
+__all__ = [
+    "UP",
+    "Drain",
+    "FleetControllerSettings",
+    "FleetState",
+]
 
 UP = "up"  # state of a VM that is neither moving nor under maintenance
 
@@ -96,6 +101,14 @@
     fallen_share: float = 0.5
 
 
+def _rank(worker: WorkerState) -> tuple[bool, bool, int]:
+    return (
+        worker.is_answering,
+        worker.contact is not None,
+        worker.entry.born_ms,
+    )
+
+
 @dataclass(frozen=True)
 class Drain:
     """The reason why a VM is being drained.
@@ -137,13 +150,35 @@
         return next((item.name for item in services if item.spare), "")
 
     def index_workers(self) -> dict[str, WorkerState]:
-        """Return the present workers by the name of their VM."""
+        """Return the present workers by the name of their VM.
+
+        If several name the same VM, one that answers goes first, then the
+        latest: others have ended, or their entries are wrong.
+        """
+        found: dict[str, WorkerState] = {}
         with self._tracker.lock:
-            return {
-                worker.entry.vm: worker
-                for worker in self._tracker.workers.values()
-                if not worker.gone
-            }
+            for worker in self._tracker.workers.values():
+                if worker.gone:
+                    continue
+                other = found.get(worker.entry.vm)
+                if other is None or _rank(other) < _rank(worker):
+                    found[worker.entry.vm] = worker
+        return found
+
+    def is_successor(self, order: VmOrder, worker: WorkerState) -> bool:
+        """Return whether a worker shows that a move was carried out.
+
+        It is the VM's first one in the new pool. Maintenance has no such
+        sign, as a worker that crashed comes back in the same pool.
+        """
+        return (
+            not order.wave
+            and not worker.gone
+            and worker.entry.vm == order.vm
+            and worker.entry.service == order.service
+            and worker.first_seen_at >= order.sent_at
+            and worker.incarnation != order.incarnation
+        )
 
     def set_service(self, vm: str, service: str) -> None:
         """Set a VM's pool after a move that the list may not show yet."""
@@ -215,14 +250,21 @@
                 changes[worker.entry.service] -= 1
         return changes
 
-    def must_cordon(self, vm: str) -> bool:
-        """Return whether the VM's worker must get no new tasks.
+    def must_cordon(self, worker: WorkerState) -> bool:
+        """Return whether the worker must get no new tasks.
 
-        An answered order has retired the worker that the VM had, so a worker
-        that registers after it may get tasks.
+        These are workers that an order in progress may still end.
         """
+        vm = worker.entry.vm
         order = self.orders.get(vm)
-        return vm in self.drains or (order is not None and not order.answered)
+        if vm in self.drains:
+            return True
+        if order is None:
+            return False
+        if worker.incarnation == order.incarnation:
+            return True
+        may_be_repeated = not order.answered
+        return may_be_repeated and not self.is_successor(order, worker)
 
     def compute_even_share(self) -> float:
         """Return the number of all VMs divided by the number of pools."""
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -401,7 +401,23 @@
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
-        """Remove a worker whose VM has been moved or taken down."""
+        """Remove a worker whose VM has been moved or taken down.
+
+        A VM is ordered once its worker has no runs. If it has some, the order
+        may have been carried out before it registered, so that it goes on:
+        its own silence decides.
+        """
+        if worker.runs:
+            logger.warning(
+                "worker with runs not retired",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "vm": worker.entry.vm,
+                    "runs": len(worker.runs),
+                },
+            )
+            return
         self._end_incarnation(worker, "retired")
 
     def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -24,6 +24,9 @@
     - `back_at`: monotonic time. When the VM counts as available again, or,
       for an unanswered order, when the order is repeated.
     - `answered`: False while the outcome of the order is unknown.
+    - `worker`, `born_ms`: the incarnation that the VM had when the order was
+      first sent, the only one that it can have ended; "" for none.
+    - `sent_at`: monotonic time at which it was first sent.
     """
 
     vm: str
@@ -31,6 +34,14 @@
     wave: int = 0
     back_at: float = 0.0
     answered: bool = False
+    worker: str = ""
+    born_ms: int = 0
+    sent_at: float = 0.0
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Worker name and born_ms that the VM had before the order."""
+        return self.worker, self.born_ms
 
 
 class VmOrderHistory:
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -149,9 +149,25 @@
         sent = allowed[: self._consume_allowance(len(allowed), now)]
         if not sent or not self._order_history.store(sent):
             return set()
-        self._send_all(sent)
+        self._send_all(self._add_incarnations(sent))
         return {order.vm for order in sent}
 
+    def _add_incarnations(self, orders: list[VmOrder]) -> list[VmOrder]:
+        """Add the present incarnation of each VM, which its order will end.
+
+        A repeat keeps it: by then the VM may have its next worker.
+        """
+        now = self._clock.read_monotonic()
+        workers = self._state.index_workers()
+        added = []
+        for order in orders:
+            worker = workers.get(order.vm)
+            name, born_ms = worker.incarnation if worker else ("", 0)
+            added.append(
+                replace(order, worker=name, born_ms=born_ms, sent_at=now)
+            )
+        return added
+
     def _consume_allowance(self, count: int, now: float) -> int:
         """Consume up to `count` orders of the rate limit; return how many."""
         rate = self._settings.orders_per_second
@@ -192,41 +208,51 @@
                 "service": order.service,
                 "wave": order.wave,
                 "epoch": self._leader.term.epoch,
+                "worker": order.worker,
+                "born_ms": order.born_ms,
                 "outcome": "ok"
                 if answer.is_ok()
                 else describe_failure(answer.unwrap_err()),
             },
         )
         now = self._clock.read_monotonic()
+        retry_at = now + settings.retry_seconds
         match answer:
             case Ok(_):
-                VM_ORDERS.labels("maintain" if order.wave else "move").inc()
-                seconds = settings.move_seconds
-                if order.wave:
-                    seconds = settings.maintenance_seconds
-                back_at = now + seconds + settings.settle_seconds
-                self._state.orders[vm] = replace(
-                    order, back_at=back_at, answered=True
-                )
-                self._retire(vm)
+                self._apply_outcome(order, now)
                 if order.wave:
                     self._waves.mark_begun(order.wave, vm)
-                else:
-                    self._state.set_service(vm, order.service)
             case Err(StartRefusedFailure() | UnavailableFailure()):
                 self._state.orders.pop(vm, None)
                 self._next_list_at = float("-inf")
             case Err(_):
-                retry_at = now + settings.retry_seconds
-                self._state.orders[vm] = replace(
-                    order, back_at=retry_at, answered=False
-                )
+                self._state.orders[vm] = replace(order, back_at=retry_at)
+
+    def _compute_back_at(self, order: VmOrder, now: float) -> float:
+        """Return when a VM is back whose order was carried out by `now`."""
+        settings = self._settings
+        seconds = settings.move_seconds
+        if order.wave:
+            seconds = settings.maintenance_seconds
+        return now + seconds + settings.settle_seconds
+
+    def _apply_outcome(self, order: VmOrder, now: float) -> None:
+        """Retire the worker that a carried out order has ended."""
+        VM_ORDERS.labels("maintain" if order.wave else "move").inc()
+        self._state.orders[order.vm] = replace(
+            order, back_at=self._compute_back_at(order, now), answered=True
+        )
+        if not order.wave:
+            self._state.set_service(order.vm, order.service)
+        tracker = self._leader.tracker
+        with tracker.lock:
+            worker = tracker.workers.get(order.worker)
+            if worker is not None and worker.incarnation == order.incarnation:
+                tracker.retire_worker(worker)
 
-    def _retire(self, vm: str) -> None:
-        with self._leader.tracker.lock:
-            worker = self._state.index_workers().get(vm)
-            if worker is not None:
-                self._leader.tracker.retire_worker(worker)
+    def _end_order(self, order: VmOrder) -> None:
+        self._state.orders.pop(order.vm, None)
+        self._state.mark_up(order.vm)
 
     def update_orders(self, now: float) -> None:
         """Drop orders whose VM is back; repeat those without an answer."""
@@ -237,8 +263,7 @@
         ]
         for order in ended:
             if order.answered:
-                del self._state.orders[order.vm]
-                self._state.mark_up(order.vm)
+                self._end_order(order)
         # The answer to the repeated order shows whether the first was applied.
         self._send_all([order for order in ended if not order.answered])
 
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -229,6 +229,16 @@
             and self.alive_at - run.confirmed_at >= PROVING_SECONDS
         )
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Its name and born_ms."""
+        return self.entry.name, self.entry.born_ms
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether it has answered, and its last hold call did not fail."""
+        return self.contact is not None and not self.unresponsive
+
     def is_in_contact(self, now: float, seconds: float) -> bool:
         """Return whether the worker answered within the given seconds."""
         return self.contact is not None and now - self.contact.at <= seconds
--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -4,7 +4,10 @@
 
 from result import Err, Ok, Result
 
-from chestnutstair.coordination.platform import UnknownOutcomeFailure
+from chestnutstair.coordination.platform import (
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import FleetControllerSettings
@@ -37,6 +40,9 @@
         self.pools = {f"vm-{name}": pool for name, pool in pools.items()}
         self.orders: list[tuple[str, str]] = []
         self.lose_answers = 0
+        self.lose_orders = 0
+        self.refusals = 0
+        self.maintained: list[str] = []
         self.back_at: dict[str, float] = {}
 
     def list_vms(self) -> Result[list[Vm], WorkerCallFailure]:
@@ -57,8 +63,9 @@
         )
 
     def _get_state(self, vm: str) -> str:
-        moving = self._harness.clock.now < self.back_at.get(vm, 0.0)
-        return "moving" if moving else "up"
+        if self._harness.clock.now >= self.back_at.get(vm, 0.0):
+            return "up"
+        return "maintenance" if vm in self.maintained else "moving"
 
     def move(
         self, vm: str, service: str, holder: str, fence: int
@@ -68,6 +75,12 @@
         A VM that has joined the pool before is left as it is.
         """
         self.orders.append((vm, service))
+        if self.lose_orders:
+            self.lose_orders -= 1
+            return Err(UnknownOutcomeFailure("order lost"))
+        if self.refusals:
+            self.refusals -= 1
+            return Err(UnavailableFailure("status 429"))
         if self.pools[vm] == service:
             return self._answer()
         self.pools[vm] = service
@@ -77,9 +90,14 @@
     def maintain(
         self, vm: str, wave: int, holder: str, fence: int
     ) -> Result[None, WorkerCallFailure]:
-        """Record an order for maintenance of a VM."""
+        """Record an order for maintenance of a VM, and carry it out once."""
         self.orders.append((vm, f"wave {wave}"))
-        self.back_at[vm] = self._harness.clock.now + MAINTENANCE_SECONDS
+        if self.refusals:
+            self.refusals -= 1
+            return Err(UnavailableFailure("status 429"))
+        if vm not in self.maintained:
+            self.maintained.append(vm)
+            self.back_at[vm] = self._harness.clock.now + MAINTENANCE_SECONDS
         return self._answer()
 
     def _answer(self) -> Result[None, WorkerCallFailure]:
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -15,6 +15,7 @@
 from chestnutstair.scheduling.ports import Vm, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.wave_progress import WaveProgress
+from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.tests.fleet_support import MOVE_SECONDS, FleetHarness
 from chestnutstair.tests.scheduling_support import (
@@ -102,7 +103,7 @@
 
     def test_an_order_without_answer_is_sent_again(self) -> None:
         self.admit_burst()
-        self.vms.lose_answers = 1
+        self.vms.lose_orders = 1
         self.run_round()
         first = self.vms.orders[0]
         self.run_round(1.1)
@@ -131,6 +132,22 @@
         self.assertIs(workers.get(worker.name), worker)
         self.assertEqual(set(worker.runs), runs)
 
+    def lose_answer_of_first_move(self) -> str:
+        # Returns the VM, which has been moved; its next worker registers.
+        self.admit_burst()
+        self.vms.lose_answers = 1
+        self.run_round()
+        vm, _ = self.vms.orders[0]
+        self.harness.clock.now += MOVE_SECONDS
+        self.harness.answer_all()
+        self.vms.bring_workers_back()
+        return vm
+
+    def find_worker_of(self, vm: str) -> WorkerState:
+        workers = self.harness.tracker.workers.values()
+        (worker,) = (item for item in workers if item.entry.vm == vm)
+        return worker
+
     def test_a_vm_can_return_to_a_pool_right_after_leaving_it(self) -> None:
         # VMs that had just moved to the spare pool stayed idle there for up
         # to 3.5 s while another pool lacked VMs.
