Settle VM orders without an answer by what shows their outcome

An order to move is settled once a worker that registered after it in its pool has answered this leader, or once a list requested after it shows the VM in its pool, provided that the worker that it ends does not answer. An entry that is wrong, or a list that is old, thus settles nothing while the worker before is alive, and settling frees no runs. A worker that comes back in the same pool does not show that its VM was maintained, as it may have crashed before; only the list does, which lifts the cordon, and the wave counts the VM as begun only once the order is answered, as the maintenance may be another wave's.

--- a/chestnutstair/platform/machines.py
+++ b/chestnutstair/platform/machines.py
@@ -25,6 +25,7 @@
 CALL_SECONDS = 1.5  # moving a VM may be slow
 HOLDER_HEADER = "X-Chestnutstair-Lease-Holder"
 FENCE_HEADER = "X-Chestnutstair-Fencing-Token"
+STATES = {"upkeep": "maintenance"}  # the others have the same names here
 
 
 def _read_vm(item: dict[str, Any]) -> Vm:
@@ -32,7 +33,7 @@
     return Vm(
         name=item["machine"],
         service=item.get("pool", ""),
-        state=item.get("state", ""),
+        state=STATES.get(item.get("state", ""), item.get("state", "")),
         zone=item.get("zone", ""),
         worker=item.get("id") or "",  # empty while no worker runs on the VM
         labels=tuple(item.get("labels") or ()),
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -9,6 +9,7 @@
 from chestnutstair.scheduling.workers import WorkerState
 
 __all__ = [
+    "IN_MAINTENANCE",
     "UP",
     "Drain",
     "FleetControllerSettings",
@@ -16,6 +17,7 @@
 ]
 
 UP = "up"  # state of a VM that is neither moving nor under maintenance
+IN_MAINTENANCE = "maintenance"
 
 
 @dataclass(frozen=True)
@@ -263,7 +265,7 @@
             return False
         if worker.incarnation == order.incarnation:
             return True
-        may_be_repeated = not order.answered
+        may_be_repeated = not (order.answered or order.carried_out)
         return may_be_repeated and not self.is_successor(order, worker)
 
     def compute_even_share(self) -> float:
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -306,7 +306,7 @@
 
 @dataclass(frozen=True)
 class Vm:
-    """A VM of the fleet; `state` is up, moving, upkeep or down."""
+    """A VM of the fleet; `state` is up, moving, maintenance or down."""
 
     name: str
     service: str
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -27,6 +27,8 @@
     - `worker`, `born_ms`: the incarnation that the VM had when the order was
       first sent, the only one that it can have ended; "" for none.
     - `sent_at`: monotonic time at which it was first sent.
+    - `carried_out`: the list has shown that it was carried out, while its
+      answer is still due.
     """
 
     vm: str
@@ -37,6 +39,7 @@
     worker: str = ""
     born_ms: int = 0
     sent_at: float = 0.0
+    carried_out: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -8,6 +8,8 @@
 
 from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.scheduling.fleet_state import (
+    IN_MAINTENANCE,
+    UP,
     FleetControllerSettings,
     FleetState,
 )
@@ -54,6 +56,8 @@
         self._clock = clock
         self._settings = settings
         self._next_list_at = float("-inf")
+        # When the latest listing that succeeded was requested; monotonic.
+        self._listed_at = float("-inf")
         self._allowance = 0.0
         self._allowed_at = clock.read_monotonic()
         self._threads = ThreadPoolExecutor(
@@ -81,6 +85,7 @@
         pause = min(pause, settings.list_max_seconds)
         match answer:
             case Ok(vms):
+                self._listed_at = now
                 pause = max(pause, self._compute_list_interval(len(vms)))
                 self._state.shards = {
                     vm.name: self._shard.find_shard_of_vm(vm) for vm in vms
@@ -250,12 +255,73 @@
             if worker is not None and worker.incarnation == order.incarnation:
                 tracker.retire_worker(worker)
 
+    def _settle_orders(self, now: float) -> None:
+        """Detect which orders without an answer have been carried out.
+
+        Only while the worker that they end does not answer.
+        """
+        unsettled = [
+            order
+            for order in self._state.orders.values()
+            if not (order.answered or order.carried_out)
+        ]
+        workers = self._state.index_workers() if unsettled else {}
+        for order in unsettled:
+            if self._is_ended_worker_answering(order):
+                continue
+            worker = workers.get(order.vm)
+            listed = self._state.listed.get(order.vm)
+            if listed is None or self._listed_at < order.sent_at:
+                listed = None
+            if order.wave:
+                # Whose maintenance it is only the answer tells.
+                if listed is not None and listed.state == IN_MAINTENANCE:
+                    self._log_settled(order, "listed")
+                    self._state.orders[order.vm] = replace(
+                        order, carried_out=True
+                    )
+            elif (
+                worker is not None
+                and worker.is_answering
+                and self._state.is_successor(order, worker)
+            ):
+                self._log_settled(order, worker.name)
+                self._apply_outcome(order, now)
+                self._end_order(order)
+            elif listed is not None and listed.service == order.service:
+                self._log_settled(order, "listed")
+                self._apply_outcome(order, now)
+                if listed.state == UP:
+                    self._end_order(order)
+
+    def _is_ended_worker_answering(self, order: VmOrder) -> bool:
+        with self._leader.tracker.lock:
+            worker = self._leader.tracker.workers.get(order.worker)
+            return (
+                worker is not None
+                and worker.incarnation == order.incarnation
+                and worker.is_answering
+            )
+
+    def _log_settled(self, order: VmOrder, sign: str) -> None:
+        logger.info(
+            "VM order without an answer was carried out",
+            extra={
+                "vm": order.vm,
+                "service": order.service,
+                "wave": order.wave,
+                "worker": order.worker,
+                "shown_by": sign,
+            },
+        )
+
     def _end_order(self, order: VmOrder) -> None:
         self._state.orders.pop(order.vm, None)
         self._state.mark_up(order.vm)
 
     def update_orders(self, now: float) -> None:
         """Drop orders whose VM is back; repeat those without an answer."""
+        self._settle_orders(now)
         ended = [
             order
             for order in self._state.orders.values()
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -148,6 +148,46 @@
         (worker,) = (item for item in workers if item.entry.vm == vm)
         return worker
 
+    def test_a_vm_whose_next_worker_registers_is_used_without_the_answer(
+        self,
+    ) -> None:
+        # A VM got no tasks, and its order was repeated, for up to 20 s after
+        # its move, as long as the answers of the VM service were late.
+        vm = self.lose_answer_of_first_move()
+        with mock.patch.object(
+            self.vms,
+            "list_vms",
+            return_value=Err(UnavailableFailure("status 503")),
+        ):
+            for _ in range(12):
+                self.run_round()
+        self.assertEqual([item for item, _ in self.vms.orders].count(vm), 1)
+        self.assertFalse(self.find_worker_of(vm).cordoned)
+
+    def test_a_move_that_the_list_shows_is_not_repeated(self) -> None:
+        self.admit_burst()
+        self.vms.lose_answers = 1
+        self.run_round()
+        vm, _ = self.vms.orders[0]
+        for _ in range(12):
+            self.run_round()
+        self.assertEqual([item for item, _ in self.vms.orders].count(vm), 1)
+
+    def test_the_answer_shows_whether_a_vm_was_maintained(self) -> None:
+        # Guards against a wave that is completed too early: a worker that
+        # comes back may have crashed before its VM's maintenance.
+        self.waves.append(MaintenanceWave(1, ("vm-w1",), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.vms.lose_answers = 1000
+        for _ in range(50):
+            self.run_round()
+            self.vms.bring_workers_back()
+        self.assertFalse(self.controller._waves.is_completed(self.waves[0]))
+        self.vms.lose_answers = 0
+        for _ in range(50):
+            self.run_round()
+        self.assertTrue(self.controller._waves.is_completed(self.waves[0]))
+
     def test_a_vm_can_return_to_a_pool_right_after_leaving_it(self) -> None:
         # VMs that had just moved to the spare pool stayed idle there for up
         # to 3.5 s while another pool lacked VMs.
