Cordon workers that register while their VM's order is in progress

A worker that restarted on a VM whose order had been sent got tasks for up to a round, or for as long as orders blocked the round (1.5 s), and the order then ended them. Cordons were set once a round only. The tracker now knows the VMs with orders in progress and cordons their next workers as they register, other than those in the order's pool, which show that it has been carried out.

test_a_worker_that_restarts_before_its_vm_moves_gets_no_tasks failed before.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -170,6 +170,7 @@
 
     def _set_cordons(self) -> None:
         with self._tracker.lock:
+            self._tracker.cordons = self._state.list_cordons()
             for worker in self._tracker.workers.values():
                 worker.cordoned = self._state.must_cordon(worker)
                 worker.maintenance_due = self._waves.is_due(worker.entry.vm)
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -268,6 +268,18 @@
         may_be_repeated = not (order.answered or order.carried_out)
         return may_be_repeated and not self.is_successor(order, worker)
 
+    def list_cordons(self) -> dict[str, str]:
+        """Return the VMs whose next workers get no new tasks either.
+
+        The value is the pool whose workers do, as the order for the VM has
+        been carried out once one registers there; empty for none.
+        """
+        cordons = dict.fromkeys(self.drains, "")
+        for order in self.orders.values():
+            if not (order.answered or order.carried_out):
+                cordons[order.vm] = "" if order.wave else order.service
+        return cordons
+
     def compute_even_share(self) -> float:
         """Return the number of all VMs divided by the number of pools."""
         pool_count = max(1, len(self._tracker.configuration.services))
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -139,6 +139,9 @@
         self._unclaimed: dict[
             tuple[str, int], list[tuple[JobRecord, TaskKey]]
         ] = {}
+        # VMs with an order in progress that may end their workers, also those
+        # that register meanwhile, other than in the pool that is the value.
+        self.cordons: dict[str, str] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._crashes = CrashRecorder(
@@ -302,6 +305,8 @@
             if entry.born_ms < current.entry.born_ms:
                 return None  # a stale entry from before its restart
         worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
+        pool = self.cordons.get(entry.vm)
+        worker.cordoned = pool is not None and pool != entry.service
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -185,6 +185,10 @@
         return granted
 
     def _send_all(self, orders: list[VmOrder]) -> None:
+        with self._leader.tracker.lock:
+            for order in orders:
+                pool = "" if order.wave else order.service
+                self._leader.tracker.cordons[order.vm] = pool
         answers = self._threads.map(self._send, orders)
         for order, answer in zip(orders, answers, strict=True):
             if answer is not None:
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -1,6 +1,7 @@
 """Tests of pool sizes that follow demand, and of maintenance waves."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from result import Err, Result
@@ -173,6 +174,24 @@
             self.run_round()
         self.assertEqual([item for item, _ in self.vms.orders].count(vm), 1)
 
+    def test_a_worker_that_restarts_before_its_vm_moves_gets_no_tasks(
+        self,
+    ) -> None:
+        # A worker that registered while an order for its VM was sent got
+        # tasks, which the order ended.
+        self.vms.lose_orders = 1
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.run_round()
+        self.assertIn("vm-w1", self.controller._state.orders)
+        self.harness.get_worker("w1").unresponsive = True
+        self.harness.tracker.apply_worker_entry(
+            replace(build_entry("w1-next"), born_ms=2, vm="vm-w1")
+        )
+        self.assertTrue(self.harness.get_worker("w1-next").cordoned)
+        self.harness.answer("w1-next", born_ms=2)
+        self.controller._set_cordons()
+        self.assertTrue(self.harness.get_worker("w1-next").cordoned)
+
     def test_the_answer_shows_whether_a_vm_was_maintained(self) -> None:
         # Guards against a wave that is completed too early: a worker that
         # comes back may have crashed before its VM's maintenance.
