Use a worker again that an answered order did not end

The platform answers an order that is already done as it answers one that it carries out. A leader that repeats the maintenance of the one before thus retired a worker that went on, and never used it again in its term; its VM could be neither moved nor maintained. Once the VM of an answered order should be back and has no worker, the retired incarnation may register again. One that has ended reports nothing more, so that it does not.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -425,6 +425,14 @@
             return
         self._end_incarnation(worker, "retired")
 
+    def readmit_worker(self, incarnation: tuple[str, int]) -> None:
+        """Let a retired incarnation register again if it still reports.
+
+        `incarnation` is its name and born_ms. An order that had been carried
+        out before is answered like one that ends the worker.
+        """
+        self._retired.discard(incarnation)
+
     def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
         worker.gone = True
         self._retired.add((worker.name, worker.entry.born_ms))
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -322,6 +322,15 @@
     def _end_order(self, order: VmOrder) -> None:
         self._state.orders.pop(order.vm, None)
         self._state.mark_up(order.vm)
+        listed = self._state.listed.get(order.vm)
+        if (
+            order.worker
+            and listed is not None
+            and listed.service != self._state.find_spare_pool()
+            and order.vm not in self._state.index_workers()
+        ):
+            with self._leader.tracker.lock:
+                self._leader.tracker.readmit_worker(order.incarnation)
 
     def update_orders(self, now: float) -> None:
         """Drop orders whose VM is back; repeat those without an answer."""
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -192,6 +192,20 @@
         self.controller._set_cordons()
         self.assertTrue(self.harness.get_worker("w1-next").cordoned)
 
+    def test_a_worker_that_an_order_did_not_end_is_used_again(self) -> None:
+        # A new leader repeated the maintenance of the one before, which was
+        # answered as done; the worker went on and was never used again.
+        self.vms.maintained.append("vm-w1")
+        self.waves.append(MaintenanceWave(1, ("vm-w1",), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.run_round()
+        self.assertEqual(self.vms.orders, [("vm-w1", "wave 1")])
+        for _ in range(30):
+            self.run_round()
+            # It goes on, so it goes on reporting to the registry.
+            self.harness.tracker.apply_worker_entry(build_entry("w1"))
+        self.assertIn("w1", self.harness.tracker.workers)
+
     def test_the_answer_shows_whether_a_vm_was_maintained(self) -> None:
         # Guards against a wave that is completed too early: a worker that
         # comes back may have crashed before its VM's maintenance.
