Keep counting a VM as down when the repeat of its order is refused

The first attempt to maintain a VM got no answer and took it down; its repeat was turned away, for example with 429. The order was dropped, the VM no longer counted against the wave's cap, and one more was ordered (LIMIT). A refusal says nothing of the attempt before: the order is now kept and repeated until that attempt's VM must be back.

test_a_refused_repeat_still_counts_against_the_cap_of_a_wave failed before.

--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -27,6 +27,8 @@
     - `worker`, `born_ms`: the incarnation that the VM had when the order was
       first sent, the only one that it can have ended; "" for none.
     - `sent_at`: monotonic time at which it was first sent.
+    - `away_until`: monotonic time until which the VM may be away because of
+      an attempt without an answer; 0 if there was none.
     - `carried_out`: the list has shown that it was carried out, while its
       answer is still due.
     """
@@ -39,6 +41,7 @@
     worker: str = ""
     born_ms: int = 0
     sent_at: float = 0.0
+    away_until: float = 0.0
     carried_out: bool = False
 
     @property
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -232,10 +232,19 @@
                 if order.wave:
                     self._waves.mark_begun(order.wave, vm)
             case Err(StartRefusedFailure() | UnavailableFailure()):
+                if now < order.away_until:
+                    # Says nothing about the attempt before, which may have
+                    # taken the VM down.
+                    self._state.orders[vm] = replace(order, back_at=retry_at)
+                    return
                 self._state.orders.pop(vm, None)
                 self._next_list_at = float("-inf")
             case Err(_):
-                self._state.orders[vm] = replace(order, back_at=retry_at)
+                self._state.orders[vm] = replace(
+                    order,
+                    back_at=retry_at,
+                    away_until=self._compute_back_at(order, now),
+                )
 
     def _compute_back_at(self, order: VmOrder, now: float) -> float:
         """Return when a VM is back whose order was carried out by `now`."""
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -206,6 +206,23 @@
             self.harness.tracker.apply_worker_entry(build_entry("w1"))
         self.assertIn("w1", self.harness.tracker.workers)
 
+    def test_a_refused_repeat_still_counts_against_the_cap_of_a_wave(
+        self,
+    ) -> None:
+        # The answer to the first attempt was lost and the repeat turned away:
+        # the VM, which was down, no longer counted, and one more was ordered.
+        self.waves.append(MaintenanceWave(1, ("vm-w1", "vm-w2"), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.vms.lose_answers = 1
+        self.run_round()
+        self.vms.back_at["vm-w1"] += 1.4  # carried out late
+        self.harness.tracker.retire_worker(self.harness.get_worker("w1"))
+        self.vms.refusals = 1
+        while self.harness.clock.now < self.vms.back_at["vm-w1"]:
+            self.assertNotIn(("vm-w2", "wave 1"), self.vms.orders)
+            self.run_round()
+        self.assertGreater(self.vms.orders.count(("vm-w1", "wave 1")), 1)
+
     def test_the_answer_shows_whether_a_vm_was_maintained(self) -> None:
         # Guards against a wave that is completed too early: a worker that
         # comes back may have crashed before its VM's maintenance.
