--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -139,6 +139,9 @@
         self._unclaimed: dict[
             tuple[str, int], list[tuple[JobRecord, TaskKey]]
         ] = {}
+        # VMs with an order in progress that may end their workers, also those
+        # that register meanwhile, other than in the pool that is the value.
+        self.cordons: dict[str, str] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._crashes = CrashRecorder(
@@ -302,6 +305,8 @@
             if entry.born_ms < current.entry.born_ms:
                 return None  # a stale entry from before its restart
         worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
+        pool = self.cordons.get(entry.vm)
+        worker.cordoned = pool is not None and pool != entry.service
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -401,9 +406,33 @@
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
-        """Remove a worker whose VM has been moved or taken down."""
+        """Remove a worker whose VM has been moved or taken down.
+
+        A VM is ordered once its worker has no runs. If it has some, the order
+        may have been carried out before it registered, so that it goes on:
+        its own silence decides.
+        """
+        if worker.runs:
+            logger.warning(
+                "worker with runs not retired",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "vm": worker.entry.vm,
+                    "runs": len(worker.runs),
+                },
+            )
+            return
         self._end_incarnation(worker, "retired")
 
+    def readmit_worker(self, incarnation: tuple[str, int]) -> None:
+        """Let a retired incarnation register again if it still reports.
+
+        `incarnation` is its name and born_ms. An order that had been carried
+        out before is answered like one that ends the worker.
+        """
+        self._retired.discard(incarnation)
+
     def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
         worker.gone = True
         self._retired.add((worker.name, worker.entry.born_ms))
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -8,6 +8,8 @@
 
 from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.scheduling.fleet_state import (
+    IN_MAINTENANCE,
+    UP,
     FleetControllerSettings,
     FleetState,
 )
@@ -54,6 +56,8 @@
         self._clock = clock
         self._settings = settings
         self._next_list_at = float("-inf")
+        # When the latest listing that succeeded was requested; monotonic.
+        self._listed_at = float("-inf")
         self._allowance = 0.0
         self._allowed_at = clock.read_monotonic()
         self._threads = ThreadPoolExecutor(
@@ -81,6 +85,7 @@
         pause = min(pause, settings.list_max_seconds)
         match answer:
             case Ok(vms):
+                self._listed_at = now
                 pause = max(pause, self._compute_list_interval(len(vms)))
                 self._state.shards = {
                     vm.name: self._shard.find_shard_of_vm(vm) for vm in vms
@@ -149,9 +154,25 @@
         sent = allowed[: self._consume_allowance(len(allowed), now)]
         if not sent or not self._order_history.store(sent):
             return set()
-        self._send_all(sent)
+        self._send_all(self._add_incarnations(sent))
         return {order.vm for order in sent}
 
+    def _add_incarnations(self, orders: list[VmOrder]) -> list[VmOrder]:
+        """Add the present incarnation of each VM, which its order will end.
+
+        A repeat keeps it: by then the VM may have its next worker.
+        """
+        now = self._clock.read_monotonic()
+        workers = self._state.index_workers()
+        added = []
+        for order in orders:
+            worker = workers.get(order.vm)
+            name, born_ms = worker.incarnation if worker else ("", 0)
+            added.append(
+                replace(order, worker=name, born_ms=born_ms, sent_at=now)
+            )
+        return added
+
     def _consume_allowance(self, count: int, now: float) -> int:
         """Consume up to `count` orders of the rate limit; return how many."""
         rate = self._settings.orders_per_second
@@ -164,6 +185,10 @@
         return granted
 
     def _send_all(self, orders: list[VmOrder]) -> None:
+        with self._leader.tracker.lock:
+            for order in orders:
+                pool = "" if order.wave else order.service
+                self._leader.tracker.cordons[order.vm] = pool
         answers = self._threads.map(self._send, orders)
         for order, answer in zip(orders, answers, strict=True):
             if answer is not None:
@@ -192,44 +217,133 @@
                 "service": order.service,
                 "wave": order.wave,
                 "epoch": self._leader.term.epoch,
+                "worker": order.worker,
+                "born_ms": order.born_ms,
                 "outcome": "ok"
                 if answer.is_ok()
                 else describe_failure(answer.unwrap_err()),
             },
         )
         now = self._clock.read_monotonic()
+        retry_at = now + settings.retry_seconds
         match answer:
             case Ok(_):
-                VM_ORDERS.labels("maintain" if order.wave else "move").inc()
-                seconds = settings.move_seconds
-                if order.wave:
-                    seconds = settings.maintenance_seconds
-                back_at = now + seconds + settings.settle_seconds
-                self._state.orders[vm] = replace(
-                    order, back_at=back_at, answered=True
-                )
-                self._retire(vm)
+                self._apply_outcome(order, now)
                 if order.wave:
                     self._waves.mark_begun(order.wave, vm)
-                else:
-                    self._state.set_service(vm, order.service)
             case Err(StartRefusedFailure() | UnavailableFailure()):
+                if now < order.away_until:
+                    # Says nothing about the attempt before, which may have
+                    # taken the VM down.
+                    self._state.orders[vm] = replace(order, back_at=retry_at)
+                    return
                 self._state.orders.pop(vm, None)
                 self._next_list_at = float("-inf")
             case Err(_):
-                retry_at = now + settings.retry_seconds
                 self._state.orders[vm] = replace(
-                    order, back_at=retry_at, answered=False
+                    order,
+                    back_at=retry_at,
+                    away_until=self._compute_back_at(order, now),
                 )
 
-    def _retire(self, vm: str) -> None:
+    def _compute_back_at(self, order: VmOrder, now: float) -> float:
+        """Return when a VM is back whose order was carried out by `now`."""
+        settings = self._settings
+        seconds = settings.move_seconds
+        if order.wave:
+            seconds = settings.maintenance_seconds
+        return now + seconds + settings.settle_seconds
+
+    def _apply_outcome(self, order: VmOrder, now: float) -> None:
+        """Retire the worker that a carried out order has ended."""
+        VM_ORDERS.labels("maintain" if order.wave else "move").inc()
+        self._state.orders[order.vm] = replace(
+            order, back_at=self._compute_back_at(order, now), answered=True
+        )
+        if not order.wave:
+            self._state.set_service(order.vm, order.service)
+        tracker = self._leader.tracker
+        with tracker.lock:
+            worker = tracker.workers.get(order.worker)
+            if worker is not None and worker.incarnation == order.incarnation:
+                tracker.retire_worker(worker)
+
+    def _settle_orders(self, now: float) -> None:
+        """Detect which orders without an answer have been carried out.
+
+        Only while the worker that they end does not answer.
+        """
+        unsettled = [
+            order
+            for order in self._state.orders.values()
+            if not (order.answered or order.carried_out)
+        ]
+        workers = self._state.index_workers() if unsettled else {}
+        for order in unsettled:
+            if self._is_ended_worker_answering(order):
+                continue
+            worker = workers.get(order.vm)
+            listed = self._state.listed.get(order.vm)
+            if listed is None or self._listed_at < order.sent_at:
+                listed = None
+            if order.wave:
+                # Whose maintenance it is only the answer tells.
+                if listed is not None and listed.state == IN_MAINTENANCE:
+                    self._log_settled(order, "listed")
+                    self._state.orders[order.vm] = replace(
+                        order, carried_out=True
+                    )
+            elif (
+                worker is not None
+                and worker.is_answering
+                and self._state.is_successor(order, worker)
+            ):
+                self._log_settled(order, worker.name)
+                self._apply_outcome(order, now)
+                self._end_order(order)
+            elif listed is not None and listed.service == order.service:
+                self._log_settled(order, "listed")
+                self._apply_outcome(order, now)
+                if listed.state == UP:
+                    self._end_order(order)
+
+    def _is_ended_worker_answering(self, order: VmOrder) -> bool:
         with self._leader.tracker.lock:
-            worker = self._state.index_workers().get(vm)
-            if worker is not None:
-                self._leader.tracker.retire_worker(worker)
+            worker = self._leader.tracker.workers.get(order.worker)
+            return (
+                worker is not None
+                and worker.incarnation == order.incarnation
+                and worker.is_answering
+            )
+
+    def _log_settled(self, order: VmOrder, sign: str) -> None:
+        logger.info(
+            "VM order without an answer was carried out",
+            extra={
+                "vm": order.vm,
+                "service": order.service,
+                "wave": order.wave,
+                "worker": order.worker,
+                "shown_by": sign,
+            },
+        )
+
+    def _end_order(self, order: VmOrder) -> None:
+        self._state.orders.pop(order.vm, None)
+        self._state.mark_up(order.vm)
+        listed = self._state.listed.get(order.vm)
+        if (
+            order.worker
+            and listed is not None
+            and listed.service != self._state.find_spare_pool()
+            and order.vm not in self._state.index_workers()
+        ):
+            with self._leader.tracker.lock:
+                self._leader.tracker.readmit_worker(order.incarnation)
 
     def update_orders(self, now: float) -> None:
         """Drop orders whose VM is back; repeat those without an answer."""
+        self._settle_orders(now)
         ended = [
             order
             for order in self._state.orders.values()
@@ -237,8 +351,7 @@
         ]
         for order in ended:
             if order.answered:
-                del self._state.orders[order.vm]
-                self._state.mark_up(order.vm)
+                self._end_order(order)
         # The answer to the repeated order shows whether the first was applied.
         self._send_all([order for order in ended if not order.answered])
 
