Read registry entries strictly, so that an odd one harms no other

Callers would see no task start: an entry with `cpu`, `memMb` or `born` of 1e400 raised OverflowError out of PlatformDecoder.read_worker and of Leader.load, so that each new leader ended while it loaded; in the change feed the rows behind it were lost, as the feed had moved on to the new version. A negative capacity, a port of 70000 or a lone surrogate was taken for a worker, whose calls raise in the thread that makes them.

Cause: `int()`, `str()` and `dict()` convert what JSON allows, and the errors that were caught left OverflowError out. The fields are now read by type and range (platform/fields.py), with one typed error. An error for one row, of whatever cause, no longer reaches the other rows.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -8,6 +8,17 @@
 
 from result import Err, Result
 
+from chestnutstair.platform.fields import (
+    MAX_TIME_MS,
+    MalformedFieldError,
+    check_name,
+    read_address,
+    read_amount,
+    read_object,
+    read_text,
+    read_texts,
+    read_whole,
+)
 from chestnutstair.scheduling.configuration import (
     FleetConfiguration,
     MaintenanceWave,
@@ -33,7 +44,6 @@
 
 logger = logging.getLogger(__name__)
 
-STATES = ("ready", "draining")
 # Field of an organisation in configurations that nodes pass on to each other:
 # the digests of its keys in Base64, instead of the keys themselves.
 DIGESTS_FIELD = "apiKeyDigests"
@@ -311,31 +321,48 @@
 
     def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
         """Return the worker, or None if the entry is not usable."""
-        fields = parse_json_object(value)
-        if fields is None:
-            return None
         try:
-            if fields["state"] not in STATES:
-                return None
-            capacity = dict(fields["capacity"])
-            labels = tuple(str(label) for label in fields["labels"])
-            return WorkerEntry(
-                name=name,
-                born_ms=int(fields.get("born", 0)),
-                service=str(fields["service"]),
-                address=str(fields["address"]),
-                zone=str(fields["zone"]),
-                draining=fields["state"] == "draining",
-                millicores=int(capacity.get("cpu", 0)),
-                memory_mb=int(capacity.get("memMb", 0)),
-                accelerators=int(capacity.get("gpu", 0)),
-                labels=labels,
-                rack=_find_rack(labels),
-                vm=str(fields.get("machine") or ""),
-            )
-        except (KeyError, TypeError, ValueError):
+            return _read_worker(name, value)
+        except MalformedFieldError:
             return None
 
+    def explain_worker(self, name: str, value: bytes) -> str:
+        """Return why an entry is not usable; empty if it is."""
+        try:
+            _read_worker(name, value)
+        except MalformedFieldError as error:
+            return str(error)
+        return ""
+
+
+def _read_worker(name: str, value: bytes) -> WorkerEntry:
+    """Decode a worker's entry, or raise MalformedFieldError."""
+    fields = parse_json_object(value)
+    if fields is None:
+        raise MalformedFieldError("not a JSON object")
+    check_name(name)
+    state = fields.get("state")
+    if state not in ("ready", "draining"):
+        raise MalformedFieldError("state: unknown or missing")
+    capacity = read_object(fields, "capacity")
+    labels = read_texts(fields, "labels")
+    return WorkerEntry(
+        name=name,
+        born_ms=read_whole(fields, "born", 0, MAX_TIME_MS),
+        service=read_text(fields, "service"),
+        address=read_address(fields, "address"),
+        zone=read_text(fields, "zone"),
+        draining=state == "draining",
+        millicores=read_amount(capacity, "cpu", 0),
+        memory_mb=read_amount(capacity, "memMb", 0),
+        accelerators=read_amount(capacity, "gpu", 0),
+        labels=labels,
+        rack=_find_rack(labels),
+        vm=""
+        if fields.get("machine") is None
+        else read_text(fields, "machine"),
+    )
+
 
 def _find_rack(labels: tuple[str, ...]) -> str:
     # The first label is the kind, the second the rack.
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -392,7 +392,15 @@
     def _apply_registry(self, changes: Changes) -> None:
         with self.tracker.lock:
             for row in changes.rows:
-                self._apply_entry(row)
+                try:
+                    self._apply_entry(row)
+                except Exception:
+                    # An error for one entry must not keep the others from
+                    # being applied, or a leader from loading.
+                    logger.exception(
+                        "registry entry cannot be applied",
+                        extra={"worker": row.key.key},
+                    )
         self.wake()
 
     def _apply_entry(self, row: Row) -> None:
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -14,6 +14,7 @@
     "JOBS_GIVEN_UP",
     "KEY_REFUSALS",
     "LEADING",
+    "MALFORMED_ENTRIES",
     "MAX_ORGANISATION_LABELS",
     "ORGANISATION_CAP",
     "ORGANISATION_JOBS_WAITING",
@@ -136,6 +137,11 @@
     "Predictions of the pool whose turn comes next.",
     ["outcome"],
 )
+MALFORMED_ENTRIES = Counter(
+    "chestnutstair_malformed_entries",
+    "Entries, answers and rows read that could not be used.",
+    ["kind"],
+)
 LEADING = Gauge(
     "chestnutstair_leading", "Number of shards that this node leads."
 )
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -356,6 +356,10 @@
         """Return the worker, or None if the entry is not usable."""
         ...
 
+    def explain_worker(self, name: str, value: bytes) -> str:
+        """Return why an entry is not usable; empty if it is."""
+        ...
+
 
 class SubmissionCodec(Protocol):
     """Decodes stored submissions."""
