Survive answers of workers and of the policy service that make no sense

Callers would see tasks lost or restarted although their worker goes on: an answer to a hold call with `clockMs` of 1e400 raised OverflowError out of the session's thread, which ended for good, so that leases lapsed and ends were not received. A run number that is a text, a Boolean or NaN was taken for one. A malformed row of advice ended the thread of all advice calls of the term, and an address or header that cannot be used raised where the client is built or the request is written.

Rows of hold answers are now validated by pydantic in strict mode with stated limits; the whole answer counts as none if one row cannot be read, because a run that is left out of a listing would start again elsewhere. Rows of advice are left out one by one. Clock and reason of an order's answer no longer decide its outcome. Clients of addresses that others name are built by connect_to_address, which returns a failure. Sessions and the advice thread log an unexpected error, pause and go on.

--- a/chestnutstair/platform/fields.py
+++ b/chestnutstair/platform/fields.py
@@ -12,11 +12,14 @@
 
 __all__ = [
     "MAX_AMOUNT",
+    "MAX_NAME_LENGTH",
     "MAX_NUMBER",
     "MAX_TEXT_LENGTH",
     "MAX_TIME_MS",
     "MalformedFieldError",
     "check_name",
+    "is_text",
+    "is_whole",
     "read_address",
     "read_amount",
     "read_number",
@@ -118,6 +121,11 @@
     raise MalformedFieldError(_describe(fields, name, value, "text"))
 
 
+def is_whole(value: Any, maximum: int = MAX_NUMBER) -> bool:
+    """Return whether a value is an integer from 0 to `maximum`."""
+    return type(value) is int and 0 <= value <= maximum
+
+
 def is_text(value: Any, max_length: int = MAX_TEXT_LENGTH) -> bool:
     """Return whether a value is a text that can be encoded in UTF-8.
 
--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -1,17 +1,31 @@
 """Calls to workers, which the platform calls runners."""
 
+import logging
+from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import cache
 from http import HTTPStatus
-from typing import Any
+from typing import Annotated, Any, Literal
 
+from pydantic import Field, Strict, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.platform import (
+    PlatformFailure,
     RefusedFailure,
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.platform.fields import (
+    MAX_NAME_LENGTH,
+    MAX_NUMBER,
+    MAX_TIME_MS,
+    MalformedFieldError,
+    is_text,
+    is_whole,
+    read_whole,
+)
+from chestnutstair.scheduling.metrics import MALFORMED_ENTRIES
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
     PolicyService,
@@ -30,10 +44,32 @@
 from chestnutstair.transport.platform_client import (
     PlatformClient,
     PlatformClientSettings,
+    connect_to_address,
 )
 
 __all__ = ["PlatformWorkerControl", "RunnerSettings"]
 
+logger = logging.getLogger(__name__)
+
+# A task's name consists of its job's ID, which is part of a row's key, and
+# three numbers.
+MAX_TASK_LENGTH = MAX_NAME_LENGTH
+# Checkpoints are stored with the job's progress, in one row for all tasks.
+MAX_CHECKPOINT_LENGTH = 64
+Whole = Annotated[int, Strict(), Field(ge=0, le=MAX_NUMBER)]
+Number = Annotated[
+    float,
+    Strict(),
+    Field(ge=-MAX_NUMBER, le=MAX_NUMBER, allow_inf_nan=False),
+]
+TaskName = Annotated[str, Strict(), Field(max_length=MAX_TASK_LENGTH)]
+Checkpoint = Annotated[str, Strict(), Field(max_length=MAX_CHECKPOINT_LENGTH)]
+Outcome = Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
+# Validated by pydantic-core, as thousands of rows are read a second.
+RUN_VALUES = 5
+RUNS = TypeAdapter(list[tuple[TaskName, Whole, Checkpoint, Number, Number]])
+END_VALUES = 5
+ENDS = TypeAdapter(list[tuple[Whole, TaskName, Whole, Outcome, Checkpoint]])
 INSTANCE_HEADER = "X-Chestnutstair-Expect-Instance"
 
 
@@ -53,18 +89,55 @@
     connections: int = 6
 
 
-def _read_run(item: list[Any]) -> RunListing:
-    gauge = float(item[4]) if len(item) > 4 else 0.0
-    return RunListing(item[0], item[1], item[2], item[3], gauge)
+def _read_list(body: dict[str, Any], name: str) -> list[Any]:
+    value = body.get(name, [])
+    if type(value) is not list:
+        raise MalformedFieldError(f"{name}: not a list")
+    return value
+
+
+def _trim(row: Any, length: int) -> Any:
+    """Return a row with `length` values; 0 for the last if it is missing."""
+    return [*row, 0][:length] if type(row) is list else row
 
 
 def _read_hold(body: dict[str, Any]) -> HoldAnswer:
-    return HoldAnswer(
-        clock_ms=int(body["clockMs"]),
-        born_ms=int(body.get("born", 0)),
-        runs=tuple(_read_run(item) for item in body.get("running", [])),
-        ends=tuple(RunEnd(*item[:5]) for item in body.get("finished", [])),
-    )
+    """Decode an answer, or raise MalformedFieldError.
+
+    All of it must be readable: a run that is left out would count as ended,
+    and start again elsewhere.
+    """
+    runs = [
+        row
+        if type(row) is list and len(row) == RUN_VALUES
+        # Before there were gauges a row had four values.
+        else _trim(row, RUN_VALUES)
+        for row in _read_list(body, "running")
+    ]
+    ends = [_trim(row, END_VALUES) for row in _read_list(body, "finished")]
+    try:
+        return HoldAnswer(
+            clock_ms=read_whole(body, "clockMs"),
+            born_ms=read_whole(body, "born", 0, MAX_TIME_MS),
+            runs=tuple(
+                [RunListing(*row) for row in RUNS.validate_python(runs)]
+            ),
+            ends=tuple([RunEnd(*row) for row in ENDS.validate_python(ends)]),
+        )
+    except ValidationError as error:
+        raise MalformedFieldError(_name_mistake(error)) from None
+
+
+def _name_mistake(error: ValidationError) -> str:
+    """Return the first mistake without its value, which may be of any size."""
+    mistakes = error.errors(include_url=False, include_input=False)
+    return f"row, value {mistakes[0]['loc']}: {mistakes[0]['type']}"
+
+
+def _read_clock(body: dict[str, Any]) -> int:
+    """Return the worker's clock; 0 if unreadable, as no outcome needs it."""
+    value = body.get("clockMs")
+    return value if type(value) is int and is_whole(value) else 0
 
 
 def _check_answer(
@@ -77,8 +150,29 @@
         return Err(WrongIncarnationFailure())
     # The reason is more specific than the status: a late start may be
     # answered with 400 or 409.
-    reason = str(body.get("reason", f"status {status}"))
-    return Err(StartRefusedFailure(reason, int(body.get("clockMs", 0))))
+    reason = body.get("reason")
+    text = str(reason) if is_text(reason) else f"status {status}"
+    return Err(StartRefusedFailure(text, _read_clock(body)))
+
+
+def _read_tickets(body: dict[str, Any]) -> dict[str, str]:
+    """Return the tickets by worker; rows that are unreadable are left out."""
+    rows = _read_list(body, "good")
+    tickets = {
+        row[0]: row[1]
+        for row in rows
+        if type(row) is list
+        and len(row) > 1
+        and is_text(row[0])
+        and is_text(row[1])
+    }
+    if len(tickets) < len(rows):
+        MALFORMED_ENTRIES.labels("advice").inc(len(rows) - len(tickets))
+        logger.warning(
+            "rows of an advice answer are not usable",
+            extra={"rows": len(rows), "usable": len(tickets)},
+        )
+    return tickets
 
 
 class PlatformWorkerControl(WorkerControl, PolicyService):
@@ -95,13 +189,25 @@
         self._advice_address = advice_address
         self._connect = cache(self._build_client)
 
-    def _build_client(self, address: str) -> PlatformClient:
-        return PlatformClient(
-            f"http://{address}",
-            "",
-            "",
-            self._clock,
-            PlatformClientSettings(self._settings.connections),
+    def _build_client(
+        self, address: str
+    ) -> Result[PlatformClient, UnavailableFailure]:
+        settings = PlatformClientSettings(self._settings.connections)
+        return connect_to_address(address, self._clock, settings)
+
+    def _call_json(
+        self,
+        address: str,
+        path: str,
+        body: dict[str, Any],
+        seconds: float,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[JsonAnswer, PlatformFailure]:
+        deadline = Deadline.after(self._clock, seconds)
+        return self._connect(address).and_then(
+            lambda client: call_json(
+                client, "POST", path, body, deadline, headers
+            )
         )
 
     def _call(
@@ -111,14 +217,8 @@
         body: dict[str, Any],
         seconds: float,
     ) -> Result[dict[str, Any], WorkerCallFailure]:
-        answer = call_json(
-            self._connect(worker.address),
-            "POST",
-            path,
-            body,
-            Deadline.after(self._clock, seconds),
-            {INSTANCE_HEADER: worker.name},
-        )
+        headers = {INSTANCE_HEADER: worker.name}
+        answer = self._call_json(worker.address, path, body, seconds, headers)
         match answer:
             case Ok(read):
                 return _check_answer(read)
@@ -135,7 +235,7 @@
     ) -> Result[int, WorkerCallFailure]:
         seconds = self._settings.order_seconds
         answer = self._call(worker, path, body, seconds)
-        return answer.map(lambda read: int(read.get("clockMs", 0)))
+        return answer.map(_read_clock)
 
     def start(
         self, worker: WorkerEntry, order: StartOrder
@@ -206,7 +306,8 @@
         answer = self._call(worker, "/api/hold", body, seconds)
         try:
             return answer.map(_read_hold)
-        except (KeyError, IndexError, TypeError, ValueError) as error:
+        except MalformedFieldError as error:
+            MALFORMED_ENTRIES.labels("hold answer").inc()
             return Err(
                 UnknownOutcomeFailure(
                     f"invalid answer to a hold call: {error}"
@@ -217,16 +318,19 @@
         self, step: str, workers: list[str]
     ) -> Result[dict[str, str], WorkerCallFailure]:
         """Return the tickets of the workers that may run the step, by name."""
-        answer = call_json(
-            self._connect(self._advice_address),
-            "POST",
+        answer = self._call_json(
+            self._advice_address,
             "/api/advise",
             {"step": step, "workers": workers},
-            Deadline.after(self._clock, self._settings.advice_seconds),
+            self._settings.advice_seconds,
         )
         match answer:
             case Ok((HTTPStatus.OK, body)):
-                return Ok({row[0]: row[1] for row in body.get("good", [])})
+                try:
+                    return Ok(_read_tickets(body))
+                except MalformedFieldError as error:
+                    MALFORMED_ENTRIES.labels("advice").inc()
+                    return Err(UnavailableFailure(str(error)))
             case Ok((status, _)):
                 return Err(UnavailableFailure(f"status {status}"))
             case Err(failure):
--- a/chestnutstair/scheduling/advice.py
+++ b/chestnutstair/scheduling/advice.py
@@ -51,7 +51,13 @@
             self._request_added.wait(1.0)
             self._request_added.clear()
             while self._requested and not self._closed.is_set():
-                self._ask_next()
+                try:
+                    self._ask_next()
+                except Exception:
+                    # If the thread ended, no task of a queue with advice
+                    # would start any more in this term.
+                    logger.exception("advice call raised an error")
+                    self._closed.wait(RETRY_SECONDS)
                 on_answer()
 
     def close(self) -> None:
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -164,7 +164,7 @@
     # The latest checkpoint; "" for none.
     checkpoint: str
     # 100 once a lasting task is ready.
-    percent: int
+    percent: float
     # Tail latency in ms of a serving task, else the millicores in use.
     gauge: float = 0.0
 
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -76,7 +76,7 @@
         """Poll the worker and renew its lease until it is gone."""
         wait = 0.0
         while not self._leadership.has_ended and self._is_current(worker):
-            if self._hold(worker, wait):
+            if self._try_hold(worker, wait):
                 wait = self._choose_wait(worker)
             else:
                 wait = 0.0
@@ -114,6 +114,18 @@
                 self.start_session(current)
             return False
 
+    def _try_hold(self, worker: WorkerState, wait: float) -> bool:
+        try:
+            return self._hold(worker, wait)
+        except Exception:
+            # If the thread ended, the worker's leases would lapse, and its
+            # ends would not be received.
+            logger.exception(
+                "hold call raised an error", extra={"worker": worker.name}
+            )
+            self._leadership.ended.wait(self._settings.hold_seconds)
+            return False
+
     def _hold(self, worker: WorkerState, wait: float) -> bool:
         """Make a hold call; return whether this incarnation answered it."""
         with self._tracker.lock:
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -21,6 +21,7 @@
 from chestnutstair.scheduling.term import Term, TermRow, TermSettings
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.tests.scheduling_support import TrackerHarness
+from chestnutstair.tests.support import wait_until
 
 
 class RecordingControl(WorkerControl):
@@ -75,7 +76,7 @@
             MemoryRowStore(), self.harness.clock, row, 0, TermSettings()
         )
         self.term = term
-        leadership = Leadership(term)
+        self.leadership = leadership = Leadership(term)
         pacer = Pacer(self.harness.clock, PacingSettings())
         self.orders = OrderSender(
             leadership,
@@ -188,3 +189,19 @@
             with self.subTest(unchanged_seconds=unchanged_seconds):
                 wait = settings.compute_takeover_wait(unchanged_seconds)
                 self.assertAlmostEqual(wait, expected)
+
+    # Guards against a session that ends with one unexpected answer, after
+    # which the worker's leases lapse.
+    def test_a_session_goes_on_after_an_error(self) -> None:
+        hold = self.control.hold
+
+        def fail_first(*arguments: Any) -> Any:
+            setattr(self.control, "hold", hold)  # noqa: B010
+            raise RuntimeError("unexpected")
+
+        setattr(self.control, "hold", fail_first)  # noqa: B010
+        self.term.renewed_at = self.harness.clock.now
+        self.addCleanup(self.leadership.end)
+        with self.assertLogs("chestnutstair.scheduling.sessions", "ERROR"):
+            self.sessions.start_session(self.worker)
+            wait_until(lambda: self.control.deadlines)
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -32,6 +32,7 @@
 from chestnutstair.transport.platform_client import (
     PlatformClient,
     PlatformClientSettings,
+    connect_to_address,
 )
 
 __all__ = ["HttpLeaderLink", "ShardStatusSource", "build_node_application"]
@@ -131,11 +132,11 @@
         ).start()
         return messages
 
-    def _build_client(self, address: str) -> PlatformClient:
+    def _build_client(
+        self, address: str
+    ) -> Result[PlatformClient, UnavailableFailure]:
         settings = PlatformClientSettings(CONNECTIONS_PER_NODE)
-        return PlatformClient(
-            f"http://{address}", "", "", self._clock, settings
-        )
+        return connect_to_address(address, self._clock, settings)
 
     def _call(
         self,
@@ -148,8 +149,8 @@
         if not address:
             return Err(UnavailableFailure("no leader is known"))
         deadline = Deadline.after(self._clock, seconds)
-        answer = call_json(
-            self._connect(address), method, path, body, deadline
+        answer = self._connect(address).and_then(
+            lambda client: call_json(client, method, path, body, deadline)
         )
         match answer:
             case Ok((HTTPStatus.OK, fields)):
--- a/chestnutstair/transport/platform_client.py
+++ b/chestnutstair/transport/platform_client.py
@@ -15,6 +15,7 @@
     ConnectTimeoutError,
     EmptyPoolError,
     HTTPError,
+    LocationValueError,
     NewConnectionError,
 )
 
@@ -37,6 +38,7 @@
     "PlatformClient",
     "PlatformClientSettings",
     "check_status",
+    "connect_to_address",
     "map_conflict_to_refusal",
 ]
 
@@ -169,14 +171,28 @@
             NewConnectionError,
             ConnectTimeoutError,
             EmptyPoolError,
+            LocationValueError,
         ) as error:
             return Err(UnavailableFailure(str(error)))
-        except HTTPError as error:
+        except (HTTPError, ValueError, OverflowError) as error:
+            # The latter two for what cannot be put into a request, such as a
+            # line break in a header. Whether something was sent is not known.
             return Err(UnknownOutcomeFailure(str(error)))
         SERVICE_BYTES.labels("received").inc(len(answer.data))
         return Ok(answer)
 
 
+def connect_to_address(
+    address: str, clock: Clock, settings: PlatformClientSettings
+) -> Result[PlatformClient, UnavailableFailure]:
+    """Return a client of the server at `host:port`, as named by others."""
+    try:
+        client = PlatformClient(f"http://{address}", "", "", clock, settings)
+    except ValueError as error:
+        return Err(UnavailableFailure(f"unusable address: {error!r}"))
+    return Ok(client)
+
+
 def check_status(
     answer: urllib3.BaseHTTPResponse,
 ) -> Result[bytes, CallFailure]:
