Read configurations, waves and the VM list strictly

A configuration with 1e400 as a number raised OverflowError in the feed of the operator's table, and the rows behind it, also of waves, were lost; a version of 400 digits was put in force, after which no later version was. A wave with a cap or duration of 1e400, NaN or below 0 raised in each round of the fleet controller, or was taken. One listed VM without a name, or with a capacity of another type, raised out of list_vms, so that pools kept their sizes and no wave began; a page token that repeats kept the controller busy for good.

The fields are read by type and range (state/fields.py, moved from platform/ as the scheduler's own rows need it too). The last good configuration and wave hold. A malformed VM is listed in no known state, so that it is not ordered and no wave is complete without it; one without a name is left out. An error for one row of the operator, or for one wave, does not reach the others. Each malformed VM or configuration is counted, and logged once.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -8,17 +8,6 @@
 
 from result import Err, Result
 
-from chestnutstair.platform.fields import (
-    MAX_TIME_MS,
-    MalformedFieldError,
-    check_name,
-    read_address,
-    read_amount,
-    read_object,
-    read_text,
-    read_texts,
-    read_whole,
-)
 from chestnutstair.scheduling.configuration import (
     FleetConfiguration,
     MaintenanceWave,
@@ -38,6 +27,20 @@
     SubmissionFailure,
     check_job,
 )
+from chestnutstair.state.fields import (
+    MAX_TIME_MS,
+    MalformedFieldError,
+    check_name,
+    is_text,
+    read_address,
+    read_amount,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_texts,
+    read_whole,
+)
 from chestnutstair.transport.json_calls import parse_json_object
 
 __all__ = ["PlatformDecoder", "PlatformSubmissions", "read_submission"]
@@ -109,23 +112,44 @@
         return read_submission(body)
 
 
-def _read_queue(item: dict[str, Any]) -> Queue:
+def _read_or_default(
+    fields: dict[str, Any], name: str, default: float
+) -> float:
+    """Return a number; `default` for an absent one, null and 0."""
+    return (0 if fields.get(name) is None else read_number(fields, name)) or (
+        default
+    )
+
+
+def _read_queue(item: Any) -> Queue:
+    if type(item) is not dict:
+        raise MalformedFieldError("routes: an item is not an object")
+    advice = read_object(item, "advice") if item.get("advice") else {}
     return Queue(
-        name=item["name"],
-        host=item["host"],
-        prefix=item["prefix"],
-        service=item.get("service", ""),
-        priority=int(item.get("priority", 0)),
-        max_attempts=int(item.get("maxAttempts") or 1),
-        stretch=float(item.get("stretch") or 1.0),
-        latency_objective_ms=int(item.get("targetLatencyMs") or 0),
-        advice_seconds=float((item.get("advice") or {}).get("validMs", 0))
-        / 1000,
+        name=read_text(item, "name"),
+        host=read_text(item, "host"),
+        prefix=read_text(item, "prefix"),
+        service=read_text(item, "service", ""),
+        priority=read_amount(item, "priority", 0),
+        max_attempts=int(_read_or_default(item, "maxAttempts", 1)),
+        stretch=_read_or_default(item, "stretch", 1.0),
+        latency_objective_ms=int(_read_or_default(item, "targetLatencyMs", 0)),
+        advice_seconds=read_number(advice, "validMs", 0.0) / 1000,
         # Any other value, such as the text "false", must not open the queue.
         public=item.get("public") is True,
     )
 
 
+def _read_service(item: Any) -> Service:
+    if type(item) is not dict:
+        raise MalformedFieldError("services: an item is not an object")
+    return Service(
+        read_text(item, "name"),
+        bool(item.get("enforcesCapacity")),
+        bool(item.get("spare")),
+    )
+
+
 class _OrganisationError(ValueError):
     """An organisation is malformed; the message contains no values of it."""
 
@@ -202,6 +226,9 @@
     name = item.get("name")
     if not isinstance(name, str) or not name:
         raise _OrganisationError("no name")
+    if not is_text(name):
+        # It is the label of a metric.
+        raise _OrganisationError("the name is not valid text")
     weight = _read_weight(item)
     return Organisation(
         name,
@@ -263,16 +290,17 @@
             return None
         try:
             services = {
-                item["name"]: Service(
-                    item["name"],
-                    bool(item.get("enforcesCapacity")),
-                    bool(item.get("spare")),
+                service.name: service
+                for service in map(
+                    _read_service, read_list(fields, "services", [])
                 )
-                for item in fields.get("services", ())
             }
-            queues = tuple(_read_queue(item) for item in fields["routes"])
-            version = int(fields["version"])
-        except (KeyError, TypeError, ValueError, AttributeError):
+            queues = tuple(map(_read_queue, read_list(fields, "routes")))
+            version = read_whole(fields, "version")
+        except MalformedFieldError as error:
+            logger.error(
+                "configuration is not usable", extra={"reason": str(error)}
+            )
             return None
         organisations = None
         if fields.get("tenants") is not None:
@@ -286,7 +314,8 @@
         """Return an encoded configuration with digests instead of keys.
 
         Malformed organisations are left out. A configuration without
-        organisations is returned unchanged.
+        organisations is returned unchanged. MalformedFieldError is raised for
+        one that is nested almost too deeply to be decoded.
         """
         fields = parse_json_object(value)
         if fields is None or fields.get("tenants") is None:
@@ -302,7 +331,10 @@
             }
             for name, item in tenants.items.items()
         ]
-        return json.dumps(fields, separators=(",", ":")).encode()
+        try:
+            return json.dumps(fields, separators=(",", ":")).encode()
+        except RecursionError:
+            raise MalformedFieldError("nested too deeply") from None
 
     def read_wave(self, value: bytes) -> MaintenanceWave | None:
         """Return the wave, or None if it cannot be decoded."""
@@ -311,12 +343,13 @@
             return None
         try:
             return MaintenanceWave(
-                int(fields["wave"]),
-                tuple(str(name) for name in fields["machines"]),
-                float(fields["durationS"]),
-                int(fields["cap"]),
+                read_whole(fields, "wave"),
+                # Another value names no VM.
+                tuple(filter(is_text, read_list(fields, "machines"))),
+                read_number(fields, "durationS"),
+                read_whole(fields, "cap"),
             )
-        except (KeyError, TypeError, ValueError):
+        except MalformedFieldError:
             return None
 
     def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
--- a/chestnutstair/platform/machines.py
+++ b/chestnutstair/platform/machines.py
@@ -1,5 +1,6 @@
 """Calls for VMs, which the platform calls machines."""
 
+import logging
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -10,6 +11,7 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.metrics import MALFORMED_ENTRIES
 from chestnutstair.scheduling.ports import (
     StartRefusedFailure,
     Vm,
@@ -17,41 +19,80 @@
     WorkerCallFailure,
 )
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_text,
+    read_amount,
+    read_list,
+    read_object,
+    read_text,
+    read_texts,
+)
 from chestnutstair.transport.json_calls import call_json
 from chestnutstair.transport.platform_client import PlatformClient
 
 __all__ = ["PlatformVmControl"]
 
+logger = logging.getLogger(__name__)
+
+# Far more than the largest fleet has; the list must end.
+MAX_PAGES = 1000
 CALL_SECONDS = 1.5  # moving a VM may be slow
 HOLDER_HEADER = "X-Chestnutstair-Lease-Holder"
 FENCE_HEADER = "X-Chestnutstair-Fencing-Token"
 
 
-def _read_vm(item: dict[str, Any]) -> Vm:
-    capacity = item.get("capacity") or {}
+def _read_vm(item: Any) -> Vm:
+    if type(item) is not dict:
+        raise MalformedFieldError("not an object")
+    capacity = read_object(item, "capacity") if item.get("capacity") else {}
     return Vm(
-        name=item["machine"],
-        service=item.get("pool", ""),
-        state=item.get("state", ""),
-        zone=item.get("zone", ""),
-        worker=item.get("id") or "",  # empty while no worker runs on the VM
-        labels=tuple(item.get("labels") or ()),
-        millicores=int(capacity.get("cpu", 0)),
+        name=read_text(item, "machine"),
+        service=read_text(item, "pool", ""),
+        state=read_text(item, "state", ""),
+        zone=read_text(item, "zone", ""),
+        # Empty while no worker runs on the VM.
+        worker=read_text(item, "id") if item.get("id") else "",
+        labels=read_texts(item, "labels") if item.get("labels") else (),
+        millicores=read_amount(capacity, "cpu", 0),
     )
 
 
+def _read_known_fields(item: Any) -> Vm | None:
+    """Return a malformed VM with its name and labels, in no known state.
+
+    It is not ordered, but a wave is not complete without it. None if it has
+    no usable name.
+    """
+    try:
+        name = read_text(item, "machine")
+    except (AttributeError, MalformedFieldError):
+        return None
+    try:
+        labels = read_texts(item, "labels")
+    except MalformedFieldError:
+        labels = ()
+    return Vm(name, "", "", "", "", labels)
+
+
 class PlatformVmControl(VmControl):
     """Client of the platform's machine service."""
 
     def __init__(self, client: PlatformClient, clock: Clock) -> None:
         self._client = client
         self._clock = clock
+        # Why a VM of the last list was malformed, by name.
+        self._problems: dict[str, str] = {}
 
     def list_vms(self) -> Result[list[Vm], WorkerCallFailure]:
-        """Return all VMs, read page by page."""
+        """Return all VMs, read page by page.
+
+        A malformed entry does not hide the other VMs.
+        """
         vms: list[Vm] = []
+        problems: dict[str, str] = {}
         token = ""
-        while True:
+        for _ in range(MAX_PAGES):
             query = f"?{urlencode({'pageToken': token})}" if token else ""
             answer = call_json(
                 self._client,
@@ -62,14 +103,49 @@
             )
             match answer:
                 case Ok((HTTPStatus.OK, body)):
-                    vms += [_read_vm(item) for item in body["machines"]]
-                    token = body.get("nextToken") or ""
+                    try:
+                        items = read_list(body, "machines")
+                        token = (
+                            read_text(body, "nextToken")
+                            if body.get("nextToken")
+                            else ""
+                        )
+                    except MalformedFieldError as error:
+                        return Err(UnavailableFailure(str(error)))
+                    vms += self._read_page(items, problems)
                 case Ok((status, _)):
                     return Err(UnavailableFailure(f"status {status}"))
                 case Err(failure):
                     return Err(UnavailableFailure(str(failure)))
             if not token:
+                self._log_problems(problems)
                 return Ok(vms)
+        return Err(UnavailableFailure(f"more than {MAX_PAGES} pages"))
+
+    @staticmethod
+    def _read_page(items: list[Any], problems: dict[str, str]) -> list[Vm]:
+        """Return the VMs of a page; add what is wrong with others."""
+        vms = []
+        for item in items:
+            try:
+                vms.append(_read_vm(item))
+            except MalformedFieldError as error:
+                vm = _read_known_fields(item)
+                problems[vm.name if vm is not None else ""] = str(error)
+                if vm is not None:
+                    vms.append(vm)
+        return vms
+
+    def _log_problems(self, problems: dict[str, str]) -> None:
+        """Count malformed entries; log those that the last list had not."""
+        MALFORMED_ENTRIES.labels("VM").inc(len(problems))
+        for vm, problem in problems.items():
+            if self._problems.get(vm) != problem:
+                logger.warning(
+                    "listed VM is malformed",
+                    extra={"vm": vm, "reason": problem},
+                )
+        self._problems = problems
 
     def move(
         self, vm: str, service: str, holder: str, fence: int
@@ -106,8 +182,9 @@
             case Ok((HTTPStatus.OK, _)):
                 return Ok(None)
             case Ok((status, read)):
-                reason = str(read.get("reason", f"status {status}"))
-                return Err(StartRefusedFailure(reason))
+                reason = read.get("reason")
+                text = str(reason) if is_text(reason) else f"status {status}"
+                return Err(StartRefusedFailure(text))
             case Err(UnavailableFailure() as failure):
                 return Err(failure)
             case Err(failure):
--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -16,15 +16,6 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
-from chestnutstair.platform.fields import (
-    MAX_NAME_LENGTH,
-    MAX_NUMBER,
-    MAX_TIME_MS,
-    MalformedFieldError,
-    is_text,
-    is_whole,
-    read_whole,
-)
 from chestnutstair.scheduling.metrics import MALFORMED_ENTRIES
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
@@ -40,6 +31,15 @@
 )
 from chestnutstair.state.codec import STRICT
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import (
+    MAX_NAME_LENGTH,
+    MAX_NUMBER,
+    MAX_TIME_MS,
+    MalformedFieldError,
+    is_text,
+    is_whole,
+    read_whole,
+)
 from chestnutstair.transport.json_calls import JsonAnswer, call_json
 from chestnutstair.transport.platform_client import (
     PlatformClient,
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -133,7 +133,13 @@
             self._resize_pools(sizes, spare, now)
         self._finish_drains(now)
         for wave in self._get_waves():
-            self._wave_controller.reconcile(wave, spare, now)
+            try:
+                self._wave_controller.reconcile(wave, spare, now)
+            except Exception:
+                # An error for one wave must not delay the others.
+                logger.exception(
+                    "wave cannot be reconciled", extra={"wave": wave.number}
+                )
         self._set_cordons()
 
     def _expect_arrivals(self) -> None:
--- a/chestnutstair/scheduling/operator_watch.py
+++ b/chestnutstair/scheduling/operator_watch.py
@@ -9,6 +9,7 @@
     FleetConfiguration,
     MaintenanceWave,
 )
+from chestnutstair.scheduling.metrics import MALFORMED_ENTRIES
 from chestnutstair.scheduling.ports import (
     Changes,
     Row,
@@ -16,6 +17,7 @@
     WireDecoder,
 )
 from chestnutstair.state.deadline import Clock
+from chestnutstair.state.fields import MalformedFieldError
 
 __all__ = ["OperatorWatch"]
 
@@ -51,6 +53,8 @@
         self._lock = threading.Lock()
         self._configuration: FleetConfiguration | None = None
         self._value: bytes | None = None
+        # The last one that could not be decoded.
+        self._rejected: bytes | None = None
         self._waves: dict[int, MaintenanceWave] = {}
         self._feed = ChangeFeed(
             store,
@@ -104,17 +108,29 @@
 
     def _apply(self, changes: Changes) -> None:
         for row in changes.rows:
-            if row.key.key == CONFIGURATION_KEY and row.value is not None:
-                self.apply_if_newer(row.value, "store")
-            elif row.key.key.startswith(WAVE_PREFIX):
-                self._apply_wave(row)
+            try:
+                self._apply_row(row)
+            except Exception:
+                # An error for one row must not keep the others from being
+                # applied.
+                logger.exception(
+                    "operator's row cannot be applied",
+                    extra={"key": row.key.key},
+                )
         self._on_change()
 
+    def _apply_row(self, row: Row) -> None:
+        if row.key.key == CONFIGURATION_KEY and row.value is not None:
+            self.apply_if_newer(row.value, "store")
+        elif row.key.key.startswith(WAVE_PREFIX):
+            self._apply_wave(row)
+
     def _apply_wave(self, row: Row) -> None:
         if row.value is None:
             return
         wave = self._decoder.read_wave(row.value)
         if wave is None:
+            MALFORMED_ENTRIES.labels("wave").inc()
             logger.error(
                 "maintenance wave cannot be decoded",
                 extra={"key": row.key.key},
@@ -138,8 +154,18 @@
         `value` is the encoded configuration; one that cannot be decoded is
         logged and ignored. `source` names its origin in the log.
         """
+        if value == self._rejected:
+            # Nodes offer it again and again.
+            MALFORMED_ENTRIES.labels("configuration").inc()
+            return
         configuration = self._decoder.read_configuration(value)
+        try:
+            encoded = self._decoder.remove_keys(value)
+        except MalformedFieldError:
+            configuration = None
         if configuration is None:
+            self._rejected = value
+            MALFORMED_ENTRIES.labels("configuration").inc()
             logger.error(
                 "configuration cannot be decoded", extra={"source": source}
             )
@@ -148,7 +174,7 @@
             if configuration.version <= self.configuration_version:
                 return
             previous_version = self.configuration_version
-            self._value = self._decoder.remove_keys(value)
+            self._value = encoded
             self._configuration = configuration
         logger.info(
             "configuration in force",
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -345,7 +345,10 @@
         ...
 
     def remove_keys(self, value: bytes) -> bytes:
-        """Return an encoded configuration with digests instead of keys."""
+        """Return an encoded configuration with digests instead of keys.
+
+        Raises MalformedFieldError if it cannot be encoded.
+        """
         ...
 
     def read_wave(self, value: bytes) -> MaintenanceWave | None:
--- a/chestnutstair/platform/fields.py
+++ b/chestnutstair/state/fields.py
@@ -22,6 +22,7 @@
     "is_whole",
     "read_address",
     "read_amount",
+    "read_list",
     "read_number",
     "read_object",
     "read_text",
@@ -142,18 +143,22 @@
     return True
 
 
-def read_texts(
-    fields: dict[str, Any], name: str, default: tuple[str, ...] | None = None
-) -> tuple[str, ...]:
-    """Return a list of texts.
+def read_list(
+    fields: dict[str, Any], name: str, default: list[Any] | None = None
+) -> list[Any]:
+    """Return a list of values of any type.
 
     `default` is returned for an absent field; None if it must be present.
     """
-    value: Any = fields.get(name)
-    if value is None and name not in fields and default is not None:
-        return default
-    if type(value) is not list:
-        raise MalformedFieldError(_describe(fields, name, value, "list"))
+    value: Any = fields.get(name, default)
+    if type(value) is list:
+        return value
+    raise MalformedFieldError(_describe(fields, name, value, "list"))
+
+
+def read_texts(fields: dict[str, Any], name: str) -> tuple[str, ...]:
+    """Return a list of texts, which must be present."""
+    value = read_list(fields, name)
     for item in value:
         if not is_text(item):
             raise MalformedFieldError(f"{name}: an item is not a text")
