--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -164,7 +164,7 @@
     # The latest checkpoint; "" for none.
     checkpoint: str
     # 100 once a lasting task is ready.
-    percent: int
+    percent: float
     # Tail latency in ms of a serving task, else the millicores in use.
     gauge: float = 0.0
 
@@ -345,7 +345,10 @@
         ...
 
     def remove_keys(self, value: bytes) -> bytes:
-        """Return an encoded configuration with digests instead of keys."""
+        """Return an encoded configuration with digests instead of keys.
+
+        Raises MalformedFieldError if it cannot be encoded.
+        """
         ...
 
     def read_wave(self, value: bytes) -> MaintenanceWave | None:
@@ -356,6 +359,10 @@
         """Return the worker, or None if the entry is not usable."""
         ...
 
+    def explain_worker(self, name: str, value: bytes) -> str:
+        """Return why an entry is not usable; empty if it is."""
+        ...
+
 
 class SubmissionCodec(Protocol):
     """Decodes stored submissions."""
