Keep across terms whether a job's first task has begun

A placement is stored before its start is sent, and a new leader took every job with a stored placement as begun. After a loss of all nodes about 50 jobs were in that state: their starts had been withdrawn as "not sent" again and again, and the last ones were never sent. The log shows them with no "start sent" at all before the count was wrong.

The progress of a job now has whether a worker has begun one of its tasks. A run that the row does not know as begun is counted by the first listing or end that the new leader receives. Rows of earlier versions are read as before.

test_a_new_leader_takes_placed_tasks_as_begun asserted the fault itself: it restored a job whose start nobody had acknowledged and expected 0. It is replaced by tests for a start that was not sent (1), one that was acknowledged (0) and one that the worker lists (0). The first failed before (0 != 1).

--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -423,6 +423,7 @@
         value: dict[str, object] = {
             "ended": self.ended or "",
             "ended_ms": self.ended_ms,
+            "start_confirmed": self.start_confirmed,
             "tasks": {
                 f"{key.occurrence}.{key.step}.{key.index}": [
                     state.status,
@@ -477,7 +478,11 @@
                 suspected,
             )
             self.set_task(key, state)
-        self.start_confirmed = self.started
+        # A placement is stored before its start is sent, so it does not show
+        # that a task has begun. Rows of earlier versions lack the field.
+        self.start_confirmed = bool(
+            fields.get("start_confirmed", self.started)
+        )
         if fields["ended"]:
             self.end(JobState(fields["ended"]), fields["ended_ms"])
         self.stored_state = self.state
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -1,5 +1,6 @@
 """Tests of how events change the state of jobs and workers."""
 
+import json
 import unittest
 from dataclasses import replace
 
@@ -369,12 +370,39 @@
         self.harness.answer("w1", self.harness.list_runs("w1"))
         self.assertEqual(self.count(), 0)
 
-    def test_a_new_leader_takes_placed_tasks_as_begun(self) -> None:
+    def restore(self, progress: bytes) -> TrackerHarness:
+        """Return the harness of a new leader with the given progress."""
         harness = TrackerHarness(())
-        harness.tracker.restore_job(
-            self.record.submission, self.record.encode()
+        harness.tracker.restore_job(self.record.submission, progress)
+        return harness
+
+    def test_a_new_leader_counts_jobs_whose_starts_were_not_sent(self) -> None:
+        # After a loss of all nodes, 11 jobs were said to wait where 47 did:
+        # stored placements whose starts were never sent counted as begun.
+        placed = self.restore(self.record.encode())
+        self.assertEqual(placed.tracker.count_pending("quick"), 1)
+        self.harness.tracker.withdraw(
+            self.placed.worker, "j.0.0.0", 1, "not sent"
         )
-        self.assertEqual(harness.tracker.count_pending("quick"), 0)
+        withdrawn = self.restore(self.record.encode())
+        self.assertEqual(withdrawn.tracker.count_pending("quick"), 1)
+
+    def test_a_new_leader_takes_listed_runs_as_begun(self) -> None:
+        restored = self.restore(self.record.encode())
+        restored.tracker.apply_worker_entry(build_entry("w1"))
+        restored.answer("w1", restored.list_runs("w1"))
+        self.assertEqual(restored.tracker.count_pending("quick"), 0)
+
+    def test_a_new_leader_takes_acknowledged_starts_as_begun(self) -> None:
+        self.harness.start_all([self.placed])
+        restored = self.restore(self.record.encode())
+        self.assertEqual(restored.tracker.count_pending("quick"), 0)
+
+    def test_progress_of_earlier_versions_can_be_restored(self) -> None:
+        fields = json.loads(self.record.encode())
+        del fields["start_confirmed"]
+        restored = self.restore(json.dumps(fields).encode())
+        self.assertEqual(restored.tracker.count_pending("quick"), 0)
 
 
 class LastingRunsInDoubtTest(unittest.TestCase):
