Stop a lasting run in doubt only on a recent listing without it

A start of a lasting task that gets no answer is stopped if the next listing does not have its run. That decision was never looked at again: the stop waited up to 2.6 s for one of the 24 threads, each of which waited for workers that answer late, and was repeated for as long as it got no answer.

Such a stop is now sent, and repeated, only within 0.3 s of a listing without the run; a run that is listed goes on, unless its stop has been answered. The check is made again when a thread takes the stop. Hold calls to the worker are short meanwhile.

Tests: three of the new ones in test_job_tracker.LastingRunsInDoubtTest and test_orders failed before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -72,6 +72,9 @@
     # avoid_seconds.
     failure_streak: int = 3
     avoid_seconds: float = 3.0
+    # Age up to which a listing without a lasting run allows a stop of the run.
+    # Shorter than a lasting task takes to be ready after its start.
+    absence_seconds: float = 0.3
     # Age up to which a worker's last listing counts as current; slightly
     # longer than one hold call waits.
     contact_seconds: float = 1.6
@@ -620,6 +623,7 @@
                     self.apply_worker_entry(entry)
             return False
         worker.record_contact(answer, now)
+        worker.listed_since = max(worker.listed_since, sent_at)
         self._lost_workers.forget(worker.name, worker.entry.born_ms)
         for end in answer.ends:
             if end.number > worker.applied_end:
@@ -664,8 +668,15 @@
         if self._is_gone(run, sent_at):
             worker.remove_run(task)
             self._release_if_current(run, "not listed")
-        elif run.in_doubt_at and run.in_doubt_at < sent_at:
-            worker.mark_stopping(task)  # its start may still come
+        elif (
+            run.in_doubt_at and run.in_doubt_at < sent_at and not run.stopping
+        ):
+            # Its start may still come.
+            worker.mark_absent(task)
+            logger.info(
+                "start without answer not listed; stopping the run",
+                extra={"task": task, "run": run.run, "worker": worker.name},
+            )
 
     @staticmethod
     def _is_gone(run: PlacedRun, sent_at: float) -> bool:
@@ -703,7 +714,18 @@
         """Apply a listed run; return False if it is not placed there."""
         placed = worker.runs.get(listing.task)
         if placed is not None and placed.run == listing.run:
+            was_absent = listing.task in worker.absent
             worker.confirm_run(listing.task, listing, now)
+            if was_absent and listing.task not in worker.absent:
+                logger.info(
+                    "run listed after its start got no answer; not stopped",
+                    extra={
+                        "task": listing.task,
+                        "run": listing.run,
+                        "worker": worker.name,
+                        "percent": listing.percent,
+                    },
+                )
             self._record_start_confirmed(placed.job)
             if listing.checkpoint:
                 self._record_checkpoint(placed, listing.checkpoint)
@@ -1020,7 +1042,7 @@
         stops = []
         for worker in self.workers.values():
             for task, run in worker.runs.items():
-                if run.stopping and not run.stop_answered_at:
+                if self._is_stop_due(worker, task, run):
                     stops.append(StopRequest(worker, task, run.run))
         for (name, task), number in self.orphans.items():
             found = self.workers.get(name)
@@ -1028,6 +1050,25 @@
                 stops.append(StopRequest(found, task, number))
         return stops
 
+    def is_still_due(self, stop: StopRequest) -> bool:
+        """Return whether a stop that has waited is still to be sent."""
+        placed = stop.worker.runs.get(stop.task)
+        if placed is not None and placed.run == stop.run:
+            return self._is_stop_due(stop.worker, stop.task, placed)
+        orphan = self.orphans.get((stop.worker.name, stop.task))
+        return orphan == stop.run
+
+    def _is_stop_due(
+        self, worker: WorkerState, task: str, run: PlacedRun
+    ) -> bool:
+        if not run.stopping or run.stop_answered_at:
+            return False
+        if task not in worker.absent:
+            return True
+        # Its start may have been carried out since the last listing.
+        age = self._clock.read_monotonic() - worker.listed_since
+        return age <= self._settings.absence_seconds
+
     def count_pending(self, queue: str) -> int:
         """Return how many active jobs of a queue wait for their first task.
 
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -131,6 +131,12 @@
     def _stop(self, stop: StopRequest, key: tuple[str, str, int]) -> None:
         if self._leadership.has_ended:
             return  # the next leader decides what is stopped
+        # With slow workers a stop waits for seconds for a thread.
+        with self._tracker.lock:
+            is_due = self._tracker.is_still_due(stop)
+        if not is_due:
+            self._stops_in_flight.discard(key)
+            return
         try:
             answer = self._workers.stop(
                 stop.worker.entry, stop.task, stop.run, self._leadership.epoch
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -30,6 +30,9 @@
 
     # How long a hold call waits for the end of a run, which cuts it short.
     hold_seconds: float = 1.0
+    # The same while lasting tasks are stopped for not being listed; such a
+    # stop needs a recent listing.
+    absence_hold_seconds: float = 0.1
     # Delay after a failed call.
     retry_seconds: float = 0.2
 
@@ -99,6 +102,8 @@
                 and worker.acknowledged_end < worker.stored_end
             ):
                 return 0.0
+            if worker.absent:
+                return self._settings.absence_hold_seconds
             if worker.probation or worker.suspects_wait:
                 return PROVING_SECONDS
         return self._settings.hold_seconds
@@ -147,11 +152,13 @@
                     paces = self._pacer.adjust(worker)
                     unstored = worker.applied_end > worker.stored_end
                     is_proven = had_probation and not worker.probation
+                    has_absent = bool(worker.absent)
                 if (
                     unstored
                     or previous_contact is None
                     or not is_current
                     or is_proven
+                    or has_absent
                 ):
                     self._leadership.wake_planner()
                 for pace in paces:
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -126,6 +126,11 @@
         self.avoided_until = 0.0  # gets no new tasks before this time
         # Tasks of the runs on probation that have not proven themselves yet.
         self.probation: set[str] = set()
+        # Lasting tasks that are stopped only because the worker does not list
+        # them, as their starts got no answer.
+        self.absent: set[str] = set()
+        # When the last answered hold call was sent; its lists are no older.
+        self.listed_since = float("-inf")
         self.reserved = False  # gets only tasks that run alone
         self.suspects_wait = False  # in its pool, for a worker to run alone
         self.filler_percent = 100  # speed of filler tasks
@@ -151,11 +156,18 @@
     def mark_stopping(self, task: str) -> None:
         """Mark a run to be stopped; it keeps its room until it has ended."""
         self.runs[task] = replace(self.runs[task], stopping=True)
+        self.absent.discard(task)
+
+    def mark_absent(self, task: str) -> None:
+        """Mark a run to be stopped unless the worker lists it by then."""
+        self.mark_stopping(task)
+        self.absent.add(task)
 
     def remove_run(self, task: str) -> PlacedRun | None:
         """Remove a run and free its room; return it, or None if unknown."""
         run = self.runs.pop(task, None)
         self.probation.discard(task)
+        self.absent.discard(task)
         if run is not None:
             self._adjust_usage(run, -1)
         return run
@@ -250,15 +262,20 @@
     def confirm_run(self, task: str, listing: RunListing, now: float) -> None:
         """Record a listing of a run.
 
-        Later listings of a batch run tell nothing new.
+        A run that was to be stopped for not being listed goes on. Later
+        listings of a batch run tell nothing new.
         """
         run = self.runs[task]
         is_batch = not (run.step.lasting or run.step.filler)
         if is_batch and run.listing is not None and not run.in_doubt:
             return
+        goes_on = task in self.absent and not run.stop_answered_at
+        if goes_on:
+            self.absent.discard(task)
         self.runs[task] = replace(
             run,
             confirmed_at=run.confirmed_at or now,
             in_doubt=False,
+            stopping=run.stopping and not goes_on,
             listing=listing,
         )
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -440,6 +440,58 @@
         self.assertEqual(self.list_stops(), ["j.0.0.0"])
         self.assertEqual(self.harness.plan(), [], "the start may come later")
 
+    def test_a_run_that_is_listed_before_its_stop_is_sent_goes_on(
+        self,
+    ) -> None:
+        # A start was carried out 2 s late, after a listing without it. Its
+        # stop was sent 1.5 s after that, while three others were away.
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        (stop,) = self.harness.tracker.list_stop_requests()
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.assertEqual(self.list_stops(), [])
+        self.assertFalse(self.harness.tracker.is_still_due(stop))
+        self.assertTrue(self.harness.tracker._is_ready(self.record, FIRST))
+
+    def test_a_stop_without_answer_is_repeated_only_after_a_listing(
+        self,
+    ) -> None:
+        # A stop was repeated 3 s after the last listing, which had not had
+        # the run; its start had been carried out in between.
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        (stop,) = self.harness.tracker.list_stop_requests()
+        self.harness.clock.now += 3.0
+        self.assertEqual(self.list_stops(), [])
+        self.assertFalse(self.harness.tracker.is_still_due(stop))
+        # The age of a listing counts from the call that it answers.
+        self.harness.answer("w1", sent=self.harness.clock.now - 0.5)
+        self.assertEqual(self.list_stops(), [])
+        self.harness.answer("w1")
+        self.assertEqual(self.list_stops(), ["j.0.0.0"])
+
+    def test_a_stop_that_was_answered_is_not_undone_by_a_listing(
+        self,
+    ) -> None:
+        # The listing may be older than the stop.
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        self.harness.tracker.confirm_stop(self.placed.worker, "j.0.0.0", 1)
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.assertFalse(self.harness.tracker._is_ready(self.record, FIRST))
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        self.assertIs(self.record.get_task(FIRST).status, TaskStatus.WAITING)
+
+    def test_a_cancelled_job_is_stopped_whatever_is_listed(self) -> None:
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        self.harness.tracker.cancel("j")
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.harness.clock.now += 3.0
+        self.assertEqual(self.list_stops(), ["j.0.0.0"])
+
 
 class StuckRunsTest(unittest.TestCase):
     """A stuck run is retried once on another worker."""
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -146,6 +146,19 @@
         self.worker.probation.add("j.0.0.0")
         self.assertLess(self.sessions._choose_wait(self.worker), 0.5)
 
+    def test_calls_are_short_while_a_stop_needs_a_recent_listing(
+        self,
+    ) -> None:
+        # Else the listing would be too old for the stop, and the task would
+        # stay away.
+        self.harness.admit("j", [Step(1, 1000, lasting=True)])
+        self.harness.start_all(self.harness.plan())
+        self.worker.mark_absent("j.0.0.0")
+        self.assertLess(
+            self.sessions._choose_wait(self.worker),
+            self.harness.settings.absence_seconds / 2,
+        )
+
     def test_a_leader_that_can_not_write_extends_no_lease(self) -> None:
         # The next leader had to wait 12.6 s for a lost worker, as the previous
         # leader might have extended its lease until it gave up the term.
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -124,3 +124,20 @@
         self.leadership.end()
         self.send_stop()
         self.assertEqual(self.control.call_count, 1, "the start only")
+
+    def test_a_stop_that_waits_is_not_sent_once_its_run_is_listed(
+        self,
+    ) -> None:
+        # With slow workers stops waited for seconds for a thread, and ended
+        # lasting tasks whose starts had been carried out in the meantime.
+        self.harness.admit("j", [Step(1, 1000, lasting=True)])
+        self.harness.plan()
+        worker = self.harness.get_worker("w1")
+        self.harness.tracker.mark_in_doubt(worker, "j.0.0.0", 1)
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1")
+        (stop,) = self.harness.tracker.list_stop_requests()
+        self.harness.answer("w1", self.harness.list_runs("w1"))
+        self.orders._stop(stop, ("w1", stop.task, stop.run))
+        self.assertEqual(self.control.call_count, 0)
+        self.assertEqual(self.orders._stops_in_flight, set())
