Let the listing decide on every lasting run in doubt

One function now puts a run in doubt: a lasting one is stopped only if the next listing does not have it.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -380,13 +380,9 @@
     def _reassign_unconfirmed(
         self, task: str, run: PlacedRun, successor: WorkerState
     ) -> None:
-        """Have a run stopped on the successor, where it may have started."""
-        doubtful = replace(
-            run,
-            confirmed_at=0.0,
-            in_doubt=True,
-            stopping=True,
-            stop_answered_at=0.0,
+        """Put a run in doubt on the successor, where it may have started."""
+        doubtful = self._put_in_doubt(
+            replace(run, confirmed_at=0.0, stop_answered_at=0.0)
         )
         successor.add_run(task, doubtful)
         record = self.jobs.get(run.job)
@@ -971,15 +967,18 @@
         placed = worker.runs.get(task)
         if placed is None or placed.run != run or placed.confirmed_at:
             return
+        worker.replace_run(task, self._put_in_doubt(placed))
+
+    def _put_in_doubt(self, run: PlacedRun) -> PlacedRun:
+        """Return a run whose start may have been carried out."""
         # A lasting task may be at work by now, and its step may not spare it:
         # the next listing tells whether it has to be stopped.
-        doubtful = replace(
-            placed,
+        return replace(
+            run,
             in_doubt=True,
             in_doubt_at=self._clock.read_monotonic(),
-            stopping=placed.stopping or not placed.step.lasting,
+            stopping=run.stopping or not run.step.lasting,
         )
-        worker.replace_run(task, doubtful)
 
     def confirm_stop(self, worker: WorkerState, task: str, run: int) -> None:
         """Record that the worker acknowledged the stop."""
@@ -1004,9 +1003,7 @@
         for worker in self.workers.values():
             for task, run in list(worker.runs.items()):
                 if self._is_start_overdue(run, now):
-                    worker.replace_run(
-                        task, replace(run, in_doubt=True, stopping=True)
-                    )
+                    worker.replace_run(task, self._put_in_doubt(run))
                 elif self._is_stuck(run, now):
                     logger.info(
                         "run exceeds its limit; retrying on another worker",
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -484,6 +484,41 @@
         self.harness.answer("w1")
         self.assertIs(self.record.get_task(FIRST).status, TaskStatus.WAITING)
 
+    # Guards against ending a task at work, as a start without any answer for
+    # 3 s was stopped without a look at the worker's listing.
+    def test_an_overdue_start_is_stopped_only_if_it_is_not_listed(
+        self,
+    ) -> None:
+        for listed in (True, False):
+            with self.subTest(listed=listed):
+                harness = TrackerHarness(("w1",))
+                harness.admit("j", [Step(1, 1000, lasting=True)])
+                harness.plan()
+                harness.clock.now += 3.5
+                harness.tracker.stop_stuck_runs()
+                self.assertEqual(harness.tracker.list_stop_requests(), [])
+                harness.clock.now += 0.1
+                harness.answer("w1", harness.list_runs("w1") if listed else ())
+                stops = harness.tracker.list_stop_requests()
+                self.assertEqual(len(stops), 0 if listed else 1)
+
+    # Guards against ending a task at work whose start reached the worker's
+    # next process.
+    def test_a_start_that_reached_the_restarted_worker_goes_on(self) -> None:
+        for listed in (True, False):
+            with self.subTest(listed=listed):
+                harness = TrackerHarness(("w1",))
+                harness.admit("j", [Step(1, 1000, lasting=True)])
+                harness.start_all(harness.plan())
+                harness.answer("w1", born_ms=2)
+                self.assertEqual(harness.tracker.list_stop_requests(), [])
+                harness.clock.now += 0.1
+                runs = harness.list_runs("w1") if listed else ()
+                harness.answer("w1", runs, born_ms=2)
+                stops = harness.tracker.list_stop_requests()
+                self.assertEqual(len(stops), 0 if listed else 1)
+                self.assertEqual(harness.plan(), [], "it may run there")
+
     def test_a_cancelled_job_is_stopped_whatever_is_listed(self) -> None:
         self.harness.clock.now += 0.1
         self.harness.answer("w1")
