Load and follow the system's own rows beside unreadable ones

Each new leader, and each node that watches it, reads the same rows. A progress row nested too deeply, or with a run that is no number, a job accepted at 1e400 ms, a stored VM order or wave that is no JSON object kept each leader from loading, or its fleet controller from beginning, as they did the next one; a term row that cannot be decoded made each election round of every node fail, so that none led any more. One row without a readable key or value in an answer of the store hid all others, and a page without a next key was read again and again.

Stored rows are read by type and range. A job whose row or progress cannot be read is set aside, an order that cannot be read counts as sent just now, a term that cannot be read expires like any other: its epoch is taken from the version of its row, which no earlier epoch exceeds, as each term writes one version at least. An error for one row, of whatever cause, does not reach the others; loading the fleet controller is tried again, and an error that keeps a leader from starting is logged.

--- a/chestnutstair/platform/store.py
+++ b/chestnutstair/platform/store.py
@@ -1,7 +1,7 @@
 """Row store on the platform's metadata store."""
 
 import base64
-import binascii
+import logging
 from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
@@ -11,7 +11,9 @@
 from chestnutstair.coordination.platform import (
     RefusedFailure,
     UnavailableFailure,
+    UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.metrics import MALFORMED_ENTRIES
 from chestnutstair.scheduling.ports import (
     Changes,
     ConditionFailure,
@@ -24,11 +26,19 @@
     StoreFailure,
 )
 from chestnutstair.state.deadline import Deadline
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_whole,
+    read_list,
+    read_whole,
+)
 from chestnutstair.transport.json_calls import call_json
 from chestnutstair.transport.platform_client import PlatformClient
 
 __all__ = ["PlatformRowStore"]
 
+logger = logging.getLogger(__name__)
+
 PAGE_ROWS = 500  # maximum number of rows that the store returns per read
 
 
@@ -37,16 +47,56 @@
     return {"table": key.table, "part": key.partition, "key": key.key}
 
 
-def _read_row(item: dict[str, Any]) -> Row:
-    key = RowKey(item["table"], item.get("part", ""), item["key"])
+def _read_row(item: Any) -> Row | None:
+    """Return the row, or None if its key cannot be read.
+
+    A value that is not in base64 becomes an empty one, which no reader takes
+    for a value, and not that of a removed row.
+    """
+    try:
+        table, partition, key = (
+            item["table"],
+            item.get("part", ""),
+            item["key"],
+        )
+        version = item.get("ver", 0)
+    except (AttributeError, KeyError, TypeError):
+        return None
+    if not (
+        type(table) is str
+        and type(partition) is str
+        and type(key) is str
+        and is_whole(version)
+    ):
+        return None
     value = None
     if not item.get("deleted"):
-        value = base64.b64decode(item.get("value", ""))
-    return Row(key, value, item.get("ver", 0))
+        try:
+            value = base64.b64decode(item.get("value", ""))
+        except (TypeError, ValueError):
+            value = b""
+    return Row(RowKey(table, partition, key), value, version)
 
 
 def _read_rows(body: dict[str, Any]) -> tuple[Row, ...]:
-    return tuple(_read_row(item) for item in body.get("rows", []))
+    """Return the readable rows, or raise MalformedFieldError."""
+    items = read_list(body, "rows", [])
+    rows = tuple(
+        [row for item in items if (row := _read_row(item)) is not None]
+    )
+    if len(rows) < len(items):
+        count = len(items) - len(rows)
+        MALFORMED_ENTRIES.labels("row").inc(count)
+        logger.warning("rows of the store left out", extra={"count": count})
+    return rows
+
+
+def _read_version(body: dict[str, Any]) -> Result[int, StoreFailure]:
+    """Return the version of a write, which may be done without one."""
+    try:
+        return Ok(read_whole(body, "ver", 0))
+    except MalformedFieldError as error:
+        return Err(UnknownOutcomeFailure(str(error)))
 
 
 class PlatformRowStore(RowStore):
@@ -89,9 +139,12 @@
             case Err(failure):
                 return Err(failure)
             case Ok((HTTPStatus.OK, body)):
-                return Ok(int(body.get("ver", 0)))
+                return _read_version(body)
             case Ok((HTTPStatus.PRECONDITION_FAILED, body)):
-                return Err(ConditionFailure(_read_rows(body)))
+                try:
+                    return Err(ConditionFailure(_read_rows(body)))
+                except MalformedFieldError as error:
+                    return Err(UnknownOutcomeFailure(str(error)))
             case Ok((status, _)):
                 return Err(RefusedFailure(f"status {status}"))
         raise AssertionError(answer)
@@ -116,13 +169,21 @@
             if answer.is_err():
                 return Err(answer.unwrap_err())
             body = answer.unwrap()
-            page = _read_rows(body)
+            try:
+                page = _read_rows(body)
+                page_version = read_whole(body, "ver", 0)
+            except MalformedFieldError as error:
+                return Err(UnavailableFailure(f"unreadable rows: {error}"))
             rows += page
             if version is None:
-                version = int(body.get("ver", 0))
-            if not body.get("morePages") or not page:
+                version = page_version
+            if not body.get("morePages"):
                 return Ok(Changes(tuple(rows), version))
-            first = page[-1].key.key + "\0"
+            next_first = page[-1].key.key + "\0" if page else ""
+            if next_first <= first:
+                # What is left of the table cannot be read.
+                return Err(UnavailableFailure("a page without a next key"))
+            first = next_first
 
     def _read_page(
         self,
@@ -177,7 +238,9 @@
             case Ok(body):
                 try:
                     rows = _read_rows(body)
-                except (KeyError, TypeError, binascii.Error):
-                    return Err(UnavailableFailure("changes cannot be decoded"))
-                return Ok(Changes(rows, int(body.get("ver", after))))
+                    version = read_whole(body, "ver", after)
+                except MalformedFieldError as error:
+                    reason = f"unreadable changes: {error}"
+                    return Err(UnavailableFailure(reason))
+                return Ok(Changes(rows, version))
         raise AssertionError(answer)
--- a/chestnutstair/scheduling/access.py
+++ b/chestnutstair/scheduling/access.py
@@ -44,7 +44,13 @@
             str(queue["name"]),
             queue.get("public") is True,
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except (
+        AttributeError,
+        KeyError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ):
         return None
 
 
--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -486,8 +486,13 @@
         now = self._clock.read_monotonic()
         rows = answer.unwrap().rows
         version = rows[0].version if rows else 0
-        row = read_term(rows[0].value) if rows else None
+        row = read_term(rows[0].value, version) if rows else None
         if version != self._row_version:
+            if row is not None and not row.holder:
+                logger.error(
+                    "term row cannot be decoded",
+                    extra={"shard": self._shard.number, "version": version},
+                )
             self._row_version = version
             self._row_changed_at = now
             self._expired_since = None
@@ -596,6 +601,11 @@
                 leader.start()
             else:
                 leader.end(release=True)
+        except Exception:
+            # Another node takes over once the term has expired.
+            logger.exception(
+                "leader cannot start", extra={"shard": self._shard.number}
+            )
         finally:
             self._take_over_at = math.inf
             self._loading = None
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -97,7 +97,7 @@
         self._thread.start()
 
     def _run(self) -> None:
-        while not (self._waves.load() and self._order_history.load()):
+        while not self._load():
             if self._leader.has_ended:
                 return
             self._clock.sleep(self._settings.retry_seconds)
@@ -114,6 +114,14 @@
             self._clock.sleep(self._settings.tick_seconds)
         self._orders.close()
 
+    def _load(self) -> bool:
+        try:
+            return self._waves.load() and self._order_history.load()
+        except Exception:
+            # If the thread ended, no pool would change in this term.
+            logger.exception("loading orders and waves failed")
+            return False
+
     def _step(self) -> None:
         self._orders.refresh_list()
         if not self._state.shards or not self._orders.may_order():
--- a/chestnutstair/scheduling/intake/rows.py
+++ b/chestnutstair/scheduling/intake/rows.py
@@ -15,6 +15,13 @@
 from chestnutstair.scheduling.ports import Row, RowKey, SubmissionCodec
 from chestnutstair.scheduling.progress import Submission
 from chestnutstair.state.failure import Failure
+from chestnutstair.state.fields import (
+    MAX_NUMBER,
+    MAX_TIME_MS,
+    MalformedFieldError,
+    is_text,
+    read_amount,
+)
 
 __all__ = [
     "MalformedRowFailure",
@@ -79,6 +86,24 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _check_queue(queue: Queue) -> None:
+    """Reject a stored queue with values that planning cannot compare."""
+    numbers = (
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.latency_objective_ms,
+        queue.advice_seconds,
+    )
+    texts = (queue.name, queue.host, queue.prefix, queue.service)
+    if not (
+        all(type(number) in (int, float) for number in numbers)
+        and all(abs(number) <= MAX_NUMBER for number in numbers)
+        and all(map(is_text, texts))
+    ):
+        raise MalformedFieldError("queue: a value of another type or range")
+
+
 def decode_submission(
     job: str, value: bytes, codec: SubmissionCodec
 ) -> Result[Submission, Failure]:
@@ -93,10 +118,18 @@
         queue = Queue(
             **{key: stored_queue[key] for key in known & stored_queue.keys()}
         )
-        accepted_ms = int(fields["accepted_ms"])
+        _check_queue(queue)
+        accepted_ms = read_amount(fields, "accepted_ms", None, MAX_TIME_MS)
         body = fields["body"].encode()
         organisation = str(fields.get("organisation", ""))
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         return Err(MalformedRowFailure(repr(error)))
     return codec.read_job(body).map(
         lambda specification: Submission(
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -1,6 +1,5 @@
 """Handles callers' requests about jobs on every node, leader or not."""
 
-import json
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -45,6 +44,7 @@
     QueueCountsSettings,
 )
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import MalformedFieldError, parse_object
 
 __all__ = ["JobRequestHandler", "JobRequestSettings", "LeaderLink", "Outcome"]
 
@@ -146,6 +146,23 @@
     failure: PlatformFailure | None = None
 
 
+def _read_progress_state(value: bytes | None) -> JobState:
+    """Return the state in a stored progress; QUEUED if there is none.
+
+    Raises MalformedFieldError if it cannot be decoded.
+    """
+    if value is None:
+        return JobState.QUEUED
+    fields = parse_object(value)
+    try:
+        if fields.get("ended"):
+            return JobState(fields["ended"])
+        started = any(task[1] for task in fields.get("tasks", {}).values())
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
+        raise MalformedFieldError(repr(error)) from error
+    return JobState.RUNNING if started else JobState.QUEUED
+
+
 def _find_default_layout(job: str) -> IntakeLayout:
     return DEFAULT_LAYOUT
 
@@ -487,13 +504,18 @@
         if progress.is_err() or cancelled.is_err():
             return Outcome(failure=progress.err() or cancelled.err())
         value = progress.unwrap()
-        fields = json.loads(value) if value is not None else {}
-        if fields.get("ended"):
-            return Outcome(state=fields["ended"])
-        if cancelled.unwrap() is not None:
+        try:
+            state = _read_progress_state(value)
+        except MalformedFieldError as error:
+            logger.error(
+                "cannot read the progress of a job",
+                extra={"job": job, "reason": str(error)},
+            )
+            return Outcome(failure=UnavailableFailure("unreadable progress"))
+        ended = state not in (JobState.RUNNING, JobState.QUEUED)
+        if not ended and cancelled.unwrap() is not None:
             return Outcome(state=JobState.CANCELLED)
-        started = any(task[1] for task in fields.get("tasks", {}).values())
-        return Outcome(state=JobState.RUNNING if started else JobState.QUEUED)
+        return Outcome(state=state)
 
     def _count_in_all(self, queue: Queue, shards: int) -> Outcome:
         match self._counts.count(queue.name, shards):
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -171,13 +171,7 @@
         if progress is not None:
             try:
                 record.restore(progress)
-            except (
-                AttributeError,
-                KeyError,
-                TypeError,
-                ValueError,
-                IndexError,
-            ):
+            except Exception:
                 # Its tasks may have run, so they are not started again.
                 logger.exception(
                     "cannot read the progress of a job; it is set aside",
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -221,7 +221,14 @@
         with self.tracker.lock:
             self._refresh_configuration()
             for row in intake.unwrap().rows:
-                self._restore_row(row, stored)
+                try:
+                    self._restore_row(row, stored)
+                except Exception:
+                    # One job must not keep each new leader from loading.
+                    logger.exception(
+                        "cannot restore a stored job",
+                        extra={"job": parse_job_name(row)},
+                    )
             self.tracker.sort_arrivals()
             for row in intake.unwrap().rows:
                 if is_cancellation(row):
@@ -359,8 +366,16 @@
     def _apply_intake(self, changes: Changes) -> None:
         with self.tracker.lock:
             for row in changes.rows:
-                if row.value is not None:
+                if row.value is None:
+                    continue
+                try:
                     self._apply_intake_row(row)
+                except Exception:
+                    # The feed does not read the rows behind it again.
+                    logger.exception(
+                        "cannot apply an intake row",
+                        extra={"job": parse_job_name(row)},
+                    )
         self.wake()
 
     def _apply_intake_row(self, row: Row) -> None:
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -7,6 +7,12 @@
 
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.specification import JobSpecification, Step
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_text,
+    is_whole,
+    read_whole,
+)
 
 __all__ = [
     "JobRecord",
@@ -149,6 +155,16 @@
     organisation: str = ""
 
 
+def _is_usable(state: TaskState) -> bool:
+    """Return whether a stored state has the types that planning needs."""
+    return (
+        all(map(is_whole, (state.run, state.born_ms)))
+        and all(map(is_text, (state.worker, state.checkpoint, state.vm)))
+        and all(map(is_whole, state.failed_runs))
+        and all(map(is_whole, state.crashed_runs))
+    )
+
+
 def parse_task_name(name: str) -> tuple[str, TaskKey] | None:
     """Split a task name into job and key; return None if it is malformed."""
     parts = name.split(".")
@@ -476,10 +492,12 @@
                 tuple(crashed_runs),
                 suspected,
             )
+            if not self.has_task(key) or not _is_usable(state):
+                raise MalformedFieldError(f"tasks: {name} is not usable")
             self.set_task(key, state)
         self.start_confirmed = self.started
         if fields["ended"]:
-            self.end(JobState(fields["ended"]), fields["ended_ms"])
+            self.end(JobState(fields["ended"]), read_whole(fields, "ended_ms"))
         self.stored_state = self.state
 
     @cached_property
--- a/chestnutstair/scheduling/shards/layout.py
+++ b/chestnutstair/scheduling/shards/layout.py
@@ -5,6 +5,12 @@
 import zlib
 from dataclasses import dataclass
 
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    parse_object,
+    read_whole,
+)
+
 __all__ = [
     "MAX_SHARDS",
     "ONE_SHARD",
@@ -61,8 +67,8 @@
 def read_layout(value: bytes) -> ShardLayout | None:
     """Decode the layout's row; None if it is malformed."""
     try:
-        shards = int(json.loads(value)["shards"])
-    except (KeyError, TypeError, ValueError):
+        shards = read_whole(parse_object(value), "shards")
+    except MalformedFieldError:
         return None
     if not 1 <= shards <= MAX_SHARDS:
         return None
--- a/chestnutstair/scheduling/shards/layout_source.py
+++ b/chestnutstair/scheduling/shards/layout_source.py
@@ -104,23 +104,22 @@
             return None
         return {row.key.key: row for row in answer.unwrap().rows}
 
-    @staticmethod
-    def _find_stored(rows: dict[str, Row]) -> ShardLayout | None:
+    def _find_stored(self, rows: dict[str, Row]) -> ShardLayout | None:
         row = rows.get(LAYOUT_KEY.key)
         if row is None or row.value is None:
             return None
         layout = read_layout(row.value)
         if layout is None:
-            logger.error(
-                "stored layout cannot be decoded", extra={"value": row.value}
-            )
+            self._log_problem("the stored layout cannot be decoded")
         return layout
 
     def _claim(self, claim: Row | None) -> bool:
         """Return whether this node decides the layout now."""
         now = self._clock.read_monotonic()
         version = claim.version if claim is not None else 0
-        holder = (claim.value or b"").decode() if claim is not None else ""
+        value = claim.value if claim is not None else None
+        # A holder whose name cannot be decoded is another node.
+        holder = (value or b"").decode(errors="replace")
         if holder == self._name:
             return True
         if version != self._claim_version:
--- a/chestnutstair/scheduling/shards/wave_parts.py
+++ b/chestnutstair/scheduling/shards/wave_parts.py
@@ -4,6 +4,14 @@
 from collections.abc import Collection
 from dataclasses import dataclass
 
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_whole,
+    parse_object,
+    read_list,
+    read_whole,
+)
+
 __all__ = ["WaveParts", "divide_cap", "read_wave_parts"]
 
 
@@ -87,8 +95,10 @@
 def read_wave_parts(value: bytes) -> WaveParts | None:
     """Decode stored parts; None if they are malformed."""
     try:
-        fields = json.loads(value)
-        vms = tuple(int(count) for count in fields["vms"])
-        return WaveParts(int(fields["cap"]), vms)
-    except (KeyError, TypeError, ValueError):
+        fields = parse_object(value)
+        vms = tuple(read_list(fields, "vms"))
+        if not all(map(is_whole, vms)):
+            return None
+        return WaveParts(read_whole(fields, "cap"), vms)
+    except MalformedFieldError:
         return None
--- a/chestnutstair/scheduling/term.py
+++ b/chestnutstair/scheduling/term.py
@@ -2,7 +2,7 @@
 
 import json
 import logging
-from dataclasses import dataclass, fields, replace
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from result import Err, Ok
@@ -21,6 +21,13 @@
 )
 from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    parse_object,
+    read_number,
+    read_text,
+    read_whole,
+)
 
 __all__ = [
     "PARTITION",
@@ -82,16 +89,29 @@
         return json.dumps(vars(self), separators=(",", ":")).encode()
 
 
-def read_term(value: bytes | None) -> TermRow | None:
-    """Decode a stored row; None if there is none.
+def read_term(value: bytes | None, version: int = 0) -> TermRow | None:
+    """Decode a stored row of the given version; None if there is none.
 
-    Fields of later versions of this program are ignored.
+    Fields of later versions of this program are ignored. A row that cannot be
+    decoded is one of nobody, which expires like any other. As each term has
+    written at least one version, no earlier term has a higher epoch than the
+    row's version, which it gets.
     """
     if value is None:
         return None
-    known = {field.name for field in fields(TermRow)}
-    stored = json.loads(value)
-    return TermRow(**{key: stored[key] for key in known & stored.keys()})
+    try:
+        stored = parse_object(value)
+        return TermRow(
+            read_text(stored, "holder"),
+            read_text(stored, "address"),
+            read_whole(stored, "epoch"),
+            read_whole(stored, "number"),
+            read_number(stored, "written_at", 0.0),
+            stored.get("released") is True,
+            read_text(stored, "avoided_zone", ""),
+        )
+    except MalformedFieldError:
+        return TermRow("", "", version, 0)
 
 
 class WriteOutcome(Enum):
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -1,15 +1,25 @@
 """Stores when each VM was last ordered, for use by the next leader."""
 
 import json
+import logging
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
 from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    parse_object,
+    read_number,
+    read_text,
+    read_whole,
+)
 
 __all__ = ["VmOrder", "VmOrderHistory"]
 
+logger = logging.getLogger(__name__)
+
 ORDER_TABLE = "vm-orders"
 CALL_SECONDS = 1.0  # timeout of a read or write of the store
 CLOCK_SLACK_SECONDS = 0.5  # wall clocks differ between nodes
@@ -69,8 +79,20 @@
         wall_time = self._clock.read_wall()
         now = self._clock.read_monotonic()
         for row in answer.unwrap().rows:
-            fields = json.loads(row.value or b"{}")
-            age = wall_time - fields.get("at", 0.0) - CLOCK_SLACK_SECONDS
+            try:
+                fields = parse_object(row.value or b"{}")
+                at = read_number(fields, "at", 0.0)
+                wave = read_whole(fields, "wave", 0)
+                service = read_text(fields, "service", "")
+            except MalformedFieldError as error:
+                # The time of the order is not known, so that it may have been
+                # sent just now.
+                logger.error(
+                    "stored VM order cannot be decoded",
+                    extra={"vm": row.key.key, "reason": str(error)},
+                )
+                at, wave, service = wall_time, 0, ""
+            age = wall_time - at - CLOCK_SLACK_SECONDS
             # A time in the future, from a clock that is ahead, counts as now,
             # so that it blocks the VM no longer than a correct one.
             age = max(age, -CLOCK_SLACK_SECONDS)
@@ -78,14 +100,8 @@
                 now + self._min_order_interval_seconds - age
             )
             back_at = now + self._maintenance_seconds - age
-            if fields.get("wave") and back_at > now:
-                order = VmOrder(
-                    row.key.key,
-                    fields["service"],
-                    fields["wave"],
-                    back_at,
-                    True,
-                )
+            if wave and back_at > now:
+                order = VmOrder(row.key.key, service, wave, back_at, True)
                 self.unfinished_maintenance.append(order)
         return True
 
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -6,10 +6,11 @@
 
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.leader import Leader
-from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
+from chestnutstair.scheduling.ports import Row, RowKey, RowStore, RowWrite
 from chestnutstair.scheduling.shards.shard import ONLY_SHARD, Shard
 from chestnutstair.scheduling.shards.wave_shards import WaveShards
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import parse_object, read_number
 
 __all__ = ["WaveProgress"]
 
@@ -59,15 +60,27 @@
             return False
         now = self._clock.read_monotonic()
         for row in answer.unwrap().rows:
-            number, _, vm = row.key.key.partition("/")
-            if vm:
-                self._begun.add((int(number), vm))
-                continue
-            known_at = json.loads(row.value or b"{}").get("known_at", 0.0)
-            age = max(0.0, self._clock.read_wall() - known_at)
-            self._first_seen_at[int(number)] = now - age
+            try:
+                self._apply(row, now)
+            except ValueError as error:
+                # The wave's time is counted from now, if it is such a row.
+                logger.error(
+                    "stored progress of a wave cannot be decoded",
+                    extra={"key": row.key.key, "reason": str(error)},
+                )
         return True
 
+    def _apply(self, row: Row, now: float) -> None:
+        text, _, vm = row.key.key.partition("/")
+        number = int(text)
+        if vm:
+            self._begun.add((number, vm))
+            return
+        fields = parse_object(row.value or b"{}")
+        known_at = read_number(fields, "known_at", 0.0)
+        age = max(0.0, self._clock.read_wall() - known_at)
+        self._first_seen_at[number] = now - age
+
     def add_wave(self, wave: MaintenanceWave, now: float) -> None:
         """Record a wave that the operator has requested.
 
--- a/chestnutstair/state/fields.py
+++ b/chestnutstair/state/fields.py
@@ -6,6 +6,7 @@
 `float()` accept texts and Booleans.
 """
 
+import json
 import math
 import re
 from typing import Any
@@ -20,6 +21,7 @@
     "check_name",
     "is_text",
     "is_whole",
+    "parse_object",
     "read_address",
     "read_amount",
     "read_list",
@@ -53,6 +55,20 @@
     """A field is missing, or of another type or range; says which and why."""
 
 
+def parse_object(data: bytes) -> dict[str, Any]:
+    """Return the JSON object in the data.
+
+    Raises MalformedFieldError if there is none, or it is nested too deeply.
+    """
+    try:
+        value = json.loads(data)
+    except (ValueError, RecursionError):
+        raise MalformedFieldError("not JSON") from None
+    if type(value) is not dict:
+        raise MalformedFieldError("not a JSON object")
+    return value
+
+
 def read_whole(
     fields: dict[str, Any],
     name: str,
--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -28,9 +28,16 @@
 )
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.malformed_values import (
+    MALFORMED_DOCUMENTS,
+    MALFORMED_NUMBERS,
+    MALFORMED_TEXTS,
+    encode_raw,
+)
 from chestnutstair.tests.scheduling_support import TrackerHarness
 from chestnutstair.tests.support import ManualClock
 
+TERM = vars(TermRow("other", "other:1", 7, 3, 1000.0))
 FRESH = LeaderStatus(True, 1, 0.1, 1)
 CUT_OFF = LeaderStatus(True, 1, 1.4, 1)
 REFUSED = Err(UnavailableFailure("Connection refused"))
@@ -309,3 +316,24 @@
             TERM_KEY.table, PARTITION, Deadline.after(self.clock, 1.0)
         )
         self.assertEqual(read_term(rows.unwrap().rows[0].value), row)
+
+    # Guards against nodes that fail in each check of the row, so that no node
+    # leads any more, and against an epoch below one that workers have seen.
+    def test_an_unreadable_row_is_taken_over(self) -> None:
+        values = [
+            *MALFORMED_DOCUMENTS,
+            *(encode_raw(TERM, epoch=text) for text in MALFORMED_NUMBERS),
+            *(encode_raw(TERM, address=text) for text in MALFORMED_TEXTS),
+            b'{"holder": "other"}',
+        ]
+        for value in values:
+            with self.subTest(value=value[:100]):
+                self.setUp()
+                deadline = Deadline.after(self.clock, 1.0)
+                write = RowWrite(TERM_KEY, value)
+                version = self.store.commit([], [write], deadline).unwrap()
+                for _ in range(20):
+                    self.election.run_round()
+                    self.clock.now += STEP_SECONDS
+                self.assertTrue(self.election.is_leading)
+                self.assertEqual(self.built[0][0], version + 1)
