Let a worker's own answer decide which incarnation of it runs

A registry entry of a running worker with another, later born_ms counted as its restart: its runs were freed at once and started again while they went on (TWICE), and its true entry and its answers were refused from then on, so that the worker was lost for the term. Entries may come from other writers. The same comparison lost a worker that restarted after its clock had been set back, and one first known by a wrong entry.

An entry of another incarnation is now only noted. The worker is asked at once, at the entry's address, while the session's own call to the process before may take seconds to fail; a worker that does not answer is called at both addresses in turn. Its answer decides, whichever time is later, or its lease lapses. An answer to a call is of a process that ran after the call, so that it cannot be of an earlier incarnation. Until either answers, no ends are acknowledged, as they are numbered anew after a restart.

test_an_entry_alone_frees_no_runs, test_an_entry_frees_no_runs_of_a_silent_worker, test_a_worker_restarted_with_its_clock_set_back_is_used and test_a_worker_first_known_by_a_wrong_entry_is_used failed before. The simulation of crashes answered as the incarnation that the leader believed in; it now answers as the process that runs.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -290,9 +290,11 @@
     # Workers
 
     def apply_worker_entry(self, entry: WorkerEntry) -> WorkerState | None:
-        """Apply a registry entry.
+        """Apply a registry entry; return the worker if it is new, else None.
 
-        Return the worker if it or its incarnation is new, else None.
+        An entry of another incarnation of a known worker frees no runs, as it
+        may be wrong, or written before a restart: the worker's own answer
+        decides which one runs.
         """
         if (entry.name, entry.born_ms) in self._retired:
             return None  # the registry drops the entry some seconds later
@@ -301,9 +303,26 @@
             if current.entry.born_ms == entry.born_ms:
                 current.update_entry(entry)
                 current.gone = False
-                return None
-            if entry.born_ms < current.entry.born_ms:
-                return None  # a stale entry from before its restart
+            else:
+                self._record_claim(current, entry)
+            return None
+        return self._add_worker(entry)
+
+    def _record_claim(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        if worker.claim is None or worker.claim.born_ms != entry.born_ms:
+            logger.info(
+                "entry names another incarnation of a worker",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "entry_born_ms": entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+        worker.claim = entry
+
+    def _add_worker(self, entry: WorkerEntry) -> WorkerState:
+        current = self.workers.get(entry.name)
         worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
         pool = self.cordons.get(entry.vm)
         worker.cordoned = pool is not None and pool != entry.service
@@ -643,10 +662,10 @@
         """
         now = self._clock.read_monotonic()
         if answer.born_ms and worker.entry.born_ms != answer.born_ms:
-            if answer.born_ms > worker.entry.born_ms:
-                entry = replace(worker.entry, born_ms=answer.born_ms)
-                if self.workers.get(worker.name) is worker:
-                    self.apply_worker_entry(entry)
+            # Its clock may have been set back before its restart, so that
+            # the later incarnation is not the one with the later time.
+            if self.workers.get(worker.name) is worker:
+                self._change_incarnation(worker, answer.born_ms)
             return False
         worker.record_contact(answer, now)
         self._lost_workers.forget(worker.name, worker.entry.born_ms)
@@ -666,6 +685,13 @@
         self._end_probation(worker)
         return True
 
+    def _change_incarnation(self, worker: WorkerState, born_ms: int) -> None:
+        entry = replace(worker.entry, born_ms=born_ms)
+        if worker.claim is not None and worker.claim.born_ms == born_ms:
+            entry = worker.claim
+        self._retired.discard((worker.name, born_ms))
+        self._add_worker(entry)
+
     def _end_probation(self, worker: WorkerState) -> None:
         """Clear the suspicion of tasks whose runs have proven themselves."""
         for task in list(worker.probation):
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -408,6 +408,10 @@
         worker = self.tracker.apply_worker_entry(entry)
         if worker is not None:
             self._sessions.start_session(worker)
+            return
+        known = self.tracker.workers.get(name)
+        if known is not None and known.claim is entry:
+            self._sessions.start_probe(known, entry)
 
     def _replace_registry(self, changes: Changes) -> None:
         self._apply_registry(changes)
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -14,6 +14,7 @@
     RefusalReason,
     StartRefusedFailure,
     WorkerControl,
+    WorkerEntry,
 )
 from chestnutstair.scheduling.workers import PROVING_SECONDS, WorkerState
 from chestnutstair.state.deadline import Clock
@@ -55,6 +56,7 @@
         self._clock = clock
         self._settings = settings
         self._stored_events: dict[int, threading.Event] = {}
+        self._probed: set[str] = set()  # names of workers being probed
 
     def signal_ends_stored(self, worker: WorkerState) -> None:
         """Signal that a worker's ends are stored and can be acknowledged."""
@@ -72,6 +74,41 @@
             daemon=True,
         ).start()
 
+    def start_probe(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        """Ask a worker which incarnation it is, on a thread of its own.
+
+        `entry` names another one than the worker's session knows. A call of
+        the session may take seconds to fail. The caller must hold the
+        tracker's lock.
+        """
+        if worker.name in self._probed:
+            return
+        self._probed.add(worker.name)
+        threading.Thread(
+            target=self._probe,
+            args=(worker, entry),
+            name=f"probe {worker.name}",
+            daemon=True,
+        ).start()
+
+    def _probe(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        sent = self._clock.read_monotonic()
+        answer = self._workers.hold(
+            entry, self._leadership.epoch, 0, None, 0.0
+        )
+        with self._tracker.lock:
+            self._probed.discard(worker.name)
+            match answer:
+                case Ok(held) if held.born_ms not in (
+                    0,
+                    worker.entry.born_ms,
+                ):
+                    self._tracker.apply_hold_answer(worker, held, sent)
+                    self._is_current(worker)  # starts the next session
+                    self._leadership.wake_planner()
+                case Err(StartRefusedFailure(RefusalReason.FENCE)):
+                    self._leadership.mark_fenced()
+
     def _run_session(self, worker: WorkerState) -> None:
         """Poll the worker and renew its lease until it is gone."""
         wait = 0.0
@@ -118,15 +155,17 @@
         """Make a hold call; return whether this incarnation answered it."""
         with self._tracker.lock:
             deadline_ms = self._orders.extend_lease(worker)
+            claim = worker.claim
+            entry = self._choose_entry(worker)
             # Another incarnation may answer next, whose ends are numbered
             # from 1 again. Acknowledging nothing keeps it from dropping ends
             # that this node has not seen.
             end_to_acknowledge = (
-                0 if worker.unresponsive else worker.stored_end
+                0 if worker.unresponsive or claim else worker.stored_end
             )
         sent = self._clock.read_monotonic()
         answer = self._workers.hold(
-            worker.entry,
+            entry,
             self._leadership.epoch,
             end_to_acknowledge,
             deadline_ms,
@@ -144,6 +183,8 @@
                     is_current = self._tracker.apply_hold_answer(
                         worker, hold_answer, sent
                     )
+                    if is_current and worker.claim is claim:
+                        worker.claim = None  # refuted by the answer
                     paces = self._pacer.adjust(worker)
                     unstored = worker.applied_end > worker.stored_end
                     is_proven = had_probation and not worker.probation
@@ -179,6 +220,20 @@
                     )
         return False
 
+    @staticmethod
+    def _choose_entry(worker: WorkerState) -> WorkerEntry:
+        """Return the entry whose address to call.
+
+        Those of a worker that does not answer and of an entry that names
+        another incarnation take turns.
+        """
+        entry = worker.entry
+        if worker.unresponsive and worker.claim is not None:
+            worker.calls_claim = not worker.calls_claim
+            if worker.calls_claim:
+                entry = worker.claim
+        return entry
+
     def _wait_until_stored(self, worker: WorkerState) -> None:
         event = self._stored_events.get(id(worker))
         if event is not None:
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -95,6 +95,9 @@
         usage: OrganisationUsage,
     ) -> None:
         self.entry = entry
+        # The latest entry of another incarnation, until either one answers.
+        self.claim: WorkerEntry | None = None
+        self.calls_claim = False  # the last call went to the claim's address
         self._usage = usage
         # The pool in which its runs are counted, also if the entry changes.
         self._service = entry.service
--- a/chestnutstair/tests/crash_simulation.py
+++ b/chestnutstair/tests/crash_simulation.py
@@ -157,5 +157,9 @@
         ]
         worker.sent_deadline_ms = int((now + LEASE_SECONDS) * 1000)
         self.harness.answer(
-            name, runs, ends, sent=now + 0.01, born_ms=worker.entry.born_ms
+            name,
+            runs,
+            ends,
+            sent=now + 0.01,
+            born_ms=self._entries[name].born_ms,
         )
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -495,3 +495,77 @@
         self.assertEqual(self.harness.tracker.workers, {})
         reborn = replace(build_entry("w1"), born_ms=2)
         self.assertIsNotNone(self.harness.tracker.apply_worker_entry(reborn))
+
+
+class IncarnationTest(unittest.TestCase):
+    """A worker's own answer decides which incarnation of it runs."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.tracker = self.harness.tracker
+        self.record = self.harness.admit("j", [Step(1, 1000)])
+        self.harness.start_all(self.harness.plan())
+        self.harness.answer_all()
+
+    def get_status(self) -> TaskStatus:
+        return self.record.get_task(FIRST).status
+
+    def test_an_entry_alone_frees_no_runs(self) -> None:
+        # Guards against a task that runs twice: an entry of a running worker
+        # with a later start freed its runs, and its true entry was refused
+        # from then on.
+        for born_ms in (2, 10**15, 10**300, 0):
+            self.harness.move_entry("w1", born_ms=born_ms)
+            self.harness.clock.now += 0.5
+            self.harness.answer("w1", self.harness.list_runs("w1"))
+            self.tracker.release_expired()
+            self.assertEqual(self.get_status(), TaskStatus.PLACED)
+            self.assertEqual(self.harness.plan(), [])
+        self.tracker.apply_worker_entry(
+            replace(build_entry("w1"), draining=True)
+        )
+        self.assertTrue(self.harness.get_worker("w1").entry.draining)
+
+    def test_a_restarted_worker_is_known_from_its_first_answer(self) -> None:
+        self.harness.move_entry("w1", born_ms=2, service="crates")
+        self.harness.answer("w1", born_ms=2)
+        self.assertEqual(self.get_status(), TaskStatus.WAITING)
+        worker = self.harness.get_worker("w1")
+        self.assertEqual(
+            (worker.entry.born_ms, worker.entry.service), (2, "crates")
+        )
+
+    def test_an_entry_frees_no_runs_of_a_silent_worker(self) -> None:
+        # A worker that is cut off from the leader goes on until its lease
+        # lapses, whatever the registry says.
+        worker = self.harness.get_worker("w1")
+        worker.sent_deadline_ms = int(self.harness.clock.now * 1000) + 6000
+        worker.unresponsive = True
+        self.harness.move_entry("w1", born_ms=2)
+        self.harness.clock.now += 5.9
+        self.tracker.release_expired()
+        self.assertEqual(self.get_status(), TaskStatus.PLACED)
+        self.harness.clock.now += 2.0
+        self.tracker.release_expired()
+        self.assertEqual(self.get_status(), TaskStatus.WAITING)
+
+    def test_a_worker_restarted_with_its_clock_set_back_is_used(self) -> None:
+        # Its entry and its answers counted as those of an earlier process, so
+        # that it was never used again.
+        self.harness.move_entry("w1", born_ms=-5)
+        self.harness.answer("w1", born_ms=-5)
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1", born_ms=-5)
+        self.assertEqual(len(self.harness.plan()), 1)
+
+    def test_a_worker_first_known_by_a_wrong_entry_is_used(self) -> None:
+        # Its true entry and its answers were refused as those of an earlier
+        # process.
+        wrong = replace(build_entry("w9", "crates"), born_ms=10**15)
+        self.tracker.apply_worker_entry(wrong)
+        self.tracker.apply_worker_entry(build_entry("w9"))
+        self.harness.answer("w9")
+        self.harness.answer("w9")
+        worker = self.harness.get_worker("w9")
+        self.assertEqual(worker.entry, build_entry("w9"))
+        self.assertTrue(worker.is_answering)
