Choose workers, end jobs and prepare hold calls with less work

Of its own work, three parts were repeated for each task, job or worker though nothing had changed:

- For each task that is placed, the rank of every worker with room was computed again.
A worker now keeps its sort key, which changes only with its runs, and the preferences before it (tasks that failed there, data, maintenance) filter the list.
The choice is the same.
- Each job that ended searched all runs of all workers.
A worker now counts its runs by job.
- A session took the tracker's lock three times before each call, and leases of workers in contact were computed every 0.1 s.
Both are done once now, or not at all.

The new tests count calls in a round, searches at the end of a job and the runs of a job; they fail without the change. test_leases and protocol_simulation build the hold call that they make, which sessions now do before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -266,6 +266,8 @@
         self.active.pop(record.name, None)
         self.dirty.add(record.name)
         for worker in self.workers.values():
+            if record.name not in worker.runs_by_job:
+                continue
             for task, run in list(worker.runs.items()):
                 if run.job == record.name:
                     worker.mark_stopping(task)
@@ -545,11 +547,13 @@
         seconds = self._settings.takeover_wait_seconds
         previous_expiry = self._began_at + seconds
         for worker in list(self.workers.values()):
+            if worker.is_in_contact(now, 1.0):
+                continue
             expiry = (
                 worker.compute_lease_expiry() or worker.first_seen_at + seconds
             )
             expiry = max(previous_expiry, expiry)
-            if now <= expiry or worker.is_in_contact(now, 1.0):
+            if now <= expiry:
                 continue
             self._lost_workers.add(describe_lost_worker(worker, now))
             self._release_all(worker, "lapsed")
--- a/chestnutstair/scheduling/leadership.py
+++ b/chestnutstair/scheduling/leadership.py
@@ -33,7 +33,8 @@
 
     def wake_planner(self) -> None:
         """Make the planner run as soon as it may."""
-        self.planner_wakeup.set()
+        if not self.planner_wakeup.is_set():
+            self.planner_wakeup.set()
 
     def end(self) -> None:
         """Signal every component of this term to stop."""
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -4,9 +4,9 @@
 import logging
 import sys
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
-from functools import partial
+from operator import attrgetter
 
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.configuration import Queue
@@ -42,6 +42,7 @@
 # Jobs of a pool for which a round looks for room, so that its cost does not
 # grow with what waits. A pool reserves an eighth of its workers at most.
 MAX_RESERVING = 16
+FULLNESS = attrgetter("fullness")
 
 
 @dataclass(frozen=True)
@@ -158,6 +159,13 @@
     )
 
 
+def _prefer(
+    workers: list[WorkerState], is_preferred: Callable[[WorkerState], bool]
+) -> list[WorkerState]:
+    """Return the preferred workers, or all if there are none."""
+    return [worker for worker in workers if is_preferred(worker)] or workers
+
+
 def _filter_allowed(
     workers: list[WorkerState], allowed: set[str] | None
 ) -> list[WorkerState]:
@@ -696,18 +704,27 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> WorkerState | None:
+        """Return the worker to place a task on; None if none has room.
+
+        Prefers, in this order: a worker on which the task has not failed, one
+        near the task's data, for lasting tasks one that is not due for
+        maintenance, and fuller ones, so that empty ones can leave the pool.
+        """
         fitting = self._list_fitting(record, step, key, workers)
-        if not fitting:
-            return None
-        if not record.failed_on:
-            return min(fitting, key=partial(self._rank_worker, step))
-        return min(
-            fitting,
-            key=lambda worker: (
-                (key, worker.name) in record.failed_on,
-                self._rank_worker(step, worker),
-            ),
-        )
+        if record.failed_on:
+            fitting = _prefer(
+                fitting,
+                lambda worker: (key, worker.name) not in record.failed_on,
+            )
+        if step.data_rack:
+            fitting = _prefer(
+                fitting, lambda worker: worker.entry.rack == step.data_rack
+            )
+        if step.lasting:
+            fitting = _prefer(
+                fitting, lambda worker: not worker.maintenance_due
+            )
+        return min(fitting, key=FULLNESS, default=None)
 
     def _list_fitting(
         self,
@@ -716,16 +733,19 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> list[WorkerState]:
-        fitting = [
-            worker
-            for worker in workers
-            if worker.has_room(step)
-            and (
-                not step.required_label
-                or step.required_label in worker.entry.labels
-            )
-            and self._allows_beside_reservations(record, step, worker)
-        ]
+        fitting = [worker for worker in workers if worker.has_room(step)]
+        if step.required_label:
+            fitting = [
+                worker
+                for worker in fitting
+                if step.required_label in worker.entry.labels
+            ]
+        if self.lookahead is not None:
+            fitting = [
+                worker
+                for worker in fitting
+                if self.lookahead.allows(record, step, worker)
+            ]
         if not step.spread_limit:
             return fitting
         return [
@@ -746,22 +766,6 @@
             and run.key.occurrence == key.occurrence
         )
 
-    @staticmethod
-    def _rank_worker(
-        step: Step, worker: WorkerState
-    ) -> tuple[int, bool, int, int, str]:
-        remote = int(
-            bool(step.data_rack) and step.data_rack != worker.entry.rack
-        )
-        # Fuller workers first, so that empty ones can leave the pool.
-        return (
-            remote,
-            step.lasting and worker.maintenance_due,
-            -worker.lasting_runs,
-            -worker.used_millicores,
-            worker.name,
-        )
-
     def _place_gang(
         self,
         record: JobRecord,
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -34,6 +34,15 @@
     retry_seconds: float = 0.2
 
 
+@dataclass(frozen=True)
+class _HoldCall:
+    """A hold call: how long it waits, the lease to send and the last end."""
+
+    wait_seconds: float
+    deadline_ms: int | None
+    acknowledged_end: int
+
+
 class WorkerSessions:
     """Runs one thread per worker for the duration of a term."""
 
@@ -74,15 +83,40 @@
 
     def _run_session(self, worker: WorkerState) -> None:
         """Poll the worker and renew its lease until it is gone."""
-        wait = 0.0
-        while not self._leadership.has_ended and self._is_current(worker):
-            if self._hold(worker, wait):
-                wait = self._choose_wait(worker)
-            else:
-                wait = 0.0
+        answered = False
+        while not self._leadership.has_ended:
+            call = self._prepare_call(worker, answered)
+            if call is None:
+                break
+            answered = self._hold(worker, call)
+            if not answered:
                 self._leadership.ended.wait(self._settings.retry_seconds)
         self._stored_events.pop(id(worker), None)
 
+    def _prepare_call(
+        self, worker: WorkerState, answered: bool
+    ) -> _HoldCall | None:
+        """Return the next hold call; None for a worker that was replaced.
+
+        `answered` says whether the worker answered the last call. Takes the
+        lock once, as the sessions of all workers wait for it in each round.
+        """
+        with self._tracker.lock:
+            if not self._is_current(worker):
+                return None
+            wait = self._choose_wait(worker) if answered else 0.0
+            return self._build_call(worker, wait)
+
+    def _build_call(self, worker: WorkerState, wait: float) -> _HoldCall:
+        return _HoldCall(
+            wait,
+            self._orders.extend_lease(worker),
+            # Another incarnation may answer next, whose ends are numbered
+            # from 1 again. Acknowledging nothing keeps it from dropping ends
+            # that this node has not seen.
+            0 if worker.unresponsive else worker.stored_end,
+        )
+
     def _choose_wait(self, worker: WorkerState) -> float:
         """Return how long the next hold call may wait.
 
@@ -92,52 +126,42 @@
         A VM that is to leave its pool is ordered once its last end is
         acknowledged, which only the answer to a call shows.
         """
-        with self._tracker.lock:
-            if (
-                worker.cordoned
-                and not worker.runs
-                and worker.acknowledged_end < worker.stored_end
-            ):
-                return 0.0
-            if worker.probation or worker.suspects_wait:
-                return PROVING_SECONDS
+        if (
+            worker.cordoned
+            and not worker.runs
+            and worker.acknowledged_end < worker.stored_end
+        ):
+            return 0.0
+        if worker.probation or worker.suspects_wait:
+            return PROVING_SECONDS
         return self._settings.hold_seconds
 
     def _is_current(self, worker: WorkerState) -> bool:
-        with self._tracker.lock:
-            current = self._tracker.workers.get(worker.name)
-            if current is None or current is worker:
-                return current is worker
-            if id(current) not in self._stored_events:
-                # The restart was detected by the answer to a hold call, so
-                # the new incarnation has no session yet.
-                self.start_session(current)
-            return False
-
-    def _hold(self, worker: WorkerState, wait: float) -> bool:
+        current = self._tracker.workers.get(worker.name)
+        if current is None or current is worker:
+            return current is worker
+        if id(current) not in self._stored_events:
+            # The restart was detected by the answer to a hold call, so the
+            # new incarnation has no session yet.
+            self.start_session(current)
+        return False
+
+    def _hold(self, worker: WorkerState, call: _HoldCall) -> bool:
         """Make a hold call; return whether this incarnation answered it."""
-        with self._tracker.lock:
-            deadline_ms = self._orders.extend_lease(worker)
-            # Another incarnation may answer next, whose ends are numbered
-            # from 1 again. Acknowledging nothing keeps it from dropping ends
-            # that this node has not seen.
-            end_to_acknowledge = (
-                0 if worker.unresponsive else worker.stored_end
-            )
         sent = self._clock.read_monotonic()
         answer = self._workers.hold(
             worker.entry,
             self._leadership.epoch,
-            end_to_acknowledge,
-            deadline_ms,
-            wait,
+            call.acknowledged_end,
+            call.deadline_ms,
+            call.wait_seconds,
         )
         match answer:
             case Ok(hold_answer):
                 with self._tracker.lock:
                     worker.unresponsive = False
                     worker.acknowledged_end = max(
-                        worker.acknowledged_end, end_to_acknowledge
+                        worker.acknowledged_end, call.acknowledged_end
                     )
                     previous_contact = worker.contact
                     had_probation = bool(worker.probation)
@@ -165,7 +189,7 @@
                 now = self._clock.read_monotonic()
                 if not worker.unresponsive:
                     worker.unresponsive = True
-                    if now - sent < wait:
+                    if now - sent < call.wait_seconds:
                         # The call did not time out: its connection was closed.
                         with self._tracker.lock:
                             worker.record_closed(now)
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -1,5 +1,6 @@
 """The scheduler's view of a worker: its lease, runs and free room."""
 
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.organisations.usage import OrganisationUsage
@@ -110,11 +111,17 @@
         self.acknowledged_end = 0
         self.applied_end = 0
         self.runs: dict[str, PlacedRun] = {}
+        # Number of the runs of each job.
+        self.runs_by_job: Counter[str] = Counter()
         # Resources reserved by the runs.
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.lasting_runs = 0
+        # Sort key of workers by what runs on them, the fullest first. Kept up
+        # to date here, as a round compares all workers of a pool for each
+        # task that it places.
+        self.fullness: tuple[int, int, str] = (0, 0, entry.name)
         # Runs that it listed last although they are not placed there. These
         # still use its room.
         self._orphan_runs: list[OrphanRun] = []
@@ -140,6 +147,7 @@
         """Add a run and reserve its room."""
         self.remove_run(task)
         self.runs[task] = run
+        self.runs_by_job[run.job] += 1
         if run.on_probation:
             self.probation.add(task)
         self._adjust_usage(run, 1)
@@ -157,6 +165,9 @@
         run = self.runs.pop(task, None)
         self.probation.discard(task)
         if run is not None:
+            self.runs_by_job[run.job] -= 1
+            if not self.runs_by_job[run.job]:
+                del self.runs_by_job[run.job]
             self._adjust_usage(run, -1)
         return run
 
@@ -183,6 +194,11 @@
             self.used_millicores += sign * step.millicores
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
+        self.fullness = (
+            -self.lasting_runs,
+            -self.used_millicores,
+            self.entry.name,
+        )
 
     def has_room(self, step: Step, tasks: int = 1) -> bool:
         """Return whether `tasks` more tasks of the step fit."""
--- a/chestnutstair/tests/protocol_simulation.py
+++ b/chestnutstair/tests/protocol_simulation.py
@@ -40,7 +40,10 @@
 from chestnutstair.scheduling.sessions import SessionSettings, WorkerSessions
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.term import Term, TermRow, TermSettings
-from chestnutstair.scheduling.workers import SLOWEST_CLOCK_RATE
+from chestnutstair.scheduling.workers import (
+    SLOWEST_CLOCK_RATE,
+    WorkerState,
+)
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.tests.scheduling_support import (
     CONFIGURATION,
@@ -340,6 +343,11 @@
         for process in self.processes.values():
             self.tracker.apply_worker_entry(process.entry)
 
+    def hold_worker(self, worker: WorkerState) -> None:
+        """Make a hold call that does not wait."""
+        call = self.sessions._build_call(worker, 0.0)
+        self.sessions._hold(worker, call)
+
     def plan(self) -> list[Placement]:
         """Plan, store and send stops; return the starts to send."""
         self.tracker.release_expired()
@@ -395,7 +403,7 @@
             self._expire_and_deliver()
             self.refresh_registry()
             for worker in list(self.tracker.workers.values()):
-                self.sessions._hold(worker, 0.0)
+                self.hold_worker(worker)
             for placement in self.plan():
                 self.orders._start(placement)
             for process in self.processes.values():
@@ -417,7 +425,7 @@
     def _hold_random_worker(self) -> None:
         workers = list(self.tracker.workers.values())
         if workers:
-            self.sessions._hold(self.random.choice(workers), 0.0)
+            self.hold_worker(self.random.choice(workers))
 
     def _end_random_run(self) -> None:
         process = self.random.choice(list(self.processes.values()))
--- a/chestnutstair/tests/test_leases.py
+++ b/chestnutstair/tests/test_leases.py
@@ -100,7 +100,8 @@
     def hold(self, renewed: bool = True) -> None:
         if renewed:
             self.term.renewed_at = self.harness.clock.now
-        self.sessions._hold(self.worker, 1.0)
+        call = self.sessions._build_call(self.worker, 1.0)
+        self.sessions._hold(self.worker, call)
         self.harness.clock.now += 1.0
 
     def test_each_answered_call_extends_the_lease(self) -> None:
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -4,7 +4,10 @@
 Pools have dozens of workers, and every end of a task starts a planning round.
 """
 
+import sys
 import unittest
+from types import FrameType
+from typing import Any
 from unittest import mock
 
 from chestnutstair.scheduling.load import measure_loads
@@ -15,7 +18,7 @@
     TaskStatus,
 )
 from chestnutstair.scheduling.specification import Step
-from chestnutstair.scheduling.workers import WorkerState
+from chestnutstair.scheduling.workers import PlacedRun, WorkerState
 from chestnutstair.tests.scheduling_support import (
     TrackerHarness,
     build_entry,
@@ -98,6 +101,78 @@
         self.assertEqual(placed, ["c" * 16])
 
 
+class TurnTest(unittest.TestCase):
+    """A turn of a queue whose pool has a hundred workers.
+
+    A leader starts a thousand tasks a second then, with one processor.
+    """
+
+    POOL = tuple(f"w{number:03}" for number in range(110))
+    STEP = Step(8, 6_200, 6_300, estimate_ms=640)
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(self.POOL)
+        for number in range(60):
+            self.harness.admit(f"{number:016x}", [self.STEP])
+
+    def test_placing_a_task_examines_each_worker_once(self) -> None:
+        # The ranks of workers were computed again for each task that was
+        # placed, which took most of a round.
+        calls = 0
+
+        def count(frame: FrameType, event: str, argument: object) -> None:
+            nonlocal calls
+            calls += event == "call"
+
+        before = sys.getprofile()
+        sys.setprofile(count)
+        try:
+            placed = self.harness.plan()
+        finally:
+            sys.setprofile(before)
+        self.assertEqual(len(placed), 60 * 8)
+        # A worker is chosen anew once the last one is full, after ten tasks,
+        # and for each of the jobs. Other work of a round is a hundred calls
+        # for each task, and a thousand in all.
+        choices = 60 + len(placed) // 10
+        limit = choices * len(self.POOL) + 100 * len(placed) + 1000
+        self.assertLessEqual(calls, limit)
+
+    def test_the_end_of_a_job_examines_only_the_workers_it_runs_on(
+        self,
+    ) -> None:
+        # All runs of all workers were searched for each job that ended.
+        self.harness.start_all(self.harness.plan())
+        searched = 0
+
+        class CountedRuns(dict[str, PlacedRun]):
+            def items(self) -> Any:
+                nonlocal searched
+                searched += 1
+                return super().items()
+
+        used = 0
+        for worker in self.harness.tracker.workers.values():
+            used += any(run.job == "0" * 16 for run in worker.runs.values())
+            worker.runs = CountedRuns(worker.runs)
+        self.harness.tracker.cancel("0" * 16)
+        self.assertLessEqual(searched, used)
+        for worker in self.harness.tracker.workers.values():
+            for run in worker.runs.values():
+                self.assertEqual(run.stopping, run.job == "0" * 16)
+
+    def test_the_runs_of_a_job_are_counted_until_the_last_ends(self) -> None:
+        placed = self.harness.plan()
+        self.harness.start_all(placed)
+        worker = placed[0].worker
+        runs = [item for item in placed if item.worker is worker]
+        for number, item in enumerate(runs, 1):
+            job = item.record.name
+            self.assertIn(job, worker.runs_by_job)
+            self.harness.end(item, "done", number)
+        self.assertFalse(worker.runs_by_job)
+
+
 class StepProgressTest(unittest.TestCase):
     """The counts of a step match the states of its tasks."""
 
