Let small VMs wait until larger ones have checked the leader

A VM that lacks power waits up to 1.0 s before it takes over, which was two checks of every other node. Since nodes check as often as the leader asks for, 45 nodes check every 0.56 s, so that 0.48 s (half of a core is missing) is less than one check. It now waits for the longest pause between two checks as well, and with several shards for the time over which the nodes spread their writes. With up to 20 nodes, which check every 0.25 s, nothing changes.

The new test fails without the change: the small VM leads.

--- a/chestnutstair/scheduling/election.py
+++ b/chestnutstair/scheduling/election.py
@@ -40,6 +40,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Bounds of the random factor of the pause between two checks.
+SHORTEST_PAUSE = 0.8
+LONGEST_PAUSE = 1.2
+
 
 @dataclass(frozen=True)
 class ElectionSettings:
@@ -76,7 +80,8 @@
     required_power: float = 1.0
     # A VM with less power waits for a part of this time before it takes over,
     # in proportion to the missing power. It is long enough for every other
-    # node to check the leader twice.
+    # node to check the leader twice; with so many nodes that they check less
+    # often, it waits for one more check.
     yield_seconds: float = 1.0
     # A node that has reached neither the leader nor the store for this long,
     # which is two or three checks, counts as cut off: it cannot serve
@@ -315,7 +320,7 @@
             until = self._take_over_at - self._clock.read_monotonic()
             if until > 0 and not self._shard.is_only:
                 return min(pause, until)
-        return pause * random.uniform(0.8, 1.2)
+        return pause * random.uniform(SHORTEST_PAUSE, LONGEST_PAUSE)
 
     @property
     def shortest_interval(self) -> float:
@@ -509,11 +514,19 @@
 
     def _compute_wait(self) -> float:
         """Return how long this node leaves an expired term to others."""
+        settings = self._settings
         wait = self._yield_seconds
+        if wait > 0:
+            # Nodes check the leader as often as it has asked for, so nodes
+            # with more power may notice later by one interval.
+            longest_pause = LONGEST_PAUSE * self._told_seconds
+            wait += max(0.0, longest_pause - settings.poll_seconds)
         if not self._shard.is_only:
-            wait += self._count_led() * self._settings.led_wait_seconds
+            wait += self._count_led() * settings.led_wait_seconds
             fraction = compute_fraction(self._name, self._shard.number)
-            wait += fraction * self._settings.spread_seconds
+            if self._yield_seconds > 0:
+                fraction += 1.0  # after the nodes that have the power
+            wait += fraction * settings.spread_seconds
         return wait
 
     def _is_expired(
--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -3,6 +3,7 @@
 import math
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -12,6 +13,7 @@
     UnknownOutcomeFailure,
 )
 from chestnutstair.scheduling.election import (
+    LONGEST_PAUSE,
     Election,
     ElectionSettings,
     LeaderStatus,
@@ -198,6 +200,25 @@
         self.nodes.answer = Ok(FRESH)
         self.assertIsNone(self.run_for(5.0))
 
+    def test_a_small_vm_waits_until_larger_ones_have_checked_the_leader(
+        self,
+    ) -> None:
+        # With 45 nodes each checks the leader every 0.56 s, and a VM with
+        # half a core and 10 Mbit/s took over first: it loaded for 6 s, in
+        # which nothing started.
+        self.nodes.answer = Ok(replace(FRESH, poll_seconds=0.56))
+        small = self.build("small", "zone-a", power=0.516)
+        for election in (small, self.election):
+            election._step()
+        self.nodes.answer = Ok(CUT_OFF)
+        began = self.clock.now
+        while self.clock.now - began < 0.56 * LONGEST_PAUSE:
+            small._step()
+            self.assertFalse(small.is_leading, self.clock.now - began)
+            self.clock.now += 0.05
+        self.election._step()
+        self.assertTrue(self.election.is_leading)
+
     def test_a_small_vm_leads_where_no_larger_one_does(self) -> None:
         self.nodes.answer = SILENT
         self.election = self.build("small", "zone-b", 0.5)
