--- a/chestnutstair/tests/test_sessions.py
+++ b/chestnutstair/tests/test_sessions.py
@@ -115,6 +115,10 @@
             time.sleep(0.01)
         self.assertEqual(self.get_born(), 2)
 
+    def hold(self) -> None:
+        call = self.sessions._build_call(self.worker, 0.0)
+        self.sessions._hold(self.worker, call)
+
     def test_a_probe_of_a_wrong_entry_changes_nothing(self) -> None:
         self.sessions._probe(self.worker, self.claim())
         self.assertIs(self.harness.get_worker("w1"), self.worker)
@@ -124,8 +128,8 @@
         # of them, nor left unacknowledged because of a wrong entry.
         self.worker.stored_end = 7
         self.claim()
-        self.sessions._hold(self.worker, 0.0)
-        self.sessions._hold(self.worker, 0.0)
+        self.hold()
+        self.hold()
         self.assertEqual(self.control.acknowledged, [0, 7])
         self.assertIsNone(self.worker.claim)
 
@@ -133,5 +137,5 @@
         self.claim("w1:81")
         self.control.born = {"w1:81": 2}
         for _ in range(3):
-            self.sessions._hold(self.worker, 0.0)
+            self.hold()
         self.assertEqual(self.get_born(), 2)
