--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -210,7 +210,7 @@
         small = self.build("small", "zone-a", power=0.516)
         for election in (small, self.election):
             election._step()
-        self.nodes.answer = Ok(CUT_OFF)
+        self.nodes.answer = Ok(replace(CUT_OFF, poll_seconds=0.56))
         began = self.clock.now
         while self.clock.now - began < 0.56 * LONGEST_PAUSE:
             small._step()
