Stop the run of a job that the loss of its worker ends

A run of an ended job would go on for ever on a restarted worker.

When a worker restarts, a start that got no answer may reach its successor, so the run is put in doubt there. A run that is put in doubt is now stopped if its job has ended or its task has another run.

test_a_run_of_a_job_that_its_crash_ends_is_stopped failed before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -401,15 +401,21 @@
         self, task: str, run: PlacedRun, successor: WorkerState
     ) -> None:
         """Put a run in doubt on the successor, where it may have started."""
-        doubtful = self._put_in_doubt(
-            replace(run, confirmed_at=0.0, stop_answered_at=0.0)
-        )
-        successor.add_run(task, doubtful)
         record = self.jobs.get(run.job)
-        if record is None:
-            return
-        state = record.get_task(run.key)
-        if state.may_run and state.run == run.run:
+        state = None if record is None else record.get_task(run.key)
+        is_current = (
+            state is not None and state.may_run and state.run == run.run
+        )
+        # Its job may have ended by the loss of the worker that had the run.
+        has_ended = record is None or record.ended is not None
+        doubtful = replace(
+            run,
+            confirmed_at=0.0,
+            stop_answered_at=0.0,
+            stopping=run.stopping or has_ended or not is_current,
+        )
+        successor.add_run(task, self._put_in_doubt(doubtful))
+        if record is not None and state is not None and is_current:
             moved = replace(
                 state,
                 worker=successor.name,
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -431,6 +431,20 @@
         self.assertEqual(self.list_stops(), [])
         self.assertTrue(self.placed.worker.runs["j.0.0.0"].is_ready)
 
+    def test_a_run_of_a_job_that_its_crash_ends_is_stopped(self) -> None:
+        # Guards against a run of a failed job that goes on for ever: the
+        # crash of its worker ended the job, and its start reached the
+        # restarted worker.
+        state = self.record.get_task(self.placed.key)
+        crashed = replace(state, crashed_runs=(-3, -2, -1))
+        self.record.set_task(self.placed.key, crashed)
+        self.harness.clock.now += 0.1
+        self.harness.answer("w1", born_ms=2)
+        self.assertIsNotNone(self.record.ended)
+        self.assertEqual(self.list_stops(), ["j.0.0.0"])
+        self.harness.answer("w1", self.harness.list_runs("w1"), born_ms=2)
+        self.assertEqual(self.list_stops(), ["j.0.0.0"])
+
     def test_a_run_that_the_worker_does_not_list_is_stopped(self) -> None:
         sent = self.harness.clock.now - 0.2
         self.harness.answer("w1", sent=sent)
