Have a new leader set the speed of the fillers that it takes over

Found by looking for the cause of the wrong counts elsewhere: what is known in memory only and guessed by the next leader. A new leader took every filler for running at full speed. One that the leader before had throttled stayed so for as long as the tails of the serving tasks were below their targets, which throttling brings about.

The speed of a restored run is now unknown, so that the first listing brings an order. The test failed before (no order).

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -356,6 +356,7 @@
             ),
             on_probation=state.must_run_alone(step),
             organisation=record.submission.organisation,
+            percent=None,
         )
 
     def _replace_incarnation(
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -58,8 +58,9 @@
     stopping: bool = False
     # When the stop was acknowledged; 0 before.
     stop_answered_at: float = 0.0
-    # The speed last accepted by the worker, in percent of full speed.
-    percent: int = 100
+    # The speed last accepted by the worker, in percent of full speed; None if
+    # another leader may have set it.
+    percent: int | None = 100
     # Its task may crash the worker: no other run starts there until this one
     # has proven itself.
     on_probation: bool = False
--- a/chestnutstair/tests/test_pacing.py
+++ b/chestnutstair/tests/test_pacing.py
@@ -5,7 +5,7 @@
 from chestnutstair.scheduling.pacing import Pacer, PacingSettings
 from chestnutstair.scheduling.ports import RunListing
 from chestnutstair.scheduling.specification import Step
-from chestnutstair.tests.scheduling_support import TrackerHarness
+from chestnutstair.tests.scheduling_support import TrackerHarness, build_entry
 
 SERVING = Step(1, 4000, lasting=True, tail_target_ms=50)
 FILLING = Step(1, 8000, lasting=True, filler=True)
@@ -57,3 +57,18 @@
         self.report_tail(80.0)
         for _ in range(5):
             self.assertEqual(self.report_tail(45.0), [])
+
+    # Guards against fillers that stay at the speed that the leader before had
+    # set, for as long as the tails are below their targets.
+    def test_a_new_leader_sets_the_speed_of_its_fillers(self) -> None:
+        for _ in range(2):
+            self.report_tail(80.0)
+        self.assertEqual(self.worker.filler_percent, 0)
+        successor = TrackerHarness(())
+        for record in self.harness.tracker.jobs.values():
+            successor.tracker.restore_job(record.submission, record.encode())
+        successor.tracker.apply_worker_entry(build_entry("w1"))
+        self.harness, self.worker = successor, successor.get_worker("w1")
+        self.pacer = Pacer(successor.clock, PacingSettings())
+        self.assertEqual(self.report_tail(30.0), [100])
+        self.assertEqual(self.report_tail(30.0), [], "set once")
