Repeat the speed of a filler while an older order may still come

A late order set an older speed, and the leader, which had recorded the newer one, never corrected it: a filler goes on beside a serving task that misses its target, or stays throttled for good.

An order without an answer puts the speed in doubt for 15 s, in which the speed in force is sent with each listing. Both tests failed before. ScriptedControl now answers orders of a speed as scripted, like starts and stops.

--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -183,9 +183,12 @@
                 "answered": answer.is_ok(),
             },
         )
-        if answer.is_ok():
-            with self._tracker.lock:
-                self._pacer.record_pace(worker, pace)
+        with self._tracker.lock:
+            match answer:
+                case Ok(_):
+                    self._pacer.record_pace(worker, pace)
+                case Err(UnknownOutcomeFailure()):
+                    self._pacer.record_doubt(worker, pace)
 
     def _start(self, placement: Placement) -> None:
         worker = placement.worker
--- a/chestnutstair/scheduling/pacing.py
+++ b/chestnutstair/scheduling/pacing.py
@@ -23,6 +23,9 @@
     speedup_percent: int = 20
     recovery_share: float = 0.7
     speedup_seconds: float = 3.0
+    # An order without an answer may be carried out seconds later, after newer
+    # ones. The order in force is repeated for this long.
+    late_order_seconds: float = 15.0
 
 
 @dataclass(frozen=True)
@@ -80,10 +83,11 @@
             worker.paced_at = now
         worker.filler_percent = percent
 
-    @staticmethod
-    def _needs_order(run: PlacedRun, percent: int) -> bool:
-        confirmed = bool(run.confirmed_at) and not run.stopping
-        return confirmed and run.percent != percent
+    def _needs_order(self, run: PlacedRun, percent: int) -> bool:
+        if not run.confirmed_at or run.stopping:
+            return False
+        now = self._clock.read_monotonic()
+        return run.percent != percent or now < run.pace_in_doubt_until
 
     @staticmethod
     def record_pace(worker: WorkerState, pace: Pace) -> None:
@@ -91,3 +95,15 @@
         run = worker.runs.get(pace.task)
         if run is not None and run.run == pace.run:
             worker.replace_run(pace.task, replace(run, percent=pace.percent))
+
+    def record_doubt(self, worker: WorkerState, pace: Pace) -> None:
+        """Record that an order got no answer and may still be carried out."""
+        run = worker.runs.get(pace.task)
+        if run is not None and run.run == pace.run:
+            until = (
+                self._clock.read_monotonic()
+                + self._settings.late_order_seconds
+            )
+            worker.replace_run(
+                pace.task, replace(run, pace_in_doubt_until=until)
+            )
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -61,6 +61,9 @@
     # The speed last accepted by the worker, in percent of full speed; None if
     # another leader may have set it.
     percent: int | None = 100
+    # Until when an order of another speed, which got no answer, may still be
+    # carried out.
+    pace_in_doubt_until: float = 0.0
     # Its task may crash the worker: no other run starts there until this one
     # has proven itself.
     on_probation: bool = False
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -1,11 +1,15 @@
 """Tests of how the outcomes of orders to workers are handled."""
 
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from result import Err, Ok, Result
 
-from chestnutstair.coordination.platform import UnavailableFailure
+from chestnutstair.coordination.platform import (
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
 from chestnutstair.scheduling.leadership import Leadership
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.pacing import Pacer, PacingSettings
@@ -42,8 +46,8 @@
         return self._answer()
 
     def pace(self, *_: Any) -> Result[int, WorkerCallFailure]:
-        """Accept the speed."""
-        return Ok(0)
+        """Answer an order of a speed."""
+        return self._answer()
 
     def hold(self, *_: Any) -> Result[HoldAnswer, WorkerCallFailure]:
         """Fail; the tests deliver listings themselves."""
@@ -141,3 +145,26 @@
         self.orders._stop(stop, ("w1", stop.task, stop.run))
         self.assertEqual(self.control.call_count, 0)
         self.assertEqual(self.orders._stops_in_flight, set())
+
+    # Guards against a late order that sets an older speed for good, as the
+    # newer one had been accepted before it.
+    def test_the_speed_is_repeated_after_an_order_without_answer(self) -> None:
+        self.harness.admit("j", [Step(1, 1000, lasting=True, filler=True)])
+        self.harness.start_all(self.harness.plan())
+        worker = self.harness.get_worker("w1")
+        worker.filler_percent = 50
+        pacer = Pacer(self.harness.clock, PacingSettings())
+        (pace,) = pacer.adjust(worker)
+        self.control.failure = UnknownOutcomeFailure("no answer")
+        self.orders._pace(worker, pace)
+        worker.filler_percent = 100
+        worker.replace_run(
+            pace.task, replace(worker.runs[pace.task], percent=50)
+        )
+        (newer,) = pacer.adjust(worker)
+        self.control.failure = None
+        self.orders._pace(worker, newer)
+        self.harness.clock.now += 5.0
+        self.assertEqual(pacer.adjust(worker), [newer])
+        self.harness.clock.now += 15.0
+        self.assertEqual(pacer.adjust(worker), [])
--- a/chestnutstair/tests/test_pacing.py
+++ b/chestnutstair/tests/test_pacing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from chestnutstair.scheduling.pacing import Pacer, PacingSettings
+from chestnutstair.scheduling.pacing import Pace, Pacer, PacingSettings
 from chestnutstair.scheduling.ports import RunListing
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.tests.scheduling_support import TrackerHarness, build_entry
@@ -72,3 +72,14 @@
         self.pacer = Pacer(successor.clock, PacingSettings())
         self.assertEqual(self.report_tail(30.0), [100])
         self.assertEqual(self.report_tail(30.0), [], "set once")
+
+    # Guards against an order that is carried out after newer ones, and sets a
+    # speed that the leader does not know of.
+    def test_the_speed_is_repeated_while_another_order_may_come(self) -> None:
+        self.harness.clock.now += 1.0
+        self.harness.answer_all()
+        task = "fill.0.0.0"
+        self.pacer.record_doubt(self.worker, Pace(task, 1, 50))
+        percents = [self.report_tail(45.0) for _ in range(16)]
+        self.assertEqual(percents[:14], [[100]] * 14)
+        self.assertEqual(percents[-1], [])
