Answer malformed requests of callers and nodes, and read nodes' answers

A status with an epoch or version of another type made each election round of the node that asked fail, one with `poll_seconds` of 1e15 kept it from asking again, and 1e400 would have ended the election thread, whose pause was outside of its try block. Malformed counts and states of other nodes raised in the thread that serves a caller, an error ended the thread of a shard's messages to its leader for good, and errors in the threads of orders were kept in results that nobody reads.

Submissions are refused with 400, timeouts end at 60 s, malformed calls of nodes get 400, and answers of nodes that cannot be read count as none. Pauses that a leader asks for end at 30 s. The threads log an error and go on.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -51,6 +51,8 @@
 # the digests of its keys in Base64, instead of the keys themselves.
 DIGESTS_FIELD = "apiKeyDigests"
 DEFAULT_WEIGHT = 1.0
+# Longest reason of a refusal; errors may quote the value.
+MAX_REASON = 200
 
 
 def _read_step(item: dict[str, Any]) -> Step:
@@ -97,8 +99,17 @@
             first_due_ms=int(fields.get("initialDelayMs") or 0),
             interval_ms=int(fields.get("intervalMs") or 0),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        return Err(SubmissionFailure(f"unreadable: {error!r}"))
+        # Stored as text; json.loads() also reads other encodings.
+        body.decode()
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        return Err(SubmissionFailure(f"unreadable: {error!r}"[:MAX_REASON]))
     return check_job(job).map(lambda _: job)
 
 
--- a/chestnutstair/platform/requesters.py
+++ b/chestnutstair/platform/requesters.py
@@ -34,6 +34,13 @@
 READY_PATH = "/api/ready"
 # Timeout of a request without a timeout header.
 DEFAULT_TIMEOUT_SECONDS = 3.0
+# Longest time that a request waits; a longer timeout counts as this one.
+MAX_TIMEOUT_SECONDS = 60.0
+MAX_TIMEOUT_DIGITS = 12
+MAX_LENGTH_DIGITS = 12
+# Not str.isdigit(), which accepts digits such as a superscript two that int()
+# rejects.
+DIGITS = re.compile(r"[0-9]+")
 # Subtracted from a caller's timeout, so that the answer arrives in time.
 ANSWER_MARGIN_SECONDS = 0.15
 # Largest body of a submission. A row of the store holds 64 KB, and the body is
@@ -224,8 +231,10 @@
     def _read_deadline(self, environ: Environ) -> Deadline:
         seconds = DEFAULT_TIMEOUT_SECONDS
         text = environ.get(TIMEOUT_HEADER_KEY, "")
-        if text.isdigit():
-            seconds = int(text) / 1000
+        if DIGITS.fullmatch(text):
+            seconds = MAX_TIMEOUT_SECONDS
+            if len(text) <= MAX_TIMEOUT_DIGITS:
+                seconds = min(seconds, int(text) / 1000)
         return Deadline.after(self._clock, seconds - ANSWER_MARGIN_SECONDS)
 
 
@@ -233,8 +242,8 @@
     """Return the body, or None if it is too large."""
     length = environ.get("CONTENT_LENGTH") or ""
     stream = environ["wsgi.input"]
-    if length.isdigit():
-        if int(length) > MAX_BODY_BYTES:
+    if DIGITS.fullmatch(length):
+        if len(length) > MAX_LENGTH_DIGITS or int(length) > MAX_BODY_BYTES:
             return None
         return bytes(stream.read(int(length)))
     data = bytes(stream.read(MAX_BODY_BYTES + 1))
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -1,8 +1,10 @@
 """Sends orders to workers and records their outcomes."""
 
 import logging
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from typing import Any
 
 from result import Err, Ok
 
@@ -118,15 +120,26 @@
         key = (stop.worker.name, stop.task, stop.run)
         if key not in self._stops_in_flight:
             self._stops_in_flight.add(key)
-            self._threads.submit(self._stop, stop, key)
+            self._submit(self._stop, stop, key)
 
     def submit_start(self, placement: Placement) -> None:
         """Send a start whose placement has been stored."""
-        self._threads.submit(self._start, placement)
+        self._submit(self._start, placement)
 
     def submit_pace(self, worker: WorkerState, pace: Pace) -> None:
         """Send an order that sets the speed of a run."""
-        self._threads.submit(self._pace, worker, pace)
+        self._submit(self._pace, worker, pace)
+
+    def _submit(self, send: Callable[..., None], *arguments: Any) -> None:
+        self._threads.submit(self._run, send, arguments)
+
+    @staticmethod
+    def _run(send: Callable[..., None], arguments: tuple[Any, ...]) -> None:
+        try:
+            send(*arguments)
+        except Exception:
+            # The pool would keep the error in a result that nobody reads.
+            logger.exception("order raised an error")
 
     def _stop(self, stop: StopRequest, key: tuple[str, str, int]) -> None:
         if self._leadership.has_ended:
--- a/chestnutstair/scheduling/shards/elections.py
+++ b/chestnutstair/scheduling/shards/elections.py
@@ -27,6 +27,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Longest time without a check of any shard, whatever a leader asks for.
+MAX_PAUSE_SECONDS = 60.0
 RETRY_SECONDS = 0.25
 # With several shards a node begins its elections spread over this time, so
 # that it learns most leaders from the first one that answers.
@@ -232,7 +234,7 @@
                 # If the thread ended, this node would watch no leader.
                 logger.exception("election rounds failed")
                 pause = RETRY_SECONDS
-            self._wakeup.wait(pause)
+            self._wakeup.wait(min(pause, MAX_PAUSE_SECONDS))
             self._wakeup.clear()
 
     def _begin(self, layout: ShardLayout) -> None:
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -3,13 +3,14 @@
 import base64
 import json
 import logging
+import re
 import threading
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, replace
 from functools import cache, lru_cache
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import parse_qs, urlencode
 
 from prometheus_client import generate_latest
@@ -28,7 +29,17 @@
 from chestnutstair.scheduling.members import MAX_MEMBERS, Members
 from chestnutstair.scheduling.shards.layout import MAX_SHARDS
 from chestnutstair.state.deadline import Clock, Deadline
-from chestnutstair.transport.json_calls import call_json, parse_json_object
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_text,
+    parse_object,
+    read_list,
+    read_number,
+    read_object,
+    read_text,
+    read_whole,
+)
+from chestnutstair.transport.json_calls import call_json
 from chestnutstair.transport.platform_client import (
     PlatformClient,
     PlatformClientSettings,
@@ -37,6 +48,8 @@
 
 __all__ = ["HttpLeaderLink", "ShardStatusSource", "build_node_application"]
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 STATUS_PATH = "/node/status"
@@ -62,6 +75,12 @@
 MESSAGE_QUEUE_LENGTH = 500
 # How long this node tries to store a relayed submission or cancellation.
 RELAY_TIMEOUT_SECONDS = 0.8
+# Longest pause between status calls that a leader may ask for: that of 2,400
+# pollers at 80 calls a second.
+MAX_POLL_SECONDS = 30.0
+SHARD = re.compile(r"[0-9]{1,3}")
+# The store's limit of a row's value, in base64.
+MAX_VALUE_LENGTH = 90_000
 
 
 class _Messages:
@@ -207,7 +226,7 @@
     ) -> Result[bytes, PlatformFailure]:
         """Return the configuration of the node at the address, as JSON."""
         answer = self._call(address, "GET", CONFIGURATION_PATH, None, seconds)
-        return answer.map(lambda body: json.dumps(body).encode())
+        return _read_answer(answer, _encode_body)
 
     def ask_job_state(
         self, job: str, seconds: float
@@ -215,7 +234,7 @@
         """Return a job's state, empty if the leader does not know the job."""
         shard = self._find_shard(job)
         answer = self._query_leader(shard, JOB_PATH, seconds, job=job)
-        return answer.map(lambda body: str(body["state"]))
+        return _read_answer(answer, lambda body: read_text(body, "state"))
 
     def ask_job_owner(
         self, job: str, seconds: float
@@ -233,19 +252,14 @@
     ) -> Result[int, PlatformFailure]:
         """Return how many jobs of a queue have not started any task."""
         answer = self._query_leader(0, PENDING_PATH, seconds, queue=queue)
-        return answer.map(lambda body: int(body["pending"]))
+        return _read_answer(answer, lambda body: read_whole(body, "pending"))
 
     def ask_pending_counts(
         self, shard: int, seconds: float
     ) -> Result[dict[str, int], PlatformFailure]:
         """Return a shard's counts of jobs without a started task, by queue."""
         answer = self._query_leader(shard, PENDING_PATH, seconds)
-        return answer.map(
-            lambda body: {
-                str(queue): int(count)
-                for queue, count in body["counts"].items()
-            }
-        )
+        return _read_answer(answer, _read_counts)
 
     def relay_submission(
         self, job: str, value: bytes, seconds: float
@@ -270,7 +284,7 @@
         shard = self._find_shard(job)
         body = {"job": job, "shard": shard}
         answer = self._call_leader(shard, "POST", CANCEL_PATH, body, seconds)
-        return answer.map(lambda body: bool(body["known"]))
+        return _read_answer(answer, lambda body: _read_flag(body, "known"))
 
     def notify_stored(self, job: str, value: bytes) -> None:
         """Notify the leader of a stored submission, without waiting."""
@@ -295,9 +309,15 @@
                 path, body = messages.queue.popleft()
             except IndexError:
                 continue  # the deque dropped it when it was full
-            answer = self._call_leader(
-                shard, "POST", path, body, MESSAGE_TIMEOUT_SECONDS
-            )
+            try:
+                answer = self._call_leader(
+                    shard, "POST", path, body, MESSAGE_TIMEOUT_SECONDS
+                )
+            except Exception:
+                # If the thread ended, the leader would get no more messages
+                # of this node.
+                logger.exception("message to the leader raised an error")
+                continue
             if answer.is_err():
                 logger.info(
                     "message to the leader lost; "
@@ -314,24 +334,59 @@
     try:
         return Ok(
             LeaderStatus(
-                leading=body["leading"],
-                epoch=body["epoch"],
-                age_seconds=body["age_seconds"],
-                configuration_version=body["configuration_version"],
-                leader_address=str(body.get("leader_address", "")),
-                members=_read_addresses(
-                    body.get("members", ()), MAX_STATUS_ADDRESSES
+                leading=_read_flag(body, "leading"),
+                epoch=read_whole(body, "epoch"),
+                age_seconds=read_number(body, "age_seconds"),
+                configuration_version=read_whole(
+                    body, "configuration_version"
                 ),
-                poll_seconds=float(body.get("poll_seconds", 0.0)),
-                leaders=_read_addresses(body.get("leaders", ()), MAX_SHARDS),
+                leader_address=read_text(body, "leader_address", ""),
+                members=_read_addresses(body, "members", MAX_STATUS_ADDRESSES),
+                poll_seconds=min(
+                    read_number(body, "poll_seconds", 0.0), MAX_POLL_SECONDS
+                ),
+                leaders=_read_addresses(body, "leaders", MAX_SHARDS),
             )
         )
-    except (KeyError, TypeError, ValueError) as error:
-        return Err(UnavailableFailure(f"unreadable status: {error!r}"))
+    except MalformedFieldError as error:
+        return Err(UnavailableFailure(f"unreadable status: {error}"))
+
+
+def _read_flag(body: dict[str, Any], name: str) -> bool:
+    value = body.get(name)
+    if type(value) is not bool:
+        raise MalformedFieldError(f"{name}: not a Boolean")
+    return value
 
 
-def _read_addresses(items: Iterable[Any], limit: int) -> tuple[str, ...]:
-    return tuple(item for item in items if isinstance(item, str))[:limit]
+def _read_addresses(
+    body: dict[str, Any], name: str, limit: int
+) -> tuple[str, ...]:
+    items = read_list(body, name, [])
+    return tuple(item for item in items if is_text(item))[:limit]
+
+
+def _read_answer(
+    answer: Result[dict[str, Any], PlatformFailure],
+    read: Callable[[dict[str, Any]], T],
+) -> Result[T, PlatformFailure]:
+    """Decode an answer; one that cannot be decoded counts as none."""
+    try:
+        return answer.map(read)
+    except MalformedFieldError as error:
+        return Err(UnknownOutcomeFailure(f"unreadable answer: {error}"))
+
+
+def _encode_body(body: dict[str, Any]) -> bytes:
+    try:
+        return json.dumps(body).encode()
+    except RecursionError:
+        raise MalformedFieldError("nested too deeply") from None
+
+
+def _read_counts(body: dict[str, Any]) -> dict[str, int]:
+    counts = read_object(body, "counts")
+    return {queue: read_whole(counts, queue) for queue in counts}
 
 
 # Fields of a status since the first version of this program. It rejects a
@@ -363,14 +418,15 @@
         fields = body["owner"]
         if fields is None:
             return Ok(None)
+        fields = read_object(body, "owner")
         return Ok(
             JobOwner(
-                str(fields["organisation"]),
-                str(fields["queue"]),
+                read_text(fields, "organisation"),
+                read_text(fields, "queue"),
                 fields["public"] is True,
             )
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, MalformedFieldError) as error:
         return Err(UnavailableFailure(f"unreadable owner: {error!r}"))
 
 
@@ -410,14 +466,25 @@
             query = parse_qs(environ.get("QUERY_STRING", ""))
             status, body = self._handle_query(path, query)
         else:
-            length = int(environ.get("CONTENT_LENGTH") or 0)
-            fields = (
-                parse_json_object(environ["wsgi.input"].read(length)) or {}
-            )
-            status, body = self._handle_command(path, fields)
+            status, body = self._handle_body(path, environ)
         data = body if isinstance(body, bytes) else json.dumps(body).encode()
         return _send_response(start_response, status, data, "application/json")
 
+    def _handle_body(
+        self, path: str, environ: Environ
+    ) -> tuple[HTTPStatus, Any]:
+        try:
+            length = int(environ.get("CONTENT_LENGTH") or 0)
+            fields = parse_object(environ["wsgi.input"].read(length))
+            job = read_text(fields, "job", "")
+            value = base64.b64decode(
+                read_text(fields, "value", "", MAX_VALUE_LENGTH)
+            )
+        except ValueError as error:
+            return HTTPStatus.BAD_REQUEST, {"reason": str(error)}
+        shard = _read_shard(fields.get("shard", 0))
+        return self._handle_command(path, shard, job, value)
+
     def _handle_query(
         self, path: str, query: dict[str, list[str]]
     ) -> tuple[HTTPStatus, Any]:
@@ -433,7 +500,7 @@
         if leader is None:
             return HTTPStatus.SERVICE_UNAVAILABLE, {}
         if path == JOB_PATH:
-            job = query["job"][0]
+            job = query.get("job", [""])[0]
             state = self._request_handler.get_stored_state(leader, job)
             owner = self._request_handler.get_owner(leader, job)
             return HTTPStatus.OK, {
@@ -464,11 +531,9 @@
         return HTTPStatus.OK, _encode_status(status, bool(name))
 
     def _handle_command(
-        self, path: str, fields: dict[str, Any]
+        self, path: str, shard: int, job: str, value: bytes
     ) -> tuple[HTTPStatus, Any]:
-        leader = self._get_leader(_read_shard(fields.get("shard", 0)))
-        job = str(fields.get("job", ""))
-        value = base64.b64decode(fields.get("value", ""))
+        leader = self._get_leader(shard)
         deadline = Deadline.after(self._clock, RELAY_TIMEOUT_SECONDS)
         if path == SUBMIT_PATH:
             submitted = self._request_handler.store_submission(
@@ -493,8 +558,11 @@
 
 def _read_shard(value: object) -> int:
     """Return the number of a shard, -1 for none."""
-    text = str(value)
-    return int(text) if text.isdecimal() else -1
+    if type(value) is int and 0 <= value < MAX_SHARDS:
+        return value
+    if type(value) is str and SHARD.fullmatch(value):
+        return int(value)
+    return -1
 
 
 def _choose_status(result: Result[Any, PlatformFailure]) -> HTTPStatus:
