Keep progress rows within the store's limit, and the log thread alive

A checkpoint's text comes from a worker. 500 tasks with checkpoints of 1,000 characters make a progress row of over 500 KB, which the store refuses in each write, so that each leader would lose its term as the one before. Checkpoints are now left out of a row that would exceed 64 KB; the leader itself keeps them, and a successor knows those that a worker lists.

A record with a value that is nested too deeply ended the thread that writes the log, as logging.StreamHandler raises RecursionError out of its caller: nothing was logged any more.

Both tests failed before.

--- a/chestnutstair/log.py
+++ b/chestnutstair/log.py
@@ -47,6 +47,19 @@
             self._dropped += 1
 
 
+class _Writer(logging.StreamHandler[Any]):
+    """Writes records; drops those that cannot be formatted."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record."""
+        try:
+            super().emit(record)
+        except RecursionError:
+            # The base class handles all other errors. This one would end the
+            # listener's thread, and with it all logging.
+            self.handleError(record)
+
+
 def configure_queued_logging(
     level: str, vm: str, zone: str
 ) -> logging.handlers.QueueListener:
@@ -54,7 +67,7 @@
 
     Returns the listener; stopping it writes the records still queued.
     """
-    writer = logging.StreamHandler(sys.stdout)
+    writer = _Writer(sys.stdout)
     writer.setFormatter(
         JsonFormatter(
             FORMAT,
--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -54,8 +54,7 @@
 # A task's name consists of its job's ID, which is part of a row's key, and
 # three numbers.
 MAX_TASK_LENGTH = MAX_NAME_LENGTH
-# Checkpoints are stored with the job's progress, in one row for all tasks.
-MAX_CHECKPOINT_LENGTH = 64
+MAX_CHECKPOINT_LENGTH = 1000
 Whole = Annotated[int, Strict(), Field(ge=0, le=MAX_NUMBER)]
 Number = Annotated[
     float,
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -1,6 +1,7 @@
 """Progress of jobs: one record per job, with the state of its tasks."""
 
 import json
+import logging
 from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
 from functools import cached_property
@@ -27,6 +28,12 @@
 ]
 
 
+logger = logging.getLogger(__name__)
+
+# Largest value of a row of the store.
+MAX_ROW_BYTES = 65_536
+
+
 @dataclass(frozen=True)
 class TaskKey:
     """Position of a task in its job: occurrence, step and index from 0."""
@@ -435,7 +442,22 @@
         self.ended_ms = wall_ms
 
     def encode(self) -> bytes:
-        """Encode the progress as JSON for the store."""
+        """Encode the progress as JSON for the store.
+
+        Checkpoints, whose length the workers choose, are left out if the row
+        would be too large otherwise. A new leader then starts the tasks that
+        no worker lists anew.
+        """
+        value = self._encode(True)
+        if len(value) <= MAX_ROW_BYTES:
+            return value
+        logger.warning(
+            "checkpoints of a job are not stored",
+            extra={"job": self.name, "bytes": len(value)},
+        )
+        return self._encode(False)
+
+    def _encode(self, has_checkpoints: bool) -> bytes:
         value: dict[str, object] = {
             "ended": self.ended or "",
             "ended_ms": self.ended_ms,
@@ -446,7 +468,7 @@
                     state.worker,
                     state.born_ms,
                     state.failed_runs,
-                    state.checkpoint,
+                    state.checkpoint if has_checkpoints else "",
                 ]
                 for key, state in self.tasks.items()
             },
--- a/chestnutstair/tests/test_harmful_jobs.py
+++ b/chestnutstair/tests/test_harmful_jobs.py
@@ -180,6 +180,24 @@
             record.set_task(TaskKey(0, 0, index), state)
         self.assertLess(len(record.encode()), ROW_BYTES)
 
+    # Guards against a row that the store refuses in each write of each leader,
+    # as workers choose how long checkpoints are and list them again.
+    def test_checkpoints_that_do_not_fit_are_left_out(self) -> None:
+        submission = build_submission("0" * 16, [replace_count(MAX_TASKS)])
+        record = JobRecord(submission)
+        state = TaskState(TaskStatus.PLACED, 1, "i-0123456789", 17)
+        state = replace(state, checkpoint="x" * 1000)
+        for index in range(MAX_TASKS):
+            record.set_task(TaskKey(0, 0, index), state)
+        with self.assertLogs("chestnutstair.scheduling.progress", "WARNING"):
+            value = record.encode()
+        self.assertLess(len(value), ROW_BYTES)
+        restored = JobRecord(submission)
+        restored.restore(value)
+        task = restored.get_task(TaskKey(0, 0, 7))
+        self.assertEqual(task, replace(state, checkpoint=""))
+        self.assertEqual(record.get_task(TaskKey(0, 0, 7)), state)
+
     def test_large_rows_are_written_in_several_transactions(self) -> None:
         writes = [
             RowWrite(RowKey("t", "p", str(number)), b"x" * 60_000)
--- a/chestnutstair/tests/test_logs.py
+++ b/chestnutstair/tests/test_logs.py
@@ -1,6 +1,8 @@
 """Tests of the command that prints the log lines about a job."""
 
 import json
+import subprocess
+import sys
 import unittest
 
 from typer.testing import CliRunner
@@ -46,3 +48,33 @@
     def test_exits_with_1_if_a_job_has_no_lines(self) -> None:
         result = CliRunner().invoke(app, ["logs", "job", "cc"], input="")
         self.assertEqual(result.exit_code, 1)
+
+
+class QueuedLoggingTest(unittest.TestCase):
+    """The thread that writes queued records goes on after an error."""
+
+    # Guards against a value, such as one of another writer, that ends the
+    # thread: logging.StreamHandler raises RecursionError out of its caller.
+    def test_a_record_that_cannot_be_formatted_is_dropped(self) -> None:
+        code = (
+            "import logging\n"
+            "from chestnutstair.log import configure_queued_logging\n"
+            "listener = configure_queued_logging('info', 'vm', 'zone')\n"
+            "nested = []\n"
+            "for _ in range(5000):\n"
+            "    nested = [nested]\n"
+            "values = (nested, 10**5000, float('nan'), chr(0xD800), b'x')\n"
+            "for value in values:\n"
+            "    logging.info('odd', extra={'value': value})\n"
+            "logging.info('last')\n"
+            "listener.stop()\n"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=True,
+        )
+        last = done.stdout.strip().splitlines()[-1]
+        self.assertEqual(json.loads(last)["message"], "last")
