--- a/chestnutstair/log.py
+++ b/chestnutstair/log.py
@@ -66,7 +66,19 @@
 
 
 class BatchHandler(logging.StreamHandler[Any]):
-    """Leaves it to the listener when the stream is flushed."""
+    """Leaves it to the listener when the stream is flushed.
+
+    Drops records that cannot be formatted.
+    """
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Format a record."""
+        try:
+            super().emit(record)
+        except RecursionError:
+            # The base class handles all other errors. This one would end the
+            # listener's thread, and with it all logging.
+            self.handleError(record)
 
     def flush(self) -> None:
         """Do nothing, as the base class flushes after each record."""
