Leave out worker entries whose fields have another type

An entry with a start of 1e300, of text or of infinity was read as a worker's: infinity ended the thread that follows the registry, as the error was not expected, and the others counted as restarts. Entries of other writers name no worker to use. Found by reading. test_foreign_entries_are_left_out has the new cases and failed before.

--- a/chestnutstair/platform/decoding.py
+++ b/chestnutstair/platform/decoding.py
@@ -319,21 +319,30 @@
                 return None
             capacity = dict(fields["capacity"])
             labels = tuple(str(label) for label in fields["labels"])
+            texts = {
+                key: fields[key] for key in ("service", "address", "zone")
+            }
+            vm = fields.get("machine") or ""
+            born_ms = fields.get("born", 0)
+            if type(born_ms) is not int or not all(
+                isinstance(text, str) for text in (*texts.values(), vm)
+            ):
+                return None
             return WorkerEntry(
                 name=name,
-                born_ms=int(fields.get("born", 0)),
-                service=str(fields["service"]),
-                address=str(fields["address"]),
-                zone=str(fields["zone"]),
+                born_ms=born_ms,
+                service=texts["service"],
+                address=texts["address"],
+                zone=texts["zone"],
                 draining=fields["state"] == "draining",
                 millicores=int(capacity.get("cpu", 0)),
                 memory_mb=int(capacity.get("memMb", 0)),
                 accelerators=int(capacity.get("gpu", 0)),
                 labels=labels,
                 rack=_find_rack(labels),
-                vm=str(fields.get("machine") or ""),
+                vm=vm,
             )
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, OverflowError, TypeError, ValueError):
             return None
 
 
--- a/chestnutstair/tests/test_platform_decoding.py
+++ b/chestnutstair/tests/test_platform_decoding.py
@@ -48,6 +48,13 @@
             encode({**ENTRY, "state": "sleeping"}),
             encode({**ENTRY, "capacity": "much"}),
             encode({**ENTRY, "born": "yesterday"}),
+            encode({**ENTRY, "born": "17"}),
+            encode({**ENTRY, "born": 1e300}),
+            encode({**ENTRY, "born": float("inf")}),
+            encode({**ENTRY, "born": True}),
+            encode({**ENTRY, "capacity": {"cpu": float("inf")}}),
+            encode({**ENTRY, "machine": {"name": "m-1"}}),
+            encode({**ENTRY, "service": ["boxes"]}),
             encode(without),
         ):
             read = PlatformDecoder().read_worker("i-1", value)
