Read an own worker's entries again after a wrong one

An entry that put a worker of this shard into another rack, and so into another shard, made the filter take the worker for one of that shard: its later entries were not read, so that the leader did not see it drain or leave. A worker is one life of a VM and does not change its shard, so that such an entry is now left out.

--- a/chestnutstair/scheduling/shards/registry.py
+++ b/chestnutstair/scheduling/shards/registry.py
@@ -11,14 +11,15 @@
 
     Remembers the workers of other shards, so that their later rows are not
     decoded: with 16 shards these are fifteen of sixteen rows. A worker is
-    one lifetime of a VM and so never changes its shard. The owner must lock
-    access.
+    one lifetime of a VM and so never changes its shard: an entry that says
+    so is wrong. The owner must lock access.
     """
 
     def __init__(self, shard: Shard, decoder: WireDecoder) -> None:
         self._shard = shard
         self._decoder = decoder
         self._foreign: set[str] = set()
+        self._own: set[str] = set()
 
     def is_foreign(self, name: str) -> bool:
         """Return whether a worker is known to belong to another shard."""
@@ -27,10 +28,12 @@
     def forget(self, name: str) -> None:
         """Forget a worker whose entry was removed."""
         self._foreign.discard(name)
+        self._own.discard(name)
 
     def retain(self, names: set[str]) -> None:
         """Forget the workers that are not named."""
         self._foreign &= names
+        self._own &= names
 
     def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
         """Return a worker of this shard.
@@ -43,6 +46,8 @@
         if entry is None or self._shard.is_only:
             return entry
         if self._shard.owns_worker(entry):
+            self._own.add(name)
             return entry
-        self._foreign.add(name)
+        if name not in self._own:
+            self._foreign.add(name)
         return None
--- a/chestnutstair/tests/test_shards.py
+++ b/chestnutstair/tests/test_shards.py
@@ -132,6 +132,14 @@
         self.assertIsNotNone(self.own.read_worker("w", b""))
         self.assertIsNone(self.other.read_worker("w", b""))
 
+    def test_a_wrong_entry_does_not_turn_away_an_own_worker(self) -> None:
+        # Its true entries were not read any more, not even that it drains.
+        self.assertIsNotNone(self.own.read_worker("w", b""))
+        self.decoder.rack = "r2"  # of another shard
+        self.assertIsNone(self.own.read_worker("w", b""))
+        self.decoder.rack = "r1"
+        self.assertIsNotNone(self.own.read_worker("w", b""))
+
     def test_a_foreign_worker_is_decoded_once_until_it_is_removed(
         self,
     ) -> None:
