Mark only the incarnation gone whose call another worker answered

A start that another worker answered, as the VM has its next one, marked the present incarnation of that name as gone, also if it had restarted elsewhere: it got no tasks until its next entry. Found by reading. test_a_call_that_another_worker_answers_says_nothing_of_a_successor failed before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -469,6 +469,22 @@
                 extra={"worker": name, "runs": len(worker.runs)},
             )
 
+    def mark_incarnation_gone(self, worker: WorkerState) -> None:
+        """Mark a worker at whose address another one answers.
+
+        A later incarnation of the same name may have another address.
+        """
+        if self.workers.get(worker.name) is worker and not worker.gone:
+            worker.gone = True
+            logger.info(
+                "another worker answers at a worker's address",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+
     # Crashed workers
 
     def _release_replaced(self) -> None:
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -263,4 +263,4 @@
                 self._tracker.withdraw(
                     worker, task, run, "another incarnation"
                 )
-                self._tracker.mark_worker_gone(worker.name)
+                self._tracker.mark_incarnation_gone(worker)
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -15,6 +15,7 @@
     StartRefusedFailure,
     WorkerCallFailure,
     WorkerControl,
+    WrongIncarnationFailure,
 )
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.term import Term, TermRow, TermSettings
@@ -124,3 +125,16 @@
         self.leadership.end()
         self.send_stop()
         self.assertEqual(self.control.call_count, 1, "the start only")
+
+    def test_a_call_that_another_worker_answers_says_nothing_of_a_successor(
+        self,
+    ) -> None:
+        # The worker had restarted at another address, where it goes on.
+        self.harness.admit("j", [Step(1, 1000)])
+        (placement,) = self.harness.plan()
+        self.harness.move_entry("w1", born_ms=2, address="w1:81")
+        self.harness.answer("w1", born_ms=2)
+        self.orders._handle_failed_start(
+            placement, "j.0.0.0", WrongIncarnationFailure()
+        )
+        self.assertFalse(self.harness.get_worker("w1").gone)
