Take the listed worker for a VM's where several name it

An idle worker whose entry named the VM of a busy one hid it from the fleet controller, and the VM was ordered while it had runs. The VM list names the worker of each VM; where several workers that answer name one VM, the listed one is taken. Found by reading. test_a_vm_is_not_ordered_for_a_worker_that_names_it_wrongly failed before.

--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -103,14 +103,6 @@
     fallen_share: float = 0.5
 
 
-def _rank(worker: WorkerState) -> tuple[bool, bool, int]:
-    return (
-        worker.is_answering,
-        worker.contact is not None,
-        worker.entry.born_ms,
-    )
-
-
 @dataclass(frozen=True)
 class Drain:
     """The reason why a VM is being drained.
@@ -155,7 +147,8 @@
         """Return the present workers by the name of their VM.
 
         If several name the same VM, one that answers goes first, then the
-        latest: others have ended, or their entries are wrong.
+        listed one, then the latest: others have ended, or their entries are
+        wrong.
         """
         found: dict[str, WorkerState] = {}
         with self._tracker.lock:
@@ -163,10 +156,18 @@
                 if worker.gone:
                     continue
                 other = found.get(worker.entry.vm)
-                if other is None or _rank(other) < _rank(worker):
+                if other is None or self._rank(other) < self._rank(worker):
                     found[worker.entry.vm] = worker
         return found
 
+    def _rank(self, worker: WorkerState) -> tuple[bool, bool, int]:
+        listed = self.listed.get(worker.entry.vm)
+        return (
+            worker.is_answering,
+            listed is not None and listed.worker == worker.name,
+            worker.entry.born_ms,
+        )
+
     def is_successor(self, order: VmOrder, worker: WorkerState) -> bool:
         """Return whether a worker shows that a move was carried out.
 
--- a/chestnutstair/tests/fleet_support.py
+++ b/chestnutstair/tests/fleet_support.py
@@ -43,6 +43,7 @@
         self.lose_orders = 0
         self.refusals = 0
         self.maintained: list[str] = []
+        self.workers: dict[str, str] = {}  # listed names of workers by VM
         self.back_at: dict[str, float] = {}
 
     def list_vms(self) -> Result[list[Vm], WorkerCallFailure]:
@@ -54,7 +55,7 @@
                     pool,
                     self._get_state(name),
                     "zone-a",
-                    "",
+                    self.workers.get(name, ""),
                     ("a",),
                     64_000,
                 )
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -206,6 +206,21 @@
             self.harness.tracker.apply_worker_entry(build_entry("w1"))
         self.assertIn("w1", self.harness.tracker.workers)
 
+    def test_a_vm_is_not_ordered_for_a_worker_that_names_it_wrongly(
+        self,
+    ) -> None:
+        # An idle worker whose entry named the VM of a busy one hid it, and
+        # the VM was ordered while it had runs.
+        self.harness.admit("j", [Step(4, 45_000)])
+        self.harness.start_all(self.harness.plan())
+        for task in list(self.harness.get_worker("w1").runs):
+            self.harness.get_worker("w1").remove_run(task)
+        self.vms.workers["vm-w4"] = "w4"
+        self.harness.move_entry("w1", vm="vm-w4")
+        self.controller._state.drains["vm-w4"] = Drain("spare")
+        self.run_round()
+        self.assertNotIn("vm-w4", [vm for vm, _ in self.vms.orders])
+
     def test_a_refused_repeat_still_counts_against_the_cap_of_a_wave(
         self,
     ) -> None:
