End a worker as replaced only by one that answered after it

A worker that did not answer was ended at once, and its runs freed, when another one with a later born_ms had answered on its VM. With the VM's clock set back, that was the worker before the present one; with an entry that named another VM, it was any worker of that VM. Found by reading, reproduced with the scheduler alone.

The successor must now have answered after the worker last did. A worker is one life of a VM: one whose entries, or whose stored placements, name two VMs neither ends others as replaced nor is ended so, and its lease decides.

test_a_worker_that_answered_last_is_not_taken_for_replaced, test_an_entry_with_another_vm_ends_no_worker and test_a_new_leader_trusts_no_entry_with_another_vm failed before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -115,6 +115,12 @@
     organisation: str = ""
 
 
+def _answered_before(worker: WorkerState, successor: WorkerState) -> bool:
+    if worker.contact is None or successor.contact is None:
+        return worker.contact is None
+    return worker.contact.at <= successor.contact.at
+
+
 class JobTracker:
     """Tracks the jobs, workers and runs of one leader for its term."""
 
@@ -356,6 +362,9 @@
                 continue  # released in the meantime
             run = self._build_restored_run(record, key, state, now)
             worker.add_run(record.name_task(key), run)
+            worker.vm_disputed |= bool(state.vm) and (
+                state.vm != worker.entry.vm
+            )
 
     @staticmethod
     def _build_restored_run(
@@ -492,12 +501,14 @@
 
         A VM has one worker at a time, so the one before has ended. Only a
         successor that has answered counts, as entries of the registry may be
-        wrong, and only for a worker that does not answer itself.
+        wrong, and only for a worker that does not answer itself and last did
+        so before: clocks of VMs may be set back. One whose VM is in dispute
+        neither ends nor is ended.
         """
         newest: dict[str, WorkerState] = {}
         for worker in self.workers.values():
             vm = worker.entry.vm
-            if not vm or worker.contact is None:
+            if not vm or worker.contact is None or worker.vm_disputed:
                 continue
             other = newest.get(vm)
             if other is None or other.entry.born_ms < worker.entry.born_ms:
@@ -507,7 +518,9 @@
             if (
                 successor is not None
                 and worker.entry.born_ms < successor.entry.born_ms
-                and (worker.unresponsive or worker.contact is None)
+                and not worker.vm_disputed
+                and not worker.is_answering
+                and _answered_before(worker, successor)
             ):
                 self._end_replaced(worker, successor)
         newest_born_ms = {
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -97,6 +97,8 @@
         self.entry = entry
         # The latest entry of another incarnation, until either one answers.
         self.claim: WorkerEntry | None = None
+        # Entries, or stored placements, name different VMs for it.
+        self.vm_disputed = False
         self.calls_claim = False  # the last call went to the claim's address
         self._usage = usage
         # The pool in which its runs are counted, also if the entry changes.
@@ -257,7 +259,11 @@
         return self.contact.at + remaining_ms / 1000 / SLOWEST_CLOCK_RATE
 
     def update_entry(self, entry: WorkerEntry) -> None:
-        """Store a newer registry entry of the same incarnation."""
+        """Store a newer registry entry of the same incarnation.
+
+        It is one life of a VM, so that of two VMs one is wrong.
+        """
+        self.vm_disputed |= entry.vm != self.entry.vm
         self.entry = entry
 
     def confirm_run(self, task: str, listing: RunListing, now: float) -> None:
--- a/chestnutstair/tests/test_crashes.py
+++ b/chestnutstair/tests/test_crashes.py
@@ -174,6 +174,48 @@
         self.harness.tracker.apply_worker_entry(self.worker.entry)
         self.assertNotIn(self.worker.name, self.harness.tracker.workers)
 
+    def test_a_worker_that_answered_last_is_not_taken_for_replaced(
+        self,
+    ) -> None:
+        # Guards against a task that runs twice: with the VM's clock set back,
+        # its present worker counted as the one before, and a silence of it
+        # freed runs that went on.
+        self.harness.clock.now += 0.1
+        entry = replace(self.worker.entry, name="next", born_ms=-5)
+        self.harness.tracker.apply_worker_entry(entry)
+        self.harness.answer("next", born_ms=-5)
+        successor = self.harness.get_worker("next")
+        successor.unresponsive = True
+        self.release(0.2)
+        self.assertIs(self.harness.get_worker("next"), successor)
+
+    def test_an_entry_with_another_vm_ends_no_worker(self) -> None:
+        # Guards against a task that runs twice: a worker that was cut off and
+        # whose entry was overwritten by one of another VM went on.
+        other = replace(build_entry("w9"), born_ms=9)
+        self.harness.tracker.apply_worker_entry(other)
+        self.worker.unresponsive = True
+        self.harness.move_entry(self.worker.name, vm="vm-w9")
+        self.harness.clock.now += 0.1
+        self.harness.answer("w9", born_ms=9)
+        self.release(0.2)
+        self.assertTrue(self.worker.runs)
+
+    def test_a_new_leader_trusts_no_entry_with_another_vm(self) -> None:
+        # As above, with the entry written before the new leader began.
+        new_leader = TrackerHarness(())
+        new_leader.tracker.restore_job(
+            self.record.submission, self.record.encode()
+        )
+        new_leader.tracker.apply_worker_entry(
+            replace(self.worker.entry, vm="vm-w9")
+        )
+        other = replace(build_entry("w9"), born_ms=9)
+        new_leader.tracker.apply_worker_entry(other)
+        new_leader.answer("w9", born_ms=9)
+        new_leader.tracker.release_expired()
+        self.assertTrue(new_leader.get_worker(self.worker.name).runs)
+
     def test_a_worker_that_is_cut_off_has_not_crashed(self) -> None:
         self.worker.unresponsive = True
         self.release(15.0)
