Store VM orders again before they are repeated

Only the first attempt was stored, so that a new leader did not know of a repeat seconds later: it could order the VM while the leader before was in touch (ONE), and did not count maintenance that the repeat had begun against the cap of the wave (LIMIT).

--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -353,7 +353,9 @@
             if order.answered:
                 self._end_order(order)
         # The answer to the repeated order shows whether the first was applied.
-        self._send_all([order for order in ended if not order.answered])
+        repeated = [order for order in ended if not order.answered]
+        if repeated and self._order_history.store(repeated):
+            self._send_all(repeated)
 
     def close(self) -> None:
         """Stop sending orders, without waiting for those in progress."""
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -15,6 +15,7 @@
 from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
 from chestnutstair.scheduling.ports import Vm, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
+from chestnutstair.scheduling.vm_order_history import VmOrderHistory
 from chestnutstair.scheduling.wave_progress import WaveProgress
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Deadline
@@ -221,6 +222,28 @@
         self.run_round()
         self.assertNotIn("vm-w4", [vm for vm, _ in self.vms.orders])
 
+    def test_a_repeated_order_is_stored_again(self) -> None:
+        # A new leader knew only of the first attempt: it could order the VM
+        # at the same time as the leader before (ONE), and did not count it
+        # against a wave's cap (LIMIT).
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.vms.lose_answers = 1000
+        for _ in range(45):
+            self.run_round()
+        repeats = self.vms.orders.count(("vm-w1", "wave 1"))
+        self.assertGreater(repeats, 3)
+        history = VmOrderHistory(
+            self.leader,  # type: ignore[arg-type]
+            self.store,
+            self.harness.clock,
+            3.0,
+            2.5,
+        )
+        history.load()
+        now = self.harness.clock.now
+        self.assertFalse(history.is_interval_over("vm-w1", now))
+        self.assertTrue(history.unfinished_maintenance)
+
     def test_a_refused_repeat_still_counts_against_the_cap_of_a_wave(
         self,
     ) -> None:
