Wait for the lease that a restarted worker may have been given

A start that a restarted worker carries out gives it a lease by a deadline meant for the process before, of which the leader knew nothing: if the worker was then cut off, the run counted as lapsed a second later and was started again while it went on (TWICE). Found by reading, reproduced with the scheduler alone. Where a start may have reached the next incarnation, its runs are now kept as long as leases of an earlier leader are. test_a_lease_meant_for_the_process_before_is_waited_for failed before.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -401,7 +401,12 @@
         )
         for task, run in list(worker.runs.items()):
             if run.listing is None:
-                # Its start may have reached the successor, or still do so.
+                # Its start may have reached the successor, or still do so,
+                # with a lease by the clock of the process before.
+                successor.inherited_lease_until = (
+                    self._clock.read_monotonic()
+                    + self._settings.takeover_wait_seconds
+                )
                 self._reassign_unconfirmed(
                     task, worker.remove_run(task) or run, successor
                 )
@@ -625,7 +630,7 @@
             expiry = (
                 worker.compute_lease_expiry() or worker.first_seen_at + seconds
             )
-            expiry = max(previous_expiry, expiry)
+            expiry = max(previous_expiry, expiry, worker.inherited_lease_until)
             if now <= expiry or worker.is_in_contact(now, 1.0):
                 continue
             self._lost_workers.add(describe_lost_worker(worker, now))
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -97,6 +97,9 @@
         self.entry = entry
         # The latest entry of another incarnation, until either one answers.
         self.claim: WorkerEntry | None = None
+        # Monotonic time until which it may hold a lease that was meant for
+        # the incarnation before.
+        self.inherited_lease_until = 0.0
         # Entries, or stored placements, name different VMs for it.
         self.vm_disputed = False
         self.calls_claim = False  # the last call went to the claim's address
--- a/chestnutstair/tests/test_job_tracker.py
+++ b/chestnutstair/tests/test_job_tracker.py
@@ -569,3 +569,22 @@
         worker = self.harness.get_worker("w9")
         self.assertEqual(worker.entry, build_entry("w9"))
         self.assertTrue(worker.is_answering)
+
+    def test_a_lease_meant_for_the_process_before_is_waited_for(self) -> None:
+        # Guards against a task that runs twice: a start carried out by the
+        # restarted worker gave it a lease of which the leader knew nothing,
+        # so that the run counted as lapsed after a second of silence.
+        self.harness.clock.now += 20.0
+        self.harness.answer_all()
+        self.harness.admit("k", [Step(1, 1000)])
+        self.harness.start_all(self.harness.plan())
+        self.harness.answer("w1", born_ms=2)
+        listing = RunListing("k.0.0.0", 1, "", 0)
+        self.harness.answer("w1", [listing], born_ms=2)
+        self.harness.get_worker("w1").unresponsive = True
+        self.harness.clock.now += 5.9
+        self.tracker.release_expired()
+        self.assertIn("k.0.0.0", self.harness.get_worker("w1").runs)
+        self.harness.clock.now += 2.0
+        self.tracker.release_expired()
+        self.assertNotIn("k.0.0.0", self.harness.get_worker("w1").runs)
