--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -118,6 +118,12 @@
     organisation: str = ""
 
 
+def _answered_before(worker: WorkerState, successor: WorkerState) -> bool:
+    if worker.contact is None or successor.contact is None:
+        return worker.contact is None
+    return worker.contact.at <= successor.contact.at
+
+
 class JobTracker:
     """Tracks the jobs, workers and runs of one leader for its term."""
 
@@ -355,6 +361,9 @@
                 continue  # released in the meantime
             run = self._build_restored_run(record, key, state, now)
             worker.add_run(record.name_task(key), run)
+            worker.vm_disputed |= bool(state.vm) and (
+                state.vm != worker.entry.vm
+            )
 
     @staticmethod
     def _build_restored_run(
@@ -392,7 +401,12 @@
         )
         for task, run in list(worker.runs.items()):
             if run.listing is None:
-                # Its start may have reached the successor, or still do so.
+                # Its start may have reached the successor, or still do so,
+                # with a lease by the clock of the process before.
+                successor.inherited_lease_until = (
+                    self._clock.read_monotonic()
+                    + self._settings.takeover_wait_seconds
+                )
                 self._reassign_unconfirmed(
                     task, worker.remove_run(task) or run, successor
                 )
@@ -471,6 +485,22 @@
                 extra={"worker": name, "runs": len(worker.runs)},
             )
 
+    def mark_incarnation_gone(self, worker: WorkerState) -> None:
+        """Mark a worker at whose address another one answers.
+
+        A later incarnation of the same name may have another address.
+        """
+        if self.workers.get(worker.name) is worker and not worker.gone:
+            worker.gone = True
+            logger.info(
+                "another worker answers at a worker's address",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+
     # Crashed workers
 
     def _release_replaced(self) -> None:
@@ -478,12 +508,14 @@
 
         A VM has one worker at a time, so the one before has ended. Only a
         successor that has answered counts, as entries of the registry may be
-        wrong, and only for a worker that does not answer itself.
+        wrong, and only for a worker that does not answer itself and last did
+        so before: clocks of VMs may be set back. One whose VM is in dispute
+        neither ends nor is ended.
         """
         newest: dict[str, WorkerState] = {}
         for worker in self.workers.values():
             vm = worker.entry.vm
-            if not vm or worker.contact is None:
+            if not vm or worker.contact is None or worker.vm_disputed:
                 continue
             other = newest.get(vm)
             if other is None or other.entry.born_ms < worker.entry.born_ms:
@@ -493,7 +525,9 @@
             if (
                 successor is not None
                 and worker.entry.born_ms < successor.entry.born_ms
-                and (worker.unresponsive or worker.contact is None)
+                and not worker.vm_disputed
+                and not worker.is_answering
+                and _answered_before(worker, successor)
             ):
                 self._end_replaced(worker, successor)
         newest_born_ms = {
@@ -600,7 +634,7 @@
             expiry = (
                 worker.compute_lease_expiry() or worker.first_seen_at + seconds
             )
-            expiry = max(previous_expiry, expiry)
+            expiry = max(previous_expiry, expiry, worker.inherited_lease_until)
             if now <= expiry:
                 continue
             self._lost_workers.add(describe_lost_worker(worker, now))
--- a/chestnutstair/scheduling/shards/registry.py
+++ b/chestnutstair/scheduling/shards/registry.py
@@ -16,8 +16,8 @@
 
     Remembers the workers of other shards, so that their later rows are not
     decoded: with 16 shards these are fifteen of sixteen rows. A worker is
-    one lifetime of a VM and so never changes its shard. The owner must lock
-    access.
+    one lifetime of a VM and so never changes its shard: an entry that says
+    so is wrong. The owner must lock access.
     """
 
     def __init__(self, shard: Shard, decoder: WireDecoder) -> None:
@@ -26,6 +26,7 @@
         self._foreign: set[str] = set()
         # Why the last entry of a worker was not usable, by name.
         self._problems: dict[str, str] = {}
+        self._own: set[str] = set()
 
     def is_foreign(self, name: str) -> bool:
         """Return whether a worker is known to belong to another shard."""
@@ -35,12 +36,14 @@
         """Forget a worker whose entry was removed."""
         self._foreign.discard(name)
         self._problems.pop(name, None)
+        self._own.discard(name)
 
     def retain(self, names: set[str]) -> None:
         """Forget the workers that are not named."""
         self._foreign &= names
         for name in self._problems.keys() - names:
             del self._problems[name]
+        self._own &= names
 
     def read_worker(self, name: str, value: bytes) -> WorkerEntry | None:
         """Return a worker of this shard.
@@ -58,8 +61,10 @@
         if self._shard.is_only:
             return entry
         if self._shard.owns_worker(entry):
+            self._own.add(name)
             return entry
-        self._foreign.add(name)
+        if name not in self._own:
+            self._foreign.add(name)
         return None
 
     def _record_problem(self, name: str, value: bytes) -> None:
