Show that a repeated VM order is not stored for the next leader

Callers would see ONE: two leaders order one VM within leaseMs. A leader that takes over right after a repeat finds an old time and orders the VM at once.

--- /dev/null
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -0,0 +1,140 @@
+"""Tests of VM orders that are repeated, carried out late or inherited."""
+
+import unittest
+from typing import TypeVar
+
+from result import Err, Result
+
+from chestnutstair.coordination.platform import (
+    UnavailableFailure,
+    UnknownOutcomeFailure,
+)
+from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
+from chestnutstair.scheduling.ports import WorkerCallFailure
+from chestnutstair.scheduling.vm_order_history import VmOrderHistory
+from chestnutstair.tests.fleet_support import (
+    MAINTENANCE_SECONDS,
+    FakeVms,
+    FleetHarness,
+)
+
+AnyVms = TypeVar("AnyVms", bound=FakeVms)
+WORKERS = ("w1", "w2", "w3", "w4")
+# The platform carries an order without an answer out up to 12 s later.
+LATE_SECONDS = 10.0
+# SYSTEM.md: `leaseMs`, the same as FleetControllerSettings has.
+MIN_ORDER_INTERVAL_SECONDS = 3.0
+
+
+class LateVms(FakeVms):
+    """VMs whose first order is carried out late; repeats are refused.
+
+    With `delays_moves`, the first move, otherwise the first maintenance.
+    """
+
+    delays_moves = False
+    late: tuple[float, str, str] | None = None
+
+    def _delay(self, vm: str, order: str) -> Result[None, WorkerCallFailure]:
+        self.orders.append((vm, order))
+        if self.late is None:
+            at = self._harness.clock.now + LATE_SECONDS
+            self.late = (at, vm, order)
+            return Err(UnknownOutcomeFailure("timed out"))
+        return Err(UnavailableFailure("status 429"))
+
+    def maintain(
+        self, vm: str, wave: int, holder: str, fence: int
+    ) -> Result[None, WorkerCallFailure]:
+        """Delay the first order; refuse those for the same VM."""
+        is_first = self.late is None or self.late[1] == vm
+        if is_first and not self.delays_moves:
+            return self._delay(vm, f"wave {wave}")
+        return super().maintain(vm, wave, holder, fence)
+
+    def move(
+        self, vm: str, service: str, holder: str, fence: int
+    ) -> Result[None, WorkerCallFailure]:
+        """Delay the first order; refuse those for the same VM."""
+        is_first = self.late is None or self.late[1] == vm
+        if is_first and self.delays_moves:
+            return self._delay(vm, service)
+        return super().move(vm, service, holder, fence)
+
+
+class LossyVms(FakeVms):
+    """VMs whose first orders for maintenance are lost."""
+
+    lose_maintenance = 0
+
+    def maintain(
+        self, vm: str, wave: int, holder: str, fence: int
+    ) -> Result[None, WorkerCallFailure]:
+        """Lose an order, or carry it out."""
+        if not self.lose_maintenance:
+            return super().maintain(vm, wave, holder, fence)
+        self.lose_maintenance -= 1
+        self.orders.append((vm, f"wave {wave}"))
+        return Err(UnknownOutcomeFailure("order lost"))
+
+
+class InDoubtTest(unittest.TestCase):
+    """A pool of four VMs."""
+
+    settings = FleetControllerSettings()
+
+    def setUp(self) -> None:
+        self.fleet = FleetHarness(
+            dict.fromkeys(WORKERS, "boxes") | {"s1": "spare"}, self.settings
+        )
+        self.harness = self.fleet.tracker_harness
+        self.controller = self.fleet.controller
+        self.vms = self.fleet.vms
+        self.run_round = self.fleet.run_round
+
+    def use_vms(self, build: type[AnyVms]) -> AnyVms:
+        vms = build(
+            self.harness, dict.fromkeys(WORKERS, "boxes") | {"s1": "spare"}
+        )
+        self.controller._orders._vms = vms
+        return vms
+
+    def load_history(self) -> VmOrderHistory:
+        """Return what a new leader reads now."""
+        settings = self.controller._settings
+        history = VmOrderHistory(
+            self.fleet.leader,  # type: ignore[arg-type]
+            self.fleet.store,
+            self.harness.clock,
+            MIN_ORDER_INTERVAL_SECONDS,
+            MAINTENANCE_SECONDS + settings.settle_seconds,
+        )
+        self.assertTrue(history.load())
+        return history
+
+
+class RepeatedOrderTest(InDoubtTest):
+    """A leader that repeats orders without an answer is replaced."""
+
+    def test_a_new_leader_does_not_order_a_vm_right_after_a_repeat(
+        self,
+    ) -> None:
+        # Guards against ONE: only the first attempt was stored, so the next
+        # leader ordered a VM that the one before had ordered just now.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.vms.lose_orders = 1000
+        for _ in range(60):
+            self.run_round()
+        sent = self.vms.orders.count(("vm-w1", "spare"))
+        self.assertGreater(sent, 2)
+        for _ in range(30):
+            self.run_round()
+            if self.vms.orders.count(("vm-w1", "spare")) > sent:
+                break  # the order has just been sent once more
+        now = self.harness.clock.now
+        history = self.load_history()
+        self.assertFalse(history.is_interval_over("vm-w1", now + 0.1))
+
+
+if __name__ == "__main__":
+    unittest.main()
