Show that maintenance begun by a repeat is not counted by a new leader

Callers would see LIMIT: the next leader takes one VM more down than the cap of a wave allows. The stored time is that of the first attempt, so maintenance that a repeat has begun counts as over when the next leader loads.

Shown without network: four attempts are lost, the fifth is carried out without an answer; the history loaded then has no unfinished maintenance.

--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -135,6 +135,23 @@
         history = self.load_history()
         self.assertFalse(history.is_interval_over("vm-w1", now + 0.1))
 
+    def test_a_new_leader_counts_maintenance_begun_by_a_repeat(self) -> None:
+        # Guards against LIMIT: a VM taken down by a repeated order did not
+        # count against the wave's cap under the next leader.
+        vms = self.use_vms(LossyVms)
+        vms.lose_maintenance = 4
+        vms.lose_answers = 1000
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        for _ in range(100):
+            self.run_round()
+            if "vm-w1" in vms.maintained:
+                break
+        self.assertGreater(vms.orders.count(("vm-w1", "wave 1")), 4)
+        down = [
+            order.vm for order in self.load_history().unfinished_maintenance
+        ]
+        self.assertEqual(down, ["vm-w1"])
+
 
 if __name__ == "__main__":
     unittest.main()
