Show that an order in doubt stops counting against a wave's cap

Callers would see LIMIT: two VMs of a wave with cap 1 are down. away_until covers an attempt that is carried out by the time its call fails. The platform may carry it out up to 12 s later. A refused repeat after away_until drops the order, and another VM is taken down before the first attempt is carried out.

--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -9,8 +9,10 @@
     UnavailableFailure,
     UnknownOutcomeFailure,
 )
+from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
 from chestnutstair.scheduling.ports import WorkerCallFailure
+from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.vm_order_history import VmOrderHistory
 from chestnutstair.tests.fleet_support import (
     MAINTENANCE_SECONDS,
@@ -153,5 +155,44 @@
         self.assertEqual(down, ["vm-w1"])
 
 
+class LateMaintenanceTest(InDoubtTest):
+    """The same in a pool that must not shrink."""
+
+    settings = FleetControllerSettings(base_share=1.6)
+
+    def end_stopped_runs(self) -> None:
+        for worker in self.harness.tracker.workers.values():
+            for task, run in list(worker.runs.items()):
+                if run.stopping:
+                    self.harness.tracker.confirm_stop(worker, task, run.run)
+                    worker.remove_run(task)
+                    self.harness.tracker._release_if_current(run, "stopped")
+
+    def test_a_vm_that_may_still_go_down_counts_against_the_cap(self) -> None:
+        # Guards against LIMIT: once repeats of an order had been refused for
+        # longer than maintenance takes, the VM was forgotten, another one was
+        # taken down, and the first attempt was carried out meanwhile.
+        vms = self.use_vms(LateVms)
+        for _ in range(50):
+            self.run_round()  # lasting tasks may move from now on
+        self.fleet.waves.append(
+            MaintenanceWave(1, tuple(f"vm-{n}" for n in WORKERS), 200.0, 1)
+        )
+        for _ in range(2):
+            self.run_round()
+        assert vms.late is not None
+        at, first, _ = vms.late
+        # The lasting task goes to another VM, which then is due before it.
+        self.harness.admit("lasting", [Step(1, 1000, lasting=True)])
+        while self.harness.clock.now < at:
+            self.harness.start_all(self.harness.plan())
+            self.run_round()
+            self.end_stopped_runs()
+        others = [
+            vm for vm, order in vms.orders if vm != first and order == "wave 1"
+        ]
+        self.assertEqual(others, [], f"ordered while {first} is in doubt")
+
+
 if __name__ == "__main__":
     unittest.main()
