--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -155,6 +155,30 @@
         self.assertEqual(down, ["vm-w1"])
 
 
+class LateOrderTest(InDoubtTest):
+    """An order without an answer is carried out 10 s after it was sent."""
+
+    def test_a_vm_whose_move_may_still_come_gets_no_tasks(self) -> None:
+        # Guards against tasks that an order still in flight ends: once its
+        # repeats had been refused for longer than a move takes, the worker
+        # got tasks again.
+        vms = self.use_vms(LateVms)
+        vms.delays_moves = True
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.run_round()
+        assert vms.late is not None
+        while self.harness.clock.now < vms.late[0] - 0.2:
+            self.harness.admit(f"j{self.harness.clock.now}", [Step(4, 30_000)])
+            self.harness.start_all(self.harness.plan())
+            self.run_round()
+            self.assertEqual(
+                list(self.harness.get_worker("w1").runs),
+                [],
+                f"{vms.late[0] - self.harness.clock.now:.1f} s before the"
+                " move is carried out",
+            )
+
+
 class LateMaintenanceTest(InDoubtTest):
     """The same in a pool that must not shrink."""
 
