Show that tasks are blamed for a VM order that ended their worker

Callers would see jobs run alone, and given up as failed after some such orders (LOST). A worker with runs that an order ended is not retired any more, so its successor ends it as replaced, which counts as a crash of its tasks. An order carried out late ends such a worker as well. Nothing compares the end with the orders for the VM, or the pools of both workers.

Shown without network: the next worker of the VM registers in another pool, and the task of the one before has a crash counted.

--- /dev/null
+++ b/chestnutstair/tests/test_late_events.py
@@ -0,0 +1,50 @@
+"""Tests of answers that arrive after their worker has been replaced."""
+
+import unittest
+from dataclasses import replace
+
+from chestnutstair.scheduling.progress import TaskKey
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.scheduling_support import (
+    TrackerHarness,
+    build_entry,
+    build_submission,
+)
+
+KEY = TaskKey(0, 0, 0)
+
+
+class LateEventTest(unittest.TestCase):
+    """One worker with a run."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.tracker = self.harness.tracker
+        self.harness.clock.now += 20.0  # no lease of an earlier leader lasts
+        self.harness.answer_all()
+        submission = build_submission(
+            "j", [Step(1, 1000)], at_ms=int(self.harness.clock.now * 1000)
+        )
+        self.tracker.admit(replace(submission, organisation="owner"))
+        self.record = self.tracker.jobs["j"]
+        (self.placement,) = self.harness.plan()
+        self.worker = self.harness.get_worker("w1")
+
+    def test_a_move_that_ends_runs_is_no_crash_of_their_tasks(self) -> None:
+        # Guards against jobs that are given up without cause (LOST): an order
+        # carried out late ended a worker with runs, its next worker registered
+        # in another pool, and the tasks were blamed for a crash.
+        self.harness.start_all([self.placement])
+        self.worker.unresponsive = True
+        self.harness.clock.now += 1.5
+        self.tracker.apply_worker_entry(
+            replace(build_entry("w1-next", "other"), born_ms=2, vm="vm-w1")
+        )
+        self.harness.answer("w1-next", born_ms=2)
+        self.tracker.release_expired()
+        self.assertNotIn("w1", self.tracker.workers)
+        self.assertEqual(self.record.get_task(KEY).crashed_runs, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
