Show that a job without slack is passed over by all later ones

Callers would see one job never start while demand goes on, although all jobs could be in time in turn. A job older than its target latency is TIGHT until it is late, and goes after each SAFE job of its priority, so after each new one. Before it went by due time.

Shown without network: one worker, one job a second.

--- /dev/null
+++ b/chestnutstair/tests/test_passed_over_jobs.py
@@ -0,0 +1,52 @@
+"""Tests of how long jobs are passed over where there is too little room."""
+
+import unittest
+
+from chestnutstair.scheduling.progress import JobRecord
+from chestnutstair.scheduling.specification import Step
+from chestnutstair.tests.scheduling_support import (
+    TrackerHarness,
+)
+
+WHOLE_WORKER = 64_000
+
+
+class PassedOverTest(unittest.TestCase):
+    """One worker, which has room for one job at a time."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1",))
+        self.ended = 0
+
+    def run_second(self) -> list[str]:
+        """Start what fits, and end it a second later; return the jobs."""
+        placements = self.harness.plan()
+        self.harness.start_all(placements)
+        self.harness.clock.now += 1.0
+        for placement in placements:
+            self.ended += 1
+            self.harness.end(placement, "done", self.ended)
+        return [placement.record.name for placement in placements]
+
+    def test_a_waiting_job_is_not_passed_over_by_all_later_ones(self) -> None:
+        # Guards against a job that starts only once demand ends: a new job
+        # that can use its whole stretch went before one that had waited for
+        # longer than the target latency, however many of them came. Tasks take
+        # half of their estimate, so that all jobs can be in time in turn.
+        def admit(name: str) -> JobRecord:
+            steps = [Step(1, WHOLE_WORKER, estimate_ms=2000)]
+            return self.harness.admit(name, steps)
+
+        admit("first")
+        waiting = admit("waiting")
+        started = []
+        for number in range(20):
+            started += self.run_second()
+            if waiting.started:
+                break
+            admit(f"later-{number}")
+        self.assertTrue(waiting.started, f"passed over by {len(started)}")
+
+
+if __name__ == "__main__":
+    unittest.main()
