--- a/chestnutstair/tests/test_passed_over_jobs.py
+++ b/chestnutstair/tests/test_passed_over_jobs.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from chestnutstair.scheduling.progress import JobRecord
+from chestnutstair.scheduling.progress import JobRecord, Lateness
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.tests.scheduling_support import (
     TrackerHarness,
@@ -47,6 +47,28 @@
             admit(f"later-{number}")
         self.assertTrue(waiting.started, f"passed over by {len(started)}")
 
+    def test_a_job_that_has_begun_does_not_hold_up_one_that_is_due(
+        self,
+    ) -> None:
+        # Guards against late short jobs: a long job that had begun took all
+        # room for its 20 tasks, although it was due 15 s later.
+        steps = [
+            Step(
+                1,
+                WHOLE_WORKER,
+                estimate_ms=1000,
+                after=(number - 1,) if number else (),
+            )
+            for number in range(20)
+        ]
+        self.harness.admit("long", steps)
+        self.assertEqual(self.run_second(), ["long"])
+        short = self.harness.admit(
+            "short", [Step(1, WHOLE_WORKER, estimate_ms=500)]
+        )
+        self.assertEqual(self.run_second(), ["short"])
+        self.assertIs(short.lateness, Lateness.IN_TIME)
+
 
 if __name__ == "__main__":
     unittest.main()
