Show that all occurrences of a job count as begun after the first

Callers would see jobs that repeat go before all others of their priority. start_confirmed belongs to the job, not to the occurrence that is ranked.

Shown without network: the second occurrence of a job is ranked as BEGUN before any of its tasks is placed.

--- a/chestnutstair/tests/test_passed_over_jobs.py
+++ b/chestnutstair/tests/test_passed_over_jobs.py
@@ -1,11 +1,15 @@
 """Tests of how long jobs are passed over where there is too little room."""
 
 import unittest
+from dataclasses import replace
 
+from chestnutstair.scheduling.placement import Prospect
 from chestnutstair.scheduling.progress import JobRecord, Lateness
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.tests.scheduling_support import (
+    CONFIGURATION,
     TrackerHarness,
+    build_submission,
 )
 
 WHOLE_WORKER = 64_000
@@ -70,5 +74,40 @@
         self.assertIs(short.lateness, Lateness.IN_TIME)
 
 
+class OccurrenceTest(unittest.TestCase):
+    """A job that repeats."""
+
+    def test_an_occurrence_that_has_not_begun_is_not_ranked_as_begun(
+        self,
+    ) -> None:
+        # Guards against jobs that repeat going before all others: their first
+        # occurrence counted as the begin of each later one.
+        harness = TrackerHarness(("w1",))
+        now_ms = int(harness.clock.now * 1000)
+        submission = build_submission(
+            "j", [Step(1, 1000, estimate_ms=1000)], at_ms=now_ms
+        )
+        specification = replace(
+            submission.specification,
+            occurrences=3,
+            first_due_ms=now_ms - 1000,
+            interval_ms=10_000,
+        )
+        harness.tracker.admit(replace(submission, specification=specification))
+        record = harness.tracker.jobs["j"]
+        (placement,) = harness.plan()
+        harness.start_all([placement])
+        harness.end(placement, "done")
+        harness.clock.now += 10.1
+        harness.answer_all()
+        queue = CONFIGURATION.find_queue_by_name("quick")
+        assert queue is not None
+        urgency = harness.planner.compute_urgency(
+            record, queue, harness.clock.now * 1000
+        )
+        self.assertEqual(record.current_occurrence, 1)
+        self.assertIsNot(urgency.prospect, Prospect.BEGUN)
+
+
 if __name__ == "__main__":
     unittest.main()
