Show that the maintenance of another wave lifts a cordon

Callers would see tasks ended at work. A VM listed as under maintenance counts as proof that its order was carried out, whichever wave the maintenance is of. The next worker gets tasks, and the repeat of the order ends them.

Shown without network: an order of wave 2 is lost while an attempt of wave 1 is carried out late.

--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -1,6 +1,7 @@
 """Tests of VM orders that are repeated, carried out late or inherited."""
 
 import unittest
+from dataclasses import replace
 from typing import TypeVar
 
 from result import Err, Result
@@ -19,6 +20,7 @@
     FakeVms,
     FleetHarness,
 )
+from chestnutstair.tests.scheduling_support import build_entry
 
 AnyVms = TypeVar("AnyVms", bound=FakeVms)
 WORKERS = ("w1", "w2", "w3", "w4")
@@ -218,5 +220,34 @@
         self.assertEqual(others, [], f"ordered while {first} is in doubt")
 
 
+class CordonTest(InDoubtTest):
+    """Workers that register on a VM while its order is under way."""
+
+    def test_maintenance_of_another_wave_does_not_settle_an_order(
+        self,
+    ) -> None:
+        # Guards against tasks that a repeated order ends: the VM was listed
+        # as under maintenance, which was that of another wave, and its next
+        # worker got tasks although the order was yet to be carried out.
+        vms = self.use_vms(LossyVms)
+        vms.lose_maintenance = 1000
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 2)
+        self.run_round()
+        self.assertEqual(vms.orders, [("vm-w1", "wave 2")])
+        # An attempt of wave 1 that had got no answer is carried out now.
+        vms.maintained.append("vm-w1")
+        vms.back_at["vm-w1"] = self.harness.clock.now + MAINTENANCE_SECONDS
+        self.harness.get_worker("w1").unresponsive = True
+        while self.harness.clock.now < vms.back_at["vm-w1"]:
+            self.run_round()
+        self.harness.tracker.apply_worker_entry(
+            replace(build_entry("w1"), born_ms=2)
+        )
+        self.harness.answer("w1", born_ms=2)
+        self.controller._step()
+        self.assertIn("vm-w1", self.controller._state.orders)
+        self.assertTrue(self.harness.get_worker("w1").cordoned)
+
+
 if __name__ == "__main__":
     unittest.main()
