Show that a worker registers without a cordon while its order is stored

Callers would see tasks ended right after their start. A drain that begins and is finished in one round is added to the cordons only when its order is sent, after the write of up to 1 s that precedes it. A worker that restarts meanwhile gets tasks, and the order is sent without another look at its runs.

Shown without network: the worker registers again while the order is stored.

--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -12,7 +12,7 @@
 )
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
-from chestnutstair.scheduling.ports import WorkerCallFailure
+from chestnutstair.scheduling.ports import RowWrite, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.vm_order_history import VmOrderHistory
 from chestnutstair.tests.fleet_support import (
@@ -223,6 +223,28 @@
 class CordonTest(InDoubtTest):
     """Workers that register on a VM while its order is under way."""
 
+    def test_a_worker_that_restarts_while_its_order_is_stored_gets_no_tasks(
+        self,
+    ) -> None:
+        # Guards against tasks that an order ends: the VM of a drain that began
+        # in the same round was no cordon yet while its order was stored.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        store = self.fleet.leader.store
+        cordoned = []
+
+        def store_slowly(writes: list[RowWrite], seconds: float) -> bool:
+            self.harness.tracker.apply_worker_entry(
+                replace(build_entry("w1"), born_ms=2)
+            )
+            self.harness.answer("w1", born_ms=2)
+            cordoned.append(self.harness.get_worker("w1").cordoned)
+            return store(writes, seconds)
+
+        self.fleet.leader.store = store_slowly  # type: ignore[method-assign]
+        self.run_round()
+        self.assertEqual(self.vms.orders, [("vm-w1", "spare")])
+        self.assertEqual(cordoned, [True])
+
     def test_maintenance_of_another_wave_does_not_settle_an_order(
         self,
     ) -> None:
