Show that a worker with an earlier start than the one before is lost

Callers would see a VM idle for a whole term. If the clock of a VM is set back by more than it was away, its next worker has a smaller born_ms, counts as replaced by the worker that has ended, as it has not answered yet, and may not register again.

Shown without network: born_ms goes back by 1 s.

--- a/chestnutstair/tests/test_late_events.py
+++ b/chestnutstair/tests/test_late_events.py
@@ -45,6 +45,24 @@
         self.assertNotIn("w1", self.tracker.workers)
         self.assertEqual(self.record.get_task(KEY).crashed_runs, ())
 
+    def test_a_worker_whose_clock_was_set_back_is_used(self) -> None:
+        # Guards against a VM that is never used again: its next worker had an
+        # earlier start by its clock than the one before, counted as replaced
+        # by that one, and could not register any more.
+        self.tracker.apply_worker_entry(
+            replace(build_entry("w1"), born_ms=90_000)
+        )
+        self.harness.answer("w1", born_ms=90_000)
+        self.harness.get_worker("w1").unresponsive = True
+        entry = replace(build_entry("w1-next"), born_ms=89_000, vm="vm-w1")
+        for _ in range(40):
+            self.harness.clock.now += 0.5
+            self.tracker.apply_worker_entry(entry)
+            self.tracker.release_expired()  # before its first answer
+            if "w1-next" in self.tracker.workers:
+                self.harness.answer("w1-next", born_ms=89_000)
+        self.assertIn("w1-next", self.tracker.workers)
+
 
 if __name__ == "__main__":
     unittest.main()
