--- a/chestnutstair/tests/test_late_events.py
+++ b/chestnutstair/tests/test_late_events.py
@@ -2,7 +2,12 @@
 
 import unittest
 from dataclasses import replace
+from typing import Any
 
+from chestnutstair.scheduling.orders import OrderSender, OrderSettings
+from chestnutstair.scheduling.ports import (
+    WrongIncarnationFailure,
+)
 from chestnutstair.scheduling.progress import TaskKey
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.tests.scheduling_support import (
@@ -30,6 +35,31 @@
         (self.placement,) = self.harness.plan()
         self.worker = self.harness.get_worker("w1")
 
+    def test_a_late_refusal_does_not_mark_the_next_incarnation_gone(
+        self,
+    ) -> None:
+        # Guards against a worker that gets no tasks, and whose drain is
+        # dropped, until its next registry entry: a start for the incarnation
+        # before it was answered 421 after it had registered.
+        unused: Any = None
+        sender = OrderSender(
+            unused,
+            self.tracker,
+            unused,
+            self.harness.advice,
+            unused,
+            self.harness.clock,
+            OrderSettings(),
+        )
+        self.tracker.apply_worker_entry(replace(build_entry("w1"), born_ms=2))
+        self.harness.answer("w1", born_ms=2)
+        task = self.record.name_task(KEY)
+        sender._handle_failed_start(
+            self.placement, task, WrongIncarnationFailure()
+        )
+        sender.close()
+        self.assertFalse(self.harness.get_worker("w1").gone)
+
     def test_a_move_that_ends_runs_is_no_crash_of_their_tasks(self) -> None:
         # Guards against jobs that are given up without cause (LOST): an order
         # carried out late ended a worker with runs, its next worker registered
