Show that a late listing of an ended worker counts for its organisation

Callers would see an organisation held below its cap for the rest of a term. A hold call that is answered after its worker was removed is applied to the removed worker; what it lists is added to the organisation's usage, and nothing removes it.

Shown without network: the lease lapses while a hold call is in flight.

--- a/chestnutstair/tests/test_late_events.py
+++ b/chestnutstair/tests/test_late_events.py
@@ -6,6 +6,8 @@
 
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.ports import (
+    HoldAnswer,
+    RunListing,
     WrongIncarnationFailure,
 )
 from chestnutstair.scheduling.progress import TaskKey
@@ -60,6 +62,27 @@
         sender.close()
         self.assertFalse(self.harness.get_worker("w1").gone)
 
+    def test_a_late_listing_of_an_ended_worker_reserves_nothing(self) -> None:
+        # Guards against an organisation that is held to its cap by runs which
+        # do not exist: a hold call was answered after the worker had been
+        # given up, and what it listed counted for the rest of the term.
+        self.harness.start_all([self.placement])
+        answer = HoldAnswer(
+            int(self.harness.clock.now * 1000),
+            1,
+            (RunListing(self.record.name_task(KEY), 1, "", 100),),
+            (),
+        )
+        sent = self.harness.clock.now
+        self.worker.unresponsive = True
+        self.tracker.mark_worker_gone("w1")
+        self.harness.clock.now += 8.0
+        self.tracker.release_expired()
+        self.assertNotIn("w1", self.tracker.workers)
+        self.tracker.apply_hold_answer(self.worker, answer, sent)
+        used = self.tracker.usage.get_in_pool("owner", "boxes")
+        self.assertEqual(used.millicores, 0)
+
     def test_a_move_that_ends_runs_is_no_crash_of_their_tasks(self) -> None:
         # Guards against jobs that are given up without cause (LOST): an order
         # carried out late ended a worker with runs, its next worker registered
