Show that VM orders are sent after their leader has released its term

Callers would see ONE: an order with a lower fencing token after one with a higher token, where fences are not checked. may_order looks only at the age of the term, which the write of the release renews, and not at has_ended; the fleet's thread is not waited for. Orders that wait for one of 12 threads, in particular repeats, are sent for up to 1 s after the release, while a released term is taken over at once.

--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -157,6 +157,26 @@
         self.assertEqual(down, ["vm-w1"])
 
 
+class EndedTermTest(InDoubtTest):
+    """A term that its leader has released, so that another may begin."""
+
+    def test_orders_that_wait_are_not_sent_once_the_term_has_ended(
+        self,
+    ) -> None:
+        # Guards against ONE: orders that waited for a thread were sent for up
+        # to a second after the release, beside those of the next leader.
+        for name in WORKERS[:2]:
+            self.controller._state.drains[f"vm-{name}"] = Drain("spare")
+        self.vms.lose_orders = 1000
+        self.run_round()
+        sent = len(self.vms.orders)
+        self.assertEqual(sent, 2)
+        orders = list(self.controller._state.orders.values())
+        self.fleet.leader.has_ended = True
+        self.controller._orders._send_all(orders)
+        self.assertEqual(len(self.vms.orders), sent)
+
+
 class LateOrderTest(InDoubtTest):
     """An order without an answer is carried out 10 s after it was sent."""
 
