Bound how long jobs without slack are passed over

A caller's job could wait until demand ended: since jobs with slack go first, each new one went before a job that had waited for longer than its queue's target latency, and before that the same held for late jobs. A begun job of 20 steps held up one that was due 15 s earlier, and each later occurrence of a job counted as begun with the first. Found by review; the three tests of test_passed_over_jobs failed before.

Only a begun job with less slack than the target latency goes before others now, and only by its current occurrence. While jobs are passed over, one task in twenty of a pool is one of theirs, the one that is due first and can be placed; the test's bound is that number. Urgency has a module of its own.

--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -6,7 +6,6 @@
 from collections import defaultdict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
-from enum import IntEnum
 from operator import attrgetter
 
 from chestnutstair.scheduling.advice import AdviceCache
@@ -33,10 +32,20 @@
     TaskKey,
 )
 from chestnutstair.scheduling.specification import Step
+from chestnutstair.scheduling.urgency import (
+    PassedOver,
+    Prospect,
+    Urgency,
+    rank_job,
+)
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock
 
-__all__ = ["Placement", "PlacementSettings", "Planner", "Prospect", "Urgency"]
+__all__ = [
+    "Placement",
+    "PlacementSettings",
+    "Planner",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -127,42 +136,6 @@
         return known
 
 
-class Prospect(IntEnum):
-    """How likely a job is to be in time, apart from how late it is.
-
-    Where more is due than there is room for, jobs that start at the last
-    moment end late as soon as a task takes longer than estimated, and room
-    that they used is lost to others. So jobs that have begun go first, then
-    those with slack left, whatever their due times are.
-    """
-
-    BEGUN = 0
-    SAFE = 1  # in time even if tasks use all of the objective's stretch
-    TIGHT = 2
-
-
-@dataclass(frozen=True)
-class Urgency:
-    """Sort key of the order in which jobs get room, smallest first."""
-
-    lateness: Lateness
-    priority: int
-    due_ms: float
-    prospect: Prospect = Prospect.BEGUN
-
-
-def _rank_job(job: tuple[Urgency, str]) -> JobRank:
-    # Compares faster than the data class: a round sorts all active jobs.
-    urgency, name = job
-    return (
-        urgency.lateness,
-        urgency.priority,
-        urgency.prospect,
-        urgency.due_ms,
-        name,
-    )
-
-
 def _choose_waiting(
     record: JobRecord, waiting: list[TaskKey], limit: int
 ) -> list[TaskKey]:
@@ -214,6 +187,7 @@
         self._holds = CapHolds(tracker.caps)
         self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
+        self._passed_over: dict[str, PassedOver] = {}  # by pool
         self.lookahead: LookAhead | None = None
         if settings.lookahead is not None:
             self.lookahead = LookAhead(tracker.durations, settings.lookahead)
@@ -238,16 +212,20 @@
             workers = self._list_usable_workers(service, now)
             if not workers:
                 continue
+            passed_over = self._passed_over.setdefault(service, PassedOver())
+            jobs = passed_over.promote(jobs, self._tracker.active)
             pool = PoolIsolation(workers)
             pool.reserve(self._count_suspects(jobs, workers))
             if self.lookahead is not None:
                 self._reserve_room(self.lookahead, service, jobs, pool, now)
             if weights is None:
-                placements += self._place_in_order(jobs, pool, wall_ms)
+                placed = self._place_in_order(jobs, pool, wall_ms)
             else:
-                placements += self._place_by_shares(
+                placed = self._place_by_shares(
                     service, jobs, pool, wall_ms, weights
                 )
+            passed_over.record(item.record.name for item in placed)
+            placements += placed
         self._holds.end_round()
         self._report.publish(self._tracker.active.values(), now)
         return placements
@@ -261,9 +239,9 @@
         """Place a pool's jobs in the order of their urgency."""
         placements: list[Placement] = []
         rejected = RejectedSizes()
-        for job in sorted(jobs, key=_rank_job):
+        for job in sorted(jobs, key=rank_job):
             placements += self._try_job(
-                job[1], _rank_job(job), pool, rejected, wall_ms
+                job[1], rank_job(job), pool, rejected, wall_ms
             )
         return placements
 
@@ -281,7 +259,7 @@
         records = self._tracker.active
         lookahead.begin_pool(service, records, pool.open_workers, now)
         rejected = RejectedSizes()
-        for _, name in heapq.nsmallest(MAX_RESERVING, jobs, _rank_job):
+        for _, name in heapq.nsmallest(MAX_RESERVING, jobs, rank_job):
             record = records[name]
             if not lookahead.is_entitled(record):
                 continue
@@ -391,7 +369,7 @@
                 record.is_lasting, urgency.lateness, name in beyond
             )
             organisation = record.submission.organisation
-            classified.append(FairJob(organisation, job_class, _rank_job(job)))
+            classified.append(FairJob(organisation, job_class, rank_job(job)))
         return classified
 
     def _list_candidates(
@@ -516,12 +494,13 @@
     def _judge_prospect(
         record: JobRecord, queue: Queue, age_ms: float, objective_ms: float
     ) -> Prospect:
-        if record.start_confirmed:
-            return Prospect.BEGUN
         remaining_ms = record.outlook.remaining_ms
-        if age_ms + queue.stretch * remaining_ms <= objective_ms:
-            return Prospect.SAFE
-        return Prospect.TIGHT
+        slack_ms = objective_ms - age_ms - queue.stretch * remaining_ms
+        if record.has_begun_occurrence():
+            # Its later steps may have to wait for room, too.
+            is_safe = slack_ms >= queue.latency_objective_ms
+            return Prospect.SAFE if is_safe else Prospect.BEGUN
+        return Prospect.SAFE if slack_ms >= 0 else Prospect.TIGHT
 
     def _judge_lateness(
         self,
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -300,6 +300,17 @@
             self._step_progress[occurrence, step] = progress
         return progress
 
+    def has_begun_occurrence(self) -> bool:
+        """Return whether a task of the current occurrence was placed."""
+        if not self.submission.specification.occurrences:
+            return self.start_confirmed
+        occurrence = self.current_occurrence
+        return any(
+            len(self.get_step_progress(occurrence, number).waiting)
+            < step.count
+            for number, step in enumerate(self.steps)
+        )
+
     def place_task(
         self, key: TaskKey, run: int, worker: str, born_ms: int, vm: str = ""
     ) -> None:
--- a/chestnutstair/tests/test_passed_over_jobs.py
+++ b/chestnutstair/tests/test_passed_over_jobs.py
@@ -3,9 +3,12 @@
 import unittest
 from dataclasses import replace
 
-from chestnutstair.scheduling.placement import Prospect
 from chestnutstair.scheduling.progress import JobRecord, Lateness
 from chestnutstair.scheduling.specification import Step
+from chestnutstair.scheduling.urgency import (
+    PASSED_OVER_INTERVAL,
+    Prospect,
+)
 from chestnutstair.tests.scheduling_support import (
     CONFIGURATION,
     TrackerHarness,
@@ -44,13 +47,30 @@
         admit("first")
         waiting = admit("waiting")
         started = []
-        for number in range(20):
+        for number in range(PASSED_OVER_INTERVAL + 1):
             started += self.run_second()
             if waiting.started:
                 break
             admit(f"later-{number}")
         self.assertTrue(waiting.started, f"passed over by {len(started)}")
 
+    def test_a_job_that_fits_nowhere_leaves_its_part_to_the_next(
+        self,
+    ) -> None:
+        # Guards against a job that can never start and, being due first,
+        # keeps all others that are passed over waiting.
+        def admit(name: str, millicores: int) -> JobRecord:
+            steps = [Step(1, millicores, estimate_ms=2000)]
+            return self.harness.admit(name, steps)
+
+        admit("too-large", 2 * WHOLE_WORKER)
+        admit("first", WHOLE_WORKER)
+        waiting = admit("waiting", WHOLE_WORKER)
+        for number in range(PASSED_OVER_INTERVAL + 3):
+            self.run_second()
+            admit(f"later-{number}", WHOLE_WORKER)
+        self.assertTrue(waiting.started)
+
     def test_a_job_that_has_begun_does_not_hold_up_one_that_is_due(
         self,
     ) -> None:
