--- a/chestnutstair/scheduling/urgency.py
+++ b/chestnutstair/scheduling/urgency.py
@@ -16,7 +16,7 @@
 ]
 
 # Tasks placed in a pool for each one of a job that others go before.
-PASSED_OVER_INTERVAL = 20
+PASSED_OVER_INTERVAL = 40
 # Bounds what a job that is passed over may place at once after a long round.
 MAX_PASSED_OVER_CREDIT = 10 * PASSED_OVER_INTERVAL
 
