--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -9,8 +9,8 @@
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.specification import JobSpecification, Step
 from chestnutstair.state.fields import (
+    MAX_NUMBER,
     MalformedFieldError,
-    is_text,
     is_whole,
     read_whole,
 )
@@ -163,12 +163,20 @@
 
 
 def _is_usable(state: TaskState) -> bool:
-    """Return whether a stored state has the types that planning needs."""
+    """Return whether a stored state has the types that planning needs.
+
+    Without calls where possible, as a leader loads thousands of tasks.
+    """
     return (
-        all(map(is_whole, (state.run, state.born_ms)))
-        and all(map(is_text, (state.worker, state.checkpoint, state.vm)))
-        and all(map(is_whole, state.failed_runs))
-        and all(map(is_whole, state.crashed_runs))
+        type(state.run) is int
+        and 0 <= state.run <= MAX_NUMBER
+        and type(state.born_ms) is int
+        and 0 <= state.born_ms <= MAX_NUMBER
+        and type(state.worker) is str
+        and type(state.checkpoint) is str
+        and type(state.vm) is str
+        and (not state.failed_runs or all(map(is_whole, state.failed_runs)))
+        and (not state.crashed_runs or all(map(is_whole, state.crashed_runs)))
     )
 
 
