--- a/chestnutstair/tests/test_fleet_node.py
+++ b/chestnutstair/tests/test_fleet_node.py
@@ -10,12 +10,18 @@
 from chestnutstair.fleet_node import FleetNode
 from chestnutstair.fleet_settings import FleetSettings
 from chestnutstair.scheduling.configuration import FleetConfiguration
-from chestnutstair.scheduling.leader import Leader
+from chestnutstair.scheduling.leader import (
+    REGISTRY_PARTITION,
+    REGISTRY_TABLE,
+    Leader,
+)
+from chestnutstair.scheduling.ports import RowKey, RowWrite
 from chestnutstair.standins.ports import pick_port
 from chestnutstair.standins.webserver import HOST
-from chestnutstair.state.deadline import SystemClock
+from chestnutstair.state.deadline import Deadline, SystemClock
 from chestnutstair.tests.platform_emulator import PlatformEmulator
 from chestnutstair.tests.support import wait_until
+from chestnutstair.tests.test_malformed_entries import list_malformed_values
 
 HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
 NODES = 2
@@ -115,6 +121,35 @@
             wait_until(partial(self.is_completed, node, job))
         self.assertEqual(len(self.list_starts()), 4)
 
+    # Guards against one entry of another writer that ends leader after leader,
+    # or after which a leader no longer follows the registry.
+    def test_jobs_run_beside_malformed_registry_entries(self) -> None:
+        for number, value in enumerate(list_malformed_values()):
+            self.write_entry(f"i-5-{number}", value)
+        for number, value in enumerate(list_malformed_values()[::10]):
+            self.write_entry("one", value)
+            self.write_entry(f"i-6-{number}", value)
+        self.platform.add_runner("four")
+        self.assertEqual(self.submit(1, "00000000000000aa"), 200)
+        wait_until(partial(self.is_completed, 1, "00000000000000aa"))
+        leader = next(node for node in self.nodes if node._election.is_leading)
+        other = 1 - self.nodes.index(leader)
+        self.stop_node(leader)
+        wait_until(lambda: self.nodes[other]._election.is_leading)
+        self.assertEqual(self.submit(other, "00000000000000bb"), 200)
+        wait_until(partial(self.is_completed, other, "00000000000000bb"))
+        self.assertEqual(len(self.list_starts()), 8)
+        successor = self.nodes[other]._election.list_leaders()[0]
+        self.assertEqual(
+            set(successor.tracker.workers), {"two", "three", "four"}
+        )
+
+    def write_entry(self, name: str, value: bytes) -> None:
+        key = RowKey(REGISTRY_TABLE, REGISTRY_PARTITION, name)
+        deadline = Deadline.after(SystemClock(), 1.0)
+        writes = [RowWrite(key, value)]
+        self.platform.store.commit([], writes, deadline).unwrap()
+
     def test_unknown_queues_and_jobs_and_invalid_jobs_are_reported(
         self,
     ) -> None:
