--- a/chestnutstair/platform/machines.py
+++ b/chestnutstair/platform/machines.py
@@ -40,16 +40,18 @@
 CALL_SECONDS = 1.5  # moving a VM may be slow
 HOLDER_HEADER = "X-Chestnutstair-Lease-Holder"
 FENCE_HEADER = "X-Chestnutstair-Fencing-Token"
+STATES = {"upkeep": "maintenance"}  # the others have the same names here
 
 
 def _read_vm(item: Any) -> Vm:
     if type(item) is not dict:
         raise MalformedFieldError("not an object")
     capacity = read_object(item, "capacity") if item.get("capacity") else {}
+    state = read_text(item, "state", "")
     return Vm(
         name=read_text(item, "machine"),
         service=read_text(item, "pool", ""),
-        state=read_text(item, "state", ""),
+        state=STATES.get(state, state),
         zone=read_text(item, "zone", ""),
         # Empty while no worker runs on the VM.
         worker=read_text(item, "id") if item.get("id") else "",
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -72,6 +72,9 @@
     # avoid_seconds.
     failure_streak: int = 3
     avoid_seconds: float = 3.0
+    # Age up to which a listing without a lasting run allows a stop of the run.
+    # Shorter than a lasting task takes to be ready after its start.
+    absence_seconds: float = 0.3
     # Age up to which a worker's last listing counts as current; slightly
     # longer than one hold call waits.
     contact_seconds: float = 1.6
@@ -139,6 +142,9 @@
         self._unclaimed: dict[
             tuple[str, int], list[tuple[JobRecord, TaskKey]]
         ] = {}
+        # VMs with an order in progress that may end their workers, also those
+        # that register meanwhile, other than in the pool that is the value.
+        self.cordons: dict[str, str] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._crashes = CrashRecorder(
@@ -260,6 +266,8 @@
         self.active.pop(record.name, None)
         self.dirty.add(record.name)
         for worker in self.workers.values():
+            if record.name not in worker.runs_by_job:
+                continue
             for task, run in list(worker.runs.items()):
                 if run.job == record.name:
                     worker.mark_stopping(task)
@@ -281,9 +289,11 @@
     # Workers
 
     def apply_worker_entry(self, entry: WorkerEntry) -> WorkerState | None:
-        """Apply a registry entry.
+        """Apply a registry entry; return the worker if it is new, else None.
 
-        Return the worker if it or its incarnation is new, else None.
+        An entry of another incarnation of a known worker frees no runs, as it
+        may be wrong, or written before a restart: the worker's own answer
+        decides which one runs.
         """
         if (entry.name, entry.born_ms) in self._retired:
             return None  # the registry drops the entry some seconds later
@@ -292,10 +302,29 @@
             if current.entry.born_ms == entry.born_ms:
                 current.update_entry(entry)
                 current.gone = False
-                return None
-            if entry.born_ms < current.entry.born_ms:
-                return None  # a stale entry from before its restart
+            else:
+                self._record_claim(current, entry)
+            return None
+        return self._add_worker(entry)
+
+    def _record_claim(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        if worker.claim is None or worker.claim.born_ms != entry.born_ms:
+            logger.info(
+                "entry names another incarnation of a worker",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "entry_born_ms": entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+        worker.claim = entry
+
+    def _add_worker(self, entry: WorkerEntry) -> WorkerState:
+        current = self.workers.get(entry.name)
         worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
+        pool = self.cordons.get(entry.vm)
+        worker.cordoned = pool is not None and pool != entry.service
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -347,6 +376,7 @@
             ),
             on_probation=state.must_run_alone(step),
             organisation=record.submission.organisation,
+            percent=None,
         )
 
     def _replace_incarnation(
@@ -371,20 +401,22 @@
     def _reassign_unconfirmed(
         self, task: str, run: PlacedRun, successor: WorkerState
     ) -> None:
-        """Have a run stopped on the successor, where it may have started."""
+        """Put a run in doubt on the successor, where it may have started."""
+        record = self.jobs.get(run.job)
+        state = None if record is None else record.get_task(run.key)
+        is_current = (
+            state is not None and state.may_run and state.run == run.run
+        )
+        # Its job may have ended by the loss of the worker that had the run.
+        has_ended = record is None or record.ended is not None
         doubtful = replace(
             run,
             confirmed_at=0.0,
-            in_doubt=True,
-            stopping=True,
             stop_answered_at=0.0,
+            stopping=run.stopping or has_ended or not is_current,
         )
-        successor.add_run(task, doubtful)
-        record = self.jobs.get(run.job)
-        if record is None:
-            return
-        state = record.get_task(run.key)
-        if state.may_run and state.run == run.run:
+        successor.add_run(task, self._put_in_doubt(doubtful))
+        if record is not None and state is not None and is_current:
             moved = replace(
                 state,
                 worker=successor.name,
@@ -395,9 +427,33 @@
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
-        """Remove a worker whose VM has been moved or taken down."""
+        """Remove a worker whose VM has been moved or taken down.
+
+        A VM is ordered once its worker has no runs. If it has some, the order
+        may have been carried out before it registered, so that it goes on:
+        its own silence decides.
+        """
+        if worker.runs:
+            logger.warning(
+                "worker with runs not retired",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "vm": worker.entry.vm,
+                    "runs": len(worker.runs),
+                },
+            )
+            return
         self._end_incarnation(worker, "retired")
 
+    def readmit_worker(self, incarnation: tuple[str, int]) -> None:
+        """Let a retired incarnation register again if it still reports.
+
+        `incarnation` is its name and born_ms. An order that had been carried
+        out before is answered like one that ends the worker.
+        """
+        self._retired.discard(incarnation)
+
     def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
         worker.gone = True
         self._retired.add((worker.name, worker.entry.born_ms))
@@ -539,11 +595,13 @@
         seconds = self._settings.takeover_wait_seconds
         previous_expiry = self._began_at + seconds
         for worker in list(self.workers.values()):
+            if worker.is_in_contact(now, 1.0):
+                continue
             expiry = (
                 worker.compute_lease_expiry() or worker.first_seen_at + seconds
             )
             expiry = max(previous_expiry, expiry)
-            if now <= expiry or worker.is_in_contact(now, 1.0):
+            if now <= expiry:
                 continue
             self._lost_workers.add(describe_lost_worker(worker, now))
             self._release_all(worker, "lapsed")
@@ -608,12 +666,13 @@
         """
         now = self._clock.read_monotonic()
         if answer.born_ms and worker.entry.born_ms != answer.born_ms:
-            if answer.born_ms > worker.entry.born_ms:
-                entry = replace(worker.entry, born_ms=answer.born_ms)
-                if self.workers.get(worker.name) is worker:
-                    self.apply_worker_entry(entry)
+            # Its clock may have been set back before its restart, so that
+            # the later incarnation is not the one with the later time.
+            if self.workers.get(worker.name) is worker:
+                self._change_incarnation(worker, answer.born_ms)
             return False
         worker.record_contact(answer, now)
+        worker.listed_since = max(worker.listed_since, sent_at)
         self._lost_workers.forget(worker.name, worker.entry.born_ms)
         for end in answer.ends:
             if end.number > worker.applied_end:
@@ -631,6 +690,13 @@
         self._end_probation(worker)
         return True
 
+    def _change_incarnation(self, worker: WorkerState, born_ms: int) -> None:
+        entry = replace(worker.entry, born_ms=born_ms)
+        if worker.claim is not None and worker.claim.born_ms == born_ms:
+            entry = worker.claim
+        self._retired.discard((worker.name, born_ms))
+        self._add_worker(entry)
+
     def _end_probation(self, worker: WorkerState) -> None:
         """Clear the suspicion of tasks whose runs have proven themselves."""
         for task in list(worker.probation):
@@ -658,8 +724,15 @@
         if self._is_gone(run, sent_at):
             worker.remove_run(task)
             self._release_if_current(run, "not listed")
-        elif run.in_doubt_at and run.in_doubt_at < sent_at:
-            worker.mark_stopping(task)  # its start may still come
+        elif (
+            run.in_doubt_at and run.in_doubt_at < sent_at and not run.stopping
+        ):
+            # Its start may still come.
+            worker.mark_absent(task)
+            logger.info(
+                "start without answer not listed; stopping the run",
+                extra={"task": task, "run": run.run, "worker": worker.name},
+            )
 
     @staticmethod
     def _is_gone(run: PlacedRun, sent_at: float) -> bool:
@@ -697,7 +770,18 @@
         """Apply a listed run; return False if it is not placed there."""
         placed = worker.runs.get(listing.task)
         if placed is not None and placed.run == listing.run:
+            was_absent = listing.task in worker.absent
             worker.confirm_run(listing.task, listing, now)
+            if was_absent and listing.task not in worker.absent:
+                logger.info(
+                    "run listed after its start got no answer; not stopped",
+                    extra={
+                        "task": listing.task,
+                        "run": listing.run,
+                        "worker": worker.name,
+                        "percent": listing.percent,
+                    },
+                )
             self._record_start_confirmed(placed.job)
             if listing.checkpoint:
                 self._record_checkpoint(placed, listing.checkpoint)
@@ -943,15 +1027,18 @@
         placed = worker.runs.get(task)
         if placed is None or placed.run != run or placed.confirmed_at:
             return
+        worker.replace_run(task, self._put_in_doubt(placed))
+
+    def _put_in_doubt(self, run: PlacedRun) -> PlacedRun:
+        """Return a run whose start may have been carried out."""
         # A lasting task may be at work by now, and its step may not spare it:
         # the next listing tells whether it has to be stopped.
-        doubtful = replace(
-            placed,
+        return replace(
+            run,
             in_doubt=True,
             in_doubt_at=self._clock.read_monotonic(),
-            stopping=placed.stopping or not placed.step.lasting,
+            stopping=run.stopping or not run.step.lasting,
         )
-        worker.replace_run(task, doubtful)
 
     def confirm_stop(self, worker: WorkerState, task: str, run: int) -> None:
         """Record that the worker acknowledged the stop."""
@@ -976,9 +1063,7 @@
         for worker in self.workers.values():
             for task, run in list(worker.runs.items()):
                 if self._is_start_overdue(run, now):
-                    worker.replace_run(
-                        task, replace(run, in_doubt=True, stopping=True)
-                    )
+                    worker.replace_run(task, self._put_in_doubt(run))
                 elif self._is_stuck(run, now):
                     logger.info(
                         "run exceeds its limit; retrying on another worker",
@@ -1014,7 +1099,7 @@
         stops = []
         for worker in self.workers.values():
             for task, run in worker.runs.items():
-                if run.stopping and not run.stop_answered_at:
+                if self._is_stop_due(worker, task, run):
                     stops.append(StopRequest(worker, task, run.run))
         for (name, task), number in self.orphans.items():
             found = self.workers.get(name)
@@ -1022,6 +1107,25 @@
                 stops.append(StopRequest(found, task, number))
         return stops
 
+    def is_still_due(self, stop: StopRequest) -> bool:
+        """Return whether a stop that has waited is still to be sent."""
+        placed = stop.worker.runs.get(stop.task)
+        if placed is not None and placed.run == stop.run:
+            return self._is_stop_due(stop.worker, stop.task, placed)
+        orphan = self.orphans.get((stop.worker.name, stop.task))
+        return orphan == stop.run
+
+    def _is_stop_due(
+        self, worker: WorkerState, task: str, run: PlacedRun
+    ) -> bool:
+        if not run.stopping or run.stop_answered_at:
+            return False
+        if task not in worker.absent:
+            return True
+        # Its start may have been carried out since the last listing.
+        age = self._clock.read_monotonic() - worker.listed_since
+        return age <= self._settings.absence_seconds
+
     def count_pending(self, queue: str) -> int:
         """Return how many active jobs of a queue wait for their first task.
 
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -144,6 +144,12 @@
     def _stop(self, stop: StopRequest, key: tuple[str, str, int]) -> None:
         if self._leadership.has_ended:
             return  # the next leader decides what is stopped
+        # With slow workers a stop waits for seconds for a thread.
+        with self._tracker.lock:
+            is_due = self._tracker.is_still_due(stop)
+        if not is_due:
+            self._stops_in_flight.discard(key)
+            return
         try:
             answer = self._workers.stop(
                 stop.worker.entry, stop.task, stop.run, self._leadership.epoch
@@ -190,9 +196,12 @@
                 "answered": answer.is_ok(),
             },
         )
-        if answer.is_ok():
-            with self._tracker.lock:
-                self._pacer.record_pace(worker, pace)
+        with self._tracker.lock:
+            match answer:
+                case Ok(_):
+                    self._pacer.record_pace(worker, pace)
+                case Err(UnknownOutcomeFailure()):
+                    self._pacer.record_doubt(worker, pace)
 
     def _start(self, placement: Placement) -> None:
         worker = placement.worker
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -4,9 +4,10 @@
 import logging
 import sys
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
-from functools import partial
+from enum import IntEnum
+from operator import attrgetter
 
 from chestnutstair.scheduling.advice import AdviceCache
 from chestnutstair.scheduling.configuration import Queue
@@ -35,13 +36,14 @@
 from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Clock
 
-__all__ = ["Placement", "PlacementSettings", "Planner", "Urgency"]
+__all__ = ["Placement", "PlacementSettings", "Planner", "Prospect", "Urgency"]
 
 logger = logging.getLogger(__name__)
 
 # Jobs of a pool for which a round looks for room, so that its cost does not
 # grow with what waits. A pool reserves an eighth of its workers at most.
 MAX_RESERVING = 16
+FULLNESS = attrgetter("fullness")
 
 
 @dataclass(frozen=True)
@@ -125,6 +127,20 @@
         return known
 
 
+class Prospect(IntEnum):
+    """How likely a job is to be in time, apart from how late it is.
+
+    Where more is due than there is room for, jobs that start at the last
+    moment end late as soon as a task takes longer than estimated, and room
+    that they used is lost to others. So jobs that have begun go first, then
+    those with slack left, whatever their due times are.
+    """
+
+    BEGUN = 0
+    SAFE = 1  # in time even if tasks use all of the objective's stretch
+    TIGHT = 2
+
+
 @dataclass(frozen=True)
 class Urgency:
     """Sort key of the order in which jobs get room, smallest first."""
@@ -132,12 +148,19 @@
     lateness: Lateness
     priority: int
     due_ms: float
+    prospect: Prospect = Prospect.BEGUN
 
 
 def _rank_job(job: tuple[Urgency, str]) -> JobRank:
     # Compares faster than the data class: a round sorts all active jobs.
     urgency, name = job
-    return urgency.lateness, urgency.priority, urgency.due_ms, name
+    return (
+        urgency.lateness,
+        urgency.priority,
+        urgency.prospect,
+        urgency.due_ms,
+        name,
+    )
 
 
 def _choose_waiting(
@@ -158,6 +181,13 @@
     )
 
 
+def _prefer(
+    workers: list[WorkerState], is_preferred: Callable[[WorkerState], bool]
+) -> list[WorkerState]:
+    """Return the preferred workers, or all if there are none."""
+    return [worker for worker in workers if is_preferred(worker)] or workers
+
+
 def _filter_allowed(
     workers: list[WorkerState], allowed: set[str] | None
 ) -> list[WorkerState]:
@@ -474,9 +504,25 @@
             record, queue, wall_ms - due_since_ms, objective_ms
         )
         return Urgency(
-            record.lateness, queue.priority, due_since_ms + objective_ms
+            record.lateness,
+            queue.priority,
+            due_since_ms + objective_ms,
+            self._judge_prospect(
+                record, queue, wall_ms - due_since_ms, objective_ms
+            ),
         )
 
+    @staticmethod
+    def _judge_prospect(
+        record: JobRecord, queue: Queue, age_ms: float, objective_ms: float
+    ) -> Prospect:
+        if record.start_confirmed:
+            return Prospect.BEGUN
+        remaining_ms = record.outlook.remaining_ms
+        if age_ms + queue.stretch * remaining_ms <= objective_ms:
+            return Prospect.SAFE
+        return Prospect.TIGHT
+
     def _judge_lateness(
         self,
         record: JobRecord,
@@ -696,18 +742,27 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> WorkerState | None:
+        """Return the worker to place a task on; None if none has room.
+
+        Prefers, in this order: a worker on which the task has not failed, one
+        near the task's data, for lasting tasks one that is not due for
+        maintenance, and fuller ones, so that empty ones can leave the pool.
+        """
         fitting = self._list_fitting(record, step, key, workers)
-        if not fitting:
-            return None
-        if not record.failed_on:
-            return min(fitting, key=partial(self._rank_worker, step))
-        return min(
-            fitting,
-            key=lambda worker: (
-                (key, worker.name) in record.failed_on,
-                self._rank_worker(step, worker),
-            ),
-        )
+        if record.failed_on:
+            fitting = _prefer(
+                fitting,
+                lambda worker: (key, worker.name) not in record.failed_on,
+            )
+        if step.data_rack:
+            fitting = _prefer(
+                fitting, lambda worker: worker.entry.rack == step.data_rack
+            )
+        if step.lasting:
+            fitting = _prefer(
+                fitting, lambda worker: not worker.maintenance_due
+            )
+        return min(fitting, key=FULLNESS, default=None)
 
     def _list_fitting(
         self,
@@ -716,16 +771,19 @@
         key: TaskKey,
         workers: list[WorkerState],
     ) -> list[WorkerState]:
-        fitting = [
-            worker
-            for worker in workers
-            if worker.has_room(step)
-            and (
-                not step.required_label
-                or step.required_label in worker.entry.labels
-            )
-            and self._allows_beside_reservations(record, step, worker)
-        ]
+        fitting = [worker for worker in workers if worker.has_room(step)]
+        if step.required_label:
+            fitting = [
+                worker
+                for worker in fitting
+                if step.required_label in worker.entry.labels
+            ]
+        if self.lookahead is not None:
+            fitting = [
+                worker
+                for worker in fitting
+                if self.lookahead.allows(record, step, worker)
+            ]
         if not step.spread_limit:
             return fitting
         return [
@@ -746,22 +804,6 @@
             and run.key.occurrence == key.occurrence
         )
 
-    @staticmethod
-    def _rank_worker(
-        step: Step, worker: WorkerState
-    ) -> tuple[int, bool, int, int, str]:
-        remote = int(
-            bool(step.data_rack) and step.data_rack != worker.entry.rack
-        )
-        # Fuller workers first, so that empty ones can leave the pool.
-        return (
-            remote,
-            step.lasting and worker.maintenance_due,
-            -worker.lasting_runs,
-            -worker.used_millicores,
-            worker.name,
-        )
-
     def _place_gang(
         self,
         record: JobRecord,
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -14,6 +14,7 @@
     RefusalReason,
     StartRefusedFailure,
     WorkerControl,
+    WorkerEntry,
 )
 from chestnutstair.scheduling.workers import PROVING_SECONDS, WorkerState
 from chestnutstair.state.deadline import Clock
@@ -30,10 +31,28 @@
 
     # How long a hold call waits for the end of a run, which cuts it short.
     hold_seconds: float = 1.0
+    # The same while lasting tasks are stopped for not being listed; such a
+    # stop needs a recent listing.
+    absence_hold_seconds: float = 0.1
     # Delay after a failed call.
     retry_seconds: float = 0.2
 
 
+@dataclass(frozen=True)
+class _HoldCall:
+    """A hold call: how long it waits, the lease to send and the last end.
+
+    It goes to the address in `entry`. `claim` is the entry that named another
+    incarnation as the call was made.
+    """
+
+    entry: WorkerEntry
+    claim: WorkerEntry | None
+    wait_seconds: float
+    deadline_ms: int | None
+    acknowledged_end: int
+
+
 class WorkerSessions:
     """Runs one thread per worker for the duration of a term."""
 
@@ -55,6 +74,7 @@
         self._clock = clock
         self._settings = settings
         self._stored_events: dict[int, threading.Event] = {}
+        self._probed: set[str] = set()  # names of workers being probed
 
     def signal_ends_stored(self, worker: WorkerState) -> None:
         """Signal that a worker's ends are stored and can be acknowledged."""
@@ -72,17 +92,80 @@
             daemon=True,
         ).start()
 
+    def start_probe(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        """Ask a worker which incarnation it is, on a thread of its own.
+
+        `entry` names another one than the worker's session knows. A call of
+        the session may take seconds to fail. The caller must hold the
+        tracker's lock.
+        """
+        if worker.name in self._probed:
+            return
+        self._probed.add(worker.name)
+        threading.Thread(
+            target=self._probe,
+            args=(worker, entry),
+            name=f"probe {worker.name}",
+            daemon=True,
+        ).start()
+
+    def _probe(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        sent = self._clock.read_monotonic()
+        answer = self._workers.hold(
+            entry, self._leadership.epoch, 0, None, 0.0
+        )
+        with self._tracker.lock:
+            self._probed.discard(worker.name)
+            match answer:
+                case Ok(held) if held.born_ms not in (
+                    0,
+                    worker.entry.born_ms,
+                ):
+                    self._tracker.apply_hold_answer(worker, held, sent)
+                    self._is_current(worker)  # starts the next session
+                    self._leadership.wake_planner()
+                case Err(StartRefusedFailure(RefusalReason.FENCE)):
+                    self._leadership.mark_fenced()
+
     def _run_session(self, worker: WorkerState) -> None:
         """Poll the worker and renew its lease until it is gone."""
-        wait = 0.0
-        while not self._leadership.has_ended and self._is_current(worker):
-            if self._try_hold(worker, wait):
-                wait = self._choose_wait(worker)
-            else:
-                wait = 0.0
+        answered = False
+        while not self._leadership.has_ended:
+            call = self._prepare_call(worker, answered)
+            if call is None:
+                break
+            answered = self._try_hold(worker, call)
+            if not answered:
                 self._leadership.ended.wait(self._settings.retry_seconds)
         self._stored_events.pop(id(worker), None)
 
+    def _prepare_call(
+        self, worker: WorkerState, answered: bool
+    ) -> _HoldCall | None:
+        """Return the next hold call; None for a worker that was replaced.
+
+        `answered` says whether the worker answered the last call. Takes the
+        lock once, as the sessions of all workers wait for it in each round.
+        """
+        with self._tracker.lock:
+            if not self._is_current(worker):
+                return None
+            wait = self._choose_wait(worker) if answered else 0.0
+            return self._build_call(worker, wait)
+
+    def _build_call(self, worker: WorkerState, wait: float) -> _HoldCall:
+        claim = worker.claim
+        return _HoldCall(
+            self._choose_entry(worker),
+            claim,
+            wait,
+            self._orders.extend_lease(worker),
+            # Another incarnation may answer next, whose ends are numbered
+            # from 1 again. Acknowledging nothing keeps it from dropping ends
+            # that this node has not seen.
+            0 if worker.unresponsive or claim else worker.stored_end,
+        )
+
     def _choose_wait(self, worker: WorkerState) -> float:
         """Return how long the next hold call may wait.
 
@@ -92,31 +175,31 @@
         A VM that is to leave its pool is ordered once its last end is
         acknowledged, which only the answer to a call shows.
         """
-        with self._tracker.lock:
-            if (
-                worker.cordoned
-                and not worker.runs
-                and worker.acknowledged_end < worker.stored_end
-            ):
-                return 0.0
-            if worker.probation or worker.suspects_wait:
-                return PROVING_SECONDS
+        if (
+            worker.cordoned
+            and not worker.runs
+            and worker.acknowledged_end < worker.stored_end
+        ):
+            return 0.0
+        if worker.absent:
+            return self._settings.absence_hold_seconds
+        if worker.probation or worker.suspects_wait:
+            return PROVING_SECONDS
         return self._settings.hold_seconds
 
     def _is_current(self, worker: WorkerState) -> bool:
-        with self._tracker.lock:
-            current = self._tracker.workers.get(worker.name)
-            if current is None or current is worker:
-                return current is worker
-            if id(current) not in self._stored_events:
-                # The restart was detected by the answer to a hold call, so
-                # the new incarnation has no session yet.
-                self.start_session(current)
-            return False
+        current = self._tracker.workers.get(worker.name)
+        if current is None or current is worker:
+            return current is worker
+        if id(current) not in self._stored_events:
+            # The restart was detected by the answer to a hold call, so the
+            # new incarnation has no session yet.
+            self.start_session(current)
+        return False
 
-    def _try_hold(self, worker: WorkerState, wait: float) -> bool:
+    def _try_hold(self, worker: WorkerState, call: _HoldCall) -> bool:
         try:
-            return self._hold(worker, wait)
+            return self._hold(worker, call)
         except Exception:
             # If the thread ended, the worker's leases would lapse, and its
             # ends would not be received.
@@ -126,44 +209,40 @@
             self._leadership.ended.wait(self._settings.hold_seconds)
             return False
 
-    def _hold(self, worker: WorkerState, wait: float) -> bool:
+    def _hold(self, worker: WorkerState, call: _HoldCall) -> bool:
         """Make a hold call; return whether this incarnation answered it."""
-        with self._tracker.lock:
-            deadline_ms = self._orders.extend_lease(worker)
-            # Another incarnation may answer next, whose ends are numbered
-            # from 1 again. Acknowledging nothing keeps it from dropping ends
-            # that this node has not seen.
-            end_to_acknowledge = (
-                0 if worker.unresponsive else worker.stored_end
-            )
         sent = self._clock.read_monotonic()
         answer = self._workers.hold(
-            worker.entry,
+            call.entry,
             self._leadership.epoch,
-            end_to_acknowledge,
-            deadline_ms,
-            wait,
+            call.acknowledged_end,
+            call.deadline_ms,
+            call.wait_seconds,
         )
         match answer:
             case Ok(hold_answer):
                 with self._tracker.lock:
                     worker.unresponsive = False
                     worker.acknowledged_end = max(
-                        worker.acknowledged_end, end_to_acknowledge
+                        worker.acknowledged_end, call.acknowledged_end
                     )
                     previous_contact = worker.contact
                     had_probation = bool(worker.probation)
                     is_current = self._tracker.apply_hold_answer(
                         worker, hold_answer, sent
                     )
+                    if is_current and worker.claim is call.claim:
+                        worker.claim = None  # refuted by the answer
                     paces = self._pacer.adjust(worker)
                     unstored = worker.applied_end > worker.stored_end
                     is_proven = had_probation and not worker.probation
+                    has_absent = bool(worker.absent)
                 if (
                     unstored
                     or previous_contact is None
                     or not is_current
                     or is_proven
+                    or has_absent
                 ):
                     self._leadership.wake_planner()
                 for pace in paces:
@@ -177,7 +256,7 @@
                 now = self._clock.read_monotonic()
                 if not worker.unresponsive:
                     worker.unresponsive = True
-                    if now - sent < wait:
+                    if now - sent < call.wait_seconds:
                         # The call did not time out: its connection was closed.
                         with self._tracker.lock:
                             worker.record_closed(now)
@@ -191,6 +270,20 @@
                     )
         return False
 
+    @staticmethod
+    def _choose_entry(worker: WorkerState) -> WorkerEntry:
+        """Return the entry whose address to call.
+
+        Those of a worker that does not answer and of an entry that names
+        another incarnation take turns.
+        """
+        entry = worker.entry
+        if worker.unresponsive and worker.claim is not None:
+            worker.calls_claim = not worker.calls_claim
+            if worker.calls_claim:
+                entry = worker.claim
+        return entry
+
     def _wait_until_stored(self, worker: WorkerState) -> None:
         event = self._stored_events.get(id(worker))
         if event is not None:
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -34,6 +34,13 @@
     - `back_at`: monotonic time. When the VM counts as available again, or,
       for an unanswered order, when the order is repeated.
     - `answered`: False while the outcome of the order is unknown.
+    - `worker`, `born_ms`: the incarnation that the VM had when the order was
+      first sent, the only one that it can have ended; "" for none.
+    - `sent_at`: monotonic time at which it was first sent.
+    - `away_until`: monotonic time until which the VM may be away because of
+      an attempt without an answer; 0 if there was none.
+    - `carried_out`: the list has shown that it was carried out, while its
+      answer is still due.
     """
 
     vm: str
@@ -41,6 +48,16 @@
     wave: int = 0
     back_at: float = 0.0
     answered: bool = False
+    worker: str = ""
+    born_ms: int = 0
+    sent_at: float = 0.0
+    away_until: float = 0.0
+    carried_out: bool = False
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Worker name and born_ms that the VM had before the order."""
+        return self.worker, self.born_ms
 
 
 class VmOrderHistory:
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -1,5 +1,6 @@
 """The scheduler's view of a worker: its lease, runs and free room."""
 
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.organisations.usage import OrganisationUsage
@@ -58,8 +59,12 @@
     stopping: bool = False
     # When the stop was acknowledged; 0 before.
     stop_answered_at: float = 0.0
-    # The speed last accepted by the worker, in percent of full speed.
-    percent: int = 100
+    # The speed last accepted by the worker, in percent of full speed; None if
+    # another leader may have set it.
+    percent: int | None = 100
+    # Until when an order of another speed, which got no answer, may still be
+    # carried out.
+    pace_in_doubt_until: float = 0.0
     # Its task may crash the worker: no other run starts there until this one
     # has proven itself.
     on_probation: bool = False
@@ -95,6 +100,9 @@
         usage: OrganisationUsage,
     ) -> None:
         self.entry = entry
+        # The latest entry of another incarnation, until either one answers.
+        self.claim: WorkerEntry | None = None
+        self.calls_claim = False  # the last call went to the claim's address
         self._usage = usage
         # The pool in which its runs are counted, also if the entry changes.
         self._service = entry.service
@@ -110,11 +118,17 @@
         self.acknowledged_end = 0
         self.applied_end = 0
         self.runs: dict[str, PlacedRun] = {}
+        # Number of the runs of each job.
+        self.runs_by_job: Counter[str] = Counter()
         # Resources reserved by the runs.
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.lasting_runs = 0
+        # Sort key of workers by what runs on them, the fullest first. Kept up
+        # to date here, as a round compares all workers of a pool for each
+        # task that it places.
+        self.fullness: tuple[int, int, str] = (0, 0, entry.name)
         # Runs that it listed last although they are not placed there. These
         # still use its room.
         self._orphan_runs: list[OrphanRun] = []
@@ -126,6 +140,11 @@
         self.avoided_until = 0.0  # gets no new tasks before this time
         # Tasks of the runs on probation that have not proven themselves yet.
         self.probation: set[str] = set()
+        # Lasting tasks that are stopped only because the worker does not list
+        # them, as their starts got no answer.
+        self.absent: set[str] = set()
+        # When the last answered hold call was sent; its lists are no older.
+        self.listed_since = float("-inf")
         self.reserved = False  # gets only tasks that run alone
         self.suspects_wait = False  # in its pool, for a worker to run alone
         self.filler_percent = 100  # speed of filler tasks
@@ -140,6 +159,7 @@
         """Add a run and reserve its room."""
         self.remove_run(task)
         self.runs[task] = run
+        self.runs_by_job[run.job] += 1
         if run.on_probation:
             self.probation.add(task)
         self._adjust_usage(run, 1)
@@ -151,12 +171,22 @@
     def mark_stopping(self, task: str) -> None:
         """Mark a run to be stopped; it keeps its room until it has ended."""
         self.runs[task] = replace(self.runs[task], stopping=True)
+        self.absent.discard(task)
+
+    def mark_absent(self, task: str) -> None:
+        """Mark a run to be stopped unless the worker lists it by then."""
+        self.mark_stopping(task)
+        self.absent.add(task)
 
     def remove_run(self, task: str) -> PlacedRun | None:
         """Remove a run and free its room; return it, or None if unknown."""
         run = self.runs.pop(task, None)
         self.probation.discard(task)
+        self.absent.discard(task)
         if run is not None:
+            self.runs_by_job[run.job] -= 1
+            if not self.runs_by_job[run.job]:
+                del self.runs_by_job[run.job]
             self._adjust_usage(run, -1)
         return run
 
@@ -183,6 +213,11 @@
             self.used_millicores += sign * step.millicores
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
+        self.fullness = (
+            -self.lasting_runs,
+            -self.used_millicores,
+            self.entry.name,
+        )
 
     def has_room(self, step: Step, tasks: int = 1) -> bool:
         """Return whether `tasks` more tasks of the step fit."""
@@ -229,6 +264,16 @@
             and self.alive_at - run.confirmed_at >= PROVING_SECONDS
         )
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Its name and born_ms."""
+        return self.entry.name, self.entry.born_ms
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether it has answered, and its last hold call did not fail."""
+        return self.contact is not None and not self.unresponsive
+
     def is_in_contact(self, now: float, seconds: float) -> bool:
         """Return whether the worker answered within the given seconds."""
         return self.contact is not None and now - self.contact.at <= seconds
@@ -250,15 +295,20 @@
     def confirm_run(self, task: str, listing: RunListing, now: float) -> None:
         """Record a listing of a run.
 
-        Later listings of a batch run tell nothing new.
+        A run that was to be stopped for not being listed goes on. Later
+        listings of a batch run tell nothing new.
         """
         run = self.runs[task]
         is_batch = not (run.step.lasting or run.step.filler)
         if is_batch and run.listing is not None and not run.in_doubt:
             return
+        goes_on = task in self.absent and not run.stop_answered_at
+        if goes_on:
+            self.absent.discard(task)
         self.runs[task] = replace(
             run,
             confirmed_at=run.confirmed_at or now,
             in_doubt=False,
+            stopping=run.stopping and not goes_on,
             listing=listing,
         )
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -1,6 +1,7 @@
 """Tests of pool sizes that follow demand, and of maintenance waves."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from result import Err, Result
@@ -15,6 +16,7 @@
 from chestnutstair.scheduling.ports import Vm, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.wave_progress import WaveProgress
+from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.state.deadline import Deadline
 from chestnutstair.tests.fleet_support import MOVE_SECONDS, FleetHarness
 from chestnutstair.tests.scheduling_support import (
@@ -102,7 +104,7 @@
 
     def test_an_order_without_answer_is_sent_again(self) -> None:
         self.admit_burst()
-        self.vms.lose_answers = 1
+        self.vms.lose_orders = 1
         self.run_round()
         first = self.vms.orders[0]
         self.run_round(1.1)
@@ -131,6 +133,143 @@
         self.assertIs(workers.get(worker.name), worker)
         self.assertEqual(set(worker.runs), runs)
 
+    def start_what_fits(self, seconds: float) -> None:
+        for _ in range(round(seconds / 0.1)):
+            self.run_round()
+            self.vms.bring_workers_back()
+            self.harness.start_all(self.harness.plan())
+
+    def fill_memory(self) -> None:
+        lasting = Step(
+            4, 1000, memory_mb=150_000, lasting=True, spread_limit=1
+        )
+        self.harness.admit("lasting", [lasting])
+        self.harness.start_all(self.harness.plan())
+
+    def test_tasks_that_lack_memory_only_get_vms(self) -> None:
+        # Guards against a job that waits to the end of the day (LOST) in a
+        # pool that has enough processors but no VM with enough memory.
+        self.fill_memory()
+        job = self.harness.admit("j", [Step(2, 1000, memory_mb=150_000)])
+        self.start_what_fits(4.0)
+        self.assertTrue(job.start_confirmed)
+
+    def test_a_late_job_that_fits_on_no_vm_of_its_pool_gets_one(self) -> None:
+        # Guards against the same for a job whose result is useless by now:
+        # it requested no VMs, although spare ones were idle.
+        self.fill_memory()
+        accepted_ms = int(self.harness.clock.now * 1000) - 600_000
+        steps = [Step(2, 1000, memory_mb=150_000, estimate_ms=1000)]
+        late = build_submission("late", steps, at_ms=accepted_ms)
+        self.harness.tracker.admit(late)
+        self.start_what_fits(8.0)
+        self.assertTrue(self.harness.tracker.jobs["late"].start_confirmed)
+
+    def lose_answer_of_first_move(self) -> str:
+        # Returns the VM, which has been moved; its next worker registers.
+        self.admit_burst()
+        self.vms.lose_answers = 1
+        self.run_round()
+        vm, _ = self.vms.orders[0]
+        self.harness.clock.now += MOVE_SECONDS
+        self.harness.answer_all()
+        self.vms.bring_workers_back()
+        return vm
+
+    def find_worker_of(self, vm: str) -> WorkerState:
+        workers = self.harness.tracker.workers.values()
+        (worker,) = (item for item in workers if item.entry.vm == vm)
+        return worker
+
+    def test_a_vm_whose_next_worker_registers_is_used_without_the_answer(
+        self,
+    ) -> None:
+        # A VM got no tasks, and its order was repeated, for up to 20 s after
+        # its move, as long as the answers of the VM service were late.
+        vm = self.lose_answer_of_first_move()
+        with mock.patch.object(
+            self.vms,
+            "list_vms",
+            return_value=Err(UnavailableFailure("status 503")),
+        ):
+            for _ in range(12):
+                self.run_round()
+        self.assertEqual([item for item, _ in self.vms.orders].count(vm), 1)
+        self.assertFalse(self.find_worker_of(vm).cordoned)
+
+    def test_a_move_that_the_list_shows_is_not_repeated(self) -> None:
+        self.admit_burst()
+        self.vms.lose_answers = 1
+        self.run_round()
+        vm, _ = self.vms.orders[0]
+        for _ in range(12):
+            self.run_round()
+        self.assertEqual([item for item, _ in self.vms.orders].count(vm), 1)
+
+    def test_a_worker_that_restarts_before_its_vm_moves_gets_no_tasks(
+        self,
+    ) -> None:
+        # A worker that registered while an order for its VM was sent got
+        # tasks, which the order ended.
+        self.vms.lose_orders = 1
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.run_round()
+        self.assertIn("vm-w1", self.controller._state.orders)
+        self.harness.get_worker("w1").unresponsive = True
+        self.harness.tracker.apply_worker_entry(
+            replace(build_entry("w1-next"), born_ms=2, vm="vm-w1")
+        )
+        self.assertTrue(self.harness.get_worker("w1-next").cordoned)
+        self.harness.answer("w1-next", born_ms=2)
+        self.controller._set_cordons()
+        self.assertTrue(self.harness.get_worker("w1-next").cordoned)
+
+    def test_a_worker_that_an_order_did_not_end_is_used_again(self) -> None:
+        # A new leader repeated the maintenance of the one before, which was
+        # answered as done; the worker went on and was never used again.
+        self.vms.maintained.append("vm-w1")
+        self.waves.append(MaintenanceWave(1, ("vm-w1",), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.run_round()
+        self.assertEqual(self.vms.orders, [("vm-w1", "wave 1")])
+        for _ in range(30):
+            self.run_round()
+            # It goes on, so it goes on reporting to the registry.
+            self.harness.tracker.apply_worker_entry(build_entry("w1"))
+        self.assertIn("w1", self.harness.tracker.workers)
+
+    def test_a_refused_repeat_still_counts_against_the_cap_of_a_wave(
+        self,
+    ) -> None:
+        # The answer to the first attempt was lost and the repeat turned away:
+        # the VM, which was down, no longer counted, and one more was ordered.
+        self.waves.append(MaintenanceWave(1, ("vm-w1", "vm-w2"), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.vms.lose_answers = 1
+        self.run_round()
+        self.vms.back_at["vm-w1"] += 1.4  # carried out late
+        self.harness.tracker.retire_worker(self.harness.get_worker("w1"))
+        self.vms.refusals = 1
+        while self.harness.clock.now < self.vms.back_at["vm-w1"]:
+            self.assertNotIn(("vm-w2", "wave 1"), self.vms.orders)
+            self.run_round()
+        self.assertGreater(self.vms.orders.count(("vm-w1", "wave 1")), 1)
+
+    def test_the_answer_shows_whether_a_vm_was_maintained(self) -> None:
+        # Guards against a wave that is completed too early: a worker that
+        # comes back may have crashed before its VM's maintenance.
+        self.waves.append(MaintenanceWave(1, ("vm-w1",), 20.0, 1))
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        self.vms.lose_answers = 1000
+        for _ in range(50):
+            self.run_round()
+            self.vms.bring_workers_back()
+        self.assertFalse(self.controller._waves.is_completed(self.waves[0]))
+        self.vms.lose_answers = 0
+        for _ in range(50):
+            self.run_round()
+        self.assertTrue(self.controller._waves.is_completed(self.waves[0]))
+
     def test_a_vm_can_return_to_a_pool_right_after_leaving_it(self) -> None:
         # VMs that had just moved to the spare pool stayed idle there for up
         # to 3.5 s while another pool lacked VMs.
