Let sessions and probes go on after any error

A probe whose call raises an error left its worker marked as being probed, so that a restart of it was not asked for again in that term, and an error while a session prepares its call ended the session's thread. No such error is known; found by reading. The new test failed before.

--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -110,6 +110,19 @@
         ).start()
 
     def _probe(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        try:
+            self._ask_incarnation(worker, entry)
+        except Exception:
+            # The worker must be probed again when its entry changes.
+            with self._tracker.lock:
+                self._probed.discard(worker.name)
+            logger.exception(
+                "probe raised an error", extra={"worker": worker.name}
+            )
+
+    def _ask_incarnation(
+        self, worker: WorkerState, entry: WorkerEntry
+    ) -> None:
         sent = self._clock.read_monotonic()
         answer = self._workers.hold(
             entry, self._leadership.epoch, 0, None, 0.0
@@ -131,10 +144,10 @@
         """Poll the worker and renew its lease until it is gone."""
         answered = False
         while not self._leadership.has_ended:
-            call = self._prepare_call(worker, answered)
-            if call is None:
+            step = self._try_step(worker, answered)
+            if step is None:
                 break
-            answered = self._try_hold(worker, call)
+            answered = step
             if not answered:
                 self._leadership.ended.wait(self._settings.retry_seconds)
         self._stored_events.pop(id(worker), None)
@@ -197,9 +210,14 @@
             self.start_session(current)
         return False
 
-    def _try_hold(self, worker: WorkerState, call: _HoldCall) -> bool:
+    def _try_step(self, worker: WorkerState, answered: bool) -> bool | None:
+        """Make the next hold call; return whether it was answered.
+
+        None for a worker that was replaced.
+        """
         try:
-            return self._hold(worker, call)
+            call = self._prepare_call(worker, answered)
+            return None if call is None else self._hold(worker, call)
         except Exception:
             # If the thread ended, the worker's leases would lapse, and its
             # ends would not be received.
--- a/chestnutstair/tests/test_sessions.py
+++ b/chestnutstair/tests/test_sessions.py
@@ -123,6 +123,25 @@
         self.sessions._probe(self.worker, self.claim())
         self.assertIs(self.harness.get_worker("w1"), self.worker)
 
+    # Guards against a worker whose restart is never learned of, because one
+    # probe ended with an error.
+    def test_a_worker_is_probed_again_after_an_error(self) -> None:
+        entry = self.claim("w1:81")
+        hold = self.control.hold
+
+        def fail(*_: Any) -> Any:
+            raise RuntimeError("unexpected")
+
+        setattr(self.control, "hold", fail)  # noqa: B010
+        with self.assertLogs("chestnutstair.scheduling.sessions", "ERROR"):
+            self.sessions._probed.add("w1")
+            self.sessions._probe(self.worker, entry)
+        self.assertEqual(self.sessions._probed, set())
+        setattr(self.control, "hold", hold)  # noqa: B010
+        self.control.born["w1:81"] = 2
+        self.sessions._probe(self.worker, entry)
+        self.assertEqual(self.get_born(), 2)
+
     def test_an_answer_refutes_an_entry(self) -> None:
         # Ends must not be acknowledged to an incarnation that has not told
         # of them, nor left unacknowledged because of a wrong entry.
