--- a/chestnutstair/tests/protocol_simulation.py
+++ b/chestnutstair/tests/protocol_simulation.py
@@ -55,6 +55,7 @@
 ATTEMPTS = 2  # max_attempts of the jobs' queue
 LOSS_PROBABILITY = 0.1  # of each request, and of each answer
 # Range of the delay after which a start that got no answer may arrive.
+WRONG_ENTRY_PROBABILITY = 0.3
 LATE_START_SECONDS = (0.5, 8.0)
 ORDER_SETTINGS = OrderSettings(retry_seconds=0.0)
 STEPS = (
@@ -102,11 +103,20 @@
     """Drives leaders and workers with one random generator."""
 
     def __init__(
-        self, seed: int, workers: int = 4, jobs: int = 6, renames: bool = False
+        self,
+        seed: int,
+        workers: int = 4,
+        jobs: int = 6,
+        renames: bool = False,
+        wrong_entries: bool = False,
     ) -> None:
         # Whether a restarted worker has another name, on the same VM.
         self.renames = renames
+        # Whether the registry has entries of other writers, and workers'
+        # clocks are set back before they restart.
+        self.wrong_entries = wrong_entries
         self.random = random.Random(seed)
+        self.registry_random = random.Random(seed)
         self.clock = ManualClock(1000.0)
         self.fault_free = False
         self.violations: list[str] = []
@@ -336,9 +346,24 @@
         self.refresh_registry()
 
     def refresh_registry(self) -> None:
-        """Apply all registry entries to the leader's state."""
+        """Apply all registry entries to the leader's state.
+
+        With wrong entries, some are first written by others, with another
+        start or the VM of another worker.
+        """
         for process in self.processes.values():
-            self.tracker.apply_worker_entry(process.entry)
+            entry = process.entry
+            draws = self.registry_random
+            if self.wrong_entries and not self.fault_free:
+                if draws.random() < WRONG_ENTRY_PROBABILITY:
+                    born_ms = draws.choice((-(10**6), 10**15))
+                    wrong = replace(entry, born_ms=born_ms)
+                    self.tracker.apply_worker_entry(wrong)
+                if draws.random() < WRONG_ENTRY_PROBABILITY:
+                    other = draws.choice(list(self.processes.values()))
+                    wrong = replace(entry, vm=other.entry.vm)
+                    self.tracker.apply_worker_entry(wrong)
+            self.tracker.apply_worker_entry(entry)
 
     def plan(self) -> list[Placement]:
         """Plan, store and send stops; return the starts to send."""
@@ -446,5 +471,8 @@
         previous = self.processes.pop(name).entry
         if self.renames:
             name = f"{previous.vm}-{previous.born_ms + 1}"
-        self._spawn(name, previous.born_ms + 1, previous.vm)
+        born_ms = previous.born_ms + 1
+        if self.wrong_entries and self.registry_random.random() < 0.5:
+            born_ms = previous.born_ms - 1000  # its clock was set back
+        self._spawn(name, born_ms, previous.vm)
         self.processes[name].fails_next_hold = not self.renames
