Remove old submissions before their progress

Found by reading, for what a new leader takes for granted after a loss of all nodes: a submission without progress is a job that has not begun. 150 s after a job's end its progress was removed first and its submission after that. A leader lost in between, or a store that refused the second write, left the submission alone: the next leader ran the whole job again, minutes after it was shown as completed. So did the same leader, which had forgotten the job, when it read the whole intake table after losing the store's history.

Submissions go first; if their removal fails, the jobs stay as they are until the next attempt. Removed jobs are not admitted again for 30 s, as a read of the table may have begun before. Progress rows that a failure leaves behind belong to no job and are not read.

All three tests of test_leader.RemovalTest failed before.

--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -101,6 +101,9 @@
     batch_rows: int = 90
     # How long finished jobs remain available; callers are promised 120 s.
     retention_seconds: float = 150.0
+    # How long a removed job is not admitted again: longer than a read of the
+    # whole intake table takes, which may have begun before the removal.
+    remember_removed_seconds: float = 30.0
     # Deadline of reads from the store and of removals of old rows.
     store_timeout_seconds: float = 3.0
     # Deadline of reading the registry where there are several shards: it has
@@ -159,6 +162,8 @@
         self._logged_at = 0.0
         self._last_planning_seconds = 0.0
         self._old_removed_at = clock.read_monotonic()
+        # Jobs removed in the last remember_removed_seconds, and when.
+        self._removed: dict[str, float] = {}
 
     @property
     def term(self) -> Term:
@@ -370,6 +375,8 @@
             return
         if name in self.tracker.jobs or row.value is None:
             return
+        if name in self._removed:
+            return  # read before its row was removed
         match decode_submission(name, row.value, self._submissions):
             case Ok(submission):
                 self.tracker.admit(submission)
@@ -543,21 +550,34 @@
                 for record in self.tracker.jobs.values()
                 if record.ended is not None and record.ended_ms < oldest_ms
             ][: self._settings.batch_rows // 2]
-            for name in old:
-                self.tracker.forget_job(name)
         if not old:
             return
+        # A submission without progress is a job that has not begun. The
+        # submissions go first, so that no failure leaves one.
+        stored = self._remove_intake_rows(old)
+        logger.info(
+            "old jobs removed",
+            extra={"count": len(old), "stored": stored},
+        )
+        if not stored:
+            return
+        with self.tracker.lock:
+            self._remember_removed(old, now)
+            for name in old:
+                self.tracker.forget_job(name)
         self.term.write(
             [
                 RowWrite(self._names.build_progress_key(name), None)
                 for name in old
             ]
         )
-        stored = self._remove_intake_rows(old)
-        logger.info(
-            "old jobs removed",
-            extra={"count": len(old), "stored": stored},
-        )
+
+    def _remember_removed(self, jobs: list[str], now: float) -> None:
+        since = now - self._settings.remember_removed_seconds
+        self._removed = {
+            name: at for name, at in self._removed.items() if at >= since
+        }
+        self._removed.update(dict.fromkeys(jobs, now))
 
     def _remove_intake_rows(self, jobs: list[str]) -> bool:
         """Remove the rows of jobs; return whether all were removed.
--- a/chestnutstair/tests/test_leader.py
+++ b/chestnutstair/tests/test_leader.py
@@ -4,6 +4,9 @@
 import unittest
 from typing import Any
 
+from result import Err
+
+from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.platform.decoding import (
     PlatformDecoder,
     PlatformSubmissions,
@@ -22,7 +25,10 @@
 )
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.state.deadline import Deadline, SystemClock
-from chestnutstair.tests.scheduling_support import CONFIGURATION
+from chestnutstair.tests.scheduling_support import (
+    CONFIGURATION,
+    TrackerHarness,
+)
 from chestnutstair.tests.test_intake import BODY, QUEUE
 
 READ_SECONDS = 0.3
@@ -105,3 +111,97 @@
     def test_a_damaged_row_does_not_keep_others_from_loading(self) -> None:
         self.assertTrue(self.leader.load())
         self.assertEqual(list(self.tracker.jobs), ["j"])
+
+
+class FailingRowStore(MemoryRowStore):
+    """A store that takes a number of writes and then no more."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writes_left = 1000
+
+    def commit(self, *arguments: Any) -> Any:
+        """Write the rows, or fail."""
+        if not self.writes_left:
+            return Err(UnavailableFailure("down"))
+        self.writes_left -= 1
+        return super().commit(*arguments)
+
+
+class RemovalTest(unittest.TestCase):
+    """Old jobs are removed from the store and from memory.
+
+    The progress of a job went first: if the removal of its submission failed,
+    or the leader was lost before it, the job looked like one that had not
+    begun, and the next leader ran it again.
+    """
+
+    def setUp(self) -> None:
+        self.store = FailingRowStore()
+        self.harness = TrackerHarness(("w1",))
+        deadline = Deadline.after(self.harness.clock, 1.0)
+        self.submission = encode_submission(QUEUE, 1, BODY)
+        writes = [RowWrite(build_job_key("j"), self.submission)]
+        self.store.commit([], writes, deadline).unwrap()
+        self.leader = self.build_leader(self.harness)
+        self.assertTrue(self.leader.load())
+        self.harness.tracker.cancel("j")
+        self.write_progress()
+        self.harness.clock.now += 200.0
+
+    def build_leader(self, harness: TrackerHarness) -> Leader:
+        deadline = Deadline.after(harness.clock, 1.0)
+        row = TermRow("node", "node:1", 1, 0)
+        writes = [RowWrite(TERM_KEY, row.encode())]
+        version = self.store.commit([], writes, deadline).unwrap()
+        term = Term(self.store, harness.clock, row, version, TermSettings())
+        unused: Any = None
+        return Leader(
+            Leadership(term),
+            harness.tracker,
+            unused,
+            unused,
+            self.store,
+            unused,
+            unused,
+            PlatformDecoder(),
+            PlatformSubmissions(),
+            lambda: CONFIGURATION,
+            harness.clock,
+            LeaderSettings(),
+        )
+
+    def write_progress(self) -> None:
+        writes, _ = self.leader._encode_dirty()
+        self.assertEqual(len(writes), 1)
+        self.leader.term.write(writes)
+
+    def load_next(self) -> JobTracker:
+        """Return the jobs of the next leader."""
+        self.store.writes_left = 1000
+        harness = TrackerHarness(())
+        self.assertTrue(self.build_leader(harness).load())
+        return harness.tracker
+
+    def test_a_failure_during_the_removal_starts_no_job_again(self) -> None:
+        for writes in range(3):
+            with self.subTest(writes=writes):
+                self.setUp()
+                self.store.writes_left = writes
+                self.leader._remove_old_jobs()
+                self.assertEqual(self.load_next().active, {})
+
+    def test_a_removal_that_failed_is_made_later(self) -> None:
+        self.store.writes_left = 0
+        self.leader._remove_old_jobs()
+        self.assertEqual(list(self.harness.tracker.jobs), ["j"])
+        self.store.writes_left = 1000
+        self.harness.clock.now += 20.0
+        self.leader._remove_old_jobs()
+        self.assertEqual(self.harness.tracker.jobs, {})
+        self.assertEqual(self.load_next().jobs, {})
+
+    def test_a_removed_job_is_not_admitted_by_an_earlier_read(self) -> None:
+        self.leader._remove_old_jobs()
+        self.leader.apply_submission("j", self.submission)
+        self.assertEqual(self.harness.tracker.jobs, {})
