--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -97,7 +97,7 @@
         self._thread.start()
 
     def _run(self) -> None:
-        while not (self._waves.load() and self._order_history.load()):
+        while not self._load():
             if self._leader.has_ended:
                 return
             self._clock.sleep(self._settings.retry_seconds)
@@ -114,6 +114,14 @@
             self._clock.sleep(self._settings.tick_seconds)
         self._orders.close()
 
+    def _load(self) -> bool:
+        try:
+            return self._waves.load() and self._order_history.load()
+        except Exception:
+            # If the thread ended, no pool would change in this term.
+            logger.exception("loading orders and waves failed")
+            return False
+
     def _step(self) -> None:
         self._orders.refresh_list()
         if not self._state.shards or not self._orders.may_order():
@@ -133,7 +141,13 @@
             self._resize_pools(sizes, spare, now)
         self._finish_drains(now)
         for wave in self._get_waves():
-            self._wave_controller.reconcile(wave, spare, now)
+            try:
+                self._wave_controller.reconcile(wave, spare, now)
+            except Exception:
+                # An error for one wave must not delay the others.
+                logger.exception(
+                    "wave cannot be reconciled", extra={"wave": wave.number}
+                )
         self._set_cordons()
 
     def _expect_arrivals(self) -> None:
@@ -170,10 +184,10 @@
 
     def _set_cordons(self) -> None:
         with self._tracker.lock:
+            self._tracker.cordons = self._state.list_cordons()
             for worker in self._tracker.workers.values():
-                vm = worker.entry.vm
-                worker.cordoned = self._state.must_cordon(vm)
-                worker.maintenance_due = self._waves.is_due(vm)
+                worker.cordoned = self._state.must_cordon(worker)
+                worker.maintenance_due = self._waves.is_due(worker.entry.vm)
 
     # Turns
 
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -118,6 +118,12 @@
     organisation: str = ""
 
 
+def _answered_before(worker: WorkerState, successor: WorkerState) -> bool:
+    if worker.contact is None or successor.contact is None:
+        return worker.contact is None
+    return worker.contact.at <= successor.contact.at
+
+
 class JobTracker:
     """Tracks the jobs, workers and runs of one leader for its term."""
 
@@ -142,6 +148,9 @@
         self._unclaimed: dict[
             tuple[str, int], list[tuple[JobRecord, TaskKey]]
         ] = {}
+        # VMs with an order in progress that may end their workers, also those
+        # that register meanwhile, other than in the pool that is the value.
+        self.cordons: dict[str, str] = {}
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._crashes = CrashRecorder(
@@ -174,13 +183,7 @@
         if progress is not None:
             try:
                 record.restore(progress)
-            except (
-                AttributeError,
-                KeyError,
-                TypeError,
-                ValueError,
-                IndexError,
-            ):
+            except Exception:
                 # Its tasks may have run, so they are not started again.
                 logger.exception(
                     "cannot read the progress of a job; it is set aside",
@@ -269,6 +272,8 @@
         self.active.pop(record.name, None)
         self.dirty.add(record.name)
         for worker in self.workers.values():
+            if record.name not in worker.runs_by_job:
+                continue
             for task, run in list(worker.runs.items()):
                 if run.job == record.name:
                     worker.mark_stopping(task)
@@ -290,9 +295,11 @@
     # Workers
 
     def apply_worker_entry(self, entry: WorkerEntry) -> WorkerState | None:
-        """Apply a registry entry.
+        """Apply a registry entry; return the worker if it is new, else None.
 
-        Return the worker if it or its incarnation is new, else None.
+        An entry of another incarnation of a known worker frees no runs, as it
+        may be wrong, or written before a restart: the worker's own answer
+        decides which one runs.
         """
         if (entry.name, entry.born_ms) in self._retired:
             return None  # the registry drops the entry some seconds later
@@ -301,10 +308,29 @@
             if current.entry.born_ms == entry.born_ms:
                 current.update_entry(entry)
                 current.gone = False
-                return None
-            if entry.born_ms < current.entry.born_ms:
-                return None  # a stale entry from before its restart
+            else:
+                self._record_claim(current, entry)
+            return None
+        return self._add_worker(entry)
+
+    def _record_claim(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        if worker.claim is None or worker.claim.born_ms != entry.born_ms:
+            logger.info(
+                "entry names another incarnation of a worker",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "entry_born_ms": entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+        worker.claim = entry
+
+    def _add_worker(self, entry: WorkerEntry) -> WorkerState:
+        current = self.workers.get(entry.name)
         worker = WorkerState(entry, self._clock.read_monotonic(), self.usage)
+        pool = self.cordons.get(entry.vm)
+        worker.cordoned = pool is not None and pool != entry.service
         self.workers[entry.name] = worker
         self._restore_runs(worker)
         if current is not None:
@@ -335,6 +361,9 @@
                 continue  # released in the meantime
             run = self._build_restored_run(record, key, state, now)
             worker.add_run(record.name_task(key), run)
+            worker.vm_disputed |= bool(state.vm) and (
+                state.vm != worker.entry.vm
+            )
 
     @staticmethod
     def _build_restored_run(
@@ -372,7 +401,12 @@
         )
         for task, run in list(worker.runs.items()):
             if run.listing is None:
-                # Its start may have reached the successor, or still do so.
+                # Its start may have reached the successor, or still do so,
+                # with a lease by the clock of the process before.
+                successor.inherited_lease_until = (
+                    self._clock.read_monotonic()
+                    + self._settings.takeover_wait_seconds
+                )
                 self._reassign_unconfirmed(
                     task, worker.remove_run(task) or run, successor
                 )
@@ -382,15 +416,21 @@
         self, task: str, run: PlacedRun, successor: WorkerState
     ) -> None:
         """Put a run in doubt on the successor, where it may have started."""
-        doubtful = self._put_in_doubt(
-            replace(run, confirmed_at=0.0, stop_answered_at=0.0)
-        )
-        successor.add_run(task, doubtful)
         record = self.jobs.get(run.job)
-        if record is None:
-            return
-        state = record.get_task(run.key)
-        if state.may_run and state.run == run.run:
+        state = None if record is None else record.get_task(run.key)
+        is_current = (
+            state is not None and state.may_run and state.run == run.run
+        )
+        # Its job may have ended by the loss of the worker that had the run.
+        has_ended = record is None or record.ended is not None
+        doubtful = replace(
+            run,
+            confirmed_at=0.0,
+            stop_answered_at=0.0,
+            stopping=run.stopping or has_ended or not is_current,
+        )
+        successor.add_run(task, self._put_in_doubt(doubtful))
+        if record is not None and state is not None and is_current:
             moved = replace(
                 state,
                 worker=successor.name,
@@ -401,9 +441,33 @@
             self.dirty.add(record.name)
 
     def retire_worker(self, worker: WorkerState) -> None:
-        """Remove a worker whose VM has been moved or taken down."""
+        """Remove a worker whose VM has been moved or taken down.
+
+        A VM is ordered once its worker has no runs. If it has some, the order
+        may have been carried out before it registered, so that it goes on:
+        its own silence decides.
+        """
+        if worker.runs:
+            logger.warning(
+                "worker with runs not retired",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "vm": worker.entry.vm,
+                    "runs": len(worker.runs),
+                },
+            )
+            return
         self._end_incarnation(worker, "retired")
 
+    def readmit_worker(self, incarnation: tuple[str, int]) -> None:
+        """Let a retired incarnation register again if it still reports.
+
+        `incarnation` is its name and born_ms. An order that had been carried
+        out before is answered like one that ends the worker.
+        """
+        self._retired.discard(incarnation)
+
     def _end_incarnation(self, worker: WorkerState, reason: str) -> None:
         worker.gone = True
         self._retired.add((worker.name, worker.entry.born_ms))
@@ -421,6 +485,22 @@
                 extra={"worker": name, "runs": len(worker.runs)},
             )
 
+    def mark_incarnation_gone(self, worker: WorkerState) -> None:
+        """Mark a worker at whose address another one answers.
+
+        A later incarnation of the same name may have another address.
+        """
+        if self.workers.get(worker.name) is worker and not worker.gone:
+            worker.gone = True
+            logger.info(
+                "another worker answers at a worker's address",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": worker.entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+
     # Crashed workers
 
     def _release_replaced(self) -> None:
@@ -428,12 +508,14 @@
 
         A VM has one worker at a time, so the one before has ended. Only a
         successor that has answered counts, as entries of the registry may be
-        wrong, and only for a worker that does not answer itself.
+        wrong, and only for a worker that does not answer itself and last did
+        so before: clocks of VMs may be set back. One whose VM is in dispute
+        neither ends nor is ended.
         """
         newest: dict[str, WorkerState] = {}
         for worker in self.workers.values():
             vm = worker.entry.vm
-            if not vm or worker.contact is None:
+            if not vm or worker.contact is None or worker.vm_disputed:
                 continue
             other = newest.get(vm)
             if other is None or other.entry.born_ms < worker.entry.born_ms:
@@ -443,7 +525,9 @@
             if (
                 successor is not None
                 and worker.entry.born_ms < successor.entry.born_ms
-                and (worker.unresponsive or worker.contact is None)
+                and not worker.vm_disputed
+                and not worker.is_answering
+                and _answered_before(worker, successor)
             ):
                 self._end_replaced(worker, successor)
         newest_born_ms = {
@@ -545,11 +629,13 @@
         seconds = self._settings.takeover_wait_seconds
         previous_expiry = self._began_at + seconds
         for worker in list(self.workers.values()):
+            if worker.is_in_contact(now, 1.0):
+                continue
             expiry = (
                 worker.compute_lease_expiry() or worker.first_seen_at + seconds
             )
-            expiry = max(previous_expiry, expiry)
-            if now <= expiry or worker.is_in_contact(now, 1.0):
+            expiry = max(previous_expiry, expiry, worker.inherited_lease_until)
+            if now <= expiry:
                 continue
             self._lost_workers.add(describe_lost_worker(worker, now))
             self._release_all(worker, "lapsed")
@@ -614,10 +700,10 @@
         """
         now = self._clock.read_monotonic()
         if answer.born_ms and worker.entry.born_ms != answer.born_ms:
-            if answer.born_ms > worker.entry.born_ms:
-                entry = replace(worker.entry, born_ms=answer.born_ms)
-                if self.workers.get(worker.name) is worker:
-                    self.apply_worker_entry(entry)
+            # Its clock may have been set back before its restart, so that
+            # the later incarnation is not the one with the later time.
+            if self.workers.get(worker.name) is worker:
+                self._change_incarnation(worker, answer.born_ms)
             return False
         worker.record_contact(answer, now)
         worker.listed_since = max(worker.listed_since, sent_at)
@@ -638,6 +724,13 @@
         self._end_probation(worker)
         return True
 
+    def _change_incarnation(self, worker: WorkerState, born_ms: int) -> None:
+        entry = replace(worker.entry, born_ms=born_ms)
+        if worker.claim is not None and worker.claim.born_ms == born_ms:
+            entry = worker.claim
+        self._retired.discard((worker.name, born_ms))
+        self._add_worker(entry)
+
     def _end_probation(self, worker: WorkerState) -> None:
         """Clear the suspicion of tasks whose runs have proven themselves."""
         for task in list(worker.probation):
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -226,7 +226,14 @@
         with self.tracker.lock:
             self._refresh_configuration()
             for row in intake.unwrap().rows:
-                self._restore_row(row, stored)
+                try:
+                    self._restore_row(row, stored)
+                except Exception:
+                    # One job must not keep each new leader from loading.
+                    logger.exception(
+                        "cannot restore a stored job",
+                        extra={"job": parse_job_name(row)},
+                    )
             self.tracker.sort_arrivals()
             for row in intake.unwrap().rows:
                 if is_cancellation(row):
@@ -364,8 +371,16 @@
     def _apply_intake(self, changes: Changes) -> None:
         with self.tracker.lock:
             for row in changes.rows:
-                if row.value is not None:
+                if row.value is None:
+                    continue
+                try:
                     self._apply_intake_row(row)
+                except Exception:
+                    # The feed does not read the rows behind it again.
+                    logger.exception(
+                        "cannot apply an intake row",
+                        extra={"job": parse_job_name(row)},
+                    )
         self.wake()
 
     def _apply_intake_row(self, row: Row) -> None:
@@ -399,7 +414,15 @@
     def _apply_registry(self, changes: Changes) -> None:
         with self.tracker.lock:
             for row in changes.rows:
-                self._apply_entry(row)
+                try:
+                    self._apply_entry(row)
+                except Exception:
+                    # An error for one entry must not keep the others from
+                    # being applied, or a leader from loading.
+                    logger.exception(
+                        "registry entry cannot be applied",
+                        extra={"worker": row.key.key},
+                    )
         self.wake()
 
     def _apply_entry(self, row: Row) -> None:
@@ -415,6 +438,10 @@
         worker = self.tracker.apply_worker_entry(entry)
         if worker is not None:
             self._sessions.start_session(worker)
+            return
+        known = self.tracker.workers.get(name)
+        if known is not None and known.claim is entry:
+            self._sessions.start_probe(known, entry)
 
     def _replace_registry(self, changes: Changes) -> None:
         self._apply_registry(changes)
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -1,12 +1,19 @@
 """Progress of jobs: one record per job, with the state of its tasks."""
 
 import json
+import logging
 from dataclasses import dataclass, replace
 from enum import IntEnum, StrEnum
 from functools import cached_property
 
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.specification import JobSpecification, Step
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    is_text,
+    is_whole,
+    read_whole,
+)
 
 __all__ = [
     "JobRecord",
@@ -21,6 +28,12 @@
 ]
 
 
+logger = logging.getLogger(__name__)
+
+# Largest value of a row of the store.
+MAX_ROW_BYTES = 65_536
+
+
 @dataclass(frozen=True)
 class TaskKey:
     """Position of a task in its job: occurrence, step and index from 0."""
@@ -149,6 +162,16 @@
     organisation: str = ""
 
 
+def _is_usable(state: TaskState) -> bool:
+    """Return whether a stored state has the types that planning needs."""
+    return (
+        all(map(is_whole, (state.run, state.born_ms)))
+        and all(map(is_text, (state.worker, state.checkpoint, state.vm)))
+        and all(map(is_whole, state.failed_runs))
+        and all(map(is_whole, state.crashed_runs))
+    )
+
+
 def parse_task_name(name: str) -> tuple[str, TaskKey] | None:
     """Split a task name into job and key; return None if it is malformed."""
     parts = name.split(".")
@@ -419,7 +442,22 @@
         self.ended_ms = wall_ms
 
     def encode(self) -> bytes:
-        """Encode the progress as JSON for the store."""
+        """Encode the progress as JSON for the store.
+
+        Checkpoints, whose length the workers choose, are left out if the row
+        would be too large otherwise. A new leader then starts the tasks that
+        no worker lists anew.
+        """
+        value = self._encode(True)
+        if len(value) <= MAX_ROW_BYTES:
+            return value
+        logger.warning(
+            "checkpoints of a job are not stored",
+            extra={"job": self.name, "bytes": len(value)},
+        )
+        return self._encode(False)
+
+    def _encode(self, has_checkpoints: bool) -> bytes:
         value: dict[str, object] = {
             "ended": self.ended or "",
             "ended_ms": self.ended_ms,
@@ -431,7 +469,7 @@
                     state.worker,
                     state.born_ms,
                     state.failed_runs,
-                    state.checkpoint,
+                    state.checkpoint if has_checkpoints else "",
                 ]
                 for key, state in self.tasks.items()
             },
@@ -477,6 +515,8 @@
                 tuple(crashed_runs),
                 suspected,
             )
+            if not self.has_task(key) or not _is_usable(state):
+                raise MalformedFieldError(f"tasks: {name} is not usable")
             self.set_task(key, state)
         # A placement is stored before its start is sent, so it does not show
         # that a task has begun. Rows of earlier versions lack the field.
@@ -484,7 +524,7 @@
             fields.get("start_confirmed", self.started)
         )
         if fields["ended"]:
-            self.end(JobState(fields["ended"]), fields["ended_ms"])
+            self.end(JobState(fields["ended"]), read_whole(fields, "ended_ms"))
         self.stored_state = self.state
 
     @cached_property
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -1,15 +1,25 @@
 """Stores when each VM was last ordered, for use by the next leader."""
 
 import json
+import logging
 from dataclasses import dataclass
 
 from chestnutstair.scheduling.leader import Leader
 from chestnutstair.scheduling.ports import RowKey, RowStore, RowWrite
 from chestnutstair.scheduling.shards.names import FIRST_NAMES, ShardNames
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.state.fields import (
+    MalformedFieldError,
+    parse_object,
+    read_number,
+    read_text,
+    read_whole,
+)
 
 __all__ = ["VmOrder", "VmOrderHistory"]
 
+logger = logging.getLogger(__name__)
+
 ORDER_TABLE = "vm-orders"
 CALL_SECONDS = 1.0  # timeout of a read or write of the store
 CLOCK_SLACK_SECONDS = 0.5  # wall clocks differ between nodes
@@ -24,6 +34,13 @@
     - `back_at`: monotonic time. When the VM counts as available again, or,
       for an unanswered order, when the order is repeated.
     - `answered`: False while the outcome of the order is unknown.
+    - `worker`, `born_ms`: the incarnation that the VM had when the order was
+      first sent, the only one that it can have ended; "" for none.
+    - `sent_at`: monotonic time at which it was first sent.
+    - `away_until`: monotonic time until which the VM may be away because of
+      an attempt without an answer; 0 if there was none.
+    - `carried_out`: the list has shown that it was carried out, while its
+      answer is still due.
     """
 
     vm: str
@@ -31,6 +48,16 @@
     wave: int = 0
     back_at: float = 0.0
     answered: bool = False
+    worker: str = ""
+    born_ms: int = 0
+    sent_at: float = 0.0
+    away_until: float = 0.0
+    carried_out: bool = False
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Worker name and born_ms that the VM had before the order."""
+        return self.worker, self.born_ms
 
 
 class VmOrderHistory:
@@ -69,8 +96,20 @@
         wall_time = self._clock.read_wall()
         now = self._clock.read_monotonic()
         for row in answer.unwrap().rows:
-            fields = json.loads(row.value or b"{}")
-            age = wall_time - fields.get("at", 0.0) - CLOCK_SLACK_SECONDS
+            try:
+                fields = parse_object(row.value or b"{}")
+                at = read_number(fields, "at", 0.0)
+                wave = read_whole(fields, "wave", 0)
+                service = read_text(fields, "service", "")
+            except MalformedFieldError as error:
+                # The time of the order is not known, so that it may have been
+                # sent just now.
+                logger.error(
+                    "stored VM order cannot be decoded",
+                    extra={"vm": row.key.key, "reason": str(error)},
+                )
+                at, wave, service = wall_time, 0, ""
+            age = wall_time - at - CLOCK_SLACK_SECONDS
             # A time in the future, from a clock that is ahead, counts as now,
             # so that it blocks the VM no longer than a correct one.
             age = max(age, -CLOCK_SLACK_SECONDS)
@@ -78,14 +117,8 @@
                 now + self._min_order_interval_seconds - age
             )
             back_at = now + self._maintenance_seconds - age
-            if fields.get("wave") and back_at > now:
-                order = VmOrder(
-                    row.key.key,
-                    fields["service"],
-                    fields["wave"],
-                    back_at,
-                    True,
-                )
+            if wave and back_at > now:
+                order = VmOrder(row.key.key, service, wave, back_at, True)
                 self.unfinished_maintenance.append(order)
         return True
 
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -1,5 +1,6 @@
 """The scheduler's view of a worker: its lease, runs and free room."""
 
+from collections import Counter
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.organisations.usage import OrganisationUsage
@@ -99,6 +100,14 @@
         usage: OrganisationUsage,
     ) -> None:
         self.entry = entry
+        # The latest entry of another incarnation, until either one answers.
+        self.claim: WorkerEntry | None = None
+        # Monotonic time until which it may hold a lease that was meant for
+        # the incarnation before.
+        self.inherited_lease_until = 0.0
+        # Entries, or stored placements, name different VMs for it.
+        self.vm_disputed = False
+        self.calls_claim = False  # the last call went to the claim's address
         self._usage = usage
         # The pool in which its runs are counted, also if the entry changes.
         self._service = entry.service
@@ -114,11 +123,17 @@
         self.acknowledged_end = 0
         self.applied_end = 0
         self.runs: dict[str, PlacedRun] = {}
+        # Number of the runs of each job.
+        self.runs_by_job: Counter[str] = Counter()
         # Resources reserved by the runs.
         self.used_millicores = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
         self.lasting_runs = 0
+        # Sort key of workers by what runs on them, the fullest first. Kept up
+        # to date here, as a round compares all workers of a pool for each
+        # task that it places.
+        self.fullness: tuple[int, int, str] = (0, 0, entry.name)
         # Runs that it listed last although they are not placed there. These
         # still use its room.
         self._orphan_runs: list[OrphanRun] = []
@@ -149,6 +164,7 @@
         """Add a run and reserve its room."""
         self.remove_run(task)
         self.runs[task] = run
+        self.runs_by_job[run.job] += 1
         if run.on_probation:
             self.probation.add(task)
         self._adjust_usage(run, 1)
@@ -173,6 +189,9 @@
         self.probation.discard(task)
         self.absent.discard(task)
         if run is not None:
+            self.runs_by_job[run.job] -= 1
+            if not self.runs_by_job[run.job]:
+                del self.runs_by_job[run.job]
             self._adjust_usage(run, -1)
         return run
 
@@ -199,6 +218,11 @@
             self.used_millicores += sign * step.millicores
         self.used_memory_mb += sign * step.memory_mb
         self.used_accelerators += sign * step.accelerators
+        self.fullness = (
+            -self.lasting_runs,
+            -self.used_millicores,
+            self.entry.name,
+        )
 
     def has_room(self, step: Step, tasks: int = 1) -> bool:
         """Return whether `tasks` more tasks of the step fit."""
@@ -245,6 +269,16 @@
             and self.alive_at - run.confirmed_at >= PROVING_SECONDS
         )
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Its name and born_ms."""
+        return self.entry.name, self.entry.born_ms
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether it has answered, and its last hold call did not fail."""
+        return self.contact is not None and not self.unresponsive
+
     def is_in_contact(self, now: float, seconds: float) -> bool:
         """Return whether the worker answered within the given seconds."""
         return self.contact is not None and now - self.contact.at <= seconds
@@ -260,7 +294,11 @@
         return self.contact.at + remaining_ms / 1000 / SLOWEST_CLOCK_RATE
 
     def update_entry(self, entry: WorkerEntry) -> None:
-        """Store a newer registry entry of the same incarnation."""
+        """Store a newer registry entry of the same incarnation.
+
+        It is one life of a VM, so that of two VMs one is wrong.
+        """
+        self.vm_disputed |= entry.vm != self.entry.vm
         self.entry = entry
 
     def confirm_run(self, task: str, listing: RunListing, now: float) -> None:
--- a/chestnutstair/tests/test_election.py
+++ b/chestnutstair/tests/test_election.py
@@ -3,6 +3,7 @@
 import math
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -12,6 +13,7 @@
     UnknownOutcomeFailure,
 )
 from chestnutstair.scheduling.election import (
+    LONGEST_PAUSE,
     Election,
     ElectionSettings,
     LeaderStatus,
@@ -28,9 +30,16 @@
 )
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.state.deadline import Deadline
+from chestnutstair.tests.malformed_values import (
+    MALFORMED_DOCUMENTS,
+    MALFORMED_NUMBERS,
+    MALFORMED_TEXTS,
+    encode_raw,
+)
 from chestnutstair.tests.scheduling_support import TrackerHarness
 from chestnutstair.tests.support import ManualClock
 
+TERM = vars(TermRow("other", "other:1", 7, 3, 1000.0))
 FRESH = LeaderStatus(True, 1, 0.1, 1)
 CUT_OFF = LeaderStatus(True, 1, 1.4, 1)
 REFUSED = Err(UnavailableFailure("Connection refused"))
@@ -198,6 +207,25 @@
         self.nodes.answer = Ok(FRESH)
         self.assertIsNone(self.run_for(5.0))
 
+    def test_a_small_vm_waits_until_larger_ones_have_checked_the_leader(
+        self,
+    ) -> None:
+        # With 45 nodes each checks the leader every 0.56 s, and a VM with
+        # half a core and 10 Mbit/s took over first: it loaded for 6 s, in
+        # which nothing started.
+        self.nodes.answer = Ok(replace(FRESH, poll_seconds=0.56))
+        small = self.build("small", "zone-a", power=0.516)
+        for election in (small, self.election):
+            election._step()
+        self.nodes.answer = Ok(replace(CUT_OFF, poll_seconds=0.56))
+        began = self.clock.now
+        while self.clock.now - began < 0.56 * LONGEST_PAUSE:
+            small._step()
+            self.assertFalse(small.is_leading, self.clock.now - began)
+            self.clock.now += 0.05
+        self.election._step()
+        self.assertTrue(self.election.is_leading)
+
     def test_a_small_vm_leads_where_no_larger_one_does(self) -> None:
         self.nodes.answer = SILENT
         self.election = self.build("small", "zone-b", 0.5)
@@ -309,3 +337,24 @@
             TERM_KEY.table, PARTITION, Deadline.after(self.clock, 1.0)
         )
         self.assertEqual(read_term(rows.unwrap().rows[0].value), row)
+
+    # Guards against nodes that fail in each check of the row, so that no node
+    # leads any more, and against an epoch below one that workers have seen.
+    def test_an_unreadable_row_is_taken_over(self) -> None:
+        values = [
+            *MALFORMED_DOCUMENTS,
+            *(encode_raw(TERM, epoch=text) for text in MALFORMED_NUMBERS),
+            *(encode_raw(TERM, address=text) for text in MALFORMED_TEXTS),
+            b'{"holder": "other"}',
+        ]
+        for value in values:
+            with self.subTest(value=value[:100]):
+                self.setUp()
+                deadline = Deadline.after(self.clock, 1.0)
+                write = RowWrite(TERM_KEY, value)
+                version = self.store.commit([], [write], deadline).unwrap()
+                for _ in range(20):
+                    self.election.run_round()
+                    self.clock.now += STEP_SECONDS
+                self.assertTrue(self.election.is_leading)
+                self.assertEqual(self.built[0][0], version + 1)
