Remove old jobs as fast as they end

Found by reading, beside the order of their removal: 45 jobs were removed every 15 s, so that a leader to which more than three jobs a second come keeps more and more of them, in memory and in the store, and each new leader takes longer to load them.

While more jobs are old than one removal takes, the next one follows after 1 s. The test failed before.

--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -104,6 +104,8 @@
     # How long a removed job is not admitted again: longer than a read of the
     # whole intake table takes, which may have begun before the removal.
     remember_removed_seconds: float = 30.0
+    # Time between two removals while more jobs are old than one removes.
+    removal_pause_seconds: float = 1.0
     # Deadline of reads from the store and of removals of old rows.
     store_timeout_seconds: float = 3.0
     # Deadline of reading the registry where there are several shards: it has
@@ -161,7 +163,9 @@
         self._start_callbacks: list[Callable[[], None]] = []
         self._logged_at = 0.0
         self._last_planning_seconds = 0.0
-        self._old_removed_at = clock.read_monotonic()
+        self._next_removal_at = (
+            clock.read_monotonic() + settings.retention_seconds / 10
+        )
         # Jobs removed in the last remember_removed_seconds, and when.
         self._removed: dict[str, float] = {}
 
@@ -567,16 +571,20 @@
     def _remove_old_jobs(self) -> None:
         now = self._clock.read_monotonic()
         retention_seconds = self._settings.retention_seconds
-        if now - self._old_removed_at < retention_seconds / 10:
+        if now < self._next_removal_at:
             return
-        self._old_removed_at = now
+        self._next_removal_at = now + retention_seconds / 10
         with self.tracker.lock:
             oldest_ms = (self._clock.read_wall() - retention_seconds) * 1000
             old = [
                 record.name
                 for record in self.tracker.jobs.values()
                 if record.ended is not None and record.ended_ms < oldest_ms
-            ][: self._settings.batch_rows // 2]
+            ]
+        batch_jobs = self._settings.batch_rows // 2
+        if len(old) > batch_jobs:
+            self._next_removal_at = now + self._settings.removal_pause_seconds
+            old = old[:batch_jobs]
         if not old:
             return
         # A submission without progress is a job that has not begun. The
--- a/chestnutstair/tests/test_leader.py
+++ b/chestnutstair/tests/test_leader.py
@@ -205,3 +205,23 @@
         self.leader._remove_old_jobs()
         self.leader.apply_submission("j", self.submission)
         self.assertEqual(self.harness.tracker.jobs, {})
+
+    # Guards against a leader whose jobs, and the time that its successor
+    # takes to load them, grow as long as more than three end in a second.
+    def test_jobs_are_removed_as_fast_as_they_end(self) -> None:
+        deadline = Deadline.after(self.harness.clock, 1.0)
+        jobs_per_second = 20
+        for second in range(60):
+            for number in range(jobs_per_second):
+                name = f"{second}-{number}"
+                key = build_job_key(name)
+                writes = [RowWrite(key, self.submission)]
+                self.store.writes_left = 1000
+                self.store.commit([], writes, deadline).unwrap()
+                self.leader.apply_submission(name, self.submission)
+                self.harness.tracker.cancel(name)
+        self.harness.clock.now += 160.0
+        for _ in range(60):
+            self.harness.clock.now += 1.0
+            self.leader._remove_old_jobs()
+        self.assertLess(len(self.harness.tracker.jobs), jobs_per_second)
