--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -101,7 +101,15 @@
     batch_rows: int = 90
     # How long finished jobs remain available; callers are promised 120 s.
     retention_seconds: float = 150.0
-    # Deadline of reads from the store and of removals of old rows.
+    # How long a removed job is not admitted again: longer than a read of the
+    # whole intake table takes, which may have begun before the removal.
+    remember_removed_seconds: float = 30.0
+    # Time between two removals while more jobs are old than one removes.
+    removal_pause_seconds: float = 1.0
+    # Deadline of a removal of old submissions. The next write of the term
+    # waits for it, and other nodes replace a leader that does not write.
+    removal_timeout_seconds: float = 0.4
+    # Deadline of reads from the store.
     store_timeout_seconds: float = 3.0
     # Deadline of reading the registry where there are several shards: it has
     # the workers of all, 3,000 of which take 5 s over a link of 2 Mbit/s.
@@ -158,7 +166,11 @@
         self._start_callbacks: list[Callable[[], None]] = []
         self._logged_at = 0.0
         self._last_planning_seconds = 0.0
-        self._old_removed_at = clock.read_monotonic()
+        self._next_removal_at = (
+            clock.read_monotonic() + settings.retention_seconds / 10
+        )
+        # Jobs removed in the last remember_removed_seconds, and when.
+        self._removed: dict[str, float] = {}
 
     @property
     def term(self) -> Term:
@@ -385,6 +397,8 @@
             return
         if name in self.tracker.jobs or row.value is None:
             return
+        if name in self._removed:
+            return  # read before its row was removed
         match decode_submission(name, row.value, self._submissions):
             case Ok(submission):
                 self.tracker.admit(submission)
@@ -560,31 +574,48 @@
     def _remove_old_jobs(self) -> None:
         now = self._clock.read_monotonic()
         retention_seconds = self._settings.retention_seconds
-        if now - self._old_removed_at < retention_seconds / 10:
+        if now < self._next_removal_at:
             return
-        self._old_removed_at = now
+        self._next_removal_at = now + retention_seconds / 10
         with self.tracker.lock:
             oldest_ms = (self._clock.read_wall() - retention_seconds) * 1000
             old = [
                 record.name
                 for record in self.tracker.jobs.values()
                 if record.ended is not None and record.ended_ms < oldest_ms
-            ][: self._settings.batch_rows // 2]
-            for name in old:
-                self.tracker.forget_job(name)
+            ]
+        batch_jobs = self._settings.batch_rows // 2
+        if len(old) > batch_jobs:
+            self._next_removal_at = now + self._settings.removal_pause_seconds
+            old = old[:batch_jobs]
         if not old:
             return
+        # A submission without progress is a job that has not begun. The
+        # submissions go first, so that no failure leaves one.
+        stored = self._remove_intake_rows(old)
+        logger.info(
+            "old jobs removed",
+            extra={"count": len(old), "stored": stored},
+        )
+        if not stored:
+            return
+        with self.tracker.lock:
+            self._remember_removed(old, now)
+            for name in old:
+                self.tracker.forget_job(name)
         self.term.write(
             [
                 RowWrite(self._names.build_progress_key(name), None)
                 for name in old
             ]
         )
-        stored = self._remove_intake_rows(old)
-        logger.info(
-            "old jobs removed",
-            extra={"count": len(old), "stored": stored},
-        )
+
+    def _remember_removed(self, jobs: list[str], now: float) -> None:
+        since = now - self._settings.remember_removed_seconds
+        self._removed = {
+            name: at for name, at in self._removed.items() if at >= since
+        }
+        self._removed.update(dict.fromkeys(jobs, now))
 
     def _remove_intake_rows(self, jobs: list[str]) -> bool:
         """Remove the rows of jobs; return whether all were removed.
@@ -603,7 +634,7 @@
                     )
                 )
         deadline = Deadline.after(
-            self._clock, self._settings.store_timeout_seconds
+            self._clock, self._settings.removal_timeout_seconds
         )
         results = [
             self._store.commit([], writes, deadline)
--- a/chestnutstair/tests/test_leader.py
+++ b/chestnutstair/tests/test_leader.py
@@ -3,11 +3,16 @@
 import time
 import unittest
 from typing import Any
+from unittest.mock import patch
 
+from result import Err
+
+from chestnutstair.coordination.platform import UnavailableFailure
 from chestnutstair.platform.decoding import (
     PlatformDecoder,
     PlatformSubmissions,
 )
+from chestnutstair.scheduling.election import ElectionSettings
 from chestnutstair.scheduling.intake import build_job_key, encode_submission
 from chestnutstair.scheduling.job_tracker import JobTracker, JobTrackerSettings
 from chestnutstair.scheduling.leader import Leader, LeaderSettings
@@ -22,7 +27,10 @@
 )
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.state.deadline import Deadline, SystemClock
-from chestnutstair.tests.scheduling_support import CONFIGURATION
+from chestnutstair.tests.scheduling_support import (
+    CONFIGURATION,
+    TrackerHarness,
+)
 from chestnutstair.tests.test_intake import BODY, QUEUE
 
 READ_SECONDS = 0.3
@@ -105,3 +113,133 @@
     def test_a_damaged_row_does_not_keep_others_from_loading(self) -> None:
         self.assertTrue(self.leader.load())
         self.assertEqual(list(self.tracker.jobs), ["j"])
+
+
+class FailingRowStore(MemoryRowStore):
+    """A store that takes a number of writes and then no more."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.writes_left = 1000
+
+    def commit(self, *arguments: Any) -> Any:
+        """Write the rows, or fail."""
+        if not self.writes_left:
+            return Err(UnavailableFailure("down"))
+        self.writes_left -= 1
+        return super().commit(*arguments)
+
+
+class RemovalTest(unittest.TestCase):
+    """Old jobs are removed from the store and from memory.
+
+    The progress of a job went first: if the removal of its submission failed,
+    or the leader was lost before it, the job looked like one that had not
+    begun, and the next leader ran it again.
+    """
+
+    def setUp(self) -> None:
+        self.store = FailingRowStore()
+        self.harness = TrackerHarness(("w1",))
+        deadline = Deadline.after(self.harness.clock, 1.0)
+        self.submission = encode_submission(QUEUE, 1, BODY)
+        writes = [RowWrite(build_job_key("j"), self.submission)]
+        self.store.commit([], writes, deadline).unwrap()
+        self.leader = self.build_leader(self.harness)
+        self.assertTrue(self.leader.load())
+        self.harness.tracker.cancel("j")
+        self.write_progress()
+        self.harness.clock.now += 200.0
+
+    def build_leader(self, harness: TrackerHarness) -> Leader:
+        deadline = Deadline.after(harness.clock, 1.0)
+        row = TermRow("node", "node:1", 1, 0)
+        writes = [RowWrite(TERM_KEY, row.encode())]
+        version = self.store.commit([], writes, deadline).unwrap()
+        term = Term(self.store, harness.clock, row, version, TermSettings())
+        unused: Any = None
+        return Leader(
+            Leadership(term),
+            harness.tracker,
+            unused,
+            unused,
+            self.store,
+            unused,
+            unused,
+            PlatformDecoder(),
+            PlatformSubmissions(),
+            lambda: CONFIGURATION,
+            harness.clock,
+            LeaderSettings(),
+        )
+
+    def write_progress(self) -> None:
+        writes, _ = self.leader._encode_dirty()
+        self.assertEqual(len(writes), 1)
+        self.leader.term.write(writes)
+
+    def load_next(self) -> JobTracker:
+        """Return the jobs of the next leader."""
+        self.store.writes_left = 1000
+        harness = TrackerHarness(())
+        self.assertTrue(self.build_leader(harness).load())
+        return harness.tracker
+
+    def test_a_failure_during_the_removal_starts_no_job_again(self) -> None:
+        for writes in range(3):
+            with self.subTest(writes=writes):
+                self.setUp()
+                self.store.writes_left = writes
+                self.leader._remove_old_jobs()
+                self.assertEqual(self.load_next().active, {})
+
+    def test_a_removal_that_failed_is_made_later(self) -> None:
+        self.store.writes_left = 0
+        self.leader._remove_old_jobs()
+        self.assertEqual(list(self.harness.tracker.jobs), ["j"])
+        self.store.writes_left = 1000
+        self.harness.clock.now += 20.0
+        self.leader._remove_old_jobs()
+        self.assertEqual(self.harness.tracker.jobs, {})
+        self.assertEqual(self.load_next().jobs, {})
+
+    def test_a_removed_job_is_not_admitted_by_an_earlier_read(self) -> None:
+        self.leader._remove_old_jobs()
+        self.leader.apply_submission("j", self.submission)
+        self.assertEqual(self.harness.tracker.jobs, {})
+
+    # Guards against a leader whose jobs, and the time that its successor
+    # takes to load them, grow as long as more than three end in a second.
+    def test_jobs_are_removed_as_fast_as_they_end(self) -> None:
+        deadline = Deadline.after(self.harness.clock, 1.0)
+        jobs_per_second = 20
+        for second in range(60):
+            for number in range(jobs_per_second):
+                name = f"{second}-{number}"
+                key = build_job_key(name)
+                writes = [RowWrite(key, self.submission)]
+                self.store.writes_left = 1000
+                self.store.commit([], writes, deadline).unwrap()
+                self.leader.apply_submission(name, self.submission)
+                self.harness.tracker.cancel(name)
+        self.harness.clock.now += 160.0
+        for _ in range(60):
+            self.harness.clock.now += 1.0
+            self.leader._remove_old_jobs()
+        self.assertLess(len(self.harness.tracker.jobs), jobs_per_second)
+
+    # Guards against a leader that is replaced because it waits for a partition
+    # of the store while it should renew its term.
+    def test_a_removal_without_answer_does_not_cost_the_term(self) -> None:
+        clock = self.harness.clock
+        began = clock.now
+
+        def wait_for_answer(*arguments: Any) -> Any:
+            clock.now = max(clock.now, arguments[2].at)
+            return Err(UnavailableFailure("no answer"))
+
+        with patch.object(self.store, "commit", wait_for_answer):
+            self.leader._remove_old_jobs()
+        self.assertGreater(clock.now, began, "nothing was removed")
+        silence = clock.now - began + LeaderSettings().renew_interval_seconds
+        self.assertLess(silence, ElectionSettings().fresh_seconds)
