Place starts only as far ahead as they are sent

A round placed all that the pool had room for, and 24 threads sent the starts in that order.

A round now places what the threads send until the next round and 0.05 s more (1,000 starts a second, up to 1 s for a round), less what still waits; the threads wake the planner when few are left. Each round begins with another pool, as the first one might use up the limit.

Tests: an urgent job that arrives goes first, all is placed in the end, gangs whole, organisations and pools beside each other, the count of what waits, the wake-up and the bound after an outage.

--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -158,6 +158,7 @@
         self._start_callbacks: list[Callable[[], None]] = []
         self._logged_at = 0.0
         self._last_planning_seconds = 0.0
+        self._last_round_seconds = 0.0
         self._old_removed_at = clock.read_monotonic()
 
     @property
@@ -445,6 +446,7 @@
                 # on an error would stall every job until a takeover.
                 logger.exception("planning round failed")
             elapsed = self._clock.read_monotonic() - began
+            self._last_round_seconds = elapsed + self._last_planning_seconds
             remaining = self._settings.min_write_interval_seconds - elapsed
             # Sleeps at least as long as planning took, so that the other
             # threads get half of the time even if planning exceeds the
@@ -458,8 +460,9 @@
             self.tracker.release_expired()
             self.tracker.stop_stuck_runs()
             self._planner.evict_from_draining()
+            limit = self._orders.limit_starts(self._last_round_seconds)
             placements = self._planner.plan(
-                now, self._clock.read_wall() * 1000
+                now, self._clock.read_wall() * 1000, limit
             )
             stops = self.tracker.list_stop_requests()
             writes, states = self._encode_dirty()
@@ -473,6 +476,8 @@
             self._last_planning_seconds = self._clock.read_monotonic() - now
         for stop in stops:
             self._orders.submit_stop(stop)
+        if not limit:
+            self._orders.wake_when_sent()
         if not writes and not self._is_renewal_due():
             return
         for batch in split_batches(writes, self._settings.batch_rows):
@@ -487,6 +492,8 @@
         self._log_pools()
         for placement in placements:
             self._orders.submit_start(placement)
+        if limit and len(placements) >= limit:
+            self._orders.wake_when_sent()
         self._remove_old_jobs()
 
     def _is_renewal_due(self) -> bool:
--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -1,6 +1,7 @@
 """Sends orders to workers and records their outcomes."""
 
 import logging
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 
@@ -53,6 +54,15 @@
     retry_seconds: float = 0.2
     # Orders sent in parallel.
     threads: int = 24
+    # Starts a second that the threads send with one core: a start and the
+    # call that tells its end take about a millisecond of it.
+    starts_per_second: float = 1000.0
+    # Starts are placed so far ahead of those that wait to be sent that the
+    # threads stay busy until the next round and this much longer.
+    queue_seconds: float = 0.05
+    # Longest time to the next round that counts for this. A round takes as
+    # long as the store is away, and up to 0.6 s while it is slow.
+    longest_round_seconds: float = 1.0
 
     def compute_takeover_wait(self, unchanged_seconds: float) -> float:
         """Return how long leases of the previous leader may still last.
@@ -85,6 +95,11 @@
         self._clock = clock
         self._settings = settings
         self._stops_in_flight: set[tuple[str, str, int]] = set()
+        # Starts that were placed and have not been answered, and whether to
+        # wake the planner once few are left.
+        self._unanswered = 0
+        self._must_wake = False
+        self._count_lock = threading.Lock()
         self._threads = ThreadPoolExecutor(
             settings.threads, thread_name_prefix="order"
         )
@@ -122,7 +137,46 @@
 
     def submit_start(self, placement: Placement) -> None:
         """Send a start whose placement has been stored."""
-        self._threads.submit(self._start, placement)
+        with self._count_lock:
+            self._unanswered += 1
+        self._threads.submit(self._run_start, placement)
+
+    def limit_starts(self, round_seconds: float) -> int:
+        """Return how many starts a round may place, at least 0.
+
+        Starts are sent in the order in which they were placed, so what waits
+        here is not overtaken by a more urgent job, and holds room that is not
+        used. `round_seconds` is the time until the next round places more.
+        """
+        settings = self._settings
+        seconds = min(round_seconds, settings.longest_round_seconds)
+        seconds += settings.queue_seconds
+        allowed = int(settings.starts_per_second * seconds)
+        return max(0, allowed - self._unanswered)
+
+    def wake_when_sent(self) -> None:
+        """Wake the planner once few starts are left, as it placed no more."""
+        with self._count_lock:
+            self._must_wake = True
+        self._wake_if_few_starts_are_left()
+
+    def _wake_if_few_starts_are_left(self) -> None:
+        with self._count_lock:
+            few = self._unanswered <= self._settings.threads
+            wakes = self._must_wake and few
+            if wakes:
+                self._must_wake = False
+        if wakes:
+            self._leadership.wake_planner()
+
+    def _run_start(self, placement: Placement) -> None:
+        try:
+            self._start(placement)
+        finally:
+            with self._count_lock:
+                self._unanswered -= 1
+            if self._must_wake:
+                self._wake_if_few_starts_are_left()
 
     def submit_pace(self, worker: WorkerState, pace: Pace) -> None:
         """Send an order that sets the speed of a run."""
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -159,6 +159,12 @@
     )
 
 
+def _rotate(items: list[str], count: int) -> list[str]:
+    """Return the items in the same order, beginning `count` places later."""
+    first = count % len(items) if items else 0
+    return items[first:] + items[:first]
+
+
 def _prefer(
     workers: list[WorkerState], is_preferred: Callable[[WorkerState], bool]
 ) -> list[WorkerState]:
@@ -192,12 +198,19 @@
         self._holds = CapHolds(tracker.caps)
         self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
+        self._rounds = 0
         self.lookahead: LookAhead | None = None
         if settings.lookahead is not None:
             self.lookahead = LookAhead(tracker.durations, settings.lookahead)
 
-    def plan(self, now: float, wall_ms: float) -> list[Placement]:
-        """Place the tasks that can start; return them, most urgent first."""
+    def plan(
+        self, now: float, wall_ms: float, limit: int = sys.maxsize
+    ) -> list[Placement]:
+        """Place the tasks that can start; return them by pool and urgency.
+
+        Places no more than `limit` tasks, except for the rest of a gang. Each
+        round begins with another pool, so that none is left out for long.
+        """
         self._tracker.caps.apply_configuration(self._tracker.configuration)
         self._holds.begin_round(now)
         organisations = self._tracker.configuration.organisations
@@ -212,7 +225,10 @@
                 continue
             by_service[queue.service].append((urgency, name))
         placements: list[Placement] = []
-        for service, jobs in by_service.items():
+        self._rounds += 1
+        for service in _rotate(list(by_service), self._rounds):
+            jobs = by_service[service]
+            left = limit - len(placements)
             workers = self._list_usable_workers(service, now)
             if not workers:
                 continue
@@ -221,10 +237,10 @@
             if self.lookahead is not None:
                 self._reserve_room(self.lookahead, service, jobs, pool, now)
             if weights is None:
-                placements += self._place_in_order(jobs, pool, wall_ms)
+                placements += self._place_in_order(jobs, pool, wall_ms, left)
             else:
                 placements += self._place_by_shares(
-                    service, jobs, pool, wall_ms, weights
+                    service, jobs, pool, wall_ms, weights, left
                 )
         self._holds.end_round()
         self._report.publish(self._tracker.active.values(), now)
@@ -235,13 +251,17 @@
         jobs: list[tuple[Urgency, str]],
         pool: PoolIsolation,
         wall_ms: float,
+        limit: int,
     ) -> list[Placement]:
         """Place a pool's jobs in the order of their urgency."""
         placements: list[Placement] = []
         rejected = RejectedSizes()
         for job in sorted(jobs, key=_rank_job):
+            left = limit - len(placements)
+            if left <= 0:
+                break
             placements += self._try_job(
-                job[1], _rank_job(job), pool, rejected, wall_ms
+                job[1], _rank_job(job), pool, rejected, wall_ms, left
             )
         return placements
 
@@ -305,9 +325,12 @@
         pool: PoolIsolation,
         wall_ms: float,
         weights: Mapping[str, float],
+        limit: int,
     ) -> list[Placement]:
         """Place a pool's jobs by the shares of their organisations."""
         placements: list[Placement] = []
+        if limit <= 0:
+            return placements
         rejected = RejectedSizes()
         usage = self._tracker.usage
         credit = self._excess_credits.setdefault(service, ExcessCredit())
@@ -318,10 +341,17 @@
             weights,
             credit,
         )
-        while (turn := order.choose()) is not None:
+        while (left := limit - len(placements)) > 0 and (
+            turn := order.choose()
+        ) is not None:
             job = turn.job
             placed = self._try_job(
-                job.name, job.rank, pool, rejected, wall_ms, turn.limit
+                job.name,
+                job.rank,
+                pool,
+                rejected,
+                wall_ms,
+                min(left, turn.limit),
             )
             record = self._tracker.active.get(job.name)
             order.record(
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -1,6 +1,8 @@
 """Tests of how the outcomes of orders to workers are handled."""
 
+import time
 import unittest
+from collections.abc import Callable
 from typing import Any
 
 from result import Err, Ok, Result
@@ -124,3 +126,62 @@
         self.leadership.end()
         self.send_stop()
         self.assertEqual(self.control.call_count, 1, "the start only")
+
+
+class StartLimitTest(unittest.TestCase):
+    """Starts are placed only so far ahead of those that wait to be sent."""
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("w1", "w2", "w3", "w4"))
+        store = MemoryRowStore()
+        row = TermRow("n", "n:1", 1, 0)
+        self.leadership = Leadership(
+            Term(store, self.harness.clock, row, 0, TermSettings())
+        )
+        self.control = ScriptedControl()
+        self.orders = OrderSender(
+            self.leadership,
+            self.harness.tracker,
+            self.control,
+            self.harness.advice,
+            Pacer(self.harness.clock, PacingSettings()),
+            self.harness.clock,
+            OrderSettings(
+                threads=2, starts_per_second=100.0, queue_seconds=0.1
+            ),
+        )
+        self.addCleanup(self.orders.close)
+        self.harness.admit("j", [Step(30, 5000)])
+        self.placed = self.harness.plan()
+
+    def test_starts_that_wait_count_against_the_limit(self) -> None:
+        # What waits to be sent holds room and is not overtaken.
+        self.assertEqual(self.orders.limit_starts(0.2), 30)
+        with self.harness.tracker.lock:  # keeps the starts from being sent
+            for placement in self.placed:
+                self.orders.submit_start(placement)
+            self.assertEqual(self.orders.limit_starts(0.2), 0)
+        self.wait_for(lambda: self.orders.limit_starts(0.2) == 30)
+
+    def test_the_planner_is_woken_once_few_starts_are_left(self) -> None:
+        # It placed no more, and no end of a run may wake it.
+        with self.harness.tracker.lock:
+            for placement in self.placed:
+                self.orders.submit_start(placement)
+            self.orders.wake_when_sent()
+            self.assertFalse(self.leadership.planner_wakeup.is_set())
+        self.wait_for(self.leadership.planner_wakeup.is_set)
+
+    def test_the_planner_is_woken_if_all_starts_are_sent(self) -> None:
+        self.orders.wake_when_sent()
+        self.assertTrue(self.leadership.planner_wakeup.is_set())
+
+    def test_a_long_outage_of_the_store_does_not_lift_the_limit(self) -> None:
+        # The first round after it would place all that has gathered.
+        self.assertEqual(self.orders.limit_starts(8.0), 110)
+
+    def wait_for(self, is_reached: Callable[[], bool]) -> None:
+        end = time.monotonic() + 10.0
+        while not is_reached():
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.005)
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -6,11 +6,13 @@
 
 import sys
 import unittest
+from dataclasses import replace
 from types import FrameType
 from typing import Any
 from unittest import mock
 
 from chestnutstair.scheduling.load import measure_loads
+from chestnutstair.scheduling.organisations import Cap, Organisation
 from chestnutstair.scheduling.placement import Placement
 from chestnutstair.scheduling.progress import (
     JobRecord,
@@ -20,6 +22,7 @@
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.workers import PlacedRun, WorkerState
 from chestnutstair.tests.scheduling_support import (
+    CONFIGURATION,
     TrackerHarness,
     build_entry,
     build_submission,
@@ -173,6 +176,82 @@
         self.assertFalse(worker.runs_by_job)
 
 
+class StartLimitTest(unittest.TestCase):
+    """A leader that cannot send all the starts that the pool has room for.
+
+    At 600 starts a second, 500 placed starts waited to be sent in their
+    order. They held half of the pool's room, and a job that had just come
+    waited for 0.8 s behind others that were late already.
+    """
+
+    LIMIT = 50
+    STEP = Step(8, 6_200, 6_300, estimate_ms=640)
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(TurnTest.POOL)
+
+    def admit(self, count: int, first: int = 0, **options: Any) -> None:
+        for number in range(first, first + count):
+            self.harness.admit(f"{number:016x}", [self.STEP], **options)
+
+    def plan(self, limit: int = LIMIT) -> list[Placement]:
+        now = self.harness.clock.now
+        return self.harness.planner.plan(now, now * 1000, limit)
+
+    def test_an_urgent_job_goes_before_what_does_not_wait_yet(self) -> None:
+        self.admit(60)
+        self.harness.clock.now += 3.0  # all of them are late
+        self.harness.answer_all()
+        self.assertEqual(len(self.plan()), self.LIMIT)
+        self.admit(1, first=60)
+        names = [item.record.name for item in self.plan()]
+        self.assertEqual(names[:8], [f"{60:016x}"] * 8)
+        self.assertEqual(len(names), self.LIMIT)
+
+    def test_rounds_place_all_that_fits_in_the_end(self) -> None:
+        self.admit(60)
+        placed = 0
+        while count := len(self.plan()):
+            self.assertLessEqual(count, self.LIMIT)
+            placed += count
+        self.assertEqual(placed, 60 * 8)
+
+    def test_the_limit_holds_among_organisations(self) -> None:
+        organisations = {
+            name: Organisation(name, 5.0, Cap(9_000_000)) for name in "ab"
+        }
+        self.harness.tracker.configuration = replace(
+            CONFIGURATION, organisations=organisations
+        )
+        for number in range(60):
+            submission = build_submission(f"{number:016x}", [self.STEP])
+            owner = "ab"[number % 2]
+            self.harness.tracker.admit(replace(submission, organisation=owner))
+        placed = self.plan()
+        self.assertEqual(len(placed), self.LIMIT)
+        owners = {item.record.submission.organisation for item in placed}
+        self.assertEqual(owners, {"a", "b"})
+
+    def test_a_gang_is_placed_as_a_whole(self) -> None:
+        # Its tasks have to start together, so a part of them is of no use.
+        step = Step(8, 6_200, 6_300, estimate_ms=640, gang=True)
+        self.harness.admit("a" * 16, [step])
+        self.assertEqual(len(self.plan(limit=3)), 8)
+
+    def test_each_pool_gets_a_round_of_its_own(self) -> None:
+        # The pool whose turn it is has more to start than a round may place.
+        harness = self.harness
+        for number in range(4):
+            entry = build_entry(f"x{number}", "other")
+            harness.tracker.apply_worker_entry(entry)
+            harness.answer(entry.name)
+        self.admit(60)
+        self.admit(1, first=60, queue="other")
+        placed = self.plan() + self.plan()
+        jobs = [item.record.name for item in placed]
+        self.assertEqual(jobs.count(f"{60:016x}"), 8)
+
+
 class StepProgressTest(unittest.TestCase):
     """The counts of a step match the states of its tasks."""
 
