Send stops on threads of their own

Stops and speeds now have 16 threads of their own, and a worker that does not answer gets one stop at a time, so that it does not delay those of cancelled jobs either. The stop is repeated each round as before.

Both tests fail on the code before (given the new setting).

--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -52,8 +52,12 @@
     max_write_age_seconds: float = 2.0
     # Delay after a refused or failed order.
     retry_seconds: float = 0.2
-    # Orders sent in parallel.
+    # Starts sent in parallel.
     threads: int = 24
+    # Stops and speeds sent in parallel, apart from starts: an order to a
+    # worker that does not answer occupies a thread for 0.7 s. More than the
+    # workers of a rack, which may fail together.
+    stop_threads: int = 16
     # Starts a second that the threads send with one core: a start and the
     # call that tells its end take about a millisecond of it.
     starts_per_second: float = 1000.0
@@ -103,10 +107,14 @@
         self._threads = ThreadPoolExecutor(
             settings.threads, thread_name_prefix="order"
         )
+        self._stop_threads = ThreadPoolExecutor(
+            settings.stop_threads, thread_name_prefix="stop"
+        )
 
     def close(self) -> None:
         """Drop the orders that wait, without waiting for those in progress."""
-        self._threads.shutdown(wait=False, cancel_futures=True)
+        for threads in (self._threads, self._stop_threads):
+            threads.shutdown(wait=False, cancel_futures=True)
 
     def extend_lease(self, worker: WorkerState) -> int | None:
         """Return the lease deadline to send, or None to not extend it.
@@ -129,11 +137,20 @@
         return deadline_ms
 
     def submit_stop(self, stop: StopRequest) -> None:
-        """Send a stop, unless the same one is in progress."""
+        """Send a stop, unless the same one is in progress.
+
+        A worker that does not answer gets one stop at a time, so that its
+        stops do not occupy the threads that others need.
+        """
         key = (stop.worker.name, stop.task, stop.run)
-        if key not in self._stops_in_flight:
+        with self._count_lock:
+            waits = stop.worker.unresponsive and any(
+                name == stop.worker.name for name, *_ in self._stops_in_flight
+            )
+            if waits or key in self._stops_in_flight:
+                return
             self._stops_in_flight.add(key)
-            self._threads.submit(self._stop, stop, key)
+        self._stop_threads.submit(self._stop, stop, key)
 
     def submit_start(self, placement: Placement) -> None:
         """Send a start whose placement has been stored."""
@@ -180,7 +197,7 @@
 
     def submit_pace(self, worker: WorkerState, pace: Pace) -> None:
         """Send an order that sets the speed of a run."""
-        self._threads.submit(self._pace, worker, pace)
+        self._stop_threads.submit(self._pace, worker, pace)
 
     def _stop(self, stop: StopRequest, key: tuple[str, str, int]) -> None:
         if self._leadership.has_ended:
@@ -209,7 +226,8 @@
                 case Err(_):
                     self._leadership.ended.wait(self._settings.retry_seconds)
         finally:
-            self._stops_in_flight.discard(key)
+            with self._count_lock:
+                self._stops_in_flight.discard(key)
             self._leadership.wake_planner()
 
     def _pace(self, worker: WorkerState, pace: Pace) -> None:
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -1,5 +1,6 @@
 """Tests of how the outcomes of orders to workers are handled."""
 
+import threading
 import time
 import unittest
 from collections.abc import Callable
@@ -8,6 +9,7 @@
 from result import Err, Ok, Result
 
 from chestnutstair.coordination.platform import UnavailableFailure
+from chestnutstair.scheduling.job_tracker import StopRequest
 from chestnutstair.scheduling.leadership import Leadership
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.pacing import Pacer, PacingSettings
@@ -17,12 +19,16 @@
     StartRefusedFailure,
     WorkerCallFailure,
     WorkerControl,
+    WorkerEntry,
 )
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.scheduling.term import Term, TermRow, TermSettings
+from chestnutstair.scheduling.workers import WorkerState
 from chestnutstair.standins.rows import MemoryRowStore
 from chestnutstair.tests.scheduling_support import TrackerHarness
 
+WAIT_SECONDS = 10.0
+
 
 class ScriptedControl(WorkerControl):
     """Answers each start and stop with the failure set, if any."""
@@ -185,3 +191,82 @@
         while not is_reached():
             self.assertLess(time.monotonic(), end)
             time.sleep(0.005)
+
+
+class BlockingControl(ScriptedControl):
+    """Workers that answer starts, but stops only once they are released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+        self.stops: list[str] = []
+
+    def start(self, *_: Any) -> Result[int, WorkerCallFailure]:
+        """Accept a start."""
+        return Ok(0)
+
+    def stop(
+        self, worker: WorkerEntry, *_: Any
+    ) -> Result[int, WorkerCallFailure]:
+        """Give no answer until the event is set."""
+        self.stops.append(worker.name)
+        self.released.wait(WAIT_SECONDS)
+        return Err(UnavailableFailure("timed out"))
+
+
+class SilentWorkersTest(unittest.TestCase):
+    """A rack of workers is dark, and runs on them are to be stopped.
+
+    151 stops without an answer in 7 s occupied most of the threads that send
+    starts, and a pool of 110 workers stood nearly empty with 8,000 cores of
+    work waiting.
+    """
+
+    def setUp(self) -> None:
+        self.harness = TrackerHarness(("dark", "w1"))
+        store = MemoryRowStore()
+        row = TermRow("n", "n:1", 1, 0)
+        self.control = BlockingControl()
+        self.orders = OrderSender(
+            Leadership(
+                Term(store, self.harness.clock, row, 0, TermSettings())
+            ),
+            self.harness.tracker,
+            self.control,
+            self.harness.advice,
+            Pacer(self.harness.clock, PacingSettings()),
+            self.harness.clock,
+            OrderSettings(retry_seconds=0.0, threads=2, stop_threads=2),
+        )
+        self.addCleanup(self.orders.close)
+        self.addCleanup(self.control.released.set)
+        self.dark = self.harness.get_worker("dark")
+
+    def submit_stops(self, worker: WorkerState, count: int) -> None:
+        for number in range(count):
+            task = f"j.0.0.{number}"
+            self.orders.submit_stop(StopRequest(worker, task, 1))
+
+    def wait_for(self, is_reached: Callable[[], bool]) -> None:
+        end = time.monotonic() + WAIT_SECONDS
+        while not is_reached():
+            self.assertLess(time.monotonic(), end)
+            time.sleep(0.005)
+
+    def test_stops_without_an_answer_delay_no_starts(self) -> None:
+        self.submit_stops(self.dark, 10)
+        self.harness.admit("j", [Step(4, 1000)])
+        self.dark.cordoned = True
+        for placement in self.harness.plan():
+            self.orders.submit_start(placement)
+        runs = self.harness.get_worker("w1").runs
+        self.wait_for(lambda: all(run.confirmed_at for run in runs.values()))
+        self.assertEqual(len(runs), 4)
+
+    def test_a_silent_worker_gets_one_stop_at_a_time(self) -> None:
+        # Its stops would keep those for others, as of cancelled jobs, waiting.
+        self.dark.unresponsive = True
+        self.submit_stops(self.dark, 10)
+        self.submit_stops(self.harness.get_worker("w1"), 1)
+        self.wait_for(lambda: "w1" in self.control.stops)
+        self.assertEqual(self.control.stops.count("dark"), 1)
