Share the choice of a worker among tasks of one kind in a round

A round compared all workers again for each job, and with organisations for each turn of a job, although the fullest worker with room stays the best for tasks of the same kind until it is full or another worker changes.

--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -159,6 +159,20 @@
     )
 
 
+def _get_kind(step: Step) -> tuple[object, ...]:
+    """Return what decides which worker is best for a task of a step."""
+    return (
+        step.millicores,
+        step.memory_mb,
+        step.accelerators,
+        step.filler,
+        step.lasting,
+        step.data_rack,
+        step.required_label,
+        step.spread_limit,
+    )
+
+
 def _rotate(items: list[str], count: int) -> list[str]:
     """Return the items in the same order, beginning `count` places later."""
     first = count % len(items) if items else 0
@@ -199,6 +213,11 @@
         self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
         self._rounds = 0
+        # The last task that was placed in this round: the workers to choose
+        # from, its step and its worker.
+        self._last_choice: (
+            tuple[list[WorkerState], Step, WorkerState] | None
+        ) = None
         self.lookahead: LookAhead | None = None
         if settings.lookahead is not None:
             self.lookahead = LookAhead(tracker.durations, settings.lookahead)
@@ -226,6 +245,7 @@
             by_service[queue.service].append((urgency, name))
         placements: list[Placement] = []
         self._rounds += 1
+        self._last_choice = None
         for service in _rotate(list(by_service), self._rounds):
             jobs = by_service[service]
             left = limit - len(placements)
@@ -640,7 +660,7 @@
         workers: list[WorkerState],
     ) -> list[Placement]:
         placements: list[Placement] = []
-        worker: WorkerState | None = None
+        worker = self._recall_choice(step, workers)
         admitted = self._count_admitted(record, step, len(waiting))
         for key in waiting[:admitted]:
             if worker is None or not self._remains_best(record, step, worker):
@@ -651,8 +671,29 @@
                 continue
             run = self._tracker.place(record, key, worker)
             placements.append(Placement(record, key, worker, run))
+        if placements:
+            self._last_choice = None
+            # Otherwise the choice also depends on the job.
+            if not (step.spread_limit or record.failed_on or self.lookahead):
+                self._last_choice = (workers, step, placements[-1].worker)
         return placements
 
+    def _recall_choice(
+        self, step: Step, workers: list[WorkerState]
+    ) -> WorkerState | None:
+        """Return the worker of the last task placed, if it may be the best.
+
+        It is the fullest one that had room for a task of this kind, and no
+        other worker has changed since.
+        """
+        if self._last_choice is None:
+            return None
+        last_workers, last_step, worker = self._last_choice
+        is_same = last_workers is workers and _get_kind(last_step) == (
+            _get_kind(step)
+        )
+        return worker if is_same else None
+
     def _place_suspect(
         self,
         record: JobRecord,
@@ -679,6 +720,7 @@
             ),
         )
         run = self._tracker.place(record, key, worker)
+        self._last_choice = None
         pool.close_worker(worker)
         return [Placement(record, key, worker, run)]
 
@@ -813,6 +855,7 @@
             for member in workers:
                 racks[member.entry.rack].append(member)
             groups = [*racks.values(), workers]
+        self._last_choice = None
         run = 1 + max(record.get_task(key).run for key in waiting)
         for group in groups:
             placements: list[Placement] = []
--- a/chestnutstair/tests/test_planning_load.py
+++ b/chestnutstair/tests/test_planning_load.py
@@ -6,6 +6,7 @@
 
 import sys
 import unittest
+from collections import Counter
 from dataclasses import replace
 from types import FrameType
 from typing import Any
@@ -13,7 +14,7 @@
 
 from chestnutstair.scheduling.load import measure_loads
 from chestnutstair.scheduling.organisations import Cap, Organisation
-from chestnutstair.scheduling.placement import Placement
+from chestnutstair.scheduling.placement import Placement, Planner
 from chestnutstair.scheduling.progress import (
     JobRecord,
     TaskKey,
@@ -141,6 +142,40 @@
         limit = choices * len(self.POOL) + 100 * len(placed) + 1000
         self.assertLessEqual(calls, limit)
 
+    def test_jobs_of_one_size_share_the_choice_of_a_worker(self) -> None:
+        # The fullest worker with room stays so until it is full, and each job
+        # of 60 compared all workers anew.
+        with mock.patch.object(
+            Planner,
+            "_choose_worker",
+            autospec=True,
+            side_effect=Planner._choose_worker,
+        ) as choose:
+            placed = self.harness.plan()
+        self.assertLessEqual(choose.call_count, len(placed) // 10)
+        fills = Counter(item.worker.name for item in placed)
+        self.assertEqual(set(fills.values()), {10})
+
+    def test_a_choice_is_not_shared_between_sizes(self) -> None:
+        # A small task may have made another worker the fullest with room.
+        harness = TrackerHarness(("w1", "w2", "w3"))
+        for number, millicores in enumerate((40_000, 30_000, 20_000, 30_000)):
+            harness.admit(f"{number:016x}", [Step(1, millicores)])
+        names = [item.worker.name for item in harness.plan()]
+        self.assertEqual(names, ["w1", "w2", "w1", "w2"])
+
+    def test_a_choice_made_after_a_failure_is_not_shared(self) -> None:
+        # The job avoids the fullest worker, on which its task has failed.
+        harness = TrackerHarness(("w1", "w2"))
+        harness.admit("0" * 16, [Step(1, 30_000)])
+        harness.plan()
+        step = Step(1, 10_000)
+        record = harness.admit("1" * 16, [step])
+        record.failed_on.add((TaskKey(0, 0, 0), "w1"))
+        harness.admit("2" * 16, [step])
+        names = [item.worker.name for item in harness.plan()]
+        self.assertEqual(names, ["w2", "w1"])
+
     def test_the_end_of_a_job_examines_only_the_workers_it_runs_on(
         self,
     ) -> None:
