--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -154,6 +154,26 @@
     )
 
 
+def _get_kind(step: Step) -> tuple[object, ...]:
+    """Return what decides which worker is best for a task of a step."""
+    return (
+        step.millicores,
+        step.memory_mb,
+        step.accelerators,
+        step.filler,
+        step.lasting,
+        step.data_rack,
+        step.required_label,
+        step.spread_limit,
+    )
+
+
+def _rotate(items: list[str], count: int) -> list[str]:
+    """Return the items in the same order, beginning `count` places later."""
+    first = count % len(items) if items else 0
+    return items[first:] + items[:first]
+
+
 def _prefer(
     workers: list[WorkerState], is_preferred: Callable[[WorkerState], bool]
 ) -> list[WorkerState]:
@@ -188,12 +208,24 @@
         self._report = UsageReport(tracker.caps)
         self._excess_credits: dict[str, ExcessCredit] = {}  # by pool
         self._passed_over: dict[str, PassedOver] = {}  # by pool
+        self._rounds = 0
+        # The last task that was placed in this round: the workers to choose
+        # from, its step and its worker.
+        self._last_choice: (
+            tuple[list[WorkerState], Step, WorkerState] | None
+        ) = None
         self.lookahead: LookAhead | None = None
         if settings.lookahead is not None:
             self.lookahead = LookAhead(tracker.durations, settings.lookahead)
 
-    def plan(self, now: float, wall_ms: float) -> list[Placement]:
-        """Place the tasks that can start; return them, most urgent first."""
+    def plan(
+        self, now: float, wall_ms: float, limit: int = sys.maxsize
+    ) -> list[Placement]:
+        """Place the tasks that can start; return them by pool and urgency.
+
+        Places no more than `limit` tasks, except for the rest of a gang. Each
+        round begins with another pool, so that none is left out for long.
+        """
         self._tracker.caps.apply_configuration(self._tracker.configuration)
         self._holds.begin_round(now)
         organisations = self._tracker.configuration.organisations
@@ -208,7 +240,11 @@
                 continue
             by_service[queue.service].append((urgency, name))
         placements: list[Placement] = []
-        for service, jobs in by_service.items():
+        self._rounds += 1
+        self._last_choice = None
+        for service in _rotate(list(by_service), self._rounds):
+            jobs = by_service[service]
+            left = limit - len(placements)
             workers = self._list_usable_workers(service, now)
             if not workers:
                 continue
@@ -219,10 +255,10 @@
             if self.lookahead is not None:
                 self._reserve_room(self.lookahead, service, jobs, pool, now)
             if weights is None:
-                placed = self._place_in_order(jobs, pool, wall_ms)
+                placed = self._place_in_order(jobs, pool, wall_ms, left)
             else:
                 placed = self._place_by_shares(
-                    service, jobs, pool, wall_ms, weights
+                    service, jobs, pool, wall_ms, weights, left
                 )
             passed_over.record(item.record.name for item in placed)
             placements += placed
@@ -235,13 +271,17 @@
         jobs: list[tuple[Urgency, str]],
         pool: PoolIsolation,
         wall_ms: float,
+        limit: int,
     ) -> list[Placement]:
         """Place a pool's jobs in the order of their urgency."""
         placements: list[Placement] = []
         rejected = RejectedSizes()
         for job in sorted(jobs, key=rank_job):
+            left = limit - len(placements)
+            if left <= 0:
+                break
             placements += self._try_job(
-                job[1], rank_job(job), pool, rejected, wall_ms
+                job[1], rank_job(job), pool, rejected, wall_ms, left
             )
         return placements
 
@@ -305,9 +345,12 @@
         pool: PoolIsolation,
         wall_ms: float,
         weights: Mapping[str, float],
+        limit: int,
     ) -> list[Placement]:
         """Place a pool's jobs by the shares of their organisations."""
         placements: list[Placement] = []
+        if limit <= 0:
+            return placements
         rejected = RejectedSizes()
         usage = self._tracker.usage
         credit = self._excess_credits.setdefault(service, ExcessCredit())
@@ -318,10 +361,17 @@
             weights,
             credit,
         )
-        while (turn := order.choose()) is not None:
+        while (left := limit - len(placements)) > 0 and (
+            turn := order.choose()
+        ) is not None:
             job = turn.job
             placed = self._try_job(
-                job.name, job.rank, pool, rejected, wall_ms, turn.limit
+                job.name,
+                job.rank,
+                pool,
+                rejected,
+                wall_ms,
+                min(left, turn.limit),
             )
             record = self._tracker.active.get(job.name)
             order.record(
@@ -627,7 +677,7 @@
         workers: list[WorkerState],
     ) -> list[Placement]:
         placements: list[Placement] = []
-        worker: WorkerState | None = None
+        worker = self._recall_choice(step, workers)
         admitted = self._count_admitted(record, step, len(waiting))
         for key in waiting[:admitted]:
             if worker is None or not self._remains_best(record, step, worker):
@@ -638,8 +688,29 @@
                 continue
             run = self._tracker.place(record, key, worker)
             placements.append(Placement(record, key, worker, run))
+        if placements:
+            self._last_choice = None
+            # Otherwise the choice also depends on the job.
+            if not (step.spread_limit or record.failed_on or self.lookahead):
+                self._last_choice = (workers, step, placements[-1].worker)
         return placements
 
+    def _recall_choice(
+        self, step: Step, workers: list[WorkerState]
+    ) -> WorkerState | None:
+        """Return the worker of the last task placed, if it may be the best.
+
+        It is the fullest one that had room for a task of this kind, and no
+        other worker has changed since.
+        """
+        if self._last_choice is None:
+            return None
+        last_workers, last_step, worker = self._last_choice
+        is_same = last_workers is workers and _get_kind(last_step) == (
+            _get_kind(step)
+        )
+        return worker if is_same else None
+
     def _place_suspect(
         self,
         record: JobRecord,
@@ -666,6 +737,7 @@
             ),
         )
         run = self._tracker.place(record, key, worker)
+        self._last_choice = None
         pool.close_worker(worker)
         return [Placement(record, key, worker, run)]
 
@@ -800,6 +872,7 @@
             for member in workers:
                 racks[member.entry.rack].append(member)
             groups = [*racks.values(), workers]
+        self._last_choice = None
         run = 1 + max(record.get_task(key).run for key in waiting)
         for group in groups:
             placements: list[Placement] = []
--- a/chestnutstair/tests/test_old_jobs.py
+++ b/chestnutstair/tests/test_old_jobs.py
@@ -92,11 +92,11 @@
         tracker.active.pop("j")
         key = FIRST_NAMES.build_progress_key("j")
         self.term.write([RowWrite(key, record.encode())])
-        leader._old_removed_at = float("-inf")
+        leader._next_removal_at = float("-inf")
         self.store.refuses = True
         leader._remove_old_jobs()
         self.store.refuses = False
-        leader._old_removed_at = float("-inf")
+        leader._next_removal_at = float("-inf")
         leader._remove_old_jobs()  # a later round of the same leader
         _, tracker = self.load_leader()
         self.assertNotIn("j", tracker.active)
