--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -224,7 +224,8 @@
         with self._tracker.lock:
             is_due = self._tracker.is_still_due(stop)
         if not is_due:
-            self._stops_in_flight.discard(key)
+            with self._count_lock:
+                self._stops_in_flight.discard(key)
             return
         try:
             answer = self._workers.stop(
--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -260,7 +260,7 @@
                 placed = self._place_by_shares(
                     service, jobs, pool, wall_ms, weights, left
                 )
-            passed_over.record(item.record.name for item in placed)
+            passed_over.record(item.record for item in placed)
             placements += placed
         self._holds.end_round()
         self._report.publish(self._tracker.active.values(), now)
--- a/chestnutstair/scheduling/urgency.py
+++ b/chestnutstair/scheduling/urgency.py
@@ -62,7 +62,7 @@
     """
 
     def __init__(self) -> None:
-        self._credit = 0  # tasks of other jobs that were placed
+        self._credit = 0  # placed tasks of jobs that can be in time
         self._promoted = ""
         # Jobs that could place nothing, such as one that fits on no worker.
         self._tried: set[str] = set()
@@ -102,15 +102,15 @@
             *jobs[position + 1 :],
         ]
 
-    def record(self, jobs: Iterable[str]) -> None:
+    def record(self, placed: Iterable[JobRecord]) -> None:
         """Record the jobs of the tasks that a round has placed."""
         if self._promoted:
             self._tried.add(self._promoted)
-        for job in jobs:
-            if job == self._promoted:
-                self._tried.discard(job)
+        for record in placed:
+            if record.name == self._promoted:
+                self._tried.discard(record.name)
                 self._credit -= PASSED_OVER_INTERVAL
-            else:
+            elif record.lateness is Lateness.IN_TIME:
                 self._credit += 1
         self._credit = min(self._credit, MAX_PASSED_OVER_CREDIT)
 
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -303,6 +303,7 @@
     def submit_stops(self, worker: WorkerState, count: int) -> None:
         for number in range(count):
             task = f"j.0.0.{number}"
+            self.harness.tracker.orphans[(worker.name, task)] = 1
             self.orders.submit_stop(StopRequest(worker, task, 1))
 
     def wait_for(self, is_reached: Callable[[], bool]) -> None:
