Send no VM orders after the term has ended

The check before each order looked only at the age of the last renewal, and the write of the release renewed the term.

The check now fails once the term has ended, and a release renews nothing. An order that passes the check may still be on its way when the next term begins. An order is therefore sent within `send_seconds` (1.5 s) of the start of its storing or not at all, and the next leader counts the interval from then on. So a release needs not wait for answers. An order that was not sent keeps its drain, and is stored and sent again in a later round. Repeats are limited to one for each thread in a round, as others would wait too long.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -63,7 +63,7 @@
             leader,
             store,
             clock,
-            settings.min_order_interval_seconds,
+            settings.min_order_interval_seconds + settings.send_seconds,
             settings.maintenance_seconds + settings.settle_seconds,
             shard.names,
         )
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -41,6 +41,10 @@
     list_page_vms: int = 200
     # Minimum time between the orders of two leaders for the same VM.
     min_order_interval_seconds: float = 3.0
+    # An order is sent within this time of the start of its storing, or not at
+    # all: 1 s for the store, the rest for a thread. The next leader adds it to
+    # the minimum interval, as only the time of storing is stored.
+    send_seconds: float = 1.5
     # How long a VM is away for a move, and for maintenance.
     move_seconds: float = 1.5
     maintenance_seconds: float = 2.0
--- a/chestnutstair/scheduling/term.py
+++ b/chestnutstair/scheduling/term.py
@@ -225,7 +225,9 @@
     ) -> WriteOutcome:
         self._row = row
         self._version = version
-        self.renewed_at = sent
+        if not row.released:
+            # After a release the next term may begin at once.
+            self.renewed_at = sent
         return WriteOutcome.DONE
 
     def _resolve_conflict(
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -37,6 +37,7 @@
     - `worker`, `born_ms`: the incarnation that the VM had when the order was
       first sent, the only one that it can have ended; "" for none.
     - `sent_at`: monotonic time at which it was first sent.
+    - `send_by`: time since boot until which it may be sent.
     - `away_until`: monotonic time until which the VM may be away because of
       an attempt without an answer; 0 if there was none.
     - `carried_out`: the list has shown that it was carried out, while its
@@ -51,6 +52,7 @@
     worker: str = ""
     born_ms: int = 0
     sent_at: float = 0.0
+    send_by: float = 0.0
     away_until: float = 0.0
     carried_out: bool = False
 
@@ -64,7 +66,8 @@
     """Stores the time of each VM's last order, before the order is sent.
 
     A new leader reads these times and does not order a VM until
-    `min_order_interval_seconds` after the last order of an earlier leader.
+    `min_order_interval_seconds` after the last order of an earlier leader
+    was stored. The interval includes the time until that order was sent.
     """
 
     def __init__(
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -67,8 +67,11 @@
     def may_order(self) -> bool:
         """Return whether the term is fresh enough to send orders.
 
-        While it is, no other leader sends orders.
+        While it is, no other leader sends orders. A term that has ended may
+        have been released, and the next one may begin at once.
         """
+        if self._leader.has_ended:
+            return False
         term = self._leader.term
         age = self._clock.read_boottime() - term.renewed_at
         return age <= self._settings.term_fresh_seconds
@@ -152,10 +155,18 @@
             if self._order_history.is_interval_over(order.vm, now)
         ]
         sent = allowed[: self._consume_allowance(len(allowed), now)]
-        if not sent or not self._order_history.store(sent):
+        return self._store_and_send(self._add_incarnations(sent))
+
+    def _store_and_send(self, orders: list[VmOrder]) -> set[str]:
+        """Store and send orders; return the names of the VMs ordered."""
+        if not orders:
+            return set()
+        send_by = self._clock.read_boottime() + self._settings.send_seconds
+        if not self._order_history.store(orders):
             return set()
-        self._send_all(self._add_incarnations(sent))
-        return {order.vm for order in sent}
+        return self._send_all(
+            [replace(order, send_by=send_by) for order in orders]
+        )
 
     def _add_incarnations(self, orders: list[VmOrder]) -> list[VmOrder]:
         """Add the present incarnation of each VM, which its order will end.
@@ -184,18 +195,28 @@
         self._allowance -= granted
         return granted
 
-    def _send_all(self, orders: list[VmOrder]) -> None:
+    def _send_all(self, orders: list[VmOrder]) -> set[str]:
+        """Send orders that are stored; return the names of the VMs ordered.
+
+        Orders are left out once the term has ended, or if they have waited
+        for a thread for too long.
+        """
         with self._leader.tracker.lock:
             for order in orders:
                 pool = "" if order.wave else order.service
                 self._leader.tracker.cordons[order.vm] = pool
         answers = self._threads.map(self._send, orders)
+        sent = set()
         for order, answer in zip(orders, answers, strict=True):
             if answer is not None:
                 self._record_answer(order, answer)
+                sent.add(order.vm)
+        return sent
 
     def _send(self, order: VmOrder) -> Result[None, WorkerCallFailure] | None:
-        if not self.may_order():
+        # The next leader leaves the VM alone for an interval that counts from
+        # `send_by`, so that the term may end while the order is on its way.
+        if not self.may_order() or self._clock.read_boottime() > order.send_by:
             return None
         term = self._leader.term
         if order.wave:
@@ -353,9 +374,12 @@
             if order.answered:
                 self._end_order(order)
         # The answer to the repeated order shows whether the first was applied.
-        repeated = [order for order in ended if not order.answered]
-        if repeated and self._order_history.store(repeated):
-            self._send_all(repeated)
+        repeated = sorted(
+            (order for order in ended if not order.answered),
+            key=lambda order: order.back_at,
+        )
+        # More would wait for a thread while the VM service is slow.
+        self._store_and_send(repeated[:ORDER_THREADS])
 
     def close(self) -> None:
         """Stop sending orders, without waiting for those in progress."""
--- a/chestnutstair/tests/test_term.py
+++ b/chestnutstair/tests/test_term.py
@@ -96,6 +96,15 @@
         self.assertTrue(row.released)
         self.assertEqual(row.avoided_zone, "zone-a")
 
+    def test_a_release_does_not_renew_the_term(self) -> None:
+        # Guards against ONE: for a second after the release, VM orders were
+        # sent beside those of the next leader.
+        self.term.write([])
+        renewed_at = self.term.renewed_at
+        self.clock.now += 1.0
+        self.assertIs(self.term.release(), WriteOutcome.DONE)
+        self.assertEqual(self.term.renewed_at, renewed_at)
+
     def test_a_row_of_a_later_version_can_be_taken_over(self) -> None:
         # An unknown field made each check of the leader fail, on every node.
         row = TermRow("later", "later:1", 3, 7)
--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 from typing import TypeVar
+from unittest import mock
 
 from result import Err, Result
 
@@ -11,6 +12,7 @@
     UnknownOutcomeFailure,
 )
 from chestnutstair.scheduling.configuration import MaintenanceWave
+from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
 from chestnutstair.scheduling.ports import RowWrite, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
@@ -176,6 +178,48 @@
         self.controller._orders._send_all(orders)
         self.assertEqual(len(self.vms.orders), sent)
 
+    def test_an_order_that_was_stored_too_long_ago_is_not_sent(self) -> None:
+        # Guards against ONE: the next leader leaves a VM alone for an interval
+        # that counts from the storing of its order, however late it was sent.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        store = self.fleet.leader.store
+        seconds = self.controller._settings.send_seconds
+
+        def store_slowly(writes: list[RowWrite], limit: float) -> bool:
+            is_stored = store(writes, limit)
+            self.harness.clock.now += seconds + 0.1
+            self.fleet.leader.term.renewed_at = self.harness.clock.now
+            return is_stored
+
+        with mock.patch.object(self.fleet.leader, "store", store_slowly):
+            self.run_round()
+        self.assertEqual(self.vms.orders, [])
+        self.run_round()
+        self.assertIn(("vm-w1", "spare"), self.vms.orders)
+
+    def test_the_next_leader_waits_also_for_an_order_sent_late(self) -> None:
+        # Guards against ONE: an order was sent up to a second after its time
+        # had been stored, which is when the interval between the orders of
+        # two leaders began.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.run_round()
+        seconds = self.controller._settings.send_seconds
+        latest = self.harness.clock.now + seconds
+        following = FleetController(
+            self.fleet.leader,  # type: ignore[arg-type]
+            self.harness.planner,
+            self.vms,
+            self.fleet.store,
+            list,
+            self.harness.clock,
+            self.controller._settings,
+        )
+        self.assertTrue(following._load())
+        history = following._order_history
+        until = latest + MIN_ORDER_INTERVAL_SECONDS
+        self.assertFalse(history.is_interval_over("vm-w1", until - 0.01))
+        self.assertTrue(history.is_interval_over("vm-w1", until + 1.0))
+
 
 class LateOrderTest(InDoubtTest):
     """An order without an answer is carried out 10 s after it was sent."""
