Keep VM orders in doubt until they cannot be carried out any more

Operators could see more VMs of a wave under maintenance than its cap (LIMIT), and callers tasks that were ended by a move. The leader assumed that an order without an answer was carried out before its call failed. Once repeats had been refused for as long as a move or maintenance takes, it forgot the order, used the VM and took down another one, although the order may still come.

An order without an answer is now kept for `late_order_seconds` (12 s) longer. The protocol gives no bound for late calls; the fault `applied_late` delays them by 2 to 12 s. Meanwhile the VM counts against the cap and its workers get no tasks, unless an answer, the list or the next worker settles the order before. A refused repeat does not settle it. The pool of a VM in doubt no longer counts it, as that may now last for 14 s.

--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -50,6 +50,10 @@
     maintenance_seconds: float = 2.0
     # Added to both before the VM counts as back.
     settle_seconds: float = 0.5
+    # How long after its call has failed an order without an answer may still
+    # be carried out. The platform's protocol says "seconds later", without a
+    # bound; its fault `applied_late` delays calls by 2 to 12 s.
+    late_order_seconds: float = 12.0
     # Pause before an order without an answer is repeated, and before
     # another attempt to load the state of earlier leaders.
     retry_seconds: float = 1.0
@@ -250,6 +254,9 @@
                 worker is None or worker.entry.service != order.service
             ):
                 changes[order.service] += 1  # not registered there yet
+                if worker is not None:
+                    # Still present without an answer, but gets no tasks.
+                    changes[worker.entry.service] -= 1
         for vm, drain in self.drains.items():
             changes[drain.service] += 1
             worker = workers.get(vm)
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -38,8 +38,9 @@
       first sent, the only one that it can have ended; "" for none.
     - `sent_at`: monotonic time at which it was first sent.
     - `send_by`: time since boot until which it may be sent.
-    - `away_until`: monotonic time until which the VM may be away because of
-      an attempt without an answer; 0 if there was none.
+    - `in_doubt_until`: monotonic time until which an attempt without an
+      answer may still be carried out, or the VM may be away because of it; 0
+      if there was none.
     - `carried_out`: the list has shown that it was carried out, while its
       answer is still due.
     """
@@ -53,7 +54,7 @@
     born_ms: int = 0
     sent_at: float = 0.0
     send_by: float = 0.0
-    away_until: float = 0.0
+    in_doubt_until: float = 0.0
     carried_out: bool = False
 
     @property
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -253,9 +253,9 @@
                 if order.wave:
                     self._waves.mark_begun(order.wave, vm)
             case Err(StartRefusedFailure() | UnavailableFailure()):
-                if now < order.away_until:
-                    # Says nothing about the attempt before, which may have
-                    # taken the VM down.
+                if now < order.in_doubt_until:
+                    # Says nothing about earlier attempts, which may have
+                    # taken the VM down or may still do so.
                     self._state.orders[vm] = replace(order, back_at=retry_at)
                     return
                 self._state.orders.pop(vm, None)
@@ -264,7 +264,9 @@
                 self._state.orders[vm] = replace(
                     order,
                     back_at=retry_at,
-                    away_until=self._compute_back_at(order, now),
+                    in_doubt_until=self._compute_back_at(
+                        order, now + settings.late_order_seconds
+                    ),
                 )
 
     def _compute_back_at(self, order: VmOrder, now: float) -> float:
--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -244,6 +244,40 @@
                 " move is carried out",
             )
 
+    def test_a_pool_does_not_count_a_vm_whose_move_may_still_come(
+        self,
+    ) -> None:
+        # Guards against a pool that stays too small: it counted the VM, which
+        # gets no tasks, for as long as its order is in doubt.
+        self.use_vms(LateVms).delays_moves = True
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        with mock.patch.object(self.controller, "_resize_pools"):
+            self.run_round()
+        self.assertIn("vm-w1", self.controller._state.orders)
+        changes = self.controller._state.count_pending_changes()
+        self.assertEqual(changes, {"boxes": -1, "spare": 1})
+
+    def test_a_vm_is_used_again_once_its_move_cannot_come_any_more(
+        self,
+    ) -> None:
+        # Guards against VMs that are lost: a VM was kept from tasks for longer
+        # than its order could be carried out.
+        vms = self.use_vms(LateVms)
+        vms.delays_moves = True
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        settings = self.controller._settings
+        seconds = (
+            settings.late_order_seconds
+            + settings.move_seconds
+            + settings.settle_seconds
+            + settings.retry_seconds
+        )
+        with mock.patch.object(self.controller, "_resize_pools"):
+            for _ in range(int(seconds / 0.1) + 3):
+                self.run_round()
+        self.assertNotIn("vm-w1", self.controller._state.orders)
+        self.assertFalse(self.harness.get_worker("w1").cordoned)
+
 
 class LateMaintenanceTest(InDoubtTest):
     """The same in a pool that must not shrink."""
