Settle maintenance by the list only if no other wave is due

Callers could see tasks ended by maintenance of a VM that had just come back. A VM that was listed as under maintenance settled the order of whichever wave was kept for it. With overlapping waves, it may be that of another wave, and the repeated order ends the VM's next worker.

The list now settles an order only if the VM is due in that wave and in no other known one. Where its maintenance in another wave has been answered, late attempts change nothing, so that completed waves do not delay the VM's use.

test_maintenance_of_another_wave_does_not_settle_an_order failed before (the next worker was not cordoned); test_maintenance_of_the_only_wave_settles_its_order is new.

--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -201,10 +201,7 @@
         Orders are left out once the term has ended, or if they have waited
         for a thread for too long.
         """
-        with self._leader.tracker.lock:
-            for order in orders:
-                pool = "" if order.wave else order.service
-                self._leader.tracker.cordons[order.vm] = pool
+        self._cordon(orders)
         answers = self._threads.map(self._send, orders)
         sent = set()
         for order, answer in zip(orders, answers, strict=True):
@@ -213,6 +210,13 @@
                 sent.add(order.vm)
         return sent
 
+    def _cordon(self, orders: list[VmOrder]) -> None:
+        """Cordon the VMs of orders until the end of the control round."""
+        with self._leader.tracker.lock:
+            for order in orders:
+                pool = "" if order.wave else order.service
+                self._leader.tracker.cordons[order.vm] = pool
+
     def _send(self, order: VmOrder) -> Result[None, WorkerCallFailure] | None:
         # The next leader leaves the VM alone for an interval that counts from
         # `send_by`, so that the term may end while the order is on its way.
@@ -310,8 +314,13 @@
             if listed is None or self._listed_at < order.sent_at:
                 listed = None
             if order.wave:
-                # Whose maintenance it is only the answer tells.
-                if listed is not None and listed.state == IN_MAINTENANCE:
+                # The list does not say which wave the maintenance is of, and
+                # an earlier attempt for another one may have been late.
+                if (
+                    listed is not None
+                    and listed.state == IN_MAINTENANCE
+                    and self._waves.is_only_due_in(order.wave, order.vm)
+                ):
                     self._log_settled(order, "listed")
                     self._state.orders[order.vm] = replace(
                         order, carried_out=True
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -127,6 +127,18 @@
             for wave in self._waves.values()
         )
 
+    def is_only_due_in(self, number: int, vm: str) -> bool:
+        """Return whether the VM is due in this wave and in no other one.
+
+        Where its maintenance has begun, late attempts change nothing.
+        """
+        due = {
+            wave.number
+            for wave in self._waves.values()
+            if vm in wave.vms and self.is_due_in(wave, vm)
+        }
+        return due == {number}
+
     def is_due_after(self, vm: str, share: float, now: float) -> bool:
         """Return whether a VM is still due late in a wave.
 
--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -368,6 +368,30 @@
         self.assertIn("vm-w1", self.controller._state.orders)
         self.assertTrue(self.harness.get_worker("w1").cordoned)
 
+    def test_maintenance_of_the_only_wave_settles_its_order(self) -> None:
+        # Guards against VMs that are lost: with an earlier wave completed, the
+        # list no longer settled orders, and a VM that had come back got no
+        # tasks until its order was answered.
+        vms = self.vms
+        vms.lose_answers = 1000
+        waves = self.controller._waves
+        for number in (1, 2):
+            wave = MaintenanceWave(number, ("vm-w1",), 200.0, 1)
+            self.fleet.waves.append(wave)
+        waves.mark_begun(1, "vm-w1")
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 2)
+        self.run_round()
+        self.assertEqual(vms.orders, [("vm-w1", "wave 2")])
+        self.harness.get_worker("w1").unresponsive = True
+        while self.harness.clock.now < vms.back_at["vm-w1"]:
+            self.run_round()
+        self.harness.tracker.apply_worker_entry(
+            replace(build_entry("w1"), born_ms=2)
+        )
+        self.harness.answer("w1", born_ms=2)
+        self.controller._step()
+        self.assertFalse(self.harness.get_worker("w1").cordoned)
+
 
 if __name__ == "__main__":
     unittest.main()
