--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -41,11 +41,19 @@
     list_page_vms: int = 200
     # Minimum time between the orders of two leaders for the same VM.
     min_order_interval_seconds: float = 3.0
+    # An order is sent within this time of the start of its storing, or not at
+    # all: 1 s for the store, the rest for a thread. The next leader adds it to
+    # the minimum interval, as only the time of storing is stored.
+    send_seconds: float = 1.5
     # How long a VM is away for a move, and for maintenance.
     move_seconds: float = 1.5
     maintenance_seconds: float = 2.0
     # Added to both before the VM counts as back.
     settle_seconds: float = 0.5
+    # How long after its call has failed an order without an answer may still
+    # be carried out. The platform's protocol says "seconds later", without a
+    # bound; its fault `applied_late` delays calls by 2 to 12 s.
+    late_order_seconds: float = 12.0
     # Pause before an order without an answer is repeated, and before
     # another attempt to load the state of earlier leaders.
     retry_seconds: float = 1.0
@@ -246,6 +254,9 @@
                 worker is None or worker.entry.service != order.service
             ):
                 changes[order.service] += 1  # not registered there yet
+                if worker is not None:
+                    # Still present without an answer, but gets no tasks.
+                    changes[worker.entry.service] -= 1
         for vm, drain in self.drains.items():
             changes[drain.service] += 1
             worker = workers.get(vm)
--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 from typing import TypeVar
+from unittest import mock
 
 from result import Err, Result
 
@@ -11,6 +12,7 @@
     UnknownOutcomeFailure,
 )
 from chestnutstair.scheduling.configuration import MaintenanceWave
+from chestnutstair.scheduling.fleet_controller import FleetController
 from chestnutstair.scheduling.fleet_state import Drain, FleetControllerSettings
 from chestnutstair.scheduling.ports import RowWrite, WorkerCallFailure
 from chestnutstair.scheduling.specification import Step
@@ -176,6 +178,48 @@
         self.controller._orders._send_all(orders)
         self.assertEqual(len(self.vms.orders), sent)
 
+    def test_an_order_that_was_stored_too_long_ago_is_not_sent(self) -> None:
+        # Guards against ONE: the next leader leaves a VM alone for an interval
+        # that counts from the storing of its order, however late it was sent.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        store = self.fleet.leader.store
+        seconds = self.controller._settings.send_seconds
+
+        def store_slowly(writes: list[RowWrite], limit: float) -> bool:
+            is_stored = store(writes, limit)
+            self.harness.clock.now += seconds + 0.1
+            self.fleet.leader.term.renewed_at = self.harness.clock.now
+            return is_stored
+
+        with mock.patch.object(self.fleet.leader, "store", store_slowly):
+            self.run_round()
+        self.assertEqual(self.vms.orders, [])
+        self.run_round()
+        self.assertIn(("vm-w1", "spare"), self.vms.orders)
+
+    def test_the_next_leader_waits_also_for_an_order_sent_late(self) -> None:
+        # Guards against ONE: an order was sent up to a second after its time
+        # had been stored, which is when the interval between the orders of
+        # two leaders began.
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        self.run_round()
+        seconds = self.controller._settings.send_seconds
+        latest = self.harness.clock.now + seconds
+        following = FleetController(
+            self.fleet.leader,  # type: ignore[arg-type]
+            self.harness.planner,
+            self.vms,
+            self.fleet.store,
+            list,
+            self.harness.clock,
+            self.controller._settings,
+        )
+        self.assertTrue(following._load())
+        history = following._order_history
+        until = latest + MIN_ORDER_INTERVAL_SECONDS
+        self.assertFalse(history.is_interval_over("vm-w1", until - 0.01))
+        self.assertTrue(history.is_interval_over("vm-w1", until + 1.0))
+
 
 class LateOrderTest(InDoubtTest):
     """An order without an answer is carried out 10 s after it was sent."""
@@ -200,6 +244,40 @@
                 " move is carried out",
             )
 
+    def test_a_pool_does_not_count_a_vm_whose_move_may_still_come(
+        self,
+    ) -> None:
+        # Guards against a pool that stays too small: it counted the VM, which
+        # gets no tasks, for as long as its order is in doubt.
+        self.use_vms(LateVms).delays_moves = True
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        with mock.patch.object(self.controller, "_resize_pools"):
+            self.run_round()
+        self.assertIn("vm-w1", self.controller._state.orders)
+        changes = self.controller._state.count_pending_changes()
+        self.assertEqual(changes, {"boxes": -1, "spare": 1})
+
+    def test_a_vm_is_used_again_once_its_move_cannot_come_any_more(
+        self,
+    ) -> None:
+        # Guards against VMs that are lost: a VM was kept from tasks for longer
+        # than its order could be carried out.
+        vms = self.use_vms(LateVms)
+        vms.delays_moves = True
+        self.controller._state.drains["vm-w1"] = Drain("spare")
+        settings = self.controller._settings
+        seconds = (
+            settings.late_order_seconds
+            + settings.move_seconds
+            + settings.settle_seconds
+            + settings.retry_seconds
+        )
+        with mock.patch.object(self.controller, "_resize_pools"):
+            for _ in range(int(seconds / 0.1) + 3):
+                self.run_round()
+        self.assertNotIn("vm-w1", self.controller._state.orders)
+        self.assertFalse(self.harness.get_worker("w1").cordoned)
+
 
 class LateMaintenanceTest(InDoubtTest):
     """The same in a pool that must not shrink."""
@@ -290,6 +368,30 @@
         self.assertIn("vm-w1", self.controller._state.orders)
         self.assertTrue(self.harness.get_worker("w1").cordoned)
 
+    def test_maintenance_of_the_only_wave_settles_its_order(self) -> None:
+        # Guards against VMs that are lost: with an earlier wave completed, the
+        # list no longer settled orders, and a VM that had come back got no
+        # tasks until its order was answered.
+        vms = self.vms
+        vms.lose_answers = 1000
+        waves = self.controller._waves
+        for number in (1, 2):
+            wave = MaintenanceWave(number, ("vm-w1",), 200.0, 1)
+            self.fleet.waves.append(wave)
+        waves.mark_begun(1, "vm-w1")
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 2)
+        self.run_round()
+        self.assertEqual(vms.orders, [("vm-w1", "wave 2")])
+        self.harness.get_worker("w1").unresponsive = True
+        while self.harness.clock.now < vms.back_at["vm-w1"]:
+            self.run_round()
+        self.harness.tracker.apply_worker_entry(
+            replace(build_entry("w1"), born_ms=2)
+        )
+        self.harness.answer("w1", born_ms=2)
+        self.controller._step()
+        self.assertFalse(self.harness.get_worker("w1").cordoned)
+
 
 if __name__ == "__main__":
     unittest.main()
