Remove a job's submission before its progress, and repeat it

A completed job could run once more (TWICE): the leader removed its progress, forgot it, and then removed its submission once. If that was refused, or the leader ended between, the next leader found a submission without progress and took it for a new job. A read of the feed that had begun before the removal brought it back to the same leader as well.

The submission is now removed first, and again in later rounds until the store has confirmed it. The progress and the job in memory are kept for another 10 s, longer than a read of the feed takes. Until then a submission that still arrives is known as ended, and a leader that takes over finds either both rows or no submission. It removes progress that has no submission. A later job of the same name replaces that progress with its own. A term write that does not succeed here now ends the term, as everywhere else.

Evidence: test_old_jobs.

--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -101,6 +101,9 @@
     batch_rows: int = 90
     # How long finished jobs remain available; callers are promised 120 s.
     retention_seconds: float = 150.0
+    # How long a job is remembered after its submission has been removed: a
+    # read of the feed that began before, of up to 6.5 s, may still bring it.
+    removal_seconds: float = 10.0
     # Deadline of reads from the store and of removals of old rows.
     store_timeout_seconds: float = 3.0
     # Deadline of reading the registry where there are several shards: it has
@@ -159,6 +162,9 @@
         self._logged_at = 0.0
         self._last_planning_seconds = 0.0
         self._old_removed_at = clock.read_monotonic()
+        # Jobs whose submissions have been removed, with the monotonic time
+        # from which their progress may be removed too.
+        self._unsubmitted: dict[str, float] = {}
 
     @property
     def term(self) -> Term:
@@ -229,6 +235,7 @@
                         "cannot restore a stored job",
                         extra={"job": parse_job_name(row)},
                     )
+            self._find_unsubmitted(set(stored), intake.unwrap())
             self.tracker.sort_arrivals()
             for row in intake.unwrap().rows:
                 if is_cancellation(row):
@@ -258,6 +265,20 @@
         ]
         return True
 
+    def _find_unsubmitted(self, stored: set[str], intake: Changes) -> None:
+        """Find the progress that an earlier leader did not remove.
+
+        The progress was read before the submissions, so it is not that of a
+        later job.
+        """
+        submitted = {
+            parse_job_name(row)
+            for row in intake.rows
+            if not is_cancellation(row)
+        }
+        now = self._clock.read_monotonic()
+        self._unsubmitted = dict.fromkeys(stored - submitted, now)
+
     def _restore_row(self, row: Row, stored: dict[str, bytes | None]) -> None:
         if is_cancellation(row) or row.value is None:
             return
@@ -388,6 +409,9 @@
         match decode_submission(name, row.value, self._submissions):
             case Ok(submission):
                 self.tracker.admit(submission)
+                if self._unsubmitted.pop(name, None) is not None:
+                    # Replaces the progress of an earlier job of that name.
+                    self.tracker.dirty.add(name)
             case Err(failure):
                 logger.error(
                     "cannot decode a stored job",
@@ -563,34 +587,76 @@
         if now - self._old_removed_at < retention_seconds / 10:
             return
         self._old_removed_at = now
+        oldest_ms = (self._clock.read_wall() - retention_seconds) * 1000
+        if self._remove_submissions(oldest_ms):
+            self._remove_progress()
+
+    def _remove_submissions(self, oldest_ms: float) -> bool:
+        """Remove the intake rows of jobs that ended before a wall-clock time.
+
+        Their progress, and the jobs in memory, are kept until the removal is
+        known to be complete, as a submission without them is a new job. What
+        fails is repeated in the next round. Return whether nothing failed.
+        """
         with self.tracker.lock:
-            oldest_ms = (self._clock.read_wall() - retention_seconds) * 1000
             old = [
                 record.name
                 for record in self.tracker.jobs.values()
-                if record.ended is not None and record.ended_ms < oldest_ms
+                if record.ended is not None
+                and record.ended_ms < oldest_ms
+                and record.name not in self._unsubmitted
+                # Its end is stored, also if the clock was set forward.
+                and record.name not in self.tracker.dirty
             ][: self._settings.batch_rows // 2]
-            for name in old:
-                self.tracker.forget_job(name)
         if not old:
+            return True
+        removed = self._remove_intake_rows(old)
+        logger.info(
+            "submissions of old jobs removed",
+            extra={"count": len(old), "removed": removed},
+        )
+        if removed:
+            now = self._clock.read_monotonic()
+            until = now + self._settings.removal_seconds
+            with self.tracker.lock:
+                self._unsubmitted.update(dict.fromkeys(old, until))
+        return removed
+
+    def _remove_progress(self) -> None:
+        """Remove and forget jobs whose submissions were removed long ago."""
+        now = self._clock.read_monotonic()
+        with self.tracker.lock:
+            due = [
+                name
+                for name, until in self._unsubmitted.items()
+                if now >= until
+            ][: self._settings.batch_rows // 2]
+            known = [name for name in due if name in self.tracker.jobs]
+        # A submission that was repeated meanwhile counts as the same job.
+        if not due or (known and not self._remove_intake_rows(known)):
             return
-        self.term.write(
+        outcome = self.term.write(
             [
                 RowWrite(self._names.build_progress_key(name), None)
-                for name in old
+                for name in due
             ]
         )
-        stored = self._remove_intake_rows(old)
-        logger.info(
-            "old jobs removed",
-            extra={"count": len(old), "stored": stored},
-        )
+        if outcome is not WriteOutcome.DONE:
+            self._leadership.mark_lost(outcome.value)
+            return
+        with self.tracker.lock:
+            for name in due:
+                if self._unsubmitted.pop(name, None) is not None:
+                    self.tracker.forget_job(name)
+        logger.info("old jobs removed", extra={"count": len(due)})
 
     def _remove_intake_rows(self, jobs: list[str]) -> bool:
         """Remove the rows of jobs; return whether all were removed.
 
-        A transaction has one partition. At most half of `batch_rows` jobs
-        are passed, and each has two rows in each of its partitions.
+        Stops at the first failure, as each may take the whole timeout, in
+        which the term is not renewed. A transaction has one partition. At
+        most half of `batch_rows` jobs are passed, and each has two rows in
+        each of its partitions.
         """
         removals: dict[str, list[RowWrite]] = {}
         for job in jobs:
@@ -605,8 +671,7 @@
         deadline = Deadline.after(
             self._clock, self._settings.store_timeout_seconds
         )
-        results = [
-            self._store.commit([], writes, deadline)
+        return all(
+            self._store.commit([], writes, deadline).is_ok()
             for writes in removals.values()
-        ]
-        return all(result.is_ok() for result in results)
+        )
