Do not take a worker that a VM order ended for one that crashed

A job could be given up without cause (LOST): an order that was carried out late ended a worker with runs, its next worker registered, and the runs were blamed for a crash, with others of their job up to the limit.

Only orders of this system change the pool of a VM. A next worker in another pool therefore shows a move, also one that this leader does not know of, and no run is blamed: for a worker replaced on its VM or under its name, for one that had lapsed before, and for one of an earlier leader. For maintenance, which keeps the pool, the fleet controller records in each round which workers an order in progress may end. It counts until the worker answers a call sent later, so that a worker that outlived its order is evidence again.

--- a/chestnutstair/scheduling/crashes.py
+++ b/chestnutstair/scheduling/crashes.py
@@ -4,6 +4,10 @@
 it. A run has proven itself once its worker has survived its start; the others
 are suspected. A suspected task starts again only on a worker without any other
 unproven run, so that a second crash has one cause.
+
+A worker that an order of this system ended has not crashed. Only such orders
+change the pool of a VM, so that a next worker in another pool shows one, also
+one of which this leader does not know.
 """
 
 import logging
@@ -11,6 +15,7 @@
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.metrics import JOBS_GIVEN_UP, WORKER_CRASHES
+from chestnutstair.scheduling.ports import WorkerEntry
 from chestnutstair.scheduling.progress import (
     JobRecord,
     TaskKey,
@@ -85,7 +90,8 @@
 class LostWorker:
     """A worker whose runs were given up, with those that may have crashed it.
 
-    `lost_at` is in monotonic time.
+    - `lost_at`: monotonic time.
+    - `services`: the pools that it may have been in.
     """
 
     name: str
@@ -93,15 +99,28 @@
     vm: str
     blames: tuple[Blame, ...]
     lost_at: float
+    services: frozenset[str]
+
+    def is_replaced_by(self, successor: WorkerEntry) -> bool:
+        """Return whether a worker of its VM is a later one."""
+        return self.born_ms < successor.born_ms
+
+    def is_crash(self, successor: WorkerEntry) -> bool:
+        """Return whether the next worker of its VM shows that it crashed.
+
+        One in another pool shows that its VM was moved.
+        """
+        return successor.service in self.services
 
 
 def describe_lost_worker(worker: WorkerState, now: float) -> LostWorker:
     """Describe a worker that is lost now, in monotonic time.
 
-    One that was draining ended as planned, so no run is blamed.
+    One that was draining, or that an order for its VM may have ended, ended
+    as planned, so no run is blamed.
     """
     runs = []
-    if not worker.entry.draining:
+    if not (worker.entry.draining or worker.may_be_ended_by_order):
         runs = [
             LostRun(
                 run.job,
@@ -115,7 +134,12 @@
         ]
     entry = worker.entry
     return LostWorker(
-        entry.name, entry.born_ms, entry.vm, assign_blame(runs), now
+        entry.name,
+        entry.born_ms,
+        entry.vm,
+        assign_blame(runs),
+        now,
+        frozenset({entry.service}),
     )
 
 
@@ -123,11 +147,13 @@
     incarnation: tuple[str, int],
     placed: list[tuple[JobRecord, TaskKey]],
     now: float,
+    services: frozenset[str],
 ) -> LostWorker:
     """Describe a lost worker that has never answered this leader.
 
     - `incarnation`: its name and the start of its process.
     - `placed`: the tasks that an earlier leader placed there.
+    - `services`: the pools that it may have been in.
     """
     states = [record.get_task(key) for record, key in placed]
     runs = []
@@ -137,7 +163,9 @@
         runs.append(
             LostRun(record.name, key, state.run, step.lasting, False, alone)
         )
-    return LostWorker(*incarnation, states[0].vm, assign_blame(runs), now)
+    return LostWorker(
+        *incarnation, states[0].vm, assign_blame(runs), now, services
+    )
 
 
 def assign_blame(runs: list[LostRun]) -> tuple[Blame, ...]:
@@ -259,19 +287,21 @@
         """Forget a worker that answers again, and so had not crashed."""
         self._lost.pop((name, born_ms), None)
 
-    def take_replaced(
-        self, newest_born_ms: dict[str, int], now: float
+    def take_crashed(
+        self, newest: dict[str, WorkerEntry], now: float
     ) -> list[LostWorker]:
-        """Remove and return the workers that have a successor on their VM.
+        """Remove and return the workers that their successors show to crash.
 
-        `newest_born_ms` has the start of the newest worker of each VM. Workers
-        that were lost too long ago are dropped.
+        `newest` has the entry of the newest worker of each VM. Workers whose
+        VMs were moved, or that were lost too long ago, are dropped.
         """
-        replaced = []
+        crashed = []
         for key, lost in list(self._lost.items()):
-            if lost.born_ms < newest_born_ms.get(lost.vm, 0):
-                replaced.append(lost)
+            successor = newest.get(lost.vm)
+            if successor is not None and lost.is_replaced_by(successor):
+                if lost.is_crash(successor):
+                    crashed.append(lost)
                 del self._lost[key]
             elif now - lost.lost_at > self._remember_seconds:
                 del self._lost[key]
-        return replaced
+        return crashed
--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -183,12 +183,27 @@
         return self._workers_registered
 
     def _set_cordons(self) -> None:
+        now = self._clock.read_monotonic()
         with self._tracker.lock:
             self._tracker.cordons = self._state.list_cordons()
+            self._tracker.ordered_vms = frozenset(self._state.orders)
             for worker in self._tracker.workers.values():
                 worker.cordoned = self._state.must_cordon(worker)
+                if self._may_be_ended(worker):
+                    worker.ordered_at = now
                 worker.maintenance_due = self._waves.is_due(worker.entry.vm)
 
+    def _may_be_ended(self, worker: WorkerState) -> bool:
+        """Return whether an order for its VM may end a worker now.
+
+        Which worker an order of an earlier leader ends is not known.
+        """
+        vm = worker.entry.vm
+        order = self._state.orders.get(vm)
+        if order is None or vm in self._state.drains:
+            return False
+        return worker.cordoned or not order.worker
+
     # Turns
 
     def _update_outlook(self, now: float) -> None:
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -12,6 +12,7 @@
 from chestnutstair.scheduling.crashes import (
     CrashRecorder,
     CrashSettings,
+    LostWorker,
     LostWorkers,
     describe_lost_worker,
     describe_unseen_worker,
@@ -151,6 +152,9 @@
         # VMs with an order in progress that may end their workers, also those
         # that register meanwhile, other than in the pool that is the value.
         self.cordons: dict[str, str] = {}
+        # VMs with an order of this leader, or of an earlier one, that may
+        # still be in progress.
+        self.ordered_vms: frozenset[str] = frozenset()
         # Retired incarnations, by worker name and born_ms.
         self._retired: set[tuple[str, int]] = set()
         self._crashes = CrashRecorder(
@@ -396,9 +400,9 @@
             extra={"worker": worker.name, "runs": len(worker.runs)},
         )
         worker.gone = True
-        self._crashes.record(
-            describe_lost_worker(worker, self._clock.read_monotonic())
-        )
+        lost = describe_lost_worker(worker, self._clock.read_monotonic())
+        if lost.is_crash(successor.entry):
+            self._crashes.record(lost)
         for task, run in list(worker.runs.items()):
             if run.listing is None:
                 # Its start may have reached the successor, or still do so,
@@ -445,9 +449,10 @@
 
         A VM is ordered once its worker has no runs. If it has some, the order
         may have been carried out before it registered, so that it goes on:
-        its own silence decides.
+        its own silence decides. Its end, if it comes, is that of the order.
         """
         if worker.runs:
+            worker.ordered_at = self._clock.read_monotonic()
             logger.warning(
                 "worker with runs not retired",
                 extra={
@@ -530,13 +535,11 @@
                 and _answered_before(worker, successor)
             ):
                 self._end_replaced(worker, successor)
-        newest_born_ms = {
-            vm: worker.entry.born_ms for vm, worker in newest.items()
-        }
+        entries = {vm: worker.entry for vm, worker in newest.items()}
         now = self._clock.read_monotonic()
-        for lost in self._lost_workers.take_replaced(newest_born_ms, now):
+        for lost in self._lost_workers.take_crashed(entries, now):
             self._crashes.record(lost)
-        self._release_unclaimed(newest_born_ms)
+        self._release_unclaimed(entries)
 
     def _end_replaced(
         self, worker: WorkerState, successor: WorkerState
@@ -544,6 +547,7 @@
         contact = worker.contact
         now = self._clock.read_monotonic()
         lost = describe_lost_worker(worker, now)
+        is_crash = lost.is_crash(successor.entry)
         logger.info(
             "worker replaced on its VM",
             extra={
@@ -552,16 +556,19 @@
                 "born_ms": worker.entry.born_ms,
                 "successor": successor.name,
                 "successor_born_ms": successor.entry.born_ms,
+                "service": worker.entry.service,
+                "successor_service": successor.entry.service,
                 "draining": worker.entry.draining,
                 "runs": len(worker.runs),
-                "blamed": len(lost.blames),
+                "blamed": len(lost.blames) if is_crash else 0,
                 "silent_seconds": now - contact.at if contact else None,
             },
         )
-        self._crashes.record(lost)
+        if is_crash:
+            self._crashes.record(lost)
         self._end_incarnation(worker, "replaced")
 
-    def _release_unclaimed(self, newest_born_ms: dict[str, int]) -> None:
+    def _release_unclaimed(self, newest: dict[str, WorkerEntry]) -> None:
         """Release runs that an earlier leader placed on ended workers."""
         now = self._clock.read_monotonic()
         for incarnation, items in list(self._unclaimed.items()):
@@ -579,15 +586,38 @@
                 for record, key in present
                 if record.get_task(key).status is TaskStatus.PLACED
             ]
-            lost = describe_unseen_worker(incarnation, placed or present, now)
-            if lost.born_ms < newest_born_ms.get(lost.vm, 0):
+            lost = self._describe_unseen(incarnation, placed or present, now)
+            successor = newest.get(lost.vm)
+            if successor is not None and lost.is_replaced_by(successor):
                 del self._unclaimed[incarnation]
                 self.usage.remove_unregistered(incarnation)
                 self._retired.add(incarnation)
-                if placed:
+                if (
+                    placed
+                    and lost.is_crash(successor)
+                    and lost.vm not in self.ordered_vms
+                ):
                     self._crashes.record(lost)
                 self._release_replaced_runs(present, incarnation)
 
+    def _describe_unseen(
+        self,
+        incarnation: tuple[str, int],
+        placed: list[tuple[JobRecord, TaskKey]],
+        now: float,
+    ) -> LostWorker:
+        """Describe a worker by the tasks that an earlier leader placed there.
+
+        Its pool is that of their queues, which may have changed since.
+        """
+        submissions = [record.submission for record, _ in placed]
+        services = frozenset(
+            queue.service
+            for submission in submissions
+            for queue in (submission.queue, self.find_queue(submission))
+        )
+        return describe_unseen_worker(incarnation, placed, now, services)
+
     def _release_replaced_runs(
         self,
         present: list[tuple[JobRecord, TaskKey]],
@@ -661,7 +691,7 @@
                     unregistered[incarnation].append((record, key))
         for incarnation, placed in unregistered.items():
             self._lost_workers.add(
-                describe_unseen_worker(incarnation, placed, now)
+                self._describe_unseen(incarnation, placed, now)
             )
             for record, key in placed:
                 RUNS_LOST.labels("unknown worker").inc()
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -138,6 +138,9 @@
         # still use its room.
         self._orphan_runs: list[OrphanRun] = []
         self.cordoned = False  # gets no new tasks
+        # Last time at which an order for its VM was in progress that may end
+        # it; monotonic, None if there was none.
+        self.ordered_at: float | None = None
         self.maintenance_due = False  # its VM is due for maintenance soon
         self.gone = False  # left the registry, retired or restarted
         self.unresponsive = False  # the last hold call failed
@@ -274,6 +277,14 @@
         """Its name and born_ms."""
         return self.entry.name, self.entry.born_ms
 
+    @property
+    def may_be_ended_by_order(self) -> bool:
+        """Whether an order for its VM may have ended it since it answered."""
+        return (
+            self.ordered_at is not None
+            and self.listed_since <= self.ordered_at
+        )
+
     @property
     def is_answering(self) -> bool:
         """Whether it has answered, and its last hold call did not fail."""
--- a/chestnutstair/tests/test_crashes.py
+++ b/chestnutstair/tests/test_crashes.py
@@ -149,8 +149,12 @@
         self.worker.sent_deadline_ms = int(self.harness.clock.now * 1000)
         self.worker.sent_deadline_ms += 6000
 
-    def register_successor(self, answers: bool = True) -> None:
-        entry = replace(self.worker.entry, name="next", born_ms=2)
+    def register_successor(
+        self, answers: bool = True, service: str = "boxes"
+    ) -> None:
+        entry = replace(
+            self.worker.entry, name="next", born_ms=2, service=service
+        )
         self.harness.tracker.apply_worker_entry(entry)
         if answers:
             self.harness.answer("next", born_ms=2)
@@ -248,6 +252,79 @@
         self.assertEqual(self.worker.runs, {})
         self.assertEqual(self.count_crashes(), 0)
 
+    # The next five guard against jobs that are given up without cause (LOST):
+    # tasks were blamed for the end of a worker whose VM had been ordered.
+
+    def test_the_end_of_a_lapsed_worker_by_a_move_is_no_crash(self) -> None:
+        self.worker.unresponsive = True
+        self.release(15.0)
+        self.register_successor(service="other")
+        self.release(0.2)
+        self.release(0.2)
+        self.assertEqual(self.count_crashes(), 0)
+
+    def test_a_move_that_keeps_the_name_is_no_crash(self) -> None:
+        self.worker.unresponsive = True
+        entry = replace(self.worker.entry, born_ms=2, service="other")
+        self.harness.tracker.apply_worker_entry(entry)
+        self.harness.answer(self.worker.name, born_ms=2)
+        self.assertIsNot(
+            self.harness.get_worker(self.worker.name), self.worker
+        )
+        self.assertEqual(self.count_crashes(), 0)
+
+    def test_a_new_leader_takes_a_move_for_no_crash(self) -> None:
+        new_leader = TrackerHarness(())
+        new_leader.tracker.restore_job(
+            self.record.submission, self.record.encode()
+        )
+        entry = replace(
+            self.worker.entry, name="next", born_ms=2, service="other"
+        )
+        new_leader.tracker.apply_worker_entry(entry)
+        new_leader.answer("next", born_ms=2)
+        new_leader.tracker.release_expired()
+        state = new_leader.tracker.jobs["j"].get_task(FIRST)
+        self.assertEqual((state.crashed_runs, state.worker), ((), ""))
+
+    def test_the_end_by_an_order_in_the_same_pool_is_no_crash(self) -> None:
+        # As during maintenance.
+        self.harness.clock.now += 0.1
+        self.harness.tracker.retire_worker(self.worker)
+        self.worker.unresponsive = True
+        self.register_successor()
+        self.release(0.2)
+        self.assertEqual(self.worker.runs, {})
+        self.assertEqual(self.count_crashes(), 0)
+
+    def test_a_new_leader_knows_the_orders_of_the_one_before(self) -> None:
+        new_leader = TrackerHarness(())
+        new_leader.tracker.restore_job(
+            self.record.submission, self.record.encode()
+        )
+        vm = self.worker.entry.vm
+        new_leader.tracker.ordered_vms = frozenset({vm})
+        entry = replace(self.worker.entry, name="next", born_ms=2)
+        new_leader.tracker.apply_worker_entry(entry)
+        new_leader.answer("next", born_ms=2)
+        new_leader.tracker.release_expired()
+        state = new_leader.tracker.jobs["j"].get_task(FIRST)
+        self.assertEqual((state.crashed_runs, state.worker), ((), ""))
+
+    def test_a_worker_that_outlived_an_order_may_crash(self) -> None:
+        # Guards against a deadly task whose crashes do not count for as long
+        # as a worker lasts whose VM was ordered once.
+        self.harness.clock.now += 0.1
+        self.harness.tracker.retire_worker(self.worker)
+        self.harness.clock.now += 0.1
+        name = self.worker.name
+        self.harness.answer(name, self.harness.list_runs(name))
+        self.worker.unresponsive = True
+        self.harness.clock.now += 0.1
+        self.register_successor()
+        self.release(0.2)
+        self.assertEqual(self.count_crashes(), 1)
+
     def test_a_crash_counts_once(self) -> None:
         self.worker.unresponsive = True
         self.release(15.0)
--- a/chestnutstair/tests/test_fleet_controller.py
+++ b/chestnutstair/tests/test_fleet_controller.py
@@ -134,6 +134,25 @@
         self.assertIs(workers.get(worker.name), worker)
         self.assertEqual(set(worker.runs), runs)
 
+    def test_a_worker_may_be_ended_while_its_order_has_no_answer(
+        self,
+    ) -> None:
+        # Guards against jobs that are given up without cause (LOST): a worker
+        # that an order ended was taken for one that its tasks crash.
+        self.vms.lose_answers = 1  # of the order that shrinks the idle pool
+        workers = dict(self.harness.tracker.workers)
+        for _ in range(40):
+            if not self.vms.orders:
+                self.run_round()
+        lost = self.vms.orders[0][0]
+        self.assertIn(lost, self.harness.tracker.ordered_vms)
+        pending = {
+            worker.entry.vm
+            for name, worker in workers.items()
+            if worker.may_be_ended_by_order
+        }
+        self.assertEqual(pending, {lost})
+
     def start_what_fits(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.1)):
             self.run_round()
