Reserve nothing for what an ended worker lists late

An organisation could be held to its cap by runs that do not exist: a hold call was answered after its worker had been given up and removed. The listed runs were reserved as unknown ones on the removed worker, which nothing frees, for the rest of the term.

Listings of a worker that is no longer present are not applied now. Its runs have been released, and if it goes on, it registers again and lists them to its next session. Ends in such an answer still count, so that work is not done twice.

--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -726,13 +726,18 @@
     ) -> bool:
         """Apply a worker's answer; return False for another incarnation.
 
+        Of an answer of a worker that has been removed only the ends count.
+        Its runs have been released, and if it goes on, it registers again and
+        lists them to its next session. Returns False as well.
+
         `sent_at` is the monotonic time at which the call was sent.
         """
         now = self._clock.read_monotonic()
+        is_present = self.workers.get(worker.name) is worker
         if answer.born_ms and worker.entry.born_ms != answer.born_ms:
             # Its clock may have been set back before its restart, so that
             # the later incarnation is not the one with the later time.
-            if self.workers.get(worker.name) is worker:
+            if is_present:
                 self._change_incarnation(worker, answer.born_ms)
             return False
         worker.record_contact(answer, now)
@@ -742,6 +747,8 @@
             if end.number > worker.applied_end:
                 self._apply_end(worker, end)
                 worker.applied_end = end.number
+        if not is_present:
+            return False
         listed = {listing.task for listing in answer.runs}
         orphans = []
         for listing in answer.runs:
--- a/chestnutstair/tests/test_late_events.py
+++ b/chestnutstair/tests/test_late_events.py
@@ -7,10 +7,11 @@
 from chestnutstair.scheduling.orders import OrderSender, OrderSettings
 from chestnutstair.scheduling.ports import (
     HoldAnswer,
+    RunEnd,
     RunListing,
     WrongIncarnationFailure,
 )
-from chestnutstair.scheduling.progress import TaskKey
+from chestnutstair.scheduling.progress import JobState, TaskKey
 from chestnutstair.scheduling.specification import Step
 from chestnutstair.tests.scheduling_support import (
     TrackerHarness,
@@ -83,6 +84,21 @@
         used = self.tracker.usage.get_in_pool("owner", "boxes")
         self.assertEqual(used.millicores, 0)
 
+    def test_a_late_end_at_an_ended_worker_counts(self) -> None:
+        # Guards against work that is done again: a task had ended before its
+        # worker was given up, and only the answer that says so was late.
+        self.harness.start_all([self.placement])
+        end = RunEnd(1, self.record.name_task(KEY), 1, "done", "")
+        now_ms = int(self.harness.clock.now * 1000)
+        answer = HoldAnswer(now_ms, 1, (), (end,))
+        sent = self.harness.clock.now
+        self.worker.unresponsive = True
+        self.tracker.mark_worker_gone("w1")
+        self.harness.clock.now += 8.0
+        self.tracker.release_expired()
+        self.tracker.apply_hold_answer(self.worker, answer, sent)
+        self.assertIs(self.record.ended, JobState.COMPLETED)
+
     def test_a_move_that_ends_runs_is_no_crash_of_their_tasks(self) -> None:
         # Guards against jobs that are given up without cause (LOST): an order
         # carried out late ended a worker with runs, its next worker registered
