Count maintenance in doubt under the next leader

A refused order without earlier attempts in doubt is marked in its row, so that a VM which never went down is not waited for. Inherited orders are not repeated, as the VM may have tasks by then.

--- a/chestnutstair/scheduling/fleet_controller.py
+++ b/chestnutstair/scheduling/fleet_controller.py
@@ -4,6 +4,7 @@
 import threading
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from chestnutstair.scheduling.configuration import MaintenanceWave
 from chestnutstair.scheduling.fleet_state import (
@@ -64,8 +65,11 @@
             store,
             clock,
             settings.min_order_interval_seconds + settings.send_seconds,
-            settings.maintenance_seconds + settings.settle_seconds,
+            settings.send_seconds
+            + settings.maintenance_seconds
+            + settings.settle_seconds,
             shard.names,
+            settings.late_order_seconds,
         )
         self._state = FleetState(self._tracker)
         self._orders = VmOrderDispatcher(
@@ -101,10 +105,7 @@
             if self._leader.has_ended:
                 return
             self._clock.sleep(self._settings.retry_seconds)
-        self._state.orders = {
-            order.vm: order
-            for order in self._order_history.unfinished_maintenance
-        }
+        self._inherit_maintenance()
         while not self._leader.has_ended:
             try:
                 self._step()
@@ -114,6 +115,20 @@
             self._clock.sleep(self._settings.tick_seconds)
         self._orders.close()
 
+    def _inherit_maintenance(self) -> None:
+        """Count maintenance that earlier leaders ordered against the caps.
+
+        An order whose answer is not stored may be carried out late. It is not
+        repeated, as the VM may have tasks by now.
+        """
+        now = self._clock.read_monotonic()
+        for order in self._order_history.unfinished_maintenance:
+            until = order.in_doubt_until
+            if self._waves.is_begun(order.wave, order.vm):
+                until = order.back_at
+            if until > now:
+                self._state.orders[order.vm] = replace(order, back_at=until)
+
     def _load(self) -> bool:
         try:
             return self._waves.load() and self._order_history.load()
--- a/chestnutstair/scheduling/vm_order_history.py
+++ b/chestnutstair/scheduling/vm_order_history.py
@@ -79,6 +79,7 @@
         min_order_interval_seconds: float,
         maintenance_seconds: float,
         names: ShardNames = FIRST_NAMES,
+        late_order_seconds: float = 0.0,
     ) -> None:
         self._partition = names.partition
         self._leader = leader
@@ -86,9 +87,11 @@
         self._clock = clock
         self._min_order_interval_seconds = min_order_interval_seconds
         self._maintenance_seconds = maintenance_seconds
+        self._late_order_seconds = late_order_seconds
         # Monotonic time from which this leader may order a VM.
         self._orderable_at: dict[str, float] = {}
-        # Maintenance begun by earlier leaders that may still be in progress.
+        # Maintenance ordered by earlier leaders that may be in progress: until
+        # `back_at` if its order was answered, else until `in_doubt_until`.
         self.unfinished_maintenance: list[VmOrder] = []
 
     def load(self) -> bool:
@@ -121,9 +124,18 @@
                 now + self._min_order_interval_seconds - age
             )
             back_at = now + self._maintenance_seconds - age
-            if wave and back_at > now:
-                order = VmOrder(row.key.key, service, wave, back_at, True)
-                self.unfinished_maintenance.append(order)
+            in_doubt_until = back_at + self._late_order_seconds
+            if wave and in_doubt_until > now:
+                self.unfinished_maintenance.append(
+                    VmOrder(
+                        row.key.key,
+                        service,
+                        wave,
+                        back_at,
+                        answered=True,
+                        in_doubt_until=in_doubt_until,
+                    )
+                )
         return True
 
     def is_interval_over(self, vm: str, now: float) -> bool:
@@ -138,11 +150,21 @@
 
         Returns whether they were stored in time.
         """
-        at = self._clock.read_wall()
-        writes = []
-        for order in orders:
-            fields = {"at": at, "service": order.service, "wave": order.wave}
-            value = json.dumps(fields).encode()
-            key = RowKey(ORDER_TABLE, self._partition, order.vm)
-            writes.append(RowWrite(key, value))
+        writes = [self._encode(order, order.wave) for order in orders]
         return self._leader.store(writes, CALL_SECONDS)
+
+    def mark_refused(self, order: VmOrder) -> None:
+        """Store that no attempt of a VM's last order is carried out.
+
+        The next leader does not count it as maintenance.
+        """
+        self._leader.queue_write(self._encode(order, 0))
+
+    def _encode(self, order: VmOrder, wave: int) -> RowWrite:
+        fields = {
+            "at": self._clock.read_wall(),
+            "service": order.service,
+            "wave": wave,
+        }
+        key = RowKey(ORDER_TABLE, self._partition, order.vm)
+        return RowWrite(key, json.dumps(fields).encode())
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -265,6 +265,8 @@
                     self._state.orders[vm] = replace(order, back_at=retry_at)
                     return
                 self._state.orders.pop(vm, None)
+                if order.wave:
+                    self._order_history.mark_refused(order)
                 self._next_list_at = float("-inf")
             case Err(_):
                 self._state.orders[vm] = replace(
--- a/chestnutstair/scheduling/wave_progress.py
+++ b/chestnutstair/scheduling/wave_progress.py
@@ -120,6 +120,10 @@
         """Return whether the VM's maintenance in this wave has not begun."""
         return (wave.number, vm) not in self._begun
 
+    def is_begun(self, number: int, vm: str) -> bool:
+        """Return whether the order of the VM's maintenance was answered."""
+        return (number, vm) in self._begun
+
     def is_due(self, vm: str) -> bool:
         """Return whether the VM's maintenance in any wave has not begun."""
         return any(
--- a/chestnutstair/tests/test_vm_orders_in_doubt.py
+++ b/chestnutstair/tests/test_vm_orders_in_doubt.py
@@ -159,6 +159,61 @@
         self.assertEqual(down, ["vm-w1"])
 
 
+class InheritedOrderTest(InDoubtTest):
+    """Maintenance that the leader before has ordered."""
+
+    def order_maintenance(self) -> None:
+        self.controller._state.drains["vm-w1"] = Drain("boxes", 1)
+        with mock.patch.object(self.controller, "_resize_pools"):
+            self.run_round()
+        self.assertEqual(self.vms.orders, [("vm-w1", "wave 1")])
+
+    def list_inherited(self, seconds: float) -> list[str]:
+        """Return the VMs that a leader counts which begins after a time."""
+        self.harness.clock.now += seconds
+        following = FleetController(
+            self.fleet.leader,  # type: ignore[arg-type]
+            self.harness.planner,
+            self.vms,
+            self.fleet.store,
+            list,
+            self.harness.clock,
+            self.controller._settings,
+        )
+        self.assertTrue(following._load())
+        following._inherit_maintenance()
+        return list(following._state.orders)
+
+    def test_a_vm_that_may_still_go_down_counts_under_the_next_leader(
+        self,
+    ) -> None:
+        # Guards against LIMIT: the next leader counted a VM for as long as
+        # maintenance takes, though its order could still be carried out.
+        self.use_vms(LateVms)
+        self.vms = self.controller._orders._vms  # type: ignore[assignment]
+        self.order_maintenance()
+        self.assertEqual(self.list_inherited(LATE_SECONDS), ["vm-w1"])
+        self.assertEqual(self.list_inherited(20.0), [])
+
+    def test_answered_maintenance_counts_no_longer_than_it_takes(
+        self,
+    ) -> None:
+        # Guards against waves that are late because a new leader waits for
+        # VMs that are back.
+        self.order_maintenance()
+        self.assertEqual(self.list_inherited(1.0), ["vm-w1"])
+        self.assertEqual(self.list_inherited(MAINTENANCE_SECONDS + 2.0), [])
+
+    def test_refused_maintenance_does_not_count_under_the_next_leader(
+        self,
+    ) -> None:
+        # Guards against waves that are late because a new leader waits for
+        # VMs that were never taken down.
+        self.vms.refusals = 1
+        self.order_maintenance()
+        self.assertEqual(self.list_inherited(0.1), [])
+
+
 class EndedTermTest(InDoubtTest):
     """A term that its leader has released, so that another may begin."""
 
