--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -51,8 +51,7 @@
     # Added to both before the VM counts as back.
     settle_seconds: float = 0.5
     # How long after its call has failed an order without an answer may still
-    # be carried out. The platform's protocol says "seconds later", without a
-    # bound; its fault `applied_late` delays calls by 2 to 12 s.
+    # be carried out. The platform states no bound; 2 to 12 s were seen.
     late_order_seconds: float = 12.0
     # Pause before an order without an answer is repeated, and before
     # another attempt to load the state of earlier leaders.
