Add review case 1: a node that cannot load holds the term for ever

Cause: a node that fails to load after taking the term takes it again at once, and its writes keep the others from finding the term expired. Change: a script with a node on a link of 10 Mbit/s and 9 MB of rows; the two strong nodes are killed for 5 s.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from platform_standin import Platform, Record
+from slow_link import SlowLinkProxy
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -94,7 +95,9 @@
                 "ready": f"{self.host}:{deployment.ready_port}",
             },
             "internalPorts": [deployment.inner_port, deployment.inner_port],
-            "limits": {"cpuShare": 0.537, "cores": 2},
+            "limits": deployment.limits.get(
+                index, {"cpuShare": 0.537, "cores": 2}
+            ),
             "bounds": deployment.bounds,
             "advice": f"127.0.0.1:{deployment.platform.advice_port}",
             "platform": {
@@ -189,7 +192,8 @@
 class Deployment:
     """The stand-ins and the nodes of one case."""
 
-    def __init__(self, case_folder, nodes=3):
+    def __init__(self, case_folder, nodes=3, limits=None, links=None):
+        """`limits` and `links` (Mbit/s to the store) are by node number."""
         hosts = ["127.0.0.1"] + [f"127.0.1.{n + 1}" for n in range(nodes)]
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(Path(case_folder) / "record.txt")
@@ -208,10 +212,19 @@
             "leaseMs": 3000,
         }
         self.platform = Platform(self.record, self.ports)
+        self.limits = limits or {}
+        self.links = {}
+        store = ("127.0.0.1", self.platform.store.endpoint.port)
+        for index, megabits in (links or {}).items():
+            port = self.ports.take()
+            proxy = SlowLinkProxy("127.0.0.1", port, store, megabits)
+            self.links[index] = (proxy, port)
         self.nodes = [Node(self, n + 1) for n in range(nodes)]
 
     def store_address(self, index):
-        return f"127.0.0.1:{self.platform.store.endpoint._server.server_port}"
+        if index in self.links:
+            return f"127.0.0.1:{self.links[index][1]}"
+        return f"127.0.0.1:{self.platform.store.endpoint.port}"
 
     def start(self, seconds=25.0):
         for node in self.nodes:
@@ -286,7 +299,7 @@
                 node.process.wait()
 
 
-def run_case(case_folder, play, nodes=3):
+def run_case(case_folder, play, nodes=3, **options):
     """Run a case; `play` returns what broke the rule, "" if it held."""
     deployment = None
     code = NOT_RUN
@@ -300,7 +313,7 @@
     limit.daemon = True
     limit.start()
     try:
-        deployment = Deployment(case_folder, nodes)
+        deployment = Deployment(case_folder, nodes, **options)
         problem = play(deployment)
         code = BROKEN if problem else HELD
         text = problem or "the rule held"
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -100,6 +100,7 @@
             do_GET = do_POST = do_PUT = do_DELETE = _serve
 
         self.sockets = set()
+        self.port = port
         self._server = _Server((host, port), Handler)
         self._thread = threading.Thread(
             target=self._server.serve_forever, args=(0.02,), daemon=True
@@ -226,10 +227,16 @@
                 ),
                 key=lambda key: key[2].encode(),
             )
-            rows = [self._encode(key) for key in keys[:limit]]
+            rows = []
+            size = 0
+            for key in keys[:limit]:
+                size += len(self.rows[key][0]) + 200
+                if rows and size > 1_000_000:
+                    break
+                rows.append(self._encode(key))
             body = {
                 "rows": rows,
-                "morePages": len(keys) > limit,
+                "morePages": len(keys) > len(rows),
                 "ver": self.version,
                 "nowMs": self._now(),
             }
