Keep cancellations that a leader reads before their jobs

Cause: the leader dropped the cancellation of a job that it did not know yet. That happens in two ways. After a lost history the whole intake table is read, whose keys order all cancellations before the jobs. And a node's message about a cancellation may arrive before the message or the row of the job, as nodes send theirs independently and one may be lost.

Evidence: nothing was logged when a cancellation was dropped.

Rows that are read together are applied with submissions first, so that a table with any number of cancellations of removed jobs displaces none that matters. The feed logs when it has read a whole table.

Why it works: a cancellation is for good, so that it may be applied whenever its job gets known, and each way to learn of a job passes through admit().

--- a/chestnutstair/scheduling/change_feed.py
+++ b/chestnutstair/scheduling/change_feed.py
@@ -132,6 +132,14 @@
         match self._store.read(self._table, self._partition, deadline):
             case Ok(changes):
                 self._record_success()
+                logger.info(
+                    "whole table read",
+                    extra={
+                        "table": self._table,
+                        "rows": len(changes.rows),
+                        "version": changes.version,
+                    },
+                )
                 self._version = changes.version
                 self._replace(changes)
                 return self._gap
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -17,6 +17,7 @@
     describe_lost_worker,
     describe_unseen_worker,
 )
+from chestnutstair.scheduling.early_cancellations import EarlyCancellations
 from chestnutstair.scheduling.lookahead.durations import (
     DurationForecast,
     classify_step,
@@ -138,6 +139,7 @@
         self.caps = Caps(self.usage, settings.cap_share)
         self.excess = ExcessJobs()
         self.durations = DurationForecast()
+        self._early_cancellations = EarlyCancellations()
         # Names of jobs with changes that are not stored yet.
         self.dirty: set[str] = set()
         # Runs that a worker lists although they are not placed there, by
@@ -261,12 +263,20 @@
                 "organisation": submission.organisation,
             },
         )
+        if self._early_cancellations.take(record.name):
+            self.cancel(record.name)
         return True
 
     def cancel(self, name: str) -> None:
-        """Mark a job as cancelled and stop its runs."""
+        """Mark a job as cancelled and stop its runs.
+
+        A job that is not known yet is cancelled when it is admitted.
+        """
         record = self.jobs.get(name)
-        if record is None or record.ended is not None:
+        if record is None:
+            self._early_cancellations.add(name)
+            return
+        if record.ended is not None:
             return
         logger.info("job cancelled", extra={"job": name})
         self._end_job(record, JobState.CANCELLED)
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -377,8 +377,10 @@
     # Changes from the store
 
     def _apply_intake(self, changes: Changes) -> None:
+        # A table that is read as a whole has cancellations first.
+        rows = sorted(changes.rows, key=is_cancellation)
         with self.tracker.lock:
-            for row in changes.rows:
+            for row in rows:
                 if row.value is None:
                     continue
                 try:
--- a/chestnutstair/tests/leader_support.py
+++ b/chestnutstair/tests/leader_support.py
@@ -77,3 +77,6 @@
 
     def follow(self) -> None:
         self.leader._feeds[1]._step()
+
+    def follow_intake(self) -> None:
+        self.leader._feeds[0]._step()
