Keep runs that a cut list of ends leaves out

Cause: a worker lists the ends of its runs 500 at a time, lowest number first. A run that had ended but whose end was not in the answer was neither running nor ended there, which counted as having vanished without a result, and its task was started again. The next answer then listed its end.

Change: an answer says whether it may leave out ends, which is the case when it has as many as fit. Then absent runs are kept, not ready any more, until an answer lists their end or is complete; such a decision is logged. The next call is made at once as soon as there is something to acknowledge.

Why it works: the lists of runs are never cut, and ends are only forgotten when acknowledged, so that a complete answer lists each end that this leader has not applied. The emulated platform cuts its lists as well now.

--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -66,6 +66,8 @@
 Outcome = Literal["done", "failed", "stopped", "lapsed", "broken", "alone"]
 # Validated by pydantic-core, as thousands of rows are read a second.
 RUN_VALUES = 5
+# Most ends in one answer; a worker with more lists the first of them.
+MAX_ENDS = 500
 RUNS = TypeAdapter(list[tuple[TaskName, Whole, Checkpoint, Number, Number]])
 END_VALUES = 5
 ENDS = TypeAdapter(list[tuple[Whole, TaskName, Whole, Outcome, Checkpoint]])
@@ -122,6 +124,7 @@
                 [RunListing(*row) for row in RUNS.validate_python(runs)]
             ),
             ends=tuple([RunEnd(*row) for row in ENDS.validate_python(ends)]),
+            has_more_ends=len(ends) >= MAX_ENDS,
         )
     except ValidationError as error:
         raise MalformedFieldError(_name_mistake(error)) from None
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -765,12 +765,30 @@
             if not self._apply_listing(worker, listing, now):
                 orphans += self._find_orphan(listing)
         worker.reserve_for_orphans(orphans)
-        for task, run in list(worker.runs.items()):
-            if task not in listed:
-                self._apply_absence(worker, task, run, sent_at)
+        worker.has_more_ends = answer.has_more_ends
+        absent = [task for task in worker.runs if task not in listed]
+        if answer.has_more_ends:
+            self._await_ends(worker, absent)
+        else:
+            for task in absent:
+                self._apply_absence(worker, task, worker.runs[task], sent_at)
         self._end_probation(worker)
         return True
 
+    def _await_ends(self, worker: WorkerState, tasks: list[str]) -> None:
+        """Keep runs that have ended, or not begun, until an answer tells."""
+        for task in tasks:
+            worker.mark_unready(task)
+        logger.info(
+            "answer may leave out ends; absent runs are kept",
+            extra={
+                "worker": worker.name,
+                "absent": len(tasks),
+                "runs": len(worker.runs),
+                "last_end": worker.applied_end,
+            },
+        )
+
     def _change_incarnation(self, worker: WorkerState, born_ms: int) -> None:
         entry = replace(worker.entry, born_ms=born_ms)
         if worker.claim is not None and worker.claim.born_ms == born_ms:
--- a/chestnutstair/scheduling/ports.py
+++ b/chestnutstair/scheduling/ports.py
@@ -186,12 +186,17 @@
 
 @dataclass(frozen=True)
 class HoldAnswer:
-    """A worker's runs, its unacknowledged ends, and its clock."""
+    """A worker's runs, its unacknowledged ends, and its clock.
+
+    `has_more_ends`: whether further ends may be listed once these are
+    acknowledged. `runs` is complete in any case.
+    """
 
     clock_ms: int
     born_ms: int
     runs: tuple[RunListing, ...]
     ends: tuple[RunEnd, ...]
+    has_more_ends: bool = False
 
 
 @dataclass(frozen=True)
--- a/chestnutstair/scheduling/sessions.py
+++ b/chestnutstair/scheduling/sessions.py
@@ -186,13 +186,13 @@
         answer may show that another can start.
 
         A VM that is to leave its pool is ordered once its last end is
-        acknowledged, which only the answer to a call shows.
+        acknowledged, which only the answer to a call shows. Ends that an
+        answer left out are listed once those in it are acknowledged.
         """
+        is_leaving = worker.cordoned and not worker.runs
         if (
-            worker.cordoned
-            and not worker.runs
-            and worker.acknowledged_end < worker.stored_end
-        ):
+            is_leaving or worker.has_more_ends
+        ) and worker.acknowledged_end < worker.stored_end:
             return 0.0
         if worker.absent:
             return self._settings.absence_hold_seconds
--- a/chestnutstair/scheduling/workers.py
+++ b/chestnutstair/scheduling/workers.py
@@ -137,6 +137,8 @@
         # Runs that it listed last although they are not placed there. These
         # still use its room.
         self._orphan_runs: list[OrphanRun] = []
+        # Its last answer may have left out ends of runs.
+        self.has_more_ends = False
         self.cordoned = False  # gets no new tasks
         # Last time at which an order for its VM was in progress that may end
         # it; monotonic, None if there was none.
@@ -186,6 +188,13 @@
         self.mark_stopping(task)
         self.absent.add(task)
 
+    def mark_unready(self, task: str) -> None:
+        """Record that a run is not at work, though its end is not known."""
+        run = self.runs[task]
+        if run.listing is not None:
+            listing = replace(run.listing, percent=0)
+            self.runs[task] = replace(run, listing=listing)
+
     def remove_run(self, task: str) -> PlacedRun | None:
         """Remove a run and free its room; return it, or None if unknown."""
         run = self.runs.pop(task, None)
--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -36,6 +36,7 @@
 
 ANY_TIME = Deadline(0.0)  # the in-memory store ignores deadlines
 FEED_POLL_SECONDS = 0.01
+MAX_ENDS = 500  # ends in one answer of a runner
 SERVICE_CONFIG = {"healthPath": "/health", "enforcesCapacity": True}
 
 
@@ -158,7 +159,7 @@
                     [task, run, "", 100]
                     for task, (run, _, _) in self.runs.items()
                 ],
-                "finished": self.ends,
+                "finished": self.ends[:MAX_ENDS],
             }
         )
 
