Do not take an answer without its list for an empty one

Callers could see: a wave that is reported as completed while a VM of it has not begun its maintenance, or runs and workers that count as gone.

Something that is not in an answer was taken for gone, though the answer may not be complete. The places looked at:

- Pages of rows (registry, jobs, progress, waves, orders): all pages are read, and one that cannot be continued fails the read.
An answer without rows at all counted as an empty table: each worker gone, each job unknown.
- An answer of a worker without the list of runs: each run counted as ended.
One without the list of ends now counts like one whose list is cut.
- Pages of the VM list are of different moments.
A VM that is on none of them while others leave counted as gone, so that its wave was complete.
- Change feeds name removed rows, and queue counts, advice and members are asked for by name: nothing there stands for gone.

Change: these lists are required; a wave is complete without a VM only when two lists in a row lack it.

--- a/chestnutstair/platform/runners.py
+++ b/chestnutstair/platform/runners.py
@@ -38,6 +38,7 @@
     MalformedFieldError,
     is_text,
     is_whole,
+    read_list,
     read_whole,
 )
 from chestnutstair.transport.json_calls import JsonAnswer, call_json
@@ -90,13 +91,6 @@
     connections: int = 6
 
 
-def _read_list(body: dict[str, Any], name: str) -> list[Any]:
-    value = body.get(name, [])
-    if type(value) is not list:
-        raise MalformedFieldError(f"{name}: not a list")
-    return value
-
-
 def _trim(row: Any, length: int) -> Any:
     """Return a row with `length` values; 0 for the last if it is missing."""
     return [*row, 0][:length] if type(row) is list else row
@@ -113,9 +107,9 @@
         if type(row) is list and len(row) == RUN_VALUES
         # Before there were gauges a row had four values.
         else _trim(row, RUN_VALUES)
-        for row in _read_list(body, "running")
+        for row in read_list(body, "running")
     ]
-    ends = [_trim(row, END_VALUES) for row in _read_list(body, "finished")]
+    ends = [_trim(row, END_VALUES) for row in read_list(body, "finished", [])]
     try:
         return HoldAnswer(
             clock_ms=read_whole(body, "clockMs"),
@@ -124,7 +118,7 @@
                 [RunListing(*row) for row in RUNS.validate_python(runs)]
             ),
             ends=tuple([RunEnd(*row) for row in ENDS.validate_python(ends)]),
-            has_more_ends=len(ends) >= MAX_ENDS,
+            has_more_ends="finished" not in body or len(ends) >= MAX_ENDS,
         )
     except ValidationError as error:
         raise MalformedFieldError(_name_mistake(error)) from None
@@ -159,7 +153,7 @@
 
 def _read_tickets(body: dict[str, Any]) -> dict[str, str]:
     """Return the tickets by worker; rows that are unreadable are left out."""
-    rows = _read_list(body, "good")
+    rows = read_list(body, "good", [])
     tickets = {
         row[0]: row[1]
         for row in rows
--- a/chestnutstair/platform/store.py
+++ b/chestnutstair/platform/store.py
@@ -80,7 +80,7 @@
 
 def _read_rows(body: dict[str, Any]) -> tuple[Row, ...]:
     """Return the readable rows, or raise MalformedFieldError."""
-    items = read_list(body, "rows", [])
+    items = read_list(body, "rows")
     rows = tuple(
         [row for item in items if (row := _read_row(item)) is not None]
     )
--- a/chestnutstair/scheduling/fleet_state.py
+++ b/chestnutstair/scheduling/fleet_state.py
@@ -1,6 +1,7 @@
 """The leader's view of the VMs, and its unfinished orders for them."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from chestnutstair.scheduling.job_tracker import JobTracker
@@ -142,9 +143,34 @@
         self.listed: dict[str, Vm] = {}
         # The shard of every listed VM, also of those of other shards.
         self.shards: dict[str, int] = {}
+        # The names in the list before the last one; None before there are two.
+        self._listed_before: frozenset[str] | None = None
+        self._list_count = 0
         self.orders: dict[str, VmOrder] = {}
         self.drains: dict[str, Drain] = {}
 
+    def replace_list(
+        self, listed: dict[str, Vm], shards: dict[str, int]
+    ) -> None:
+        """Replace the list of VMs by a later one."""
+        if self._list_count:
+            self._listed_before = frozenset(self.listed)
+        self._list_count += 1
+        self.listed = listed
+        self.shards = shards
+
+    def are_gone(self, vms: Iterable[str]) -> bool:
+        """Return whether none of the VMs exists any more.
+
+        Pages of a list are read one after the other, so that a single list
+        may leave out a VM while others leave or join.
+        """
+        before = self._listed_before
+        return all(
+            before is not None and vm not in before and vm not in self.listed
+            for vm in vms
+        )
+
     def find_spare_pool(self) -> str:
         """Return the spare pool, whose VMs are off; empty if there is none."""
         services = self._tracker.configuration.services.values()
--- a/chestnutstair/scheduling/maintenance.py
+++ b/chestnutstair/scheduling/maintenance.py
@@ -45,16 +45,13 @@
         cap = self._waves.find_cap(wave, self._state.shards, now)
         if cap is None:
             return
-        due = [
-            vm
-            for vm in wave.vms
-            if vm in self._state.listed and self._waves.is_due_in(wave, vm)
-        ]
+        not_begun = [vm for vm in wave.vms if self._waves.is_due_in(wave, vm)]
+        due = [vm for vm in not_begun if vm in self._state.listed]
         in_progress = sum(
             order.wave == wave.number for order in self._state.orders.values()
         )
         if not due:
-            self._complete_if_back(wave, in_progress)
+            self._complete_if_gone(wave, not_begun, in_progress)
             return
         in_progress += sum(
             drain.wave == wave.number for drain in self._state.drains.values()
@@ -88,10 +85,10 @@
             in_progress += 1
         self._orders.order_all(idle)
 
-    def _complete_if_back(
-        self, wave: MaintenanceWave, in_progress: int
+    def _complete_if_gone(
+        self, wave: MaintenanceWave, not_begun: list[str], in_progress: int
     ) -> None:
-        if not in_progress:
+        if not in_progress and self._state.are_gone(not_begun):
             self._waves.report_completed(wave)
 
     def _count_available_idle(self, spare: str) -> int:
--- a/chestnutstair/scheduling/vm_orders.py
+++ b/chestnutstair/scheduling/vm_orders.py
@@ -90,14 +90,17 @@
             case Ok(vms):
                 self._listed_at = now
                 pause = max(pause, self._compute_list_interval(len(vms)))
-                self._state.shards = {
+                shards = {
                     vm.name: self._shard.find_shard_of_vm(vm) for vm in vms
                 }
-                self._state.listed = {
-                    vm.name: vm
-                    for vm in vms
-                    if self._state.shards[vm.name] == self._shard.number
-                }
+                self._state.replace_list(
+                    {
+                        vm.name: vm
+                        for vm in vms
+                        if shards[vm.name] == self._shard.number
+                    },
+                    shards,
+                )
                 self._check_workers()
                 for order in self._state.orders.values():
                     if order.answered and not order.wave:
