Notice within a second that a change feed has gone silent

Cause: an open connection may go silent without being closed. A leader hears of draining workers and, if a message of a node is lost, of cancellations on a long poll of the store of 5 s, which it gave up 1.5 s later. Both are longer than the 2 s and 3 s in which such news must be followed.

A silent feed and a store that is down looked the same in the logs; the feed now logs how long the call took, and for how long nothing was heard.

Change: a long poll takes 0.5 s and is given up 0.5 s later. A call without an answer is repeated at once and without waiting for changes. The time for an answer then doubles up to 2 s, so that a slow store is heard as well.

Why it works: news is at most one poll and its slack old when it is read, which is half of the tightest bound, and the next call uses another connection.

A feed of a table that changes is answered at once, as before.

--- a/chestnutstair/scheduling/change_feed.py
+++ b/chestnutstair/scheduling/change_feed.py
@@ -18,14 +18,19 @@
 
 logger = logging.getLogger(__name__)
 
-# Duration of one long poll; a dead connection is detected after this and
-# `SLACK_SECONDS`.
-WAIT_SECONDS = 5.0
+# Duration of one long poll. A connection may go silent without being closed,
+# which is detected after this and `SLACK_SECONDS`: early enough that a worker
+# that drains gets no task after 2 s.
+WAIT_SECONDS = 0.5
 # An answer to a long poll that is later than this means that the store is not
 # reached, although the call has not failed yet. A slow store answers within
 # a quarter of a second.
 LATE_SECONDS = 0.5
-SLACK_SECONDS = 1.5  # time for a slow answer beyond the long poll
+# Time for the first bytes of an answer beyond the long poll. It doubles with
+# each call without an answer, so that a slower store is heard as well.
+SLACK_SECONDS = 0.5
+LONGEST_SLACK_SECONDS = 2.0
+# Shortest time between a call that fails and the next one.
 RETRY_SECONDS = 0.25
 READ_SECONDS = 2.0  # timeout of a read of the whole table
 
@@ -66,6 +71,8 @@
         self._stopped = threading.Event()
         self._failing = False
         self._asked_at: float | None = None
+        self._answered_at = clock.read_monotonic()
+        self._slack = SLACK_SECONDS
 
     @property
     def is_failing(self) -> bool:
@@ -103,8 +110,10 @@
         self._asked_at = self._clock.read_monotonic()
         if self._version is None:
             return self._read()
-        wait = self._wait
-        deadline = Deadline.after(self._clock, wait + SLACK_SECONDS)
+        # After a failure there may be changes already, and an answer at once
+        # tells soonest whether the store is reached again.
+        wait = 0.0 if self._failing else self._wait
+        deadline = Deadline.after(self._clock, wait + self._slack)
         answer = self._store.follow(self._table, self._version, wait, deadline)
         if self._stopped.is_set():
             return 0.0
@@ -123,8 +132,7 @@
                 self._version = None
                 return 0.0
             case Err(failure):
-                self._record_failure(describe_failure(failure))
-                return RETRY_SECONDS
+                return self._record_failure(describe_failure(failure))
         raise AssertionError(answer)
 
     def _read(self) -> float:
@@ -144,20 +152,39 @@
                 self._replace(changes)
                 return self._gap
             case Err(failure):
-                self._record_failure(describe_failure(failure))
-        return RETRY_SECONDS
+                return self._record_failure(describe_failure(failure))
+        raise AssertionError(self._table)
 
     def _record_success(self) -> None:
         self._asked_at = None
+        self._slack = SLACK_SECONDS
+        now = self._clock.read_monotonic()
         if self._failing:
             self._failing = False
-            logger.info("store reachable again", extra={"table": self._table})
+            logger.info(
+                "store reachable again",
+                extra={
+                    "table": self._table,
+                    "unheard_seconds": now - self._answered_at,
+                },
+            )
+        self._answered_at = now
 
-    def _record_failure(self, reason: str) -> None:
+    def _record_failure(self, reason: str) -> float:
+        """Return the seconds to wait before the next call."""
+        now = self._clock.read_monotonic()
+        elapsed = now - (self._asked_at or now)
         self._asked_at = None
+        self._slack = min(self._slack * 2, LONGEST_SLACK_SECONDS)
         if not self._failing:
             self._failing = True
             logger.warning(
                 "store unreachable",
-                extra={"table": self._table, "reason": reason},
+                extra={
+                    "table": self._table,
+                    "reason": reason,
+                    "call_seconds": elapsed,
+                    "unheard_seconds": now - self._answered_at,
+                },
             )
+        return max(0.0, RETRY_SECONDS - elapsed)
