Connect anew where a kept connection may have gone silent

Cause: when all open connections go silent, each of those that a client keeps lets one more call time out: six for a worker, 16 for the store. An order that gets no answer for 0.5 s was repeated on the next silent connection.

Change: a call that times out makes those kept connections suspect that have answered nothing since the call began. They connect anew before their next request. What has answered meanwhile is kept, as new connections are dear.

Result: of the two new tests one failed before: the second call to a server with four silent connections timed out as well.

--- a/chestnutstair/tests/test_platform_client.py
+++ b/chestnutstair/tests/test_platform_client.py
@@ -117,3 +117,103 @@
         lines = received.partition(b"\r\n\r\n")[0].splitlines()[1:]
         names = {line.partition(b":")[0] for line in lines}
         self.assertEqual(names, {b"Host", b"Content-Length", b"X-Expect"})
+
+
+class SilentServer:
+    """Answers calls; connections that were open at `silence()` go silent."""
+
+    def __init__(self) -> None:
+        self._listener = socket.create_server((HOST, 0))
+        self.port = self._listener.getsockname()[1]
+        self.accepted: list[socket.socket] = []
+        self._silent: set[socket.socket] = set()
+        self.barrier: threading.Barrier | None = None
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self.accepted.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        while connection.recv(4096):
+            barrier = self.barrier
+            if barrier is not None:
+                barrier.wait(WAIT_SECONDS)
+            if connection not in self._silent:
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+                )
+
+    def silence(self) -> None:
+        """Carry nothing more on the connections that are open."""
+        self._silent.update(self.accepted)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for item in (self._listener, *self.accepted):
+            item.close()
+
+
+class SilentConnectionTest(unittest.TestCase):
+    """Guards against orders that arrive seconds late.
+
+    Each kept connection that had gone silent let one more call time out.
+    """
+
+    def setUp(self) -> None:
+        self.server = SilentServer()
+        self.addCleanup(self.server.close)
+        self.clock = SystemClock()
+        address = f"http://{HOST}:{self.server.port}"
+        self.client = PlatformClient(address, "", "", self.clock)
+
+    def call(self, seconds: float = WAIT_SECONDS) -> bool:
+        deadline = Deadline.after(self.clock, seconds)
+        return self.client.send("POST", "/order", b"{}", deadline).is_ok()
+
+    def call_together(self, count: int) -> None:
+        """Make calls at the same time, each on a connection of its own."""
+        self.server.barrier = threading.Barrier(count)
+        calls = [threading.Thread(target=self.call) for _ in range(count)]
+        for call in calls:
+            call.start()
+        for call in calls:
+            call.join(WAIT_SECONDS)
+        self.server.barrier = None
+
+    def test_one_call_times_out_for_all_silent_connections(self) -> None:
+        self.call_together(4)
+        self.server.silence()
+        self.assertFalse(self.call(CALL_SECONDS))
+        self.assertTrue(self.call())
+        self.assertTrue(self.call())
+        self.assertEqual(len(self.server.accepted), 5)
+
+    # New connections to workers are dear: a slow call must not cost one for
+    # each that is kept.
+    def test_connections_that_answer_meanwhile_are_kept(self) -> None:
+        self.call_together(2)
+        self.server._silent.add(self.server.accepted[0])
+        self.server.barrier = threading.Barrier(2)
+        outcomes: list[bool] = []
+        slow = [
+            threading.Thread(
+                target=lambda: outcomes.append(self.call(CALL_SECONDS))
+            )
+            for _ in range(2)
+        ]
+        for call in slow:
+            call.start()
+        for call in slow:
+            call.join(WAIT_SECONDS)
+        self.server.barrier = None
+        self.assertEqual(sorted(outcomes), [False, True])
+        self.call_together(2)
+        self.assertEqual(len(self.server.accepted), 3)
--- a/chestnutstair/transport/platform_client.py
+++ b/chestnutstair/transport/platform_client.py
@@ -17,7 +17,9 @@
     HTTPError,
     LocationValueError,
     NewConnectionError,
+    ReadTimeoutError,
 )
+from urllib3.response import HTTPResponse
 from urllib3.util import SKIP_HEADER
 
 from chestnutstair.coordination.platform import (
@@ -34,6 +36,7 @@
 )
 from chestnutstair.state.codec import STRICT, decode_json, encode_json
 from chestnutstair.state.deadline import Clock, Deadline
+from chestnutstair.transport.kept_connections import KeptConnections
 
 __all__ = [
     "PlatformClient",
@@ -84,12 +87,29 @@
 
     The base class sends them one after the other, each with system calls of
     its own and in a packet of its own, which wakes the other side twice.
+
+    Connects anew before a request if it may have gone silent.
     """
 
     _pieces: list[bytes] | None = None
 
+    def __init__(
+        self, *args: Any, kept_connections: KeptConnections, **options: Any
+    ) -> None:
+        super().__init__(*args, **options)
+        self._kept_connections = kept_connections
+        self._answered = 0
+
+    def getresponse(self) -> HTTPResponse:  # type: ignore[override]
+        """Return the response to the request."""
+        response = super().getresponse()
+        self._answered = self._kept_connections.take_number()
+        return response
+
     def request(self, *args: Any, **options: Any) -> None:
         """Send a request."""
+        if self._kept_connections.may_be_silent(self._answered):
+            self.close()
         pieces: list[bytes] = []
         self._pieces = pieces
         try:
@@ -123,8 +143,10 @@
             options.append(
                 (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             )
+        self._kept_connections = KeptConnections()
         self._pool = urllib3.connection_from_url(
             base_url,
+            kept_connections=self._kept_connections,
             maxsize=settings.connections,
             block=True,
             retries=False,
@@ -195,6 +217,7 @@
             return Err(UnavailableFailure("the deadline has passed"))
         SERVICE_CALLS.labels(path.split("/")[1]).inc()
         self._bytes_sent.inc(len(body or b""))
+        began = self._kept_connections.take_number()
         try:
             answer = self._pool.urlopen(
                 method,
@@ -211,6 +234,9 @@
             LocationValueError,
         ) as error:
             return Err(UnavailableFailure(str(error)))
+        except ReadTimeoutError as error:
+            self._kept_connections.record_silence(began)
+            return Err(UnknownOutcomeFailure(str(error)))
         except (HTTPError, ValueError, OverflowError) as error:
             # The latter two for what cannot be put into a request, such as a
             # line break in a header. Whether something was sent is not known.
