Do not send a start that waited to a worker that drains by now

Callers could see: a start on a worker that has said that it is draining (DRAIN). Not seen at users; found on a path beside the silent change feeds.

Cause: the planner places nothing on draining workers, but a placed start may wait for a thread while the threads wait for workers that do not answer, 0.5 s each. What is known of the worker was not looked at again before it is sent.

Change: such a start is withdrawn, and its task placed elsewhere, except that of a gang's member, whose fellows may have been started.

Result: the new test failed before (one call, none expected) and passes.

--- a/chestnutstair/scheduling/orders.py
+++ b/chestnutstair/scheduling/orders.py
@@ -294,7 +294,9 @@
             ):
                 return
             deadline_ms = self.extend_lease(worker)
-            if placed.stopping or deadline_ms is None:
+            # A gang of which one member is not started ends.
+            is_leaving = worker.entry.draining and not placed.step.gang
+            if placed.stopping or is_leaving or deadline_ms is None:
                 self._tracker.withdraw(worker, task, placement.run, "not sent")
                 self._leadership.wake_planner()
                 return
--- a/chestnutstair/tests/test_orders.py
+++ b/chestnutstair/tests/test_orders.py
@@ -96,6 +96,25 @@
         (placement,) = self.harness.plan()
         self.orders._start(placement)
 
+    def start_on_draining_worker(self, step: Step) -> int:
+        """Start a task whose worker drains meanwhile; return the calls."""
+        self.harness.admit("j", [step])
+        (placement,) = self.harness.plan()
+        self.harness.move_entry("w1", draining=True)
+        self.orders._start(placement)
+        return self.control.call_count
+
+    # Guards against starts that wait for a thread, behind orders to workers
+    # that do not answer, and reach a worker that has begun to drain.
+    def test_a_start_that_waits_is_not_sent_to_a_draining_worker(self) -> None:
+        self.assertEqual(self.start_on_draining_worker(Step(1, 1000)), 0)
+        self.assertEqual(self.harness.get_worker("w1").runs, {})
+
+    # Without one of its members, a gang that has been placed ends.
+    def test_a_member_of_a_gang_is_started_nevertheless(self) -> None:
+        step = Step(1, 1000, gang=True)
+        self.assertEqual(self.start_on_draining_worker(step), 1)
+
     def is_stop_answered(self) -> bool:
         run = self.harness.get_worker("w1").runs["j.0.0.0"]
         return bool(run.stop_answered_at)
