--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -320,6 +320,7 @@
         current = self.workers.get(entry.name)
         if current is not None:
             if current.entry.born_ms == entry.born_ms:
+                self._log_drain(current, entry)
                 current.update_entry(entry)
                 current.gone = False
             else:
@@ -327,6 +328,18 @@
             return None
         return self._add_worker(entry)
 
+    @staticmethod
+    def _log_drain(worker: WorkerState, entry: WorkerEntry) -> None:
+        if entry.draining != worker.entry.draining:
+            logger.info(
+                "worker draining" if entry.draining else "worker ready again",
+                extra={
+                    "worker": worker.name,
+                    "born_ms": entry.born_ms,
+                    "runs": len(worker.runs),
+                },
+            )
+
     def _record_claim(self, worker: WorkerState, entry: WorkerEntry) -> None:
         if worker.claim is None or worker.claim.born_ms != entry.born_ms:
             logger.info(
