--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -258,6 +258,11 @@
         )
         return runner
 
+    def drain_runner(self, name: str) -> None:
+        """Let a runner report that it is draining."""
+        entry = self.find("servers", name) or {}
+        self.put("servers", name, {**entry, "state": "draining"})
+
     def restart_runner(self, name: str) -> None:
         """Restart a runner, if it exists, without its previous state."""
         with self._lock:
--- a/chestnutstair/tests/test_early_cancellations.py
+++ b/chestnutstair/tests/test_early_cancellations.py
@@ -87,6 +87,18 @@
         self.assertEqual(list(self.tracker.active), JOBS)
 
 
+class LoadTest(LeaderRowsTest):
+    """A leader that loads reads all cancellations, which come first."""
+
+    def test_cancelled_jobs_are_not_active(self) -> None:
+        for job in JOBS:
+            self.write_row(build_job_key(job), SUBMISSION)
+            self.write_row(build_cancel_key(job), b"{}")
+        self.assertTrue(self.leader.load())
+        self.assertEqual(list(self.tracker.jobs), JOBS)
+        self.assertEqual(self.tracker.active, {})
+
+
 class ManyCancellationsTest(LeaderRowsTest):
     """The memory for early cancellations is bounded."""
 
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -37,8 +37,18 @@
         self._listener = socket.create_server((HOST, 0), backlog=256)
         self.address = f"{HOST}:{self._listener.getsockname()[1]}"
         self.link = LinkState.OPEN
+        self._open: set[socket.socket] = set()
+        self._silent: set[socket.socket] = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def silence_open_connections(self) -> int:
+        """Carry nothing more on the connections that are open now.
+
+        They stay open; return how many they are.
+        """
+        self._silent |= self._open
+        return len(self._silent)
+
     def close(self) -> None:
         """Stop accepting connections."""
         self._listener.close()
@@ -58,6 +68,7 @@
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER
                 )
                 return
+            self._open.add(caller)
             with socket.create_connection(self._target) as platform:
                 answer_thread = threading.Thread(
                     target=self._relay,
@@ -76,10 +87,14 @@
     ) -> None:
         """Forward bytes in one direction until either side closes."""
         with contextlib.suppress(OSError):
+            caller = destination if carries_answers else source
             while data := source.recv(CHUNK_BYTES):
+                if caller in self._silent:
+                    continue
                 if not self._apply_link_state(destination, carries_answers):
                     break
                 destination.sendall(data)
+        self._open.discard(caller)
         for end in (source, destination):
             with contextlib.suppress(OSError):
                 end.shutdown(socket.SHUT_RDWR)
