--- a/review/lib-2/runner_farm.py
+++ b/review/lib-2/runner_farm.py
@@ -2,8 +2,8 @@
 
 The argument is one JSON object with prefix, count, cpu, platform, service and
 journal. Each line on the standard input is a number: so many runners, the
-oldest first, are replaced: a new one comes at a new address, the old one drains
-for `DRAIN_S`, leaves and closes its connections.
+oldest first, are replaced: a new one comes at a new address, the old one
+drains for `DRAIN_S`, leaves and closes its connections.
 """
 
 import http.client
@@ -15,7 +15,6 @@
 from collections import deque
 from http.server import BaseHTTPRequestHandler
 
-import runner_standin
 from platform_standin import QuietServer
 from runner_standin import Runner
 
