--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -7,6 +7,7 @@
 import http.client
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -23,9 +24,9 @@
 from platform_standin import Platform  # noqa: E402
 
 HOST = "jobs.example"
-PREFIX = "/work/"
 HEARTBEAT_S = 1.5
 SERVICE = "boxes"
+MAX_FDS = 4100  # maxFds of a node
 
 
 def pick_port():
@@ -35,6 +36,11 @@
         return probe.getsockname()[1]
 
 
+def limit_descriptors():
+    """Limit the descriptors of a node, as the platform does."""
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+
+
 def has_trouble():
     """Return whether the script is to bring its disruption about."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -71,8 +77,8 @@
         with self.lock:
             self.file.write(f"{time.time() - self.began:8.3f} {text}\n")
 
-    def configure(self, max_attempts=2):
-        """Write the operator's first config."""
+    def configure(self, max_attempts=2, services=(SERVICE,)):
+        """Write the operator's first config: a queue for each service."""
         service = {"healthPath": "/health", "enforcesCapacity": True}
         self.platform.store.put(
             "op",
@@ -81,24 +87,25 @@
                 "version": 3,
                 "routes": [
                     {
-                        "name": "r-work",
+                        "name": f"r-{name}",
                         "host": HOST,
-                        "prefix": PREFIX,
-                        "service": SERVICE,
+                        "prefix": f"/{name}/",
+                        "service": name,
                         "maxAttempts": max_attempts,
                         "stretch": 1.6,
                         "targetLatencyMs": 600,
                         "priority": 0,
                     }
+                    for name in services
                 ],
-                "services": [{"name": SERVICE, **service}],
+                "services": [{"name": name, **service} for name in services],
                 "limits": {},
             },
         )
 
     # Processes
 
-    def _spawn(self, arguments, log, environment):
+    def _spawn(self, arguments, log, environment, **options):
         output = open(self.folder / log, "ab")
         process = subprocess.Popen(
             arguments,
@@ -106,6 +113,7 @@
             env={**os.environ, **environment},
             stdout=output,
             stderr=output,
+            **options,
         )
         output.close()
         self.processes.append(process)
@@ -160,6 +168,7 @@
                 "CHESTNUTSTAIR_SETTINGS": str(path),
                 "PYTHONPATH": str(ROOT / "target/deps"),
             },
+            preexec_fn=limit_descriptors,
         )
         self.callers[name] = callers
         self.ready[name] = ready
@@ -223,6 +232,33 @@
         self.runners[name] = (process, address)
         self.record(f"runner {name} started, labels {labels}")
 
+    def start_farm(self, prefix, count, cpu, service=SERVICE):
+        """Start a process with many runners; return it."""
+        options = {
+            "prefix": prefix,
+            "count": count,
+            "cpu": cpu,
+            "platform": self.platform.address,
+            "service": service,
+            "journal": str(self.journal),
+        }
+        self.record(f"farm {prefix} with {count} runners started")
+        return self._spawn(
+            [
+                sys.executable,
+                str(HERE / "runner_farm.py"),
+                json.dumps(options),
+            ],
+            "farms.log",
+            {},
+            stdin=subprocess.PIPE,
+            text=True,
+        )
+
+    def count_descriptors(self, name):
+        """Return how many descriptors a node has open."""
+        return len(os.listdir(f"/proc/{self.node_processes[name].pid}/fd"))
+
     def kill_runner(self, name):
         """Kill a runner's process."""
         process = self.runners[name][0]
@@ -237,7 +273,7 @@
 
     # Client
 
-    def call(self, node, method, job, body=None, timeout=3.0):
+    def call(self, node, method, job, body=None, timeout=3.0, queue=SERVICE):
         """Make a client's request; return its status and body."""
         headers = {
             "Host": HOST,
@@ -249,7 +285,7 @@
                 self.callers[node], timeout=timeout
             )
             data = None if body is None else json.dumps(body)
-            connection.request(method, PREFIX + job, data, headers)
+            connection.request(method, f"/{queue}/{job}", data, headers)
             response = connection.getresponse()
             data = response.read()
             status = response.status
@@ -262,12 +298,12 @@
         )
         return status, answer
 
-    def submit(self, job, steps, node=None, **spec):
+    def submit(self, job, steps, node=None, queue=SERVICE, **spec):
         """Submit a job until it is accepted."""
         body = {"spec": json.dumps(spec), "steps": steps}
         for attempt in range(5):
             name = node or self.nodes[attempt % len(self.nodes)]
-            if self.call(name, "POST", job, body)[0] == 200:
+            if self.call(name, "POST", job, body, queue=queue)[0] == 200:
                 return
             time.sleep(0.2)
         raise CannotRun(f"job {job} was not accepted")
--- a/review/lib-2/platform_standin.py
+++ b/review/lib-2/platform_standin.py
@@ -219,6 +219,10 @@
                     "capacity": call["entry"]["capacity"],
                     "id": call["id"],
                 }
+            case "/standin/remove":
+                row = {"table": "servers", "key": call["id"]}
+                self.store.commit({"remove": [row]})
+                self.machines.pop(call["machine"], None)
             case _:
                 status = 404
         send_json(handler, status, body)
--- a/review/lib-2/runner_standin.py
+++ b/review/lib-2/runner_standin.py
@@ -85,7 +85,7 @@
 class Runner:
     """One life of a runner: its runs, ends, fence and lease."""
 
-    def __init__(self, options):
+    def __init__(self, options, journal):
         self.options = options
         self.born = int(time.time() * 1000)
         self.began = time.monotonic()
@@ -96,7 +96,7 @@
         self.highest = {}
         self.ends = []
         self.end_count = 0
-        self.journal = open(options["journal"], "a", buffering=1)
+        self.journal = journal
         self.seq = 0
 
     def read_clock(self):
@@ -118,7 +118,7 @@
         }
         self.journal.write(json.dumps(line) + "\n")
 
-    def register(self):
+    def register(self, state="ready"):
         """Write the entry into the platform's store."""
         options = self.options
         self.seq += 1
@@ -128,7 +128,7 @@
             "zone": "zone-a",
             "version": "1",
             "slots": 8,
-            "state": "ready",
+            "state": state,
             "coldLeftMs": 0,
             "seq": self.seq,
             "born": self.born,
@@ -156,18 +156,22 @@
         """End what is done, and everything once the lease has expired."""
         while True:
             time.sleep(TICK_S)
-            with self.changed:
-                now = time.monotonic()
-                lapsed = self.read_clock() > self.lease_ms
-                for task, run in list(self.runs.items()):
-                    gang = run["gang"]
-                    how = gang.advance(run["work"]) if gang else None
-                    if how:
-                        self.end(task, how)
-                    elif run["until"] is not None and run["until"] <= now:
-                        self.end(task, "done")
-                    elif lapsed:
-                        self.end(task, "lapsed")
+            self.end_due()
+
+    def end_due(self):
+        """End the runs that are done, or all if the lease has expired."""
+        with self.changed:
+            now = time.monotonic()
+            lapsed = self.read_clock() > self.lease_ms
+            for task, run in list(self.runs.items()):
+                gang = run["gang"]
+                how = gang.advance(run["work"]) if gang else None
+                if how:
+                    self.end(task, how)
+                elif run["until"] is not None and run["until"] <= now:
+                    self.end(task, "done")
+                elif lapsed:
+                    self.end(task, "lapsed")
 
     def end(self, task, how):
         """End a run and list its end."""
@@ -276,7 +280,7 @@
 def main():
     """Serve until the process is ended."""
     options = json.loads(sys.argv[1])
-    runner = Runner(options)
+    runner = Runner(options, open(options["journal"], "a", buffering=1))
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
