Cancel jobs whose submission is stored after the cancellation

Cause: store_cancel took a job that is not in the store for one that never will be, and left nothing behind. The store may perform a write without a response seconds later, and the condition of the submission's write, that the job is not stored, still held.

Change: a cancellation is stored whether its job is found or not. The leader already kept cancellations that come before their jobs and applies them in admit, which each way to learn of a job passes through; now it keeps them for 60 s instead of for ever, up to 50,000, and then removes their rows, on the conditions that the row has not been written again and the job is still not stored. A node stores 50 at once and 5 a second for jobs that are not found; cancellations of known jobs are not limited. Each row of a cancellation names what it applies to, which is all organisations here.

Why it works: both rows are in one partition of the store, which leaders read in order and load as a whole; no memory of a node is needed in between.

Cost of a cancellation of an unknown job: the reads as before (1, or 2 where its partition is not the first), 1 row in a write of the partition, and 1/30 to 1 write of the leader when the row is removed.

Tests of early cancellations name the constant and the arguments that have changed; what they check is the same.

--- a/chestnutstair/scheduling/intake/layout.py
+++ b/chestnutstair/scheduling/intake/layout.py
@@ -58,11 +58,16 @@
         return RowKey(self.table, place, JOB_PREFIX + job)
 
     def build_cancel_key(
-        self, job: str, partition: str | None = None
+        self, job: str, partition: str | None = None, scope: str = ""
     ) -> RowKey:
-        """Return the key of the row whose presence cancels a job."""
+        """Return the key of the row whose presence cancels a job.
+
+        `scope` is the name of the cancellation's scope, if it has one. Each
+        scope has a row, so that callers do not replace each other's.
+        """
         place = partition or self.find_partition(job)
-        return RowKey(self.table, place, CANCEL_PREFIX + job)
+        key = CANCEL_PREFIX + job
+        return RowKey(self.table, place, f"{key}/{scope}" if scope else key)
 
 
 # The layout of a deployment without partitions.
--- a/chestnutstair/scheduling/intake/reader.py
+++ b/chestnutstair/scheduling/intake/reader.py
@@ -1,6 +1,5 @@
 """Reads of intake rows: of one job, and of all partitions."""
 
-from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
 from result import Err, Ok, Result
@@ -21,6 +20,9 @@
 
 __all__ = ["IntakeReader", "IntakeTable", "find_row"]
 
+# Follows the separator of a scope in the order of keys.
+END_OF_SCOPES = "0"
+
 
 def find_row(
     store: RowStore, key: RowKey, deadline: Deadline
@@ -52,35 +54,46 @@
         self, key: RowKey, deadline: Deadline
     ) -> Result[bytes | None, StoreFailure]:
         """Return the value of a row, in at most one attempt's time."""
+        return find_row(self._store, key, self._limit_attempt(deadline))
+
+    def _limit_attempt(self, deadline: Deadline) -> Deadline:
         remaining_seconds = deadline.get_remaining_seconds(self._clock)
         seconds = min(remaining_seconds, self._attempt_seconds)
-        return find_row(self._store, key, Deadline.after(self._clock, seconds))
+        return Deadline.after(self._clock, seconds)
 
     def find_submission(
         self, layout: IntakeLayout, job: str, deadline: Deadline
     ) -> Result[bytes | None, StoreFailure]:
         """Return a job's submission, or None if there is none."""
-        return self._find(layout, job, layout.build_job_key, deadline)
-
-    def find_cancellation(
-        self, layout: IntakeLayout, job: str, deadline: Deadline
-    ) -> Result[bytes | None, StoreFailure]:
-        """Return the row that cancels a job, or None if there is none."""
-        return self._find(layout, job, layout.build_cancel_key, deadline)
-
-    def _find(
-        self,
-        layout: IntakeLayout,
-        job: str,
-        build_key: Callable[[str, str], RowKey],
-        deadline: Deadline,
-    ) -> Result[bytes | None, StoreFailure]:
         for partition in layout.list_lookup_partitions(job):
-            answer = self.read_key(build_key(job, partition), deadline)
+            answer = self.read_key(
+                layout.build_job_key(job, partition), deadline
+            )
             if answer.is_err() or answer.unwrap() is not None:
                 return answer
         return Ok(None)
 
+    def find_cancellations(
+        self, layout: IntakeLayout, job: str, deadline: Deadline
+    ) -> Result[tuple[Row, ...], StoreFailure]:
+        """Return the rows that cancel a job, each for its scope."""
+        rows: tuple[Row, ...] = ()
+        for partition in layout.list_lookup_partitions(job):
+            key = layout.build_cancel_key(job, partition)
+            answer = self._store.read(
+                key.table,
+                key.partition,
+                self._limit_attempt(deadline),
+                key.key,
+                key.key + END_OF_SCOPES,
+            )
+            match answer:
+                case Err(failure):
+                    return Err(failure)
+                case Ok(changes):
+                    rows += changes.rows
+        return Ok(rows)
+
 
 class IntakeTable(RowStore):
     """The store as seen by a reader of the whole intake table.
--- a/chestnutstair/scheduling/intake/rows.py
+++ b/chestnutstair/scheduling/intake/rows.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 from dataclasses import fields as dataclass_fields
 
-from result import Err, Result
+from result import Err, Ok, Result
 
+from chestnutstair.scheduling.cancellations import Cancellation, decode_scope
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake.layout import (
     CANCEL_PREFIX,
@@ -27,6 +28,7 @@
     "MalformedRowFailure",
     "build_cancel_key",
     "build_job_key",
+    "decode_cancellation",
     "decode_submission",
     "encode_submission",
     "is_cancellation",
@@ -60,7 +62,21 @@
 
 def parse_job_name(row: Row) -> str:
     """Return the name of the job that an intake row refers to."""
-    return row.key.key.partition("/")[2]
+    return row.key.key.split("/")[1]
+
+
+def decode_cancellation(
+    row: Row,
+) -> Result[Cancellation, MalformedRowFailure]:
+    """Decode the row of a cancellation."""
+    job, _, scope = row.key.key.removeprefix(CANCEL_PREFIX).partition("/")
+    if not scope:
+        return Ok(Cancellation(row.key, job, None, row.version))
+    try:
+        decoded = decode_scope(row.value or b"")
+    except MalformedFieldError as error:
+        return Err(MalformedRowFailure(str(error)))
+    return Ok(Cancellation(row.key, job, decoded, row.version))
 
 
 def encode_submission(
--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -19,6 +19,10 @@
     build_owner,
     read_owner,
 )
+from chestnutstair.scheduling.cancellation_limit import (
+    CancellationLimit,
+    CancellationLimitFailure,
+)
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake import (
     DEFAULT_LAYOUT,
@@ -32,6 +36,7 @@
 from chestnutstair.scheduling.metrics import (
     SUBMISSION_SECONDS,
     SUBMISSIONS,
+    UNKNOWN_CANCELLATIONS,
 )
 from chestnutstair.scheduling.ports import (
     RowStore,
@@ -214,6 +219,7 @@
         self._clock = clock
         self._settings = settings
         self._owners = OwnerCache()
+        self._unknown_limit = CancellationLimit(clock)
         # The leader's last count of pending jobs and its time, by queue.
         self._pending: dict[str, tuple[int, float]] = {}
 
@@ -297,6 +303,8 @@
 
     def _may_relay(self, job: str, result: Result[T, PlatformFailure]) -> bool:
         match result:
+            case Err(CancellationLimitFailure()):
+                return False
             case Err(failure):
                 return self._get_job_leader(
                     job
@@ -341,7 +349,7 @@
     def cancel(
         self, job: str, deadline: Deadline, access: Access | None = None
     ) -> Outcome:
-        """Cancel a job permanently.
+        """Cancel a job permanently, also one that is not known yet.
 
         A job that `access` does not show is answered like an unknown one.
         """
@@ -371,18 +379,25 @@
     ) -> Result[bool, PlatformFailure]:
         """Store a cancellation and notify the leader.
 
-        Returns whether the job is known; an unknown one is not cancelled.
+        Returns whether the job is known. The cancellation of an unknown job
+        is stored as well: a write of its submission may still be done.
         """
         if self._get_layout() is None:
             return Err(UnavailableFailure("layout not known"))
         layout = self._find_layout(job)
-        match self._reader.find_submission(layout, job, deadline):
+        found = self._reader.find_submission(layout, job, deadline)
+        match found:
             case Err(failure):
                 return Err(failure)
-            case Ok(None):
-                return Ok(False)
+        is_known = found.unwrap() is not None
+        if not is_known and not self._unknown_limit.admit():
+            UNKNOWN_CANCELLATIONS.labels("refused").inc()
+            return Err(CancellationLimitFailure("too many unknown jobs"))
         write = IntakeWrite(layout.build_cancel_key(job), b"{}", False)
         stored = self._storage.store(write, deadline)
+        if not is_known:
+            outcome = "stored" if stored.is_ok() else "failed"
+            UNKNOWN_CANCELLATIONS.labels(outcome).inc()
         match stored:
             case Err(failure):
                 return Err(failure)
@@ -391,7 +406,7 @@
             leader.apply_cancellation(job)
         else:
             self._link.notify_cancelled(job)
-        return Ok(True)
+        return Ok(is_known)
 
     # Access
 
@@ -500,7 +515,7 @@
         progress = self._reader.read_key(
             self._find_names(job).build_progress_key(job), deadline
         )
-        cancelled = self._reader.find_cancellation(layout, job, deadline)
+        cancelled = self._reader.find_cancellations(layout, job, deadline)
         if progress.is_err() or cancelled.is_err():
             return Outcome(failure=progress.err() or cancelled.err())
         value = progress.unwrap()
@@ -513,7 +528,7 @@
             )
             return Outcome(failure=UnavailableFailure("unreadable progress"))
         ended = state not in (JobState.RUNNING, JobState.QUEUED)
-        if not ended and cancelled.unwrap() is not None:
+        if not ended and cancelled.unwrap():
             return Outcome(state=JobState.CANCELLED)
         return Outcome(state=state)
 
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -8,6 +8,8 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field, replace
 
+from chestnutstair.scheduling.access import build_owner
+from chestnutstair.scheduling.cancellations import Cancellation
 from chestnutstair.scheduling.configuration import FleetConfiguration, Queue
 from chestnutstair.scheduling.crashes import (
     CrashRecorder,
@@ -139,7 +141,7 @@
         self.caps = Caps(self.usage, settings.cap_share)
         self.excess = ExcessJobs()
         self.durations = DurationForecast()
-        self._early_cancellations = EarlyCancellations()
+        self.early_cancellations = EarlyCancellations()
         # Names of jobs with changes that are not stored yet.
         self.dirty: set[str] = set()
         # Runs that a worker lists although they are not placed there, by
@@ -263,20 +265,29 @@
                 "organisation": submission.organisation,
             },
         )
-        if self._early_cancellations.take(record.name):
+        if self.early_cancellations.take(record.name, build_owner(submission)):
             self.cancel(record.name)
         return True
 
-    def cancel(self, name: str) -> None:
-        """Mark a job as cancelled and stop its runs.
+    def apply_cancellation(self, cancellation: Cancellation) -> None:
+        """Cancel a job if the cancellation covers its owner.
 
         A job that is not known yet is cancelled when it is admitted.
         """
-        record = self.jobs.get(name)
+        record = self.jobs.get(cancellation.job)
+        scope = cancellation.scope
+        if record is None or scope is not None:
+            now = self._clock.read_monotonic()
+            self.early_cancellations.add(cancellation, now)
         if record is None:
-            self._early_cancellations.add(name)
             return
-        if record.ended is not None:
+        if scope is None or scope.covers(build_owner(record.submission)):
+            self.cancel(record.name)
+
+    def cancel(self, name: str) -> None:
+        """Mark a known job as cancelled and stop its runs."""
+        record = self.jobs.get(name)
+        if record is None or record.ended is not None:
             return
         logger.info("job cancelled", extra={"job": name})
         self._end_job(record, JobState.CANCELLED)
--- a/chestnutstair/scheduling/leader.py
+++ b/chestnutstair/scheduling/leader.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from chestnutstair.scheduling.advice import AdviceCache
+from chestnutstair.scheduling.cancellation_sweep import CancellationSweep
 from chestnutstair.scheduling.change_feed import ChangeFeed
 from chestnutstair.scheduling.configuration import FleetConfiguration
 from chestnutstair.scheduling.intake import (
@@ -18,6 +19,7 @@
     IntakeTable,
     build_cancel_key,
     build_job_key,
+    decode_cancellation,
     decode_submission,
     is_cancellation,
     parse_job_name,
@@ -172,6 +174,7 @@
         # Jobs removed in the last remember_removed_seconds, and when.
         self._removed: dict[str, float] = {}
         self._last_round_seconds = 0.0
+        self._sweep = CancellationSweep(store, layout, tracker, clock)
 
     @property
     def term(self) -> Term:
@@ -245,7 +248,7 @@
             self.tracker.sort_arrivals()
             for row in intake.unwrap().rows:
                 if is_cancellation(row):
-                    self.tracker.cancel(parse_job_name(row))
+                    self._apply_cancellation_row(row)
             self._apply_registry(registry.unwrap())
         self._feeds = [
             ChangeFeed(
@@ -255,7 +258,7 @@
                 INTAKE_PARTITION,
                 intake.unwrap().version,
                 self._apply_intake,
-                self._apply_intake,
+                self._replace_intake,
                 self._settings.intake_poll_seconds,
             ),
             ChangeFeed(
@@ -382,6 +385,7 @@
         with self.tracker.lock:
             for row in rows:
                 if row.value is None:
+                    self.tracker.early_cancellations.remove(row.key)
                     continue
                 try:
                     self._apply_intake_row(row)
@@ -393,10 +397,16 @@
                     )
         self.wake()
 
+    def _replace_intake(self, changes: Changes) -> None:
+        self._apply_intake(changes)
+        keys = {row.key for row in changes.rows}
+        with self.tracker.lock:
+            self.tracker.early_cancellations.retain(keys, changes.version)
+
     def _apply_intake_row(self, row: Row) -> None:
         name = parse_job_name(row)
         if is_cancellation(row):
-            self.tracker.cancel(name)
+            self._apply_cancellation_row(row)
             return
         if name in self.tracker.jobs or row.value is None:
             return
@@ -411,6 +421,19 @@
                     extra={"job": name, "reason": describe_failure(failure)},
                 )
 
+    def _apply_cancellation_row(self, row: Row) -> None:
+        match decode_cancellation(row):
+            case Ok(cancellation):
+                self.tracker.apply_cancellation(cancellation)
+            case Err(failure):
+                logger.error(
+                    "cannot decode a cancellation",
+                    extra={
+                        "job": parse_job_name(row),
+                        "reason": describe_failure(failure),
+                    },
+                )
+
     def apply_submission(self, job: str, value: bytes) -> None:
         """Apply a submission that another node has just stored."""
         key = build_job_key(job, self._layout)
@@ -538,6 +561,7 @@
         if limit and len(placements) >= limit:
             self._orders.wake_when_sent()
         self._remove_old_jobs()
+        self._sweep.run()
 
     def _is_renewal_due(self) -> bool:
         age = self._clock.read_boottime() - self.term.renewed_at
--- a/chestnutstair/scheduling/metrics.py
+++ b/chestnutstair/scheduling/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 __all__ = [
+    "CANCELLATIONS_REMOVED",
     "FIRST_START_SECONDS",
     "INTAKE_BATCH_ROWS",
     "INTAKE_CIRCUIT_OPEN",
@@ -31,6 +32,7 @@
     "SUBMISSION_SECONDS",
     "TERM_WRITE_SECONDS",
     "TURN_PREDICTIONS",
+    "UNKNOWN_CANCELLATIONS",
     "VMS_HANDED_OVER",
     "VMS_HELD",
     "VM_ORDERS",
@@ -73,6 +75,15 @@
     "Second attempts, relays to the leader's node and relays not made.",
     ["kind"],
 )
+UNKNOWN_CANCELLATIONS = Counter(
+    "chestnutstair_unknown_cancellations",
+    "Cancellations of unknown jobs.",
+    ["outcome"],
+)
+CANCELLATIONS_REMOVED = Counter(
+    "chestnutstair_cancellations_removed",
+    "Cancellations removed whose jobs were not stored.",
+)
 INTAKE_WRITE_LIMIT = Gauge(
     "chestnutstair_intake_write_limit",
     "How many of these writes may be in flight.",
--- a/chestnutstair/tests/leader_support.py
+++ b/chestnutstair/tests/leader_support.py
@@ -44,6 +44,10 @@
     def setUp(self) -> None:
         self.clock = SystemClock()
         self.store = MemoryRowStore()
+        self.build_leader()
+
+    def build_leader(self) -> None:
+        """Build the leader of a term on the rows that are stored."""
         row = TermRow("node", "node:1", 1, 0)
         version = self.write_row(TERM_KEY, row.encode())
         term = Term(self.store, self.clock, row, version, TermSettings())
--- a/chestnutstair/tests/test_early_cancellations.py
+++ b/chestnutstair/tests/test_early_cancellations.py
@@ -3,6 +3,8 @@
 from unittest.mock import patch
 
 from chestnutstair.scheduling import early_cancellations
+from chestnutstair.scheduling.access import JobOwner
+from chestnutstair.scheduling.cancellations import Cancellation
 from chestnutstair.scheduling.early_cancellations import EarlyCancellations
 from chestnutstair.scheduling.intake import (
     build_cancel_key,
@@ -15,6 +17,7 @@
 
 JOBS = ["a", "b", "c"]
 SUBMISSION = encode_submission(QUEUE, 1, BODY)
+OWNER = JobOwner("", QUEUE.name, False)
 
 
 class EarlyCancellationTest(LeaderRowsTest):
@@ -110,15 +113,16 @@
             self.write_row(build_job_key(job), SUBMISSION)
             self.write_row(build_cancel_key(job), b"{}")
         self.store.forget_history()
-        with patch.object(early_cancellations, "MAX_JOBS", 1):
+        with patch.object(early_cancellations, "MAX_CANCELLATIONS", 1):
             self.follow_intake()
             self.follow_intake()
         self.assertEqual(self.tracker.active, {})
 
     def test_the_oldest_is_dropped(self) -> None:
         kept = EarlyCancellations()
-        with patch.object(early_cancellations, "MAX_JOBS", 2):
+        with patch.object(early_cancellations, "MAX_CANCELLATIONS", 2):
             for job in JOBS:
-                kept.add(job)
-        self.assertEqual([kept.take(job) for job in JOBS], [False, True, True])
-        self.assertFalse(kept.take("b"))
+                kept.add(Cancellation(build_cancel_key(job), job), 0.0)
+        taken = [kept.take(job, OWNER) for job in JOBS]
+        self.assertEqual(taken, [False, True, True])
+        self.assertFalse(kept.take("b", OWNER))
