Cancel late submissions of organisations, and only their own

Cause: _check_access answered for a job without an owner before store_cancel was reached. A plain cancellation there would be no mend: it applies to jobs of all organisations, so that a stranger who names an ID could prevent a job that its owner submits later.

Change: the lookup tells a job that is hidden from one that is not known. For the latter the cancellation is stored with its scope: the caller's queue and the organisations of its key, in a row of its own for each scope, so that one caller does not replace another's. The leader, and a node that reads a state from the store, apply it to jobs whose owner it covers. It is not relayed: the leader's node checks no keys.

Why it works: the owner is part of the submission, so that whoever reads both rows can decide, whatever configuration it has. A job of an organisation that is not configured is not covered, as a leader may not have read of a new one.

Cost: the lookup of the owner as before (1 call to the leader, 1 or 2 reads), then 1 row in a write, under the same limit.

--- a/chestnutstair/scheduling/job_requests.py
+++ b/chestnutstair/scheduling/job_requests.py
@@ -1,8 +1,9 @@
 """Handles callers' requests about jobs on every node, leader or not."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol, TypeVar
 
 from result import Err, Ok, Result
@@ -23,6 +24,12 @@
     CancellationLimit,
     CancellationLimitFailure,
 )
+from chestnutstair.scheduling.cancellations import (
+    CancelScope,
+    build_scope,
+    encode_scope,
+    name_scope,
+)
 from chestnutstair.scheduling.configuration import Queue
 from chestnutstair.scheduling.intake import (
     DEFAULT_LAYOUT,
@@ -30,6 +37,7 @@
     IntakeReader,
     IntakeStorage,
     IntakeWrite,
+    decode_cancellation,
     encode_submission,
 )
 from chestnutstair.scheduling.leader import Leader
@@ -38,9 +46,7 @@
     SUBMISSIONS,
     UNKNOWN_CANCELLATIONS,
 )
-from chestnutstair.scheduling.ports import (
-    RowStore,
-)
+from chestnutstair.scheduling.ports import Row, RowStore
 from chestnutstair.scheduling.progress import JobState
 from chestnutstair.scheduling.shards.layout import ONE_SHARD, ShardLayout
 from chestnutstair.scheduling.shards.names import ShardNames
@@ -168,6 +174,18 @@
     return JobState.RUNNING if started else JobState.QUEUED
 
 
+def _is_cancelled(submission: bytes, rows: Iterable[Row]) -> bool:
+    """Return whether one of the rows cancels the submitted job."""
+    owner = read_owner(submission)
+    for row in rows:
+        match decode_cancellation(row):
+            case Ok(cancellation):
+                scope = cancellation.scope
+                if scope is None or (owner and scope.covers(owner)):
+                    return True
+    return False
+
+
 def _find_default_layout(job: str) -> IntakeLayout:
     return DEFAULT_LAYOUT
 
@@ -186,6 +204,14 @@
     return relayed
 
 
+class _Visibility(Enum):
+    """What a caller may know of a job."""
+
+    VISIBLE = "visible"
+    HIDDEN = "hidden"  # it belongs to others
+    UNKNOWN = "unknown"  # neither the leader nor the store has it
+
+
 class JobRequestHandler:
     """Stores submissions and cancellations; answers queries about jobs.
 
@@ -355,11 +381,20 @@
         """
         if self._is_cut_off():
             return self._refuse_cut_off(job)
-        hidden = self._check_access(job, deadline, access)
-        if hidden is not None:
-            return hidden
-        result = self.store_cancel(job, self._limit_local_attempts(deadline))
-        if self._may_relay(job, result):
+        scope = None
+        match self._check_access(job, deadline, access):
+            case Err(failure):
+                return Outcome(failure=failure)
+            case Ok(_Visibility.HIDDEN):
+                return Outcome(known=False)
+            case Ok(_Visibility.UNKNOWN) if access is not None:
+                scope = build_scope(access)
+        result = self.store_cancel(
+            job, self._limit_local_attempts(deadline), scope
+        )
+        # The leader's node checks no keys: only jobs that the caller may
+        # cancel are relayed.
+        if scope is None and self._may_relay(job, result):
             relayed = self._link.relay_cancel(
                 job, self._compute_relay_seconds(deadline)
             )
@@ -375,29 +410,31 @@
         raise AssertionError(result)
 
     def store_cancel(
-        self, job: str, deadline: Deadline
+        self, job: str, deadline: Deadline, scope: CancelScope | None = None
     ) -> Result[bool, PlatformFailure]:
         """Store a cancellation and notify the leader.
 
         Returns whether the job is known. The cancellation of an unknown job
-        is stored as well: a write of its submission may still be done.
+        is stored as well: a write of its submission may still be done. It has
+        a scope if the caller may not cancel the jobs of all organisations.
         """
         if self._get_layout() is None:
             return Err(UnavailableFailure("layout not known"))
         layout = self._find_layout(job)
-        found = self._reader.find_submission(layout, job, deadline)
-        match found:
+        if scope is not None:
+            key = layout.build_cancel_key(job, scope=name_scope(scope))
+            write = IntakeWrite(key, encode_scope(scope), False)
+            return self._store_unknown(write, deadline).map(lambda _: False)
+        write = IntakeWrite(layout.build_cancel_key(job), b"{}", False)
+        match self._reader.find_submission(layout, job, deadline):
             case Err(failure):
                 return Err(failure)
-        is_known = found.unwrap() is not None
-        if not is_known and not self._unknown_limit.admit():
-            UNKNOWN_CANCELLATIONS.labels("refused").inc()
-            return Err(CancellationLimitFailure("too many unknown jobs"))
-        write = IntakeWrite(layout.build_cancel_key(job), b"{}", False)
-        stored = self._storage.store(write, deadline)
-        if not is_known:
-            outcome = "stored" if stored.is_ok() else "failed"
-            UNKNOWN_CANCELLATIONS.labels(outcome).inc()
+            case Ok(submission):
+                is_known = submission is not None
+        if is_known:
+            stored = self._storage.store(write, deadline)
+        else:
+            stored = self._store_unknown(write, deadline)
         match stored:
             case Err(failure):
                 return Err(failure)
@@ -408,26 +445,38 @@
             self._link.notify_cancelled(job)
         return Ok(is_known)
 
+    def _store_unknown(
+        self, write: IntakeWrite, deadline: Deadline
+    ) -> Result[None, PlatformFailure]:
+        """Store the cancellation of an unknown job."""
+        if not self._unknown_limit.admit():
+            UNKNOWN_CANCELLATIONS.labels("refused").inc()
+            return Err(CancellationLimitFailure("too many unknown jobs"))
+        stored = self._storage.store(write, deadline)
+        outcome = "stored" if stored.is_ok() else "failed"
+        UNKNOWN_CANCELLATIONS.labels(outcome).inc()
+        return stored
+
     # Access
 
     def _check_access(
         self, job: str, deadline: Deadline, access: Access | None
-    ) -> Outcome | None:
-        """Return None if the caller may see the job, else the answer."""
+    ) -> Result[_Visibility, PlatformFailure]:
+        """Return whether the caller may see the job, if it exists."""
         if access is None or not access.is_restricted:
-            return None
+            return Ok(_Visibility.VISIBLE)
         match self._find_owner(job, deadline):
             case Err(failure):
                 logger.info(
                     "request refused: owner of the job not known",
                     extra={"job": job, "reason": str(failure)},
                 )
-                return Outcome(failure=failure)
+                return Err(failure)
             case Ok(owner):
                 if owner is None:
-                    return Outcome(known=False)
+                    return Ok(_Visibility.UNKNOWN)
                 if access.may_see(owner):
-                    return None
+                    return Ok(_Visibility.VISIBLE)
         logger.info(
             "job of another organisation requested",
             extra={
@@ -436,7 +485,7 @@
                 "organisations": access.organisations,
             },
         )
-        return Outcome(known=False)
+        return Ok(_Visibility.HIDDEN)
 
     def _find_owner(
         self, job: str, deadline: Deadline
@@ -483,9 +532,11 @@
         """
         if self._is_cut_off():
             return self._refuse_cut_off(job)
-        hidden = self._check_access(job, deadline, access)
-        if hidden is not None:
-            return hidden
+        match self._check_access(job, deadline, access):
+            case Err(failure):
+                return Outcome(failure=failure)
+            case Ok(_Visibility.HIDDEN | _Visibility.UNKNOWN):
+                return Outcome(known=False)
         leader = self._get_job_leader(job)
         if leader is not None:
             state = self.get_stored_state(leader, job)
@@ -510,7 +561,8 @@
         stored = self._reader.find_submission(layout, job, deadline)
         if stored.is_err():
             return Outcome(failure=stored.err())
-        if stored.unwrap() is None:
+        submission = stored.unwrap()
+        if submission is None:
             return Outcome(known=False)
         progress = self._reader.read_key(
             self._find_names(job).build_progress_key(job), deadline
@@ -528,7 +580,7 @@
             )
             return Outcome(failure=UnavailableFailure("unreadable progress"))
         ended = state not in (JobState.RUNNING, JobState.QUEUED)
-        if not ended and cancelled.unwrap():
+        if not ended and _is_cancelled(submission, cancelled.unwrap()):
             return Outcome(state=JobState.CANCELLED)
         return Outcome(state=state)
 
