Trust a relayed cancellation of an unknown job only if it is stored

Callers could see, while nodes of the previous version run: 410 for a job whose submission is still being written and which runs later, if the node that they asked cannot write and relays the cancellation to such a leader's node.

Cause: the answer of /node/cancel says whether the job is known, and not whether anything was stored. Nodes of the previous version store nothing for a job that they do not find.

Change: the answer says `stored` as well. Without it, an unknown job counts as an answer that cannot be read, so that the caller gets 504 and asks again.

No nodes of two versions were run side by side.

--- a/chestnutstair/tests/test_leader_calls.py
+++ b/chestnutstair/tests/test_leader_calls.py
@@ -31,6 +31,11 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def do_POST(self) -> None:
+        """Answer a call."""
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.do_GET()
+
     def log_message(self, *_: object) -> None:
         """Log nothing."""
 
@@ -80,6 +85,24 @@
         body = json.dumps(fields).encode()
         self.server.body = body  # type: ignore[attr-defined]
 
+    # A node of an earlier version stores nothing for a job that it does not
+    # find, and a late write of the submission would start the job.
+    def test_an_unknown_job_counts_as_cancelled_only_if_it_is_stored(
+        self,
+    ) -> None:
+        for fields, known in (
+            ({"known": True}, True),
+            ({"known": True, "stored": True}, True),
+            ({"known": False, "stored": True}, False),
+            ({"known": False}, None),
+            ({"known": False, "stored": False}, None),
+            ({"known": False, "stored": 1}, None),
+        ):
+            with self.subTest(fields=fields):
+                self.set_answer(**fields)
+                answer = self.link.relay_cancel("j", 2.0)
+                self.assertEqual(answer.ok(), known)
+
     # Nodes of other versions run beside this one.
     def test_statuses_of_other_versions_are_read(self) -> None:
         fields = {
--- a/chestnutstair/transport/leader_calls.py
+++ b/chestnutstair/transport/leader_calls.py
@@ -284,7 +284,7 @@
         shard = self._find_shard(job)
         body = {"job": job, "shard": shard}
         answer = self._call_leader(shard, "POST", CANCEL_PATH, body, seconds)
-        return _read_answer(answer, lambda body: _read_flag(body, "known"))
+        return _read_answer(answer, _read_cancelled)
 
     def notify_stored(self, job: str, value: bytes) -> None:
         """Notify the leader of a stored submission, without waiting."""
@@ -359,6 +359,17 @@
     return value
 
 
+def _read_cancelled(body: dict[str, Any]) -> bool:
+    """Return whether a job that has been cancelled is known.
+
+    A node of an earlier version stores nothing for one that is not.
+    """
+    is_known = _read_flag(body, "known")
+    if not is_known and body.get("stored") is not True:
+        raise MalformedFieldError("stored: the job is not cancelled")
+    return is_known
+
+
 def _read_addresses(
     body: dict[str, Any], name: str, limit: int
 ) -> tuple[str, ...]:
@@ -543,7 +554,8 @@
         if path == CANCEL_PATH:
             cancelled = self._request_handler.store_cancel(job, deadline)
             return _choose_status(cancelled), {
-                "known": cancelled.unwrap_or(False)
+                "known": cancelled.unwrap_or(False),
+                "stored": cancelled.is_ok(),
             }
         if leader is None:
             return HTTPStatus.SERVICE_UNAVAILABLE, {}
