Let the soak cancel jobs while the store performs writes late

Cause: the soak had no cancellations, so that it could not find jobs which a late write stores after their cancellation.

Change: `--late-writes` opens windows in which the emulated store gives no answer to 60 to 100% of its writes and performs them 1 to 6 s later. Callers without an answer cancel their jobs at any node. A task that starts more than 3 s after the answer, and after 3 s without such a window, is a violation; both bounds are those of the deployments. make test runs one window.

--- a/chestnutstair/tests/platform_emulator.py
+++ b/chestnutstair/tests/platform_emulator.py
@@ -7,7 +7,7 @@
 import json
 import threading
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
@@ -29,6 +29,7 @@
     WebServer,
     WebServerSettings,
     answer_json,
+    break_connection,
 )
 from chestnutstair.state.deadline import Deadline
 
@@ -175,6 +176,9 @@
         self.spare: list[str] = []
         self.maintained: list[tuple[str, int]] = []
         self.maintained_at: list[float] = []  # monotonic times
+        # Returns by how many seconds a write is performed late, without an
+        # answer; 0 for none.
+        self.draw_write_delay: Callable[[], float] = lambda: 0.0
         self._lock = threading.RLock()
         self._server = WebServer(self, settings=WebServerSettings(threads=96))
 
@@ -280,6 +284,12 @@
         call = json.loads(request.body) if request.body else {}
         if name == "rows-feed":
             return self._follow(request)
+        delay_seconds = self.draw_write_delay() if name == "rows-tx" else 0.0
+        if delay_seconds:
+            time.sleep(delay_seconds)
+            with self._lock:
+                self._commit(call)
+            break_connection()
         with self._lock:
             if name == "rows-tx":
                 return self._commit(call)
--- a/chestnutstair/tests/test_soak.py
+++ b/chestnutstair/tests/test_soak.py
@@ -1,15 +1,18 @@
 """Tests a short soak with a fixed seed, and the checks of its judge."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
+from unittest.mock import patch
 
 from chestnutstair.tests.platform_emulator import EmulatedRunner
-from tools.soak import Soak
-from tools.soak_judge import SoakJudge
+from tools.soak import LateWriteSoak, Soak
+from tools.soak_judge import CANCEL_SECONDS, CONTACT_SECONDS, SoakJudge
 
 SEED = 1
 SECONDS = 8.0
+LATE_WRITE_SECONDS = 11.5  # one window
 NODES = 2
 TASK = "0123456789abcdef.0.0.1"
 
@@ -25,6 +28,16 @@
         self.assertTrue(soak.faults)
         self.assertTrue(soak.judge.list_accepted())
 
+    # Guards against jobs that run after their cancellation, as the write of
+    # their submission was performed later.
+    def test_cancelled_jobs_do_not_run_after_late_writes(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            soak = LateWriteSoak(SEED, NODES, Path(folder))
+            soak.run(LATE_WRITE_SECONDS)
+        self.assertEqual(soak.judge.violations, [], soak.faults)
+        self.assertTrue(soak.faults)
+        self.assertTrue(soak.judge.list_cancelled())
+
 
 class SoakJudgeTest(unittest.TestCase):
     """Violations of each guarantee are detected."""
@@ -70,6 +83,23 @@
         self.judge.on_started(self.first, "0123456789abcdef.0.1.0")
         self.assert_violation("waits for")
 
+    def test_a_task_that_starts_long_after_its_cancellation(self) -> None:
+        job = TASK.partition(".")[0]
+        with patch.object(time, "monotonic", return_value=100.0):
+            self.judge.record_cancelled(job)
+        now = 100.0 + CANCEL_SECONDS
+        with patch.object(time, "monotonic", return_value=now):
+            self.judge.on_started(self.first, TASK)
+        self.assertEqual(self.judge.violations, [])
+        now += 0.1
+        with patch.object(time, "monotonic", return_value=now):
+            self.judge.impaired_at = now - CONTACT_SECONDS
+            self.judge.on_started(self.first, TASK)
+            self.assertEqual(self.judge.violations, [])
+            self.judge.impaired_at -= 0.1
+            self.judge.on_started(self.first, TASK)
+        self.assert_violation("after its cancellation")
+
     def test_a_job_that_was_refused_each_time(self) -> None:
         self.judge.record_answer("0123456789abcdef", "refused")
         self.judge.on_started(self.first, TASK)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,6 +18,7 @@
 import threading
 import time
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from chestnutstair.standins.ports import pick_port
@@ -26,7 +27,7 @@
 from tools.soak_judge import SoakJudge
 from tools.soak_proxy import FaultProxy, LinkState
 
-__all__ = ["Soak", "main"]
+__all__ = ["LateWriteSoak", "Soak", "main"]
 
 HEADERS = {"Host": "jobs.example", "Content-Type": "application/json"}
 READY_TIMEOUT_SECONDS = 60.0  # long, as the machine may be busy
@@ -40,6 +41,11 @@
 FAULT_DURATION_SECONDS = (0.5, 4.0)  # minimum and maximum
 SUPERVISION_INTERVAL_SECONDS = 0.3
 RUNNER_COUNT = 4
+LATE_WRITE_CALLER_COUNT = 16
+# From one window of late writes to the next: the last late write is performed
+# and judged in between.
+LATE_WRITE_PERIOD_SECONDS = 11.0
+WRITE_DELAY_SECONDS = (1.0, 6.0)  # minimum and maximum
 
 
 @dataclass
@@ -80,6 +86,8 @@
 class Soak:
     """One run of nodes, callers and faults, with a judge and a seed."""
 
+    caller_count = CALLER_COUNT
+
     def __init__(self, seed: int, nodes: int, folder: Path) -> None:
         self._random = random.Random(seed)
         self._folder = folder
@@ -129,7 +137,7 @@
             self._wait_ready()
             callers = [
                 threading.Thread(target=self._submit_jobs, args=(number,))
-                for number in range(CALLER_COUNT)
+                for number in range(self.caller_count)
             ]
             for thread in callers:
                 thread.start()
@@ -215,19 +223,23 @@
             time.sleep(SUBMISSION_PAUSE_SECONDS)
 
     @staticmethod
-    def _submit(connection: http.client.HTTPConnection, job: str) -> str:
+    def _submit(
+        connection: http.client.HTTPConnection, job: str, method: str = "POST"
+    ) -> str:
         steps = [
             {"count": 3, "cpu": 4000, "memMb": 256, "estimateMs": 200},
             {"count": 1, "cpu": 4000, "estimateMs": 200, "after": [0]},
         ]
         body = json.dumps({"spec": "work", "steps": steps})
         try:
-            connection.request("POST", f"/quick/{job}", body, HEADERS)
+            connection.request(method, f"/quick/{job}", body, HEADERS)
             response = connection.getresponse()
             response.read()
         except (OSError, http.client.HTTPException):
             return "unknown"
-        if response.status == 200:
+        if response.status == 200 or (
+            method == "DELETE" and response.status == 410
+        ):
             return "accepted"
         return "refused" if response.status in (429, 503) else "unknown"
 
@@ -342,6 +354,63 @@
                 self._start(node)
 
 
+class LateWriteSoak(Soak):
+    """Callers that give up while the store performs writes late.
+
+    In windows, the store answers few or no writes and performs them seconds
+    later. A caller that gets no answer to a submission cancels the job, at
+    any node, until that is answered.
+    """
+
+    caller_count = LATE_WRITE_CALLER_COUNT
+
+    def _submit_jobs(self, caller: int) -> None:
+        rng = random.Random(f"{self._random.random()}/{caller}")
+        number = 0
+        while not self._load_ended.is_set():
+            number += 1
+            job = f"{caller:08x}{number:08x}"
+            answer = self._call(rng, "POST", job)
+            self.judge.record_answer(job, answer)
+            while answer == "unknown" and not self._load_ended.is_set():
+                if self._call(rng, "DELETE", job) == "accepted":
+                    self.judge.record_cancelled(job)
+                    break
+                time.sleep(SUBMISSION_PAUSE_SECONDS)
+            time.sleep(SUBMISSION_PAUSE_SECONDS)
+
+    def _call(self, rng: random.Random, method: str, job: str) -> str:
+        connection = http.client.HTTPConnection(
+            rng.choice(self.nodes).callers, timeout=CALL_TIMEOUT_SECONDS
+        )
+        with contextlib.closing(connection):
+            return self._submit(connection, job, method)
+
+    def _inject_faults(self, until: float) -> None:
+        """Open windows of late writes, each judged until the next one."""
+        while time.monotonic() + LATE_WRITE_PERIOD_SECONDS <= until:
+            time.sleep(1.0)
+            seconds = self._random.uniform(0.8, 1.2)
+            share = self._random.uniform(0.6, 1.0)
+            at = time.monotonic() - self._started_at
+            self.faults.append(
+                f"{at:.2f} s late writes {share:.2f} {seconds:.2f} s"
+            )
+            draws = random.Random(self._random.random())
+            self.platform.draw_write_delay = partial(
+                self._draw_delay, draws, share
+            )
+            time.sleep(seconds)
+            self.platform.draw_write_delay = lambda: 0.0
+            self.judge.impaired_at = time.monotonic()
+            time.sleep(LATE_WRITE_PERIOD_SECONDS - seconds - 1.0)
+
+    @staticmethod
+    def _draw_delay(draws: random.Random, share: float) -> float:
+        is_late = draws.random() < share
+        return draws.uniform(*WRITE_DELAY_SECONDS) if is_late else 0.0
+
+
 def main() -> int:
     """Run one soak; print the faults, the jobs served and the violations."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -352,15 +421,22 @@
         "--keep",
         help="folder to keep the logs in; by default they are deleted",
     )
+    parser.add_argument(
+        "--late-writes",
+        action="store_true",
+        help="late writes of the store and callers that cancel, only",
+    )
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
         folder = Path(options.keep or temporary)
         folder.mkdir(exist_ok=True)
-        soak = Soak(options.seed, options.nodes, folder)
+        kind = LateWriteSoak if options.late_writes else Soak
+        soak = kind(options.seed, options.nodes, folder)
         soak.run(options.seconds)
     for fault in soak.faults:
         print(f"injected: {fault}")
     print(f"served: {len(soak.judge.list_accepted())} jobs accepted")
+    print(f"served: {len(soak.judge.list_cancelled())} jobs cancelled")
     print(f"served: {soak.judge.run_count} runs started")
     for violation in soak.judge.violations:
         print(f"violated: {violation}")
--- a/tools/soak_judge.py
+++ b/tools/soak_judge.py
@@ -1,11 +1,17 @@
 """Checks the scheduler's guarantees during a soak."""
 
 import threading
+import time
 from collections import defaultdict
 
 from chestnutstair.tests.platform_emulator import EmulatedRunner, RunObserver
 
-__all__ = ["SoakJudge"]
+__all__ = ["CANCEL_SECONDS", "CONTACT_SECONDS", "SoakJudge"]
+
+# The deployments' bounds: how long after the answer to its cancellation a task
+# may start, and how long the store has to be calm for that.
+CANCEL_SECONDS = 3.0
+CONTACT_SECONDS = 3.0
 
 
 class SoakJudge(RunObserver):
@@ -24,6 +30,10 @@
         self._started_jobs: set[str] = set()
         self._accepted_jobs: set[str] = set()
         self._answers: dict[str, set[str]] = defaultdict(set)
+        # When the cancellation of a job was answered, in monotonic time.
+        self._cancelled_at: dict[str, float] = {}
+        # When the store last lost an answer, in monotonic time.
+        self.impaired_at = float("-inf")
 
     # Events of the runners
 
@@ -49,6 +59,16 @@
             if self._completed.get(task):
                 self._add_violation(f"{task} starts again after it was done")
             self._check_step_order(task)
+            self._check_cancellation(task)
+
+    def _check_cancellation(self, task: str) -> None:
+        now = time.monotonic()
+        at = self._cancelled_at.get(task.partition(".")[0], now)
+        calm_seconds = now - self.impaired_at
+        if now - at > CANCEL_SECONDS and calm_seconds > CONTACT_SECONDS:
+            self._add_violation(
+                f"{task} starts {now - at:.2f} s after its cancellation"
+            )
 
     def _check_step_order(self, task: str) -> None:
         job, occurrence, step, _ = task.split(".")
@@ -89,10 +109,20 @@
             if answer == "accepted":
                 self._accepted_jobs.add(job)
 
+    def record_cancelled(self, job: str) -> None:
+        """Record that the cancellation of a job was answered."""
+        with self._lock:
+            self._cancelled_at.setdefault(job, time.monotonic())
+
+    def list_cancelled(self) -> list[str]:
+        """Return the jobs whose cancellation was answered."""
+        with self._lock:
+            return sorted(self._cancelled_at)
+
     def list_accepted(self) -> list[str]:
-        """Return the jobs that were accepted."""
+        """Return the jobs that were accepted and not cancelled."""
         with self._lock:
-            return sorted(self._accepted_jobs)
+            return sorted(self._accepted_jobs - self._cancelled_at.keys())
 
     def check_final_state(self, job: str, state: str) -> None:
         """Check the state that a caller was last shown for an accepted job."""
