Resume all members of a gang from the same checkpoint

Cause: a checkpoint is kept for each task, and a start carries the task's own. That of the member whose worker crashed is the one last listed, older than those with which the others ended. The platform takes the checkpoint of any member for the gang, but the same one for all.

Change: the job's record keeps the checkpoint that a member of each gang reported last, and placing a gang gives it to all members, in the round that stores the placement.

Why it works: a gang is placed as a whole under one lock, before any of its starts is sent, and what is reported later changes only the task that reports.

--- a/chestnutstair/scheduling/placement.py
+++ b/chestnutstair/scheduling/placement.py
@@ -855,6 +855,16 @@
             and run.key.occurrence == key.occurrence
         )
 
+    @staticmethod
+    def _share_checkpoint(gang: list[Placement]) -> None:
+        """Let all members of a gang resume from the same checkpoint."""
+        for placement in gang:
+            record = placement.record
+            key = placement.key
+            checkpoint = record.find_gang_checkpoint(key.occurrence, key.step)
+            state = record.get_task(key)
+            record.set_task(key, replace(state, checkpoint=checkpoint))
+
     def _place_gang(
         self,
         record: JobRecord,
@@ -884,6 +894,7 @@
                 self._tracker.place_run(record, key, worker, run)
                 placements.append(Placement(record, key, worker, run))
             if len(placements) == len(waiting):
+                self._share_checkpoint(placements)
                 return placements
             for placement, state in zip(placements, states, strict=False):
                 placement.worker.remove_run(record.name_task(placement.key))
--- a/chestnutstair/scheduling/progress.py
+++ b/chestnutstair/scheduling/progress.py
@@ -231,6 +231,9 @@
         self.suspects: set[TaskKey] = set()
         # Tasks and workers on which they failed; a hint that is not stored.
         self.failed_on: set[tuple[TaskKey, str]] = set()
+        # The checkpoint that a member of a gang reported last, by occurrence
+        # and step.
+        self._gang_checkpoints: dict[tuple[int, int], str] = {}
         self.lateness = Lateness.IN_TIME  # as of the last planning round
         # The oldest incomplete occurrence and whether it was due, as of the
         # last planning round.
@@ -285,6 +288,11 @@
         self.tasks[key] = state
         if state.run:
             self.started = True
+        if self.steps[key.step].gang and (
+            state.checkpoint not in ("", before.checkpoint)
+        ):
+            gang = (key.occurrence, key.step)
+            self._gang_checkpoints[gang] = state.checkpoint
         waits = state.status is TaskStatus.WAITING
         if waits and state.must_run_alone(self.steps[key.step]):
             self.suspects.add(key)
@@ -300,6 +308,13 @@
         is_done = progress.counts[TaskStatus.DONE] == task_count
         self._completed_steps += int(is_done) - int(was_done)
 
+    def find_gang_checkpoint(self, occurrence: int, step: int) -> str:
+        """Return the checkpoint that all members of a gang start with.
+
+        It is the last one of any member, and empty if there is none.
+        """
+        return self._gang_checkpoints.get((occurrence, step), "")
+
     def get_step_progress(self, occurrence: int, step: int) -> StepProgress:
         """Return the progress of a step in one occurrence."""
         progress = self._step_progress.get((occurrence, step))
