Read intake rows whose keys have another form, and log what cancels nothing

Cause: since the name of a job was read from its key in a way that raises an error for a key without a slash, also where an error of that row is logged, so that one such row would have kept each new leader from loading; a key `job/ID/x` counted as that of job ID. A cancellation that does not cover a job's owner left no line in the log.

Change: only keys of cancellations are cut at the scope. A cancellation that is left alone is logged once, and `cancellation read before its job` is no longer logged for a job that is known.

--- a/chestnutstair/scheduling/early_cancellations.py
+++ b/chestnutstair/scheduling/early_cancellations.py
@@ -43,22 +43,17 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def add(self, cancellation: Cancellation, now: float) -> None:
-        """Keep a cancellation for KEEP_SECONDS from now."""
+    def add(self, cancellation: Cancellation, now: float) -> bool:
+        """Keep a cancellation for KEEP_SECONDS from now.
+
+        Return whether it was not kept before.
+        """
         key = cancellation.key
         known = self._entries.get(key)
         if known is not None and not cancellation.version:
             cancellation = known.cancellation
         if known is None:
             self._keys.setdefault(cancellation.job, []).append(key)
-            logger.info(
-                "cancellation read before its job",
-                extra={
-                    "job": cancellation.job,
-                    "scoped": cancellation.scope is not None,
-                    "waiting": len(self._entries),
-                },
-            )
         self._entries[key] = _Entry(cancellation, now + KEEP_SECONDS)
         self._entries.move_to_end(key)
         if len(self._entries) > MAX_CANCELLATIONS:
@@ -67,6 +62,7 @@
             logger.warning(
                 "early cancellation dropped", extra={"job": oldest.job}
             )
+        return known is None
 
     def take(self, job: str, owner: JobOwner) -> bool:
         """Return whether a job of the owner has been cancelled.
--- a/chestnutstair/scheduling/intake/rows.py
+++ b/chestnutstair/scheduling/intake/rows.py
@@ -62,7 +62,8 @@
 
 def parse_job_name(row: Row) -> str:
     """Return the name of the job that an intake row refers to."""
-    return row.key.key.split("/")[1]
+    name = row.key.key.partition("/")[2]
+    return name.partition("/")[0] if is_cancellation(row) else name
 
 
 def decode_cancellation(
--- a/chestnutstair/scheduling/job_tracker.py
+++ b/chestnutstair/scheduling/job_tracker.py
@@ -276,13 +276,30 @@
         """
         record = self.jobs.get(cancellation.job)
         scope = cancellation.scope
+        is_new = False
         if record is None or scope is not None:
             now = self._clock.read_monotonic()
-            self.early_cancellations.add(cancellation, now)
+            is_new = self.early_cancellations.add(cancellation, now)
         if record is None:
-            return
-        if scope is None or scope.covers(build_owner(record.submission)):
+            if is_new:
+                logger.info(
+                    "cancellation read before its job",
+                    extra={
+                        "job": cancellation.job,
+                        "scoped": scope is not None,
+                        "waiting": len(self.early_cancellations),
+                    },
+                )
+        elif scope is None or scope.covers(build_owner(record.submission)):
             self.cancel(record.name)
+        elif is_new:
+            logger.info(
+                "cancellation by others left alone",
+                extra={
+                    "job": record.name,
+                    "organisations": scope.organisations,
+                },
+            )
 
     def cancel(self, name: str) -> None:
         """Mark a known job as cancelled and stop its runs."""
--- a/chestnutstair/tests/test_unknown_cancellations.py
+++ b/chestnutstair/tests/test_unknown_cancellations.py
@@ -295,6 +295,22 @@
         outcome = self.nodes[0].describe_job(JOB, self.deadline(), ONE_ACCESS)
         self.assertEqual(outcome.state, "queued")
 
+    # Guards against rows that keep each new leader from loading, or that
+    # take the place of a job.
+    def test_keys_of_another_form(self) -> None:
+        value = encode_submission(QUICK, 1, BODY, "one")
+        job_key = build_job_key(JOB)
+        for key in ("x", "job/", f"job/{JOB}/x", "cancel/", "cancel/x/"):
+            self.write_row(replace(job_key, key=key), value)
+        self.follow_intake()
+        self.assertNotIn(JOB, self.tracker.jobs)
+        self.build_leader()
+        self.assertTrue(self.leader.load())
+        self.assertNotIn(JOB, self.tracker.jobs)
+        self.write_row(job_key, value)
+        self.follow_intake()
+        self.assertIn(JOB, self.tracker.active)
+
     def test_scopes_are_read_back_and_named_apart(self) -> None:
         scopes = [ONE_SCOPE, TWO_SCOPE, SHARED_SCOPE, OPEN_SCOPE]
         for scope in scopes:
