Test that a leader's rounds remove expired cancellations

Cause: the tests of the removal called it themselves; none would have failed if no round did.

Result: the test passes, and fails without the call in Leader._run_round.

--- a/chestnutstair/tests/test_cancellation_sweep.py
+++ b/chestnutstair/tests/test_cancellation_sweep.py
@@ -1,8 +1,10 @@
 """Tests of the removal of cancellations whose jobs are not stored."""
 
 import unittest
+from unittest.mock import Mock, patch
 
 from chestnutstair.platform import PlatformSubmissions
+from chestnutstair.scheduling import early_cancellations
 from chestnutstair.scheduling.cancellation_limit import CancellationLimit
 from chestnutstair.scheduling.cancellation_sweep import (
     CancellationSweep,
@@ -223,6 +225,33 @@
         self.assertEqual([item.key for item in expired], [kept])
 
 
+class LeaderRoundTest(LeaderRowsTest):
+    """A leader removes expired rows in its rounds."""
+
+    def test_a_row_is_removed(self) -> None:
+        self.assertTrue(self.leader.load())
+        key = IntakeLayout().build_cancel_key(name_job(1))
+        self.write_row(key, b"{}")
+        with patch.object(early_cancellations, "KEEP_SECONDS", 0.0):
+            self.follow_intake()
+        planner, orders = Mock(), Mock()
+        planner.plan.return_value = []
+        orders.limit_starts.return_value = 1
+        with (
+            patch.object(self.leader, "_planner", planner),
+            patch.object(self.leader, "_orders", orders),
+        ):
+            # Any write of the term makes a round go to its end.
+            self.leader.queue_write(
+                RowWrite(RowKey("a", "scheduler", "b"), b"")
+            )
+            self.leader._run_round()
+        deadline = Deadline.after(self.clock, 1.0)
+        rows = self.store.read(key.table, key.partition, deadline).unwrap()
+        self.assertEqual(rows.rows, ())
+        self.assertEqual(len(self.tracker.early_cancellations), 0)
+
+
 class LimitTest(unittest.TestCase):
     """A node stores few cancellations of unknown jobs a second."""
 
