--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -7,7 +7,6 @@
 import http.client
 import json
 import os
-import resource
 import shutil
 import signal
 import socket
@@ -66,7 +65,6 @@
         self.nodes = []
         self.lives = 0
         self.platform = ""
-        self.forks = None
         self._lock = threading.Lock()
 
     def note(self, text):
@@ -157,88 +155,68 @@
         path.write_text(json.dumps(settings))
         return path
 
-    def start_fork_server(self):
-        """Start the process that forks lives of runners."""
-        errors = open(self.folder / "forks.log", "ab")
-        self.forks = subprocess.Popen(
-            [sys.executable, str(LIB / "runner_forks.py")],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=errors,
-        )
-        errors.close()
+    def start_node(self, store=None, cores=1.07):
+        """Start a node by the deploy file; wait until it is ready.
 
-    def fork_runner(self, machine, service, rack, **options):
-        """Start a life of a runner by forking; return its process id."""
-        path = self.write_runner(machine, service, rack, None, options)
-        with self._lock:
-            self.forks.stdin.write(f"{path}\n".encode())
-            self.forks.stdin.flush()
-            return int(self.forks.stdout.readline())
+        It reaches the store at the address `store`, and has so many `cores`.
+        """
+        number = len(self.nodes)
+        front, ready, nodes = (f"{HOST}:{pick_port()}" for _ in range(3))
+        settings = {
+            "name": f"front-{number}",
+            "zone": "zone-a",
+            "callers_address": front,
+            "ready_address": ready,
+            "nodes_address": nodes,
+            "store_address": store or self.platform,
+            "vms_address": self.platform,
+            "policy_address": "",
+            "longest_lease_seconds": 6.0,
+            "longest_stop_seconds": 0.2,
+            "grace_seconds": 6,
+            "vms_per_shard": 300,
+            "processor": {"share": cores / 2, "cores": 2},
+            "vm": {"memoryMb": 300, "maxFds": 4100},
+            "intake": {
+                "store_writes_per_second": 600,
+                "partition_writes_per_second": 200,
+            },
+            "pools": {
+                "move_seconds": 1.5,
+                "maintenance_seconds": 2,
+                "orders_per_second": 64.0,
+                "turn_seconds": 3.0,
+            },
+        }
+        path = self.folder / f"front-{number}.json"
+        path.write_text(json.dumps(settings))
+        self.nodes.append((front, ready, self.run_node(number)))
+        self.wait_ready(number)
 
-    def start_nodes(self, count, descriptors=None):
-        """Start nodes by the deploy file; wait until they are ready.
+    def run_node(self, number):
+        """Start the process of a node that has settings."""
+        deploy = REPOSITORY / "deploy" / "system.toml"
+        role = tomllib.loads(deploy.read_text())["roles"]["scheduler"]
+        variables = {
+            "CHESTNUTSTAIR_SETTINGS": str(self.folder / f"front-{number}.json"),
+            "PYTHONPATH": str(REPOSITORY / "target" / "deps"),
+        }
+        words = [sys.executable, *role["run"].split()[1:]]
+        return self.spawn(words, f"front-{number}", variables)
 
-        Each may have so many open `descriptors`.
-        """
-        role = tomllib.loads(
-            (REPOSITORY / "deploy" / "system.toml").read_text()
-        )["roles"]["scheduler"]
-        for number in range(count):
-            front, ready, nodes = (f"{HOST}:{pick_port()}" for _ in range(3))
-            settings = {
-                "name": f"front-{number}",
-                "zone": "zone-a",
-                "callers_address": front,
-                "ready_address": ready,
-                "nodes_address": nodes,
-                "store_address": self.platform,
-                "vms_address": self.platform,
-                "policy_address": "",
-                "longest_lease_seconds": 6.0,
-                "longest_stop_seconds": 0.2,
-                "grace_seconds": 6,
-                "vms_per_shard": 300,
-                "processor": {"share": 0.537, "cores": 2},
-                "vm": {"memoryMb": 300, "maxFds": 4100},
-                "intake": {
-                    "store_writes_per_second": 600,
-                    "partition_writes_per_second": 200,
-                },
-                "pools": {
-                    "move_seconds": 1.5,
-                    "maintenance_seconds": 2,
-                    "orders_per_second": 64.0,
-                    "turn_seconds": 3.0,
-                },
-            }
-            path = self.folder / f"front-{number}.json"
-            path.write_text(json.dumps(settings))
-            words = role["run"].split()
-            words[0] = sys.executable
-            dependencies = str(REPOSITORY / "target" / "deps")
-            process = self.spawn(
-                words,
-                f"front-{number}",
-                {
-                    "CHESTNUTSTAIR_SETTINGS": str(path),
-                    "PYTHONPATH": dependencies,
-                },
-            )
-            if descriptors is not None:
-                limit = (descriptors, descriptors)
-                resource.prlimit(
-                    process.pid, resource.RLIMIT_NOFILE, limit
-                )
-            self.nodes.append((front, ready, process))
-        for front, ready, _ in self.nodes:
-            wait_for(
-                lambda ready=ready: (
-                    request(ready, "GET", "/api/ready", timeout=1)[0] == 200
-                ),
-                30,
-                "a node",
-            )
+    def wait_ready(self, number):
+        """Wait until a node reports that it is ready."""
+        ready = self.nodes[number][1]
+        wait_for(
+            lambda: request(ready, "GET", "/api/ready", timeout=1)[0] == 200,
+            30,
+            f"node {number}",
+        )
+
+    def restart_node(self, number):
+        """Start a node again whose process has ended."""
+        front, ready, _ = self.nodes[number]
+        self.nodes[number] = (front, ready, self.run_node(number))
 
     def call(self, node, method, path, body=None):
         """Call a node as a requester does; record call and answer."""
@@ -260,9 +238,6 @@
 
     def close(self):
         """End all processes; add what the runners saw to the record."""
-        if self.forks is not None:
-            self.forks.stdin.close()  # it ends its lives, and then itself
-            self.forks.wait()
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -294,6 +269,8 @@
 
 def run_case(play, record_path):
     """Run a case; return 1 if it broke the rule, 0 if not, 2 otherwise."""
+    # Ends what was started also if the case itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     deployment = Deployment(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status = 2
